--- /dev/null
+++ b/src/include/shallotlever/types/shares.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "shallotlever/base/ids.h"
+#include "shallotlever/base/time.h"
+
+/// Shares of cluster-wide limits that the controller leases to nodes.
+namespace shallotlever {
+
+/// What a node reports about one team since its last report.
+struct TeamDemand
+{
+    TeamId team;
+    /// Requests that arrived per second, admitted or not.
+    double arrivalsPerSecond = 0;
+    /// Requests that wait for a token at the moment.
+    std::uint32_t waiting = 0;
+    /// Burst tokens the node holds and has not spent.
+    double unspentTokens = 0;
+    friend bool operator==(const TeamDemand &, const TeamDemand &) = default;
+};
+
+/// What a node reports about one upstream.
+struct SlotDemand
+{
+    UpstreamId upstream;
+    std::uint32_t connectionsOpen = 0;
+    std::uint32_t connectionsBusy = 0;
+    std::uint32_t waiting = 0;
+    friend bool operator==(const SlotDemand &, const SlotDemand &) = default;
+};
+
+/// Part of a team's limit, valid until the lease it came with runs out.
+struct RateShare
+{
+    TeamId team;
+    double ratePerSecond = 0;
+    /// Bucket depth.
+    double burst = 0;
+    friend bool operator==(const RateShare &, const RateShare &) = default;
+};
+
+/// Part of an upstream's connections, valid until the lease it came with runs out.
+struct SlotShare
+{
+    UpstreamId upstream;
+    std::uint32_t connections = 0;
+    friend bool operator==(const SlotShare &, const SlotShare &) = default;
+};
+
+} // namespace shallotlever
