--- /dev/null
+++ b/src/include/shallotlever/settings/node_settings.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <filesystem>
+#include <functional>
+#include <iosfwd>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "shallotlever/base/ids.h"
+#include "shallotlever/base/time.h"
+
+namespace shallotlever {
+
+/// An IP number (IPv4, or IPv6 without brackets) and a port.
+struct SocketAddress
+{
+    std::string ip;
+    std::uint16_t port = 0;
+    friend bool operator==(const SocketAddress &, const SocketAddress &) = default;
+};
+
+/// Reads `IP:PORT` or `[IPV6]:PORT`. Port 0 is accepted (any free port).
+std::optional<SocketAddress> parseSocketAddress(std::string_view text);
+
+struct ControlMember
+{
+    NodeId id;
+    SocketAddress address;
+    friend bool operator==(const ControlMember &, const ControlMember &) = default;
+};
+
+struct CertificateFiles
+{
+    std::filesystem::path certificate;
+    std::filesystem::path key;
+};
+
+struct PeerCertificateFiles
+{
+    std::filesystem::path certificate;
+    std::filesystem::path key;
+    std::filesystem::path authority;
+};
+
+/// One invalid setting.
+struct SettingsFault
+{
+    /// Name with the leading dashes, for instance `--listen`.
+    std::string flag;
+    std::string message;
+    friend bool operator==(const SettingsFault &, const SettingsFault &) = default;
+};
+
+/// Text asked for with --help or --version.
+struct SettingsText
+{
+    std::string text;
+};
+
+/// Looks up an environment variable by its full name; nullopt if it is not set.
+using EnvironmentLookup = std::function<std::optional<std::string>(const std::string &name)>;
+
+struct NodeSettings;
+
+/// Settings, or every fault at once, or the text of --help or --version.
+using SettingsResult = std::variant<NodeSettings, std::vector<SettingsFault>, SettingsText>;
+
+/// Settings of one node, validated. Does not change while the process runs.
+struct NodeSettings
+{
+    NodeId nodeId;
+    DataCentreId dataCentre;
+    RegionId region;
+    /// HTTP listener for callers and operators.
+    SocketAddress listen;
+    SocketAddress peerListen;
+    /// The control group as the node first knows it; not empty.
+    std::vector<ControlMember> controlMembers;
+    /// This node is a member of the control group; dataDir is set.
+    bool control = false;
+    std::optional<std::filesystem::path> dataDir;
+    /// This node relays control traffic of its data centre.
+    bool relay = false;
+    int edgeThreads = 2;
+    int executorThreads = 2;
+    /// File with the bootstrap operator key.
+    std::optional<std::filesystem::path> operatorKeyFile;
+    /// File with the secret that authenticates session tokens; the same on all nodes.
+    std::filesystem::path sessionSecretFile;
+    std::optional<CertificateFiles> httpTls;
+    /// Empty only with --allow-insecure-peers.
+    std::optional<PeerCertificateFiles> peerTls;
+    std::size_t maxHeaderBytes = 16U * 1024U;
+    std::size_t maxBodyBytes = 1024U * 1024U;
+    std::chrono::milliseconds requestTimeout { 10000 };
+    int maxConnections = 8192;
+    /// How long /readyz fails while the listener still accepts.
+    std::chrono::milliseconds drainNotice { 2000 };
+    /// Bound for open requests and transactions to finish.
+    std::chrono::milliseconds drainLimit { 30000 };
+    /// Name as accepted by logLevelFromName.
+    std::string logLevel = "info";
+    /// Stop after validation (--check-settings).
+    bool checkOnly = false;
+
+    /// Reads and validates the arguments (without the program name). A flag takes precedence over
+    /// its environment variable SHALLOTLEVER_<FLAG>. Opens no socket and changes nothing.
+    static SettingsResult create(const std::vector<std::string> &arguments,
+                                 const EnvironmentLookup &environment);
+};
+
+/// For main: creates the settings from the process environment. Returns the settings, or the exit
+/// status after printing: 2 with every fault on `err`, 0 for --help, --version and
+/// --check-settings.
+std::variant<NodeSettings, int> loadNodeSettings(int argc, const char *const *argv,
+                                                 std::ostream &out, std::ostream &err);
+
+} // namespace shallotlever
