Add settings: flags and environment of the node, validated at once

docopt stops at its first complaint, so unknown, repeated and incomplete flags are sorted out before docopt sees the arguments; the program can then report every fault in one start. Nothing is opened or bound during validation.

--- /dev/null
+++ b/src/settings/node_settings.cpp
@@ -0,0 +1,335 @@
+#include "shallotlever/settings/node_settings.h"
+
+#include <arpa/inet.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <set>
+
+#include <fmt/format.h>
+
+#include "flags.h"
+
+namespace shallotlever {
+
+namespace {
+
+namespace fs = std::filesystem;
+
+constexpr std::size_t kMaxNameLength = 64;
+constexpr std::uintmax_t kMinSessionSecretBytes = 32;
+constexpr std::int64_t kMaxThreads = 64;
+constexpr std::int64_t kMinByteLimit = 1024;
+constexpr std::int64_t kMaxHeaderBytes = 1024 * 1024;
+constexpr std::int64_t kMaxBodyBytes = 64 * 1024 * 1024;
+constexpr std::int64_t kMaxConnections = 100000;
+constexpr std::int64_t kMinRequestTimeoutMs = 100;
+constexpr std::int64_t kMaxRequestTimeoutMs = 600000;
+constexpr std::int64_t kMaxDrainNoticeMs = 600000;
+constexpr std::int64_t kMaxDrainLimitMs = 3600000;
+
+template <typename T>
+std::optional<T> parseNumber(std::string_view text)
+{
+    T value {};
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc() || end != text.data() + text.size())
+        return std::nullopt;
+    return value;
+}
+
+bool isIp(int family, const std::string &text)
+{
+    std::array<unsigned char, sizeof(in6_addr)> parsed {};
+    return ::inet_pton(family, text.c_str(), parsed.data()) == 1;
+}
+
+bool isName(const std::string &text)
+{
+    constexpr std::string_view kAllowed =
+        "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789._-";
+    return !text.empty() && text.size() <= kMaxNameLength
+        && text.find_first_not_of(kAllowed) == std::string::npos;
+}
+
+/// Reads values of flags and collects every fault.
+class SettingsReader
+{
+public:
+    explicit SettingsReader(FlagValues flags)
+        : m_flags(std::move(flags))
+    {
+    }
+
+    NodeSettings read();
+    std::vector<SettingsFault> takeFaults() { return std::move(m_flags.faults); }
+
+private:
+    void fault(const std::string &flag, std::string message)
+    {
+        m_flags.faults.push_back({ flag, std::move(message) });
+    }
+    bool isSet(const std::string &flag) const { return m_flags.values.contains(flag); }
+    std::optional<std::string> optional(const std::string &flag) const;
+    std::string required(const std::string &flag);
+    std::string name(const std::string &flag);
+    SocketAddress address(const std::string &flag);
+    std::vector<ControlMember> controlMembers();
+    std::int64_t number(const std::string &flag, std::int64_t preset, std::int64_t low,
+                        std::int64_t high);
+    std::chrono::milliseconds duration(const std::string &flag, std::chrono::milliseconds preset,
+                                       std::int64_t low, std::int64_t high);
+    std::optional<fs::path> file(const std::string &flag);
+    std::optional<fs::path> dataDir(bool control);
+    fs::path sessionSecretFile();
+    bool allOrNone(const std::vector<std::string> &flags);
+    std::optional<CertificateFiles> httpTls();
+    std::optional<PeerCertificateFiles> peerTls();
+    void readLimits(NodeSettings &settings);
+    std::string logLevel();
+
+    FlagValues m_flags;
+};
+
+std::optional<std::string> SettingsReader::optional(const std::string &flag) const
+{
+    const auto found = m_flags.values.find(flag);
+    return found == m_flags.values.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::string SettingsReader::required(const std::string &flag)
+{
+    const std::optional<std::string> value = optional(flag);
+    if (!value)
+        fault(flag, "is required");
+    return value.value_or("");
+}
+
+std::string SettingsReader::name(const std::string &flag)
+{
+    const std::string value = required(flag);
+    if (isSet(flag) && !isName(value))
+        fault(flag,
+              fmt::format("must be 1 to {} letters, digits, dots, dashes or underscores",
+                          kMaxNameLength));
+    return value;
+}
+
+SocketAddress SettingsReader::address(const std::string &flag)
+{
+    const std::string value = required(flag);
+    const std::optional<SocketAddress> parsed = parseSocketAddress(value);
+    if (isSet(flag) && !parsed)
+        fault(flag, fmt::format("'{}' is not IP:PORT with an IP number", value));
+    return parsed.value_or(SocketAddress {});
+}
+
+std::vector<ControlMember> SettingsReader::controlMembers()
+{
+    const std::string flag = "--control-members";
+    const std::string value = required(flag);
+    std::vector<ControlMember> members;
+    std::set<std::string> ids;
+    std::set<std::pair<std::string, std::uint16_t>> addresses;
+    for (std::size_t start = 0; isSet(flag) && start <= value.size();) {
+        const std::size_t comma = std::min(value.find(',', start), value.size());
+        const std::string entry = value.substr(start, comma - start);
+        start = comma + 1;
+        const std::size_t equals = std::min(entry.find('='), entry.size());
+        const std::string id = entry.substr(0, equals);
+        const auto parsed =
+            parseSocketAddress(std::string_view(entry).substr(std::min(equals + 1, entry.size())));
+        if (!isName(id) || !parsed || parsed->port == 0)
+            fault(flag, fmt::format("'{}' is not ID=IP:PORT", entry));
+        else if (!ids.insert(id).second || !addresses.insert({ parsed->ip, parsed->port }).second)
+            fault(flag, fmt::format("'{}' repeats an id or an address", entry));
+        else
+            members.push_back({ NodeId(id), *parsed });
+    }
+    return members;
+}
+
+std::int64_t SettingsReader::number(const std::string &flag, std::int64_t preset, std::int64_t low,
+                                    std::int64_t high)
+{
+    const std::optional<std::string> text = optional(flag);
+    if (!text)
+        return preset;
+    const auto value = parseNumber<std::int64_t>(*text);
+    if (value && *value >= low && *value <= high)
+        return *value;
+    fault(flag, fmt::format("'{}' is not a whole number from {} to {}", *text, low, high));
+    return preset;
+}
+
+std::chrono::milliseconds SettingsReader::duration(const std::string &flag,
+                                                   std::chrono::milliseconds preset,
+                                                   std::int64_t low, std::int64_t high)
+{
+    return std::chrono::milliseconds(number(flag, preset.count(), low, high));
+}
+
+std::optional<fs::path> SettingsReader::file(const std::string &flag)
+{
+    const std::optional<std::string> path = optional(flag);
+    if (!path)
+        return std::nullopt;
+    std::error_code error;
+    if (!fs::is_regular_file(*path, error) || ::access(path->c_str(), R_OK) != 0)
+        fault(flag, fmt::format("'{}' is not a readable file", *path));
+    return fs::path(*path);
+}
+
+std::optional<fs::path> SettingsReader::dataDir(bool control)
+{
+    const std::string flag = "--data-dir";
+    const std::optional<std::string> path = optional(flag);
+    if (!path) {
+        if (control)
+            fault(flag, "is required with --control");
+        return std::nullopt;
+    }
+    std::error_code error;
+    if (!fs::is_directory(*path, error) || ::access(path->c_str(), R_OK | W_OK | X_OK) != 0)
+        fault(flag, fmt::format("'{}' is not a directory that can be written", *path));
+    return fs::path(*path);
+}
+
+fs::path SettingsReader::sessionSecretFile()
+{
+    const std::string flag = "--session-secret-file";
+    required(flag);
+    const std::size_t faultsBefore = m_flags.faults.size();
+    const fs::path path = file(flag).value_or(fs::path());
+    std::error_code error;
+    if (isSet(flag) && m_flags.faults.size() == faultsBefore
+        && fs::file_size(path, error) < kMinSessionSecretBytes)
+        fault(flag,
+              fmt::format("'{}' holds fewer than {} bytes", path.string(), kMinSessionSecretBytes));
+    return path;
+}
+
+bool SettingsReader::allOrNone(const std::vector<std::string> &flags)
+{
+    const auto given = std::count_if(flags.begin(), flags.end(),
+                                     [this](const std::string &flag) { return isSet(flag); });
+    for (const std::string &flag : flags) {
+        if (given != 0 && !isSet(flag))
+            fault(flag, "is required, because other flags of the same group are given");
+    }
+    return given == static_cast<std::ptrdiff_t>(flags.size());
+}
+
+std::optional<CertificateFiles> SettingsReader::httpTls()
+{
+    const bool complete = allOrNone({ "--http-tls-cert", "--http-tls-key" });
+    const auto certificate = file("--http-tls-cert");
+    const auto key = file("--http-tls-key");
+    return complete ? std::optional(CertificateFiles { *certificate, *key }) : std::nullopt;
+}
+
+std::optional<PeerCertificateFiles> SettingsReader::peerTls()
+{
+    const std::vector<std::string> flags { "--peer-tls-cert", "--peer-tls-key", "--peer-tls-ca" };
+    const bool complete = allOrNone(flags);
+    const auto certificate = file(flags[0]);
+    const auto key = file(flags[1]);
+    const auto authority = file(flags[2]);
+    if (!certificate && !key && !authority && !isSet("--allow-insecure-peers"))
+        fault(
+            "--allow-insecure-peers",
+            "is required, because --peer-tls-cert, --peer-tls-key and --peer-tls-ca are not given");
+    if (!complete)
+        return std::nullopt;
+    return PeerCertificateFiles { *certificate, *key, *authority };
+}
+
+void SettingsReader::readLimits(NodeSettings &settings)
+{
+    settings.edgeThreads =
+        static_cast<int>(number("--edge-threads", settings.edgeThreads, 1, kMaxThreads));
+    settings.executorThreads =
+        static_cast<int>(number("--executor-threads", settings.executorThreads, 1, kMaxThreads));
+    settings.maxHeaderBytes = static_cast<std::size_t>(
+        number("--max-header-bytes", static_cast<std::int64_t>(settings.maxHeaderBytes),
+               kMinByteLimit, kMaxHeaderBytes));
+    settings.maxBodyBytes = static_cast<std::size_t>(
+        number("--max-body-bytes", static_cast<std::int64_t>(settings.maxBodyBytes), kMinByteLimit,
+               kMaxBodyBytes));
+    settings.requestTimeout = duration("--request-timeout-ms", settings.requestTimeout,
+                                       kMinRequestTimeoutMs, kMaxRequestTimeoutMs);
+    settings.maxConnections =
+        static_cast<int>(number("--max-connections", settings.maxConnections, 1, kMaxConnections));
+    settings.drainNotice =
+        duration("--drain-notice-ms", settings.drainNotice, 0, kMaxDrainNoticeMs);
+    settings.drainLimit = duration("--drain-limit-ms", settings.drainLimit, 0, kMaxDrainLimitMs);
+}
+
+std::string SettingsReader::logLevel()
+{
+    constexpr std::array<std::string_view, 4> kLevels { "debug", "info", "warning", "error" };
+    const std::string level = optional("--log-level").value_or("info");
+    if (std::find(kLevels.begin(), kLevels.end(), level) == kLevels.end())
+        fault("--log-level", fmt::format("'{}' is not debug, info, warning or error", level));
+    return level;
+}
+
+NodeSettings SettingsReader::read()
+{
+    NodeSettings settings;
+    settings.nodeId = NodeId(name("--node-id"));
+    settings.dataCentre = DataCentreId(name("--data-centre"));
+    settings.region = RegionId(name("--region"));
+    settings.listen = address("--listen");
+    settings.peerListen = address("--peer-listen");
+    if (settings.listen.port != 0 && settings.listen == settings.peerListen)
+        fault("--peer-listen", "is the same address as --listen");
+    settings.controlMembers = controlMembers();
+    settings.control = isSet("--control");
+    settings.dataDir = dataDir(settings.control);
+    settings.relay = isSet("--relay");
+    readLimits(settings);
+    settings.operatorKeyFile = file("--operator-key-file");
+    settings.sessionSecretFile = sessionSecretFile();
+    settings.httpTls = httpTls();
+    settings.peerTls = peerTls();
+    settings.logLevel = logLevel();
+    settings.checkOnly = isSet("--check-settings");
+    return settings;
+}
+
+} // namespace
+
+std::optional<SocketAddress> parseSocketAddress(std::string_view text)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string_view::npos)
+        return std::nullopt;
+    const auto port = parseNumber<std::uint16_t>(text.substr(colon + 1));
+    std::string_view host = text.substr(0, colon);
+    const bool bracketed = host.size() > 2 && host.front() == '[' && host.back() == ']';
+    if (bracketed)
+        host = host.substr(1, host.size() - 2);
+    std::string ip(host);
+    if (!port || !isIp(bracketed ? AF_INET6 : AF_INET, ip))
+        return std::nullopt;
+    return SocketAddress { std::move(ip), *port };
+}
+
+SettingsResult NodeSettings::create(const std::vector<std::string> &arguments,
+                                    const EnvironmentLookup &environment)
+{
+    auto flags = readFlags(arguments, environment);
+    if (auto *text = std::get_if<SettingsText>(&flags))
+        return std::move(*text);
+    SettingsReader reader(std::move(std::get<FlagValues>(flags)));
+    NodeSettings settings = reader.read();
+    std::vector<SettingsFault> faults = reader.takeFaults();
+    if (!faults.empty())
+        return faults;
+    return settings;
+}
+
+} // namespace shallotlever
--- /dev/null
+++ b/src/settings/node_settings_test.cpp
@@ -0,0 +1,260 @@
+#include "shallotlever/settings/node_settings.h"
+
+#include <fstream>
+#include <map>
+#include <sstream>
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+namespace shallotlever {
+namespace {
+
+using testing::HasSubstr;
+using testing::IsEmpty;
+using testing::UnorderedElementsAreArray;
+
+using Flags = std::map<std::string, std::string>;
+
+std::string testFile(const std::string &name, std::size_t bytes)
+{
+    const std::string path = testing::TempDir() + "shallotlever_settings_" + name;
+    std::ofstream(path) << std::string(bytes, 'x');
+    return path;
+}
+
+Flags validFlags()
+{
+    return { { "--node-id", "n1" },
+             { "--data-centre", "vast-a" },
+             { "--region", "vast" },
+             { "--listen", "127.0.0.1:8080" },
+             { "--peer-listen", "[::1]:8081" },
+             { "--control-members", "n1=10.0.0.1:7000,n2=[fd00::2]:7000" },
+             { "--session-secret-file", testFile("secret", 32) },
+             { "--allow-insecure-peers", "" } };
+}
+
+std::vector<std::string> arguments(const Flags &flags)
+{
+    std::vector<std::string> result;
+    for (const auto &[name, value] : flags) {
+        result.push_back(name);
+        if (!value.empty())
+            result.push_back(value);
+    }
+    return result;
+}
+
+EnvironmentLookup environment(const Flags &variables)
+{
+    return [variables](const std::string &name) -> std::optional<std::string> {
+        const auto found = variables.find(name);
+        return found == variables.end() ? std::nullopt : std::optional(found->second);
+    };
+}
+
+std::vector<std::string> faultyFlags(const SettingsResult &result)
+{
+    std::vector<std::string> names;
+    if (const auto *faults = std::get_if<std::vector<SettingsFault>>(&result)) {
+        for (const SettingsFault &fault : *faults)
+            names.push_back(fault.flag);
+    }
+    return names;
+}
+
+// Guards against values that are validated but not stored, and against wrong defaults.
+TEST(NodeSettingsTest, ReadsValidFlags)
+{
+    Flags flags = validFlags();
+    flags.insert({ { "--control", "" },
+                   { "--data-dir", testing::TempDir() },
+                   { "--drain-notice-ms", "0" },
+                   { "--log-level", "debug" } });
+    const SettingsResult result = NodeSettings::create(arguments(flags), environment({}));
+    ASSERT_THAT(faultyFlags(result), IsEmpty());
+    const auto &settings = std::get<NodeSettings>(result);
+    EXPECT_EQ(settings.nodeId, NodeId("n1"));
+    EXPECT_EQ(settings.listen, (SocketAddress { "127.0.0.1", 8080 }));
+    EXPECT_EQ(settings.controlMembers.at(1), (ControlMember { NodeId("n2"), { "fd00::2", 7000 } }));
+    EXPECT_TRUE(settings.control);
+    EXPECT_FALSE(settings.relay);
+    EXPECT_EQ(settings.drainNotice, 0ms);
+    EXPECT_EQ(settings.drainLimit, 30000ms);
+    EXPECT_EQ(settings.logLevel, "debug");
+    EXPECT_FALSE(settings.peerTls);
+}
+
+// Guards against a variable that overrides a flag, and against variables that are not read.
+TEST(NodeSettingsTest, FlagTakesPrecedenceOverVariable)
+{
+    Flags flags = validFlags();
+    flags.erase("--region");
+    const SettingsResult result =
+        NodeSettings::create(arguments(flags),
+                             environment({ { "SHALLOTLEVER_NODE_ID", "other" },
+                                           { "SHALLOTLEVER_REGION", "norr" },
+                                           { "SHALLOTLEVER_RELAY", "true" },
+                                           { "SHALLOTLEVER_MAX_CONNECTIONS", "" } }));
+    ASSERT_THAT(faultyFlags(result), IsEmpty());
+    EXPECT_EQ(std::get<NodeSettings>(result).nodeId, NodeId("n1"));
+    EXPECT_EQ(std::get<NodeSettings>(result).region, RegionId("norr"));
+    EXPECT_TRUE(std::get<NodeSettings>(result).relay);
+}
+
+struct FaultCase
+{
+    std::string name;
+    /// Replaces valid flags; a value of "-" removes the flag.
+    Flags changed;
+    std::vector<std::string> extra;
+    Flags variables;
+    std::vector<std::string> faulty;
+};
+
+class SettingsFaults : public testing::TestWithParam<FaultCase>
+{
+};
+
+// Guards against invalid settings that are accepted, and against faults that hide others.
+TEST_P(SettingsFaults, NameEveryFaultyFlag)
+{
+    Flags flags = validFlags();
+    for (const auto &[name, value] : GetParam().changed) {
+        flags[name] = value;
+        if (value == "-")
+            flags.erase(name);
+    }
+    std::vector<std::string> all = arguments(flags);
+    all.insert(all.end(), GetParam().extra.begin(), GetParam().extra.end());
+    const SettingsResult result = NodeSettings::create(all, environment(GetParam().variables));
+    EXPECT_THAT(faultyFlags(result), UnorderedElementsAreArray(GetParam().faulty));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All, SettingsFaults,
+    testing::Values(
+        FaultCase { "Missing",
+                    { { "--node-id", "-" }, { "--listen", "-" } },
+                    {},
+                    {},
+                    { "--node-id", "--listen" } },
+        FaultCase { "Names",
+                    { { "--node-id", "a b" }, { "--region", std::string(65, 'x') } },
+                    {},
+                    {},
+                    { "--node-id", "--region" } },
+        FaultCase { "HostName", { { "--listen", "localhost:80" } }, {}, {}, { "--listen" } },
+        FaultCase { "Port",
+                    { { "--listen", "127.0.0.1:65536" }, { "--peer-listen", "::1:7" } },
+                    {},
+                    {},
+                    { "--listen", "--peer-listen" } },
+        FaultCase {
+            "SameAddress", { { "--peer-listen", "127.0.0.1:8080" } }, {}, {}, { "--peer-listen" } },
+        FaultCase { "Members",
+                    { { "--control-members", "n1=10.0.0.1:7000,n1=10.0.0.2:7000,x" } },
+                    {},
+                    {},
+                    { "--control-members", "--control-members" } },
+        FaultCase { "EmptyMember",
+                    { { "--control-members", "n1=10.0.0.1:7000," } },
+                    {},
+                    {},
+                    { "--control-members" } },
+        FaultCase { "ControlNeedsDirectory", { { "--control", "" } }, {}, {}, { "--data-dir" } },
+        FaultCase { "NoDirectory", { { "--data-dir", "/nonexistent" } }, {}, {}, { "--data-dir" } },
+        FaultCase { "Ranges",
+                    { { "--edge-threads", "0" },
+                      { "--max-connections", "-1" },
+                      { "--max-body-bytes", "1e6" },
+                      { "--request-timeout-ms", "99" },
+                      { "--drain-limit-ms", "99999999999999999999" } },
+                    {},
+                    {},
+                    { "--edge-threads", "--max-connections", "--max-body-bytes",
+                      "--request-timeout-ms", "--drain-limit-ms" } },
+        FaultCase { "ShortSecret",
+                    { { "--session-secret-file", testFile("short", 31) } },
+                    {},
+                    {},
+                    { "--session-secret-file" } },
+        FaultCase { "NoFile",
+                    { { "--session-secret-file", "/nonexistent" },
+                      { "--operator-key-file", testing::TempDir() } },
+                    {},
+                    {},
+                    { "--session-secret-file", "--operator-key-file" } },
+        FaultCase { "HalfOfHttpTls",
+                    { { "--http-tls-cert", testFile("cert", 1) } },
+                    {},
+                    {},
+                    { "--http-tls-key" } },
+        FaultCase { "PartOfPeerTls",
+                    { { "--peer-tls-ca", testFile("ca", 1) } },
+                    {},
+                    {},
+                    { "--peer-tls-cert", "--peer-tls-key" } },
+        FaultCase { "InsecurePeers",
+                    { { "--allow-insecure-peers", "-" } },
+                    {},
+                    {},
+                    { "--allow-insecure-peers" } },
+        FaultCase { "LogLevel", { { "--log-level", "loud" } }, {}, {}, { "--log-level" } },
+        FaultCase { "UnknownFlags",
+                    {},
+                    { "--nope", "value", "--nada=1", "stray" },
+                    {},
+                    { "--nope", "--nada", "stray" } },
+        FaultCase { "Prefix", {}, { "--rel" }, {}, { "--rel" } },
+        FaultCase { "Repeated", {}, { "--node-id", "n2" }, {}, { "--node-id" } },
+        FaultCase {
+            "NoValue", { { "--region", "-" } }, { "--region" }, {}, { "--region", "--region" } },
+        FaultCase { "SwitchWithValue", {}, { "--relay=yes" }, {}, { "--relay" } },
+        FaultCase { "SwitchVariable", {}, {}, { { "SHALLOTLEVER_RELAY", "yes" } }, { "--relay" } }),
+    [](const auto &test) { return test.param.name; });
+
+struct ExitCase
+{
+    std::vector<const char *> arguments;
+    int status;
+    std::string out;
+    std::string err;
+};
+
+class SettingsExit : public testing::TestWithParam<ExitCase>
+{
+};
+
+// Guards against a program that starts with invalid settings or after a request for a text.
+TEST_P(SettingsExit, PrintsAndReturnsStatus)
+{
+    const std::string secret = testFile("secret", 32);
+    std::vector<const char *> argv = GetParam().arguments;
+    argv.insert(argv.begin(), "shallotleverd");
+    argv.insert(argv.end(), { "--session-secret-file", secret.c_str() });
+    std::ostringstream out;
+    std::ostringstream err;
+    const auto result = loadNodeSettings(static_cast<int>(argv.size()), argv.data(), out, err);
+    ASSERT_TRUE(std::holds_alternative<int>(result));
+    EXPECT_EQ(std::get<int>(result), GetParam().status);
+    EXPECT_THAT(out.str(), HasSubstr(GetParam().out));
+    EXPECT_THAT(err.str(), HasSubstr(GetParam().err));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All, SettingsExit,
+    testing::Values(
+        ExitCase { { "--help" }, 0, "--session-secret-file FILE", "" },
+        ExitCase { { "--version" }, 0, "shallotleverd ", "" },
+        ExitCase { { "--nope" }, 2, "", "--nope: unknown flag\n--node-id: is required" },
+        ExitCase { { "--check-settings", "--node-id", "n", "--data-centre", "d", "--region", "r",
+                     "--listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0", "--control-members",
+                     "n=127.0.0.1:1", "--allow-insecure-peers" },
+                   0,
+                   "",
+                   "" }));
+
+} // namespace
+} // namespace shallotlever
