Add the JSON codec of the caller and operator interface

Unknown fields, fractions, negative numbers, U+0000 and numbers that would lose digits are refused by the name of the field, because each would silently change a request.

--- /dev/null
+++ b/src/edge/json_fields.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include <QJsonArray>
+#include <QJsonObject>
+#include <QJsonValue>
+#include <QSet>
+#include <QString>
+
+#include "shallotlever/base/errors.h"
+#include "shallotlever/base/ids.h"
+
+namespace shallotlever {
+
+/// Longest id in an interface, in bytes.
+constexpr std::size_t kMaxIdBytes = 128;
+/// Longest duration accepted, in milliseconds: a year. Conversion to microseconds cannot overflow.
+constexpr std::uint64_t kMaxDurationMs = 366ULL * 24 * 3600 * 1000;
+
+Error malformedRequest(const QString &message);
+
+/// Reads the fields of one JSON object strictly: a missing field, a wrong type, a number out of
+/// range and a field that nothing asked for are faults. The first fault is kept; reads after it
+/// return unspecified valid values.
+class FieldReader
+{
+public:
+    /// `path` is the name of the object in messages; empty for the body itself.
+    explicit FieldReader(QJsonObject object, QString path = {});
+
+    bool has(const char *key) const;
+    std::string text(const char *key);
+    /// A non-empty id of at most kMaxIdBytes without control characters.
+    template <typename IdType>
+    IdType id(const char *key)
+    {
+        return IdType(idText(key));
+    }
+    template <typename IdType>
+    std::optional<IdType> optionalId(const char *key)
+    {
+        return has(key) ? std::optional(IdType(idText(key))) : std::nullopt;
+    }
+    std::uint64_t number(const char *key, std::uint64_t max);
+    std::uint64_t number(const char *key, std::uint64_t max, std::uint64_t preset);
+    std::chrono::milliseconds milliseconds(const char *key);
+    std::chrono::milliseconds milliseconds(const char *key, std::chrono::milliseconds preset);
+    /// Not negative.
+    double real(const char *key);
+    double real(const char *key, double preset);
+    bool boolean(const char *key, bool preset);
+    QJsonObject object(const char *key);
+    /// Empty if the field is missing.
+    QJsonArray optionalArray(const char *key);
+
+    /// Name of a field in messages.
+    QString nameOf(const QString &key) const;
+    void fail(const QString &key, const QString &problem);
+    /// Takes over the fault of a nested object, unless there is an earlier one.
+    void adoptFault(const Error &fault);
+    /// The first fault. Call after all reads: it also refuses fields that were not read.
+    std::optional<Error> fault();
+
+private:
+    QJsonValue take(const char *key);
+    std::string idText(const char *key);
+
+    QJsonObject m_object;
+    QString m_path;
+    QSet<QString> m_read;
+    std::optional<Error> m_fault;
+};
+
+/// The text as UTF-8, or nullopt if it has a U+0000, which libpq would take for the end of the
+/// text, or a lone surrogate.
+std::optional<std::string> strictUtf8(const QString &text);
+
+} // namespace shallotlever
