Add the HTTP listener

QtHttpServer reads from a Connection, a socket that stands in front of the real one. It bounds headers, body and sending time before the parser buffers anything, answers 408, 413 and 503 itself, and shows the parser one complete canonical request at a time: the parser of Qt 6.4.2 buffers bodies of any size, stalls on pipelined requests and takes some garbage for a request.

--- /dev/null
+++ b/src/edge/connection.cpp
@@ -0,0 +1,337 @@
+#include "connection.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cstring>
+
+#include <QSslSocket>
+
+#include "shallotlever/base/clock.h"
+
+namespace shallotlever {
+
+namespace {
+
+/// Read from the socket at once; also what Qt may buffer ahead of the limits.
+constexpr qint64 kReadChunkBytes = 16LL * 1024;
+constexpr qint64 kSocketBufferBytes = 64LL * 1024;
+/// With more unsent bytes than this, no further pipelined request is read.
+constexpr qint64 kMaxUnsentBytes = 256LL * 1024;
+/// A client that takes no byte of an answer for this long is disconnected.
+constexpr std::chrono::milliseconds kWriteStall { 30000 };
+/// Closing a socket with unread input resets the connection, and the client may lose the answer.
+/// Input is discarded for this long before the socket is closed.
+constexpr std::chrono::milliseconds kLinger { 2000 };
+
+/// Headers that describe the connection and not the request. The parser gets the decoded body,
+/// and must not begin a protocol upgrade.
+constexpr const char *kConnectionHeaders[] = {
+    "Connection", "Content-Length",    "Expect", "Keep-Alive", "TE",
+    "Trailer",    "Transfer-Encoding", "Upgrade"
+};
+
+bool isConnectionHeader(const QByteArray &name)
+{
+    return std::any_of(
+        std::begin(kConnectionHeaders), std::end(kConnectionHeaders),
+        [&name](const char *h) { return name.compare(h, Qt::CaseInsensitive) == 0; });
+}
+
+QByteArray canonicalRequest(const FramedRequest &request)
+{
+    QByteArray text = request.head.method + ' ' + request.head.target + " HTTP/1.1\r\n";
+    for (const auto &[name, value] : request.head.headers) {
+        if (!isConnectionHeader(name))
+            text += name + ": " + value + "\r\n";
+    }
+    text += "Content-Length: " + QByteArray::number(request.body.size()) + "\r\n\r\n";
+    return text + request.body;
+}
+
+const char *reasonPhrase(int status)
+{
+    switch (status) {
+    case 200:
+        return "OK";
+    case 400:
+        return "Bad Request";
+    case 401:
+        return "Unauthorized";
+    case 403:
+        return "Forbidden";
+    case 404:
+        return "Not Found";
+    case 408:
+        return "Request Timeout";
+    case 409:
+        return "Conflict";
+    case 413:
+        return "Content Too Large";
+    case 422:
+        return "Unprocessable Content";
+    case 429:
+        return "Too Many Requests";
+    case 503:
+        return "Service Unavailable";
+    case 504:
+        return "Gateway Timeout";
+    default:
+        return "Internal Server Error";
+    }
+}
+
+QByteArray answerText(const HttpAnswer &answer, bool keepAlive, bool withBody)
+{
+    QByteArray text = "HTTP/1.1 " + QByteArray::number(answer.status) + ' '
+        + reasonPhrase(answer.status) + "\r\n";
+    for (const auto &[name, value] : answer.headers)
+        text += name + ": " + value + "\r\n";
+    text += "Content-Length: " + QByteArray::number(answer.body.size()) + "\r\n";
+    text += keepAlive ? "Connection: keep-alive\r\n\r\n" : "Connection: close\r\n\r\n";
+    if (withBody)
+        text += answer.body;
+    return text;
+}
+
+} // namespace
+
+Connection::Connection(std::uint64_t id, std::unique_ptr<QTcpSocket> socket,
+                       ConnectionContext &context)
+    : m_id(id)
+    , m_socket(std::move(socket))
+    , m_context(context)
+    , m_reader(context.limits)
+    , m_quietSince(monotonicNow())
+{
+    setOpenMode(QIODevice::ReadWrite);
+    setSocketState(QAbstractSocket::ConnectedState);
+    setPeerAddress(m_socket->peerAddress());
+    m_socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+    m_socket->setReadBufferSize(kSocketBufferBytes);
+    m_timer.setSingleShot(true);
+    connect(&m_timer, &QTimer::timeout, this, [this] { onTimeout(); });
+    connect(m_socket.get(), &QTcpSocket::readyRead, this, [this] { process(); });
+    connect(m_socket.get(), &QTcpSocket::bytesWritten, this, [this] { onBytesWritten(); });
+    connect(m_socket.get(), &QTcpSocket::disconnected, this, [this] { close(); });
+}
+
+Connection::~Connection()
+{
+    m_socket->disconnect(this);
+    // The base class must not try to close a socket that it never had.
+    setSocketState(QAbstractSocket::UnconnectedState);
+}
+
+void Connection::start(std::optional<Error> refusal)
+{
+    m_refusal = std::move(refusal);
+    if (m_socket->state() != QAbstractSocket::ConnectedState)
+        return close();
+    auto *tls = qobject_cast<QSslSocket *>(m_socket.get());
+    if (tls == nullptr) {
+        m_stage = Stage::Reading;
+        return process();
+    }
+    connect(tls, &QSslSocket::encrypted, this, [this] {
+        m_timer.stop();
+        m_stage = Stage::Reading;
+        process();
+    });
+    m_timer.start(m_context.limits.requestTimeout);
+    tls->startServerEncryption();
+}
+
+void Connection::process()
+{
+    if (m_stage == Stage::Lingering)
+        m_socket->readAll();
+    if (m_processing)
+        return;
+    m_processing = true;
+    if (m_stage == Stage::Reading && m_refusal)
+        refuse(*m_refusal);
+    while (m_stage == Stage::Reading && m_socket->bytesToWrite() < kMaxUnsentBytes) {
+        const RequestReader::Status status = m_reader.next();
+        if (status == RequestReader::Status::Complete) {
+            showToParser();
+        } else if (status == RequestReader::Status::Failed) {
+            refuse(m_reader.error());
+        } else {
+            if (m_reader.takeExpectContinue())
+                m_socket->write("HTTP/1.1 100 Continue\r\n\r\n");
+            const QByteArray bytes = m_socket->read(kReadChunkBytes);
+            if (bytes.isEmpty())
+                break;
+            m_reader.append(bytes);
+        }
+        if (m_stage == Stage::Reading && m_reader.hasPartialRequest())
+            beginRequest();
+    }
+    m_processing = false;
+}
+
+void Connection::beginRequest()
+{
+    if (!m_inFlight) {
+        m_inFlight = true;
+        m_context.requestsInFlight.fetch_add(1);
+    }
+    if (!m_requestTimed) {
+        m_requestTimed = true;
+        m_timer.start(m_context.limits.requestTimeout);
+    }
+}
+
+void Connection::endRequest()
+{
+    if (m_inFlight)
+        m_context.requestsInFlight.fetch_sub(1);
+    m_inFlight = false;
+    m_quietSince = monotonicNow();
+}
+
+void Connection::showToParser()
+{
+    FramedRequest request = m_reader.takeRequest();
+    m_shown = canonicalRequest(request);
+    m_head = std::move(request.head);
+    ++m_requestNumber;
+    beginRequest();
+    m_requestTimed = false;
+    m_timer.stop();
+    m_accepted = false;
+    m_stage = Stage::Waiting;
+    Q_EMIT readyRead();
+    m_shown.clear();
+    if (!m_accepted && m_stage == Stage::Waiting)
+        refuse(Error { ErrorKind::MalformedRequest, "the request cannot be parsed", std::nullopt });
+}
+
+const RequestHead &Connection::acceptRequest()
+{
+    m_accepted = true;
+    return m_head;
+}
+
+void Connection::answer(std::uint64_t number, const HttpAnswer &answer)
+{
+    if (m_stage != Stage::Waiting || number != m_requestNumber)
+        return;
+    write(answer, m_head.keepAlive && !m_context.draining.load());
+    process();
+}
+
+void Connection::refuse(const Error &error)
+{
+    m_context.countRefusal(error.kind);
+    write(encodeError(error), false);
+}
+
+void Connection::write(const HttpAnswer &answer, bool keepAlive)
+{
+    m_socket->write(answerText(answer, keepAlive, m_head.method != "HEAD"));
+    m_head = {};
+    m_requestTimed = false;
+    m_timer.start(kWriteStall);
+    m_stage = keepAlive ? Stage::Reading : Stage::Lingering;
+    m_socket->flush();
+    onBytesWritten();
+}
+
+void Connection::onBytesWritten()
+{
+    if (m_stage == Stage::Closed || m_stage == Stage::Handshake)
+        return;
+    if (m_socket->bytesToWrite() > 0) {
+        if (!m_requestTimed && m_stage != Stage::Waiting)
+            m_timer.start(kWriteStall);
+    } else if (m_stage == Stage::Lingering) {
+        endRequest();
+        shutdownWriting();
+    } else if (m_stage == Stage::Reading && !m_requestTimed) {
+        m_timer.stop();
+        endRequest();
+    }
+    if (m_stage == Stage::Reading)
+        process();
+}
+
+void Connection::shutdownWriting()
+{
+    if (m_writingShutDown)
+        return;
+    m_writingShutDown = true;
+    m_timer.start(kLinger);
+    // Qt has no call that closes one direction only. With TLS the client sees the end of the
+    // answer by its Content-Length.
+    if (qobject_cast<QSslSocket *>(m_socket.get()) == nullptr)
+        ::shutdown(static_cast<int>(m_socket->socketDescriptor()), SHUT_WR);
+    m_socket->readAll();
+}
+
+bool Connection::isIdle(std::chrono::milliseconds quietFor) const
+{
+    if (m_stage != Stage::Reading || m_inFlight || m_socket->bytesAvailable() > 0)
+        return false;
+    char byte = 0;
+    const auto descriptor = static_cast<int>(m_socket->socketDescriptor());
+    // A request that the kernel holds and Qt has not seen yet must not be cut.
+    const bool unread = ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+    return !unread && monotonicNow() - m_quietSince >= quietFor;
+}
+
+void Connection::finish()
+{
+    m_stage = Stage::Lingering;
+    onBytesWritten();
+}
+
+void Connection::abort()
+{
+    m_socket->abort();
+    close();
+}
+
+void Connection::onTimeout()
+{
+    if (m_stage == Stage::Reading && m_requestTimed)
+        refuse(Error { ErrorKind::RequestTimeout, "the request was not sent completely in time",
+                       std::nullopt });
+    else
+        abort();
+}
+
+void Connection::close()
+{
+    if (m_stage == Stage::Closed)
+        return;
+    m_stage = Stage::Closed;
+    m_timer.stop();
+    endRequest();
+    setSocketState(QAbstractSocket::UnconnectedState);
+    m_context.closed(m_id);
+    Q_EMIT disconnected();
+    deleteLater();
+}
+
+qint64 Connection::bytesAvailable() const
+{
+    return QIODevice::bytesAvailable() + m_shown.size();
+}
+
+qint64 Connection::readData(char *data, qint64 maxSize)
+{
+    const qint64 count = std::min<qint64>(maxSize, m_shown.size());
+    std::memcpy(data, m_shown.constData(), static_cast<std::size_t>(count));
+    m_shown.remove(0, count);
+    return count;
+}
+
+/// QtHttpServer writes nothing itself, because each request gets its answer through answer().
+qint64 Connection::writeData(const char * /*data*/, qint64 /*size*/)
+{
+    return -1;
+}
+
+} // namespace shallotlever
--- /dev/null
+++ b/src/edge/edge_worker.cpp
@@ -0,0 +1,284 @@
+#include "edge_worker.h"
+
+#include <unistd.h>
+
+#include <deque>
+
+#include <QHttpServerRequest>
+#include <QSslSocket>
+#include <QTcpServer>
+
+#include "shallotlever/base/clock.h"
+
+namespace shallotlever {
+
+namespace {
+
+/// Names in metrics, in the order of EdgeRequest.
+constexpr std::array kRequestNames { "statement", "begin",  "commit", "rollback", "open_route",
+                                     "announce",  "change", "status", "explain",  "drain" };
+static_assert(kRequestNames.size() == std::variant_size_v<EdgeRequest>);
+
+HttpAnswer statusAnswer(int status, const char *text)
+{
+    return { status,
+             { { "Content-Type", "application/json" } },
+             QByteArray("{\"status\":\"") + text + "\"}" };
+}
+
+/// Answers one request exactly once; if it is dropped unanswered, it answers `internal`, so that
+/// the caller does not wait for ever.
+class PendingReply
+{
+public:
+    using Send = std::function<void(EdgeAnswer)>;
+
+    explicit PendingReply(Send send)
+        : m_send(std::move(send))
+    {
+    }
+    ~PendingReply()
+    {
+        answer(Error { ErrorKind::Internal, "the request was dropped", std::nullopt });
+    }
+    PendingReply(const PendingReply &) = delete;
+    PendingReply &operator=(const PendingReply &) = delete;
+
+    void answer(EdgeAnswer answer)
+    {
+        if (!m_answered.exchange(true))
+            m_send(std::move(answer));
+    }
+
+private:
+    Send m_send;
+    std::atomic<bool> m_answered { false };
+};
+
+} // namespace
+
+/// Hands connections to the HTTP server. It does not listen; the two functions are overridden
+/// because those of QTcpServer then print a warning on each call.
+class EdgeWorker::Server : public QTcpServer
+{
+public:
+    bool hasPendingConnections() const override { return !m_pending.empty(); }
+    QTcpSocket *nextPendingConnection() override
+    {
+        if (m_pending.empty())
+            return nullptr;
+        QTcpSocket *socket = m_pending.front();
+        m_pending.pop_front();
+        return socket;
+    }
+    void announce(Connection *connection)
+    {
+        m_pending.push_back(connection);
+        // A private signal: it can be emitted by name only.
+        QMetaObject::invokeMethod(this, "pendingConnectionAvailable", Qt::DirectConnection);
+    }
+
+private:
+    std::deque<QTcpSocket *> m_pending;
+};
+
+class EdgeWorker::HttpServer : public QAbstractHttpServer
+{
+public:
+    explicit HttpServer(EdgeWorker &worker)
+        : m_worker(worker)
+    {
+    }
+
+protected:
+    bool handleRequest(const QHttpServerRequest &request, QTcpSocket *socket) override
+    {
+        // Every socket of this server is a Connection, see Server::announce.
+        m_worker.handle(request, *static_cast<Connection *>(socket));
+        return true;
+    }
+    void missingHandler(const QHttpServerRequest & /*request*/, QTcpSocket * /*socket*/) override {
+    }
+
+private:
+    EdgeWorker &m_worker;
+};
+
+EdgeWorker::EdgeWorker(EdgeShared &shared)
+    : m_shared(shared)
+    , m_context { shared.options.limits, shared.draining, shared.requestsInFlight,
+                  [this](ErrorKind kind) { m_shared.metrics.refusal(kind).increment(); },
+                  [this](std::uint64_t id) { onClosed(id); } }
+    , m_mailbox(std::make_shared<EdgeMailbox>())
+{
+    m_mailbox->worker = this;
+    for (std::size_t i = 0; i < kRequestNames.size(); ++i)
+        m_latencies[i] = &shared.metrics.registry().histogram(
+            "shallotlever_request_duration_seconds",
+            "Time from the last byte of a request to its answer.",
+            { { "request", kRequestNames[i] } });
+}
+
+EdgeWorker::~EdgeWorker() = default;
+
+void EdgeWorker::start()
+{
+    m_http = std::make_unique<HttpServer>(*this);
+    m_server = new Server;
+    m_http->bind(m_server); // Takes ownership.
+}
+
+std::unique_ptr<QTcpSocket> EdgeWorker::makeSocket(qintptr descriptor)
+{
+    std::unique_ptr<QTcpSocket> socket;
+    if (m_shared.tls) {
+        auto tls = std::make_unique<QSslSocket>();
+        tls->setSslConfiguration(m_shared.tls->current(monotonicNow()));
+        socket = std::move(tls);
+    } else {
+        socket = std::make_unique<QTcpSocket>();
+    }
+    if (!socket->setSocketDescriptor(descriptor)) {
+        ::close(static_cast<int>(descriptor));
+        return nullptr;
+    }
+    return socket;
+}
+
+void EdgeWorker::adopt(qintptr descriptor, bool overLimit)
+{
+    const std::uint64_t id = m_nextId++;
+    std::unique_ptr<QTcpSocket> socket = makeSocket(descriptor);
+    m_connections[id] = Entry { nullptr, overLimit };
+    if (!socket)
+        return onClosed(id);
+    auto *connection = new Connection(id, std::move(socket), m_context);
+    m_connections[id].connection = connection;
+    m_server->announce(connection);
+    std::optional<Error> refusal;
+    if (overLimit)
+        refusal = Error { ErrorKind::TooManyConnections, "the node has too many connections",
+                          std::nullopt };
+    connection->start(std::move(refusal));
+}
+
+void EdgeWorker::onClosed(std::uint64_t id)
+{
+    const auto found = m_connections.find(id);
+    if (found == m_connections.end())
+        return;
+    (found->second.overLimit ? m_shared.refusedConnections : m_shared.openConnections).fetch_sub(1);
+    m_connections.erase(found);
+}
+
+void EdgeWorker::closeIdleConnections(std::chrono::milliseconds quietFor)
+{
+    std::vector<Connection *> idle;
+    for (const auto &[id, entry] : m_connections) {
+        if (entry.connection->isIdle(quietFor))
+            idle.push_back(entry.connection);
+    }
+    for (Connection *connection : idle)
+        connection->finish();
+}
+
+void EdgeWorker::shutdown()
+{
+    {
+        const std::lock_guard lock(m_mailbox->mutex);
+        m_mailbox->worker = nullptr;
+    }
+    const auto connections = m_connections;
+    for (const auto &[id, entry] : connections)
+        entry.connection->abort();
+    m_http.reset();
+}
+
+std::optional<HttpAnswer> EdgeWorker::handleLocal(const RequestHead &head, QByteArrayView path)
+{
+    if (path != "/healthz" && path != "/readyz" && path != "/metrics")
+        return std::nullopt;
+    if (head.method != "GET" && head.method != "HEAD")
+        return encodeError(Error { ErrorKind::MalformedRequest, "method: must be GET for this path",
+                                   std::nullopt });
+    if (path == "/healthz")
+        return statusAnswer(200, "ok");
+    if (path == "/metrics")
+        return metricsAnswer();
+    return m_shared.callbacks.ready() ? statusAnswer(200, "ready") : statusAnswer(503, "not_ready");
+}
+
+HttpAnswer EdgeWorker::metricsAnswer()
+{
+    MetricsRegistry &registry = m_shared.metrics.registry();
+    registry.gauge("shallotlever_client_connections", "Open connections of callers and operators.")
+        .set(m_shared.openConnections.load());
+    registry.gauge("shallotlever_requests_in_flight", "Requests read and not yet answered.")
+        .set(m_shared.requestsInFlight.load());
+    return { 200,
+             { { "Content-Type", "text/plain; version=0.0.4; charset=utf-8" } },
+             QByteArray::fromStdString(registry.prometheusText()) };
+}
+
+void EdgeWorker::answerError(Connection &connection, const Error &error)
+{
+    m_context.countRefusal(error.kind);
+    connection.answer(connection.requestNumber(), encodeError(error));
+}
+
+void EdgeWorker::handle(const QHttpServerRequest &request, Connection &connection)
+{
+    const TimePoint now = monotonicNow();
+    const RequestHead &head = connection.acceptRequest();
+    // The path as sent: QUrl would decode and normalise it.
+    const QByteArray path = head.target.left(head.target.indexOf('?'));
+    if (const std::optional<HttpAnswer> answer = handleLocal(head, path))
+        return connection.answer(connection.requestNumber(), *answer);
+    Parsed<CallerContext> context = parseCallerContext(request.headers(), now);
+    if (const auto *error = std::get_if<Error>(&context))
+        return answerError(connection, *error);
+    Parsed<EdgeRequest> parsed = parseRequest(head.method, path, request.body());
+    if (const auto *error = std::get_if<Error>(&parsed))
+        return answerError(connection, *error);
+    auto &edgeRequest = std::get<EdgeRequest>(parsed);
+    EdgeResponder responder = makeResponder(connection, edgeRequest, now);
+    m_shared.callbacks.handler(std::get<CallerContext>(std::move(context)), std::move(edgeRequest),
+                               std::move(responder));
+}
+
+EdgeResponder EdgeWorker::makeResponder(const Connection &connection, const EdgeRequest &request,
+                                        TimePoint receivedAt)
+{
+    const bool openRoute = std::holds_alternative<OpenRouteRequest>(request);
+    LatencyHistogram *latency = m_latencies[request.index()];
+    auto reply = std::make_shared<PendingReply>([mailbox = m_mailbox, id = connection.id(),
+                                                 number = connection.requestNumber(), openRoute,
+                                                 latency, receivedAt](EdgeAnswer answer) {
+        const std::lock_guard lock(mailbox->mutex);
+        EdgeWorker *worker = mailbox->worker;
+        if (worker == nullptr)
+            return;
+        latency->observe(monotonicNow() - receivedAt);
+        // Queued on the edge thread as well: an answer from within the handler would otherwise
+        // start the next request inside QtHttpServer's handling of this one.
+        QMetaObject::invokeMethod(
+            worker,
+            [worker, id, number, openRoute, answer = std::move(answer)] {
+                worker->deliver(id, number, answer, openRoute);
+            },
+            Qt::QueuedConnection);
+    });
+    return [reply](EdgeAnswer answer) { reply->answer(std::move(answer)); };
+}
+
+void EdgeWorker::deliver(std::uint64_t connectionId, std::uint64_t requestNumber,
+                         const EdgeAnswer &answer, bool openRoute)
+{
+    if (const std::optional<ErrorKind> refusal = refusalOf(answer))
+        m_context.countRefusal(*refusal);
+    const auto found = m_connections.find(connectionId);
+    if (found != m_connections.end())
+        found->second.connection->answer(requestNumber, encodeAnswer(answer, openRoute));
+}
+
+} // namespace shallotlever
--- /dev/null
+++ b/src/edge/edge_worker.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <array>
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+#include <variant>
+
+#include <QAbstractHttpServer>
+#include <QObject>
+
+#include "connection.h"
+#include "shallotlever/edge/listener.h"
+#include "tls_files.h"
+
+namespace shallotlever {
+
+/// State shared by the threads of one listener.
+struct EdgeShared
+{
+    EdgeOptions options;
+    EdgeCallbacks callbacks;
+    NodeMetrics &metrics;
+    const Logger &logger;
+    std::unique_ptr<TlsFiles> tls;
+    std::atomic<bool> draining { false };
+    std::atomic<int> requestsInFlight { 0 };
+    /// Connections that count towards the limit.
+    std::atomic<int> openConnections { 0 };
+    /// Connections over the limit that are being told so.
+    std::atomic<int> refusedConnections { 0 };
+};
+
+class EdgeWorker;
+
+/// Way back to a worker for answers from other threads. Outlives the worker.
+struct EdgeMailbox
+{
+    std::mutex mutex;
+    /// Null once the worker has shut down.
+    EdgeWorker *worker = nullptr;
+};
+
+/// One edge thread: an HTTP server and its connections. All functions must be called on that
+/// thread, except the constructor.
+class EdgeWorker : public QObject
+{
+public:
+    explicit EdgeWorker(EdgeShared &shared);
+    ~EdgeWorker() override;
+
+    /// Creates the server. Must precede adopt().
+    void start();
+    /// Takes over an accepted socket. One over the limit gets an error answer.
+    void adopt(qintptr descriptor, bool overLimit);
+    void closeIdleConnections(std::chrono::milliseconds quietFor);
+    /// Closes every connection; answers that come later are dropped.
+    void shutdown();
+
+    /// Handles the request that `connection` shows to the parser.
+    void handle(const QHttpServerRequest &request, Connection &connection);
+    /// Sends an answer, unless the connection is gone.
+    void deliver(std::uint64_t connectionId, std::uint64_t requestNumber, const EdgeAnswer &answer,
+                 bool openRoute);
+
+private:
+    class Server;
+    class HttpServer;
+
+    std::unique_ptr<QTcpSocket> makeSocket(qintptr descriptor);
+    void onClosed(std::uint64_t id);
+    /// Paths outside /v1, or nullopt.
+    std::optional<HttpAnswer> handleLocal(const RequestHead &head, QByteArrayView path);
+    HttpAnswer metricsAnswer();
+    void answerError(Connection &connection, const Error &error);
+    EdgeResponder makeResponder(const Connection &connection, const EdgeRequest &request,
+                                TimePoint receivedAt);
+
+    struct Entry
+    {
+        Connection *connection = nullptr;
+        bool overLimit = false;
+    };
+
+    EdgeShared &m_shared;
+    ConnectionContext m_context;
+    std::shared_ptr<EdgeMailbox> m_mailbox;
+    std::unique_ptr<HttpServer> m_http;
+    Server *m_server = nullptr;
+    std::unordered_map<std::uint64_t, Entry> m_connections;
+    std::uint64_t m_nextId = 1;
+    /// By index in EdgeRequest.
+    std::array<LatencyHistogram *, std::variant_size_v<EdgeRequest>> m_latencies {};
+};
+
+} // namespace shallotlever
