--- a/src/edge/edge_worker.cpp
+++ b/src/edge/edge_worker.cpp
@@ -194,18 +194,25 @@
     m_http.reset();
 }
 
-std::optional<HttpAnswer> EdgeWorker::handleLocal(const RequestHead &head, QByteArrayView path)
+bool EdgeWorker::handleLocal(Connection &connection, const RequestHead &head, QByteArrayView path)
 {
-    if (path != "/healthz" && path != "/readyz" && path != "/metrics")
-        return std::nullopt;
-    if (head.method != "GET" && head.method != "HEAD")
-        return encodeError(Error { ErrorKind::MalformedRequest, "method: must be GET for this path",
-                                   std::nullopt });
+    HttpAnswer answer;
     if (path == "/healthz")
-        return statusAnswer(200, "ok");
-    if (path == "/metrics")
-        return metricsAnswer();
-    return m_shared.callbacks.ready() ? statusAnswer(200, "ready") : statusAnswer(503, "not_ready");
+        answer = statusAnswer(200, "ok");
+    else if (path == "/metrics")
+        answer = metricsAnswer();
+    else if (path == "/readyz")
+        answer = m_shared.callbacks.ready() ? statusAnswer(200, "ready")
+                                            : statusAnswer(503, "not_ready");
+    else
+        return false;
+    if (head.method == "GET" || head.method == "HEAD")
+        connection.answer(connection.requestNumber(), answer);
+    else
+        answerError(connection,
+                    Error { ErrorKind::MalformedRequest, "method: must be GET for this path",
+                            std::nullopt });
+    return true;
 }
 
 HttpAnswer EdgeWorker::metricsAnswer()
@@ -231,9 +238,9 @@
     const TimePoint now = monotonicNow();
     const RequestHead &head = connection.acceptRequest();
     // The path as sent: QUrl would decode and normalise it.
-    const QByteArray path = head.target.left(head.target.indexOf('?'));
-    if (const std::optional<HttpAnswer> answer = handleLocal(head, path))
-        return connection.answer(connection.requestNumber(), *answer);
+    const QByteArray path = head.target.split('?').first();
+    if (handleLocal(connection, head, path))
+        return;
     Parsed<CallerContext> context = parseCallerContext(request.headers(), now);
     if (const auto *error = std::get_if<Error>(&context))
         return answerError(connection, *error);
--- a/src/edge/edge_worker.h
+++ b/src/edge/edge_worker.h
@@ -70,8 +70,8 @@
 
     std::unique_ptr<QTcpSocket> makeSocket(qintptr descriptor);
     void onClosed(std::uint64_t id);
-    /// Paths outside /v1, or nullopt.
-    std::optional<HttpAnswer> handleLocal(const RequestHead &head, QByteArrayView path);
+    /// Answers the paths outside /v1. Returns false for any other path.
+    bool handleLocal(Connection &connection, const RequestHead &head, QByteArrayView path);
     HttpAnswer metricsAnswer();
     void answerError(Connection &connection, const Error &error);
     EdgeResponder makeResponder(const Connection &connection, const EdgeRequest &request,
--- a/src/edge/request_reader.cpp
+++ b/src/edge/request_reader.cpp
@@ -157,7 +157,7 @@
     const std::optional<QByteArray> line = takeLine(kMaxChunkLineBytes);
     if (!line)
         return false;
-    const QByteArray digits = line->left(line->indexOf(';')).trimmed();
+    const QByteArray digits = line->split(';').first().trimmed();
     const bool hexadecimal = std::all_of(digits.begin(), digits.end(), [](char c) {
         return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f') || (c >= 'A' && c <= 'F');
     });
