--- /dev/null
+++ b/src/include/shallotlever/fleet/messages.h
@@ -0,0 +1,172 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include <absl/status/statusor.h>
+
+#include "shallotlever/base/ids.h"
+#include "shallotlever/base/time.h"
+#include "shallotlever/types/fleet.h"
+#include "shallotlever/types/shares.h"
+
+/// NodeReport and NodeLease, the messages between nodes, relays and the controller.
+namespace shallotlever {
+
+/// Names one state of the fleet view. The control term is that of the controller that made the
+/// state, so two controllers never give one name to two states.
+struct FleetVersion
+{
+    ControlTerm controlTerm;
+    std::uint64_t number = 0;
+    friend auto operator<=>(const FleetVersion &, const FleetVersion &) = default;
+};
+
+/// An announcement that a node received.
+struct HeardAnnouncement
+{
+    Announcement announcement;
+    /// Time from its receipt at the node to the sending of the report.
+    Duration age { 0 };
+    friend bool operator==(const HeardAnnouncement &, const HeardAnnouncement &) = default;
+};
+
+/// Whether a node reaches an upstream.
+struct Observation
+{
+    UpstreamId upstream;
+    bool reachable = true;
+    /// True withdraws an earlier observation: the node no longer probes the upstream.
+    bool withdrawn = false;
+    friend bool operator==(const Observation &, const Observation &) = default;
+};
+
+struct NodeReport
+{
+    NodeId node;
+    Incarnation incarnation;
+    /// Grows by one with each report of this incarnation, from 1.
+    std::uint64_t number = 0;
+    /// Time from the node's sending until the relay forwarded it; zero on a direct link.
+    /// Clocks of different machines are never compared, so no absolute time is sent.
+    Duration age { 0 };
+    ConfigVersion appliedConfig;
+    FleetVersion appliedFleet;
+    /// Share version of the last lease applied; 0 if none.
+    std::uint64_t appliedShares = 0;
+    std::vector<HeardAnnouncement> announcements;
+    /// Observations that changed after report `observationsBase`, or all of them if that is 0.
+    /// Unchanged observations are confirmed by each report.
+    std::vector<Observation> observations;
+    std::uint64_t observationsBase = 0;
+    /// Teams and upstreams without demand are left out.
+    std::vector<TeamDemand> teams;
+    std::vector<SlotDemand> slots;
+    /// In a relay's report: the reports of the nodes of its data centre. Never nested deeper.
+    std::vector<NodeReport> nodes;
+    friend bool operator==(const NodeReport &, const NodeReport &) = default;
+};
+
+/// The configuration as full state or as the changes after version `from`. The content is
+/// encoded and decoded by the `config` library.
+struct ConfigUpdate
+{
+    ConfigVersion from;
+    ConfigVersion to;
+    /// Encoded ClusterConfig at version `to`; replaces `changes`.
+    std::optional<std::string> full;
+    /// Encoded changes from+1 ... to, one each.
+    std::vector<std::string> changes;
+    friend bool operator==(const ConfigUpdate &, const ConfigUpdate &) = default;
+};
+
+/// Terms, primary and voting set of a group; creates the group if it is new.
+struct PutGroup
+{
+    ServiceId service;
+    Term term;
+    std::optional<UpstreamId> primary;
+    std::set<UpstreamId> votingSet;
+    friend bool operator==(const PutGroup &, const PutGroup &) = default;
+};
+struct RemoveGroup
+{
+    ServiceId service;
+    friend bool operator==(const RemoveGroup &, const RemoveGroup &) = default;
+};
+struct PutUpstream
+{
+    UpstreamInfo info;
+    friend bool operator==(const PutUpstream &, const PutUpstream &) = default;
+};
+struct RemoveUpstream
+{
+    ServiceId service;
+    UpstreamId upstream;
+    friend bool operator==(const RemoveUpstream &, const RemoveUpstream &) = default;
+};
+/// Whether an operator has drained the upstream.
+struct SetDrained
+{
+    UpstreamId upstream;
+    bool drained = false;
+    friend bool operator==(const SetDrained &, const SetDrained &) = default;
+};
+using FleetChange = std::variant<PutGroup, RemoveGroup, PutUpstream, RemoveUpstream, SetDrained>;
+
+/// The fleet view with the operators' drains, which a new controller takes over from its own node.
+struct FleetState
+{
+    FleetView view;
+    std::set<UpstreamId> drained;
+    friend bool operator==(const FleetState &, const FleetState &) = default;
+};
+
+/// Changes that lead from state `from` (the empty state if `full`) to state `to`.
+struct FleetUpdate
+{
+    FleetVersion from;
+    FleetVersion to;
+    bool full = false;
+    std::vector<FleetChange> changes;
+    friend bool operator==(const FleetUpdate &, const FleetUpdate &) = default;
+};
+
+struct NodeLease
+{
+    /// The node and incarnation whose report is answered.
+    NodeId node;
+    Incarnation incarnation;
+    /// Number of that report. The lease runs from the time the node sent it.
+    std::uint64_t report = 0;
+    Duration length { 0 };
+    ControlTerm controlTerm;
+    /// Last log entry applied by the controller.
+    LogIndex logIndex;
+    ConfigUpdate config;
+    FleetUpdate fleet;
+    /// If the node reported this version already, the shares are left out and stay as they are.
+    std::uint64_t shareVersion = 0;
+    std::vector<RateShare> rates;
+    std::vector<SlotShare> slots;
+    /// The controller cannot use differences: the next report must hold all observations.
+    bool wantsAllObservations = false;
+    /// Answer to a relay: the leases of its nodes, without configuration and fleet, which the
+    /// relay fills in from its own copy.
+    std::vector<NodeLease> nodes;
+    friend bool operator==(const NodeLease &, const NodeLease &) = default;
+};
+
+std::string encodeNodeReport(const NodeReport &report);
+/// Fails on a buffer that is not a well-formed report or nests deeper than one level.
+absl::StatusOr<NodeReport> decodeNodeReport(std::string_view bytes);
+
+std::string encodeNodeLease(const NodeLease &lease);
+absl::StatusOr<NodeLease> decodeNodeLease(std::string_view bytes);
+
+} // namespace shallotlever
