--- a/src/include/shallotlever/fleet/distribution.h
+++ b/src/include/shallotlever/fleet/distribution.h
@@ -62,6 +62,9 @@
     std::vector<RateShare> rates;
     std::vector<SlotShare> slots;
 };
+/// Empty shares. Versions start from the control term, so that two controllers never give one
+/// version to different shares.
+ShareSet makeShareSet(ControlTerm controlTerm);
 /// Replaces the shares and raises the version if they differ.
 void updateShares(ShareSet &shares, std::vector<RateShare> rates, std::vector<SlotShare> slots);
 
--- a/src/include/shallotlever/fleet/freshness.h
+++ b/src/include/shallotlever/fleet/freshness.h
@@ -24,6 +24,8 @@
 {
     Incarnation incarnation;
     std::uint64_t lastReport = 0;
+    /// Report answered by the last lease applied; answers to earlier ones come too late.
+    std::uint64_t lastAnswered = 0;
     /// When recent reports were sent, by number.
     std::map<std::uint64_t, TimePoint> sentAt;
     TimePoint leaseUntil;
@@ -51,10 +53,12 @@
 /// Numbers the next report and notes when it was sent.
 std::uint64_t noteReportSent(NodeFreshness &node, TimePoint now);
 /// Checks a lease and, if it is good, moves the lease end and the applied versions forward; then
-/// the caller must apply lease.config and lease.fleet. Never moves any of them backward. State
-/// in memory is enough across a restart: a new incarnation accepts only answers to its own
-/// reports, and a controller answers only while it holds the leader lease, so its state is at
-/// least as recent as any state that the previous incarnation applied.
+/// the caller must apply lease.config and lease.fleet. Both may begin with changes that are applied
+/// already: the caller skips those of the configuration by version; those of the fleet may be
+/// repeated. Shares are replaced unless lease.sharesUnchanged.
+/// Never moves any of them backward. State in memory is enough across a restart: a new incarnation
+/// accepts only answers to its own reports, and a controller answers only while it holds the leader
+/// lease, so its state is at least as recent as any state that the previous incarnation applied.
 LeaseVerdict acceptLease(NodeFreshness &node, const NodeLease &lease, TimePoint now);
 inline bool isFresh(const NodeFreshness &node, TimePoint now)
 {
--- a/src/include/shallotlever/fleet/messages.h
+++ b/src/include/shallotlever/fleet/messages.h
@@ -150,8 +150,9 @@
     LogIndex logIndex;
     ConfigUpdate config;
     FleetUpdate fleet;
-    /// If the node reported this version already, the shares are left out and stay as they are.
     std::uint64_t shareVersion = 0;
+    /// The node reported this share version already, so the shares are left out.
+    bool sharesUnchanged = false;
     std::vector<RateShare> rates;
     std::vector<SlotShare> slots;
     /// The controller cannot use differences: the next report must hold all observations.
--- a/src/include/shallotlever/fleet/primary_change.h
+++ b/src/include/shallotlever/fleet/primary_change.h
@@ -19,8 +19,10 @@
 constexpr Duration kCallRetry = 250ms;
 /// Time after which an uncommitted proposal is repeated.
 constexpr Duration kProposalRetry = 500ms;
-/// A phase that makes no progress for this long starts over with a new term.
-constexpr Duration kPhaseTimeout = 3s;
+/// A promoted candidate that is silent for this long is given up.
+constexpr Duration kCandidateTimeout = 1s;
+/// After this time a majority without members to avoid is no longer waited for.
+constexpr Duration kFenceGrace = 200ms;
 /// A planned change waits this long for a replica to catch up.
 constexpr Duration kCatchUpTimeout = 2s;
 /// A replica that lags by at most this many positions is caught up.
@@ -86,6 +88,10 @@
     LogPosition start;
     /// Members known to follow `term` from `start` on.
     std::set<UpstreamId> followers;
+    /// Last answer of the candidate as primary at `term`.
+    TimePoint candidateSeen;
+    /// Promotion of the candidate failed or was refused.
+    bool promotionFailed = false;
     /// Members that failed promotion in this change; avoided where a majority exists without them.
     std::set<UpstreamId> failedCandidates;
     /// Latest statuses while a planned change waits.
@@ -102,8 +108,14 @@
     GroupState group;
     /// State of each announced upstream of the group.
     std::map<UpstreamId, UpstreamState> states;
-    /// Latest status of the primary in office, if any was received in this controller's time.
+    /// Latest status of the primary in office, asked after its SetPrimary was applied.
     std::optional<UpstreamStatus> primaryStatus;
+    /// Highest term whose ReserveTerm was proposed by this controller in its present control term
+    /// and committed at the index it was proposed at. Two controllers may propose the same term;
+    /// only the one whose own entry was accepted may use it.
+    Term ownReservedTerm;
+    /// False while a new controller still waits for renewals; silence then proves nothing.
+    bool registryComplete = true;
     bool operatorRequest = false;
 };
 
--- a/src/include/shallotlever/fleet/registry.h
+++ b/src/include/shallotlever/fleet/registry.h
@@ -63,6 +63,8 @@
     /// Nodes that fail to reach an upstream, kept in step with `observers`.
     std::map<UpstreamId, std::set<NodeId>> failedBy;
     std::set<UpstreamId> drained;
+    /// Grows with every change that makeFleetState() would show.
+    std::uint64_t revision = 0;
 };
 
 /// Result of an announcement.
@@ -112,7 +114,9 @@
 /// Re-evaluates every upstream. Call after reports and at least every 100 ms.
 std::vector<StateChange> advanceRegistry(Registry &registry, TimePoint now);
 
-/// The fleet as nodes should see it. Upstreams of services that are not configured are left out.
+/// The fleet as nodes should see it. Costs time in proportion to the fleet, so call it only when
+/// `revision` or the cluster state has changed. Upstreams of services that are not configured are
+/// left out.
 FleetState makeFleetState(const Registry &registry, const ClusterState &cluster);
 
 } // namespace shallotlever
--- a/src/include/shallotlever/fleet/voting_set.h
+++ b/src/include/shallotlever/fleet/voting_set.h
@@ -29,15 +29,14 @@
 ///
 /// Two sets that differ by one member have overlapping majorities, but sets that differ by two
 /// may not. So the next change waits until (1) every live node has applied the current set, after
-/// which nothing is acknowledged by an older one, and (2) a majority of the current set holds
-/// everything the primary had written at that time.
+/// which nothing is acknowledged by an older one, and (2) a majority of the current set or of the
+/// next one holds everything the primary had written at that time.
 struct VotingSetProgress
 {
     Term term;
     std::set<UpstreamId> votingSet;
     /// Position of the primary, asked after the view was in force.
     std::optional<LogPosition> barrier;
-    bool settled = false;
     /// A decision is proposed but not yet applied; repeated after proposalUntil.
     std::optional<TimePoint> proposalUntil;
 };
