--- a/cmake/Shallotlever.cmake
+++ b/cmake/Shallotlever.cmake
@@ -1,6 +1,8 @@
 # Helpers shared by the libraries and tests of the workspace.
 
-set(SHALLOTLEVER_WARNINGS -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor)
+set(SHALLOTLEVER_TEST_WARNINGS -Wall -Wextra -Wpedantic -Wnon-virtual-dtor)
+# GoogleTest's macros name their own parameters, so -Wshadow would report every test table.
+set(SHALLOTLEVER_WARNINGS ${SHALLOTLEVER_TEST_WARNINGS} -Wshadow)
 
 # shallotlever_library(NAME SOURCES ... DEPENDS ...)
 # A static library of the workspace, linked as shallotlever_NAME.
@@ -33,7 +35,7 @@
   endif()
   add_executable(${name} ${ARG_SOURCES})
   target_link_libraries(${name} PRIVATE ${ARG_DEPENDS} GTest::gtest GTest::gmock GTest::gtest_main)
-  target_compile_options(${name} PRIVATE ${SHALLOTLEVER_WARNINGS})
+  target_compile_options(${name} PRIVATE ${SHALLOTLEVER_TEST_WARNINGS})
   add_test(NAME ${name} COMMAND ${name} ${ARG_ARGS})
   set_tests_properties(${name} PROPERTIES LABELS ${ARG_LABEL} TIMEOUT ${ARG_TIMEOUT})
 endfunction()
--- /dev/null
+++ b/src/wire/frame_test.cpp
@@ -0,0 +1,80 @@
+#include "shallotlever/wire/frame.h"
+
+#include <gtest/gtest.h>
+
+namespace shallotlever {
+namespace {
+
+PeerMessage sampleMessage(std::size_t payloadBytes)
+{
+    return { MessageType::NodeReport,       7, NodeId("n1"), Incarnation(3), Incarnation(9),
+             std::string(payloadBytes, 'x') };
+}
+
+class FrameChunks : public testing::TestWithParam<std::size_t>
+{
+};
+
+// Guards against messages lost or joined when TCP delivers them in pieces of any size.
+TEST_P(FrameChunks, MessagesSurviveAnySplitting)
+{
+    std::string stream;
+    for (std::size_t size : { 0U, 1U, 700U, 100000U })
+        stream += *encodeFrame(sampleMessage(size));
+    FrameReader reader;
+    std::vector<std::size_t> sizes;
+    for (std::size_t at = 0; at < stream.size(); at += GetParam()) {
+        reader.feed(std::string_view(stream).substr(at, GetParam()));
+        for (;;) {
+            auto message = reader.next();
+            ASSERT_TRUE(message.ok());
+            if (!*message)
+                break;
+            EXPECT_EQ((*message)->sender, NodeId("n1"));
+            EXPECT_EQ((*message)->receiverIncarnation, Incarnation(9));
+            sizes.push_back((*message)->payload.size());
+        }
+    }
+    EXPECT_EQ(sizes, (std::vector<std::size_t> { 0, 1, 700, 100000 }));
+}
+
+INSTANTIATE_TEST_SUITE_P(Sizes, FrameChunks, testing::Values(1, 3, 4, 5, 1000, 1 << 20));
+
+struct BrokenStream
+{
+    const char *name;
+    std::string bytes;
+};
+
+class FrameBroken : public testing::TestWithParam<BrokenStream>
+{
+};
+
+// Guards against a damaged or hostile frame that is accepted or that makes the reader allocate
+// without bound.
+TEST_P(FrameBroken, IsReportedAsAnError)
+{
+    FrameReader reader;
+    reader.feed(GetParam().bytes);
+    EXPECT_FALSE(reader.next().ok());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Cases, FrameBroken,
+    testing::Values(BrokenStream { "too long", std::string("\x7f\xff\xff\xff", 4) },
+                    BrokenStream { "garbage", std::string("\0\0\0\x08", 4) + "abcdefgh" },
+                    BrokenStream { "empty", std::string("\0\0\0\0", 4) }),
+    [](const auto &info) {
+        return info.param.name == std::string("too long") ? "TooLong"
+            : info.param.name == std::string("garbage")   ? "Garbage"
+                                                          : "Empty";
+    });
+
+// Guards against a frame that every receiver would refuse.
+TEST(Frame, RefusesToEncodeMoreThanTheLimit)
+{
+    EXPECT_FALSE(encodeFrame(sampleMessage(kMaxFrameBytes)).ok());
+}
+
+} // namespace
+} // namespace shallotlever
--- /dev/null
+++ b/src/wire/peer_link.cpp
@@ -0,0 +1,128 @@
+#include "peer_link.h"
+
+#include <QSslCertificate>
+
+namespace shallotlever {
+
+PeerLink::PeerLink(QSslSocket *socket, const PeerTransportOptions &options,
+                   PeerTransportCounters &counters, QObject *parent)
+    : QObject(parent)
+    , m_socket(socket)
+    , m_options(options)
+    , m_counters(counters)
+{
+    m_socket->setParent(this);
+    m_helloTimer.setSingleShot(true);
+    connect(&m_helloTimer, &QTimer::timeout, this, [this] { reject("no hello"); });
+    connect(m_socket, &QSslSocket::readyRead, this, &PeerLink::readAvailable);
+    connect(m_socket, &QSslSocket::disconnected, this, &PeerLink::close);
+}
+
+void PeerLink::start()
+{
+    m_helloTimer.start(kHelloTimeout);
+    m_socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+    m_socket->setSocketOption(QAbstractSocket::KeepAliveOption, 1);
+    send({ MessageType::Hello, 0, {}, {}, {}, {} });
+    readAvailable();
+}
+
+bool PeerLink::send(PeerMessage message)
+{
+    if (m_closed || m_socket->bytesToWrite() > kMaxUnsentBytes) {
+        ++m_counters.messagesDropped;
+        return false;
+    }
+    message.sender = m_options.self;
+    message.senderIncarnation = m_options.incarnation;
+    message.receiverIncarnation = m_peerIncarnation;
+    const absl::StatusOr<std::string> frame = encodeFrame(message);
+    if (!frame.ok()) {
+        ++m_counters.messagesDropped;
+        return false;
+    }
+    m_socket->write(frame->data(), static_cast<qint64>(frame->size()));
+    ++m_counters.messagesSent;
+    m_counters.bytesSent += frame->size();
+    return true;
+}
+
+void PeerLink::close()
+{
+    if (m_closed)
+        return;
+    m_closed = true;
+    m_ready = false;
+    m_helloTimer.stop();
+    m_socket->abort();
+    Q_EMIT closed();
+}
+
+void PeerLink::readAvailable()
+{
+    if (m_closed)
+        return;
+    const QByteArray bytes = m_socket->readAll();
+    m_counters.bytesReceived += static_cast<std::uint64_t>(bytes.size());
+    m_reader.feed({ bytes.constData(), static_cast<std::size_t>(bytes.size()) });
+    while (!m_closed) {
+        absl::StatusOr<std::optional<PeerMessage>> message = m_reader.next();
+        if (!message.ok()) {
+            reject("broken frame");
+            return;
+        }
+        if (!*message)
+            return;
+        handle(std::move(**message));
+    }
+}
+
+void PeerLink::handle(PeerMessage message)
+{
+    ++m_counters.messagesReceived;
+    if (message.type == MessageType::Hello) {
+        acceptHello(message);
+        return;
+    }
+    if (!m_ready || message.sender != m_peer) {
+        reject("message from an unidentified sender");
+        return;
+    }
+    const bool forEarlierLife = message.receiverIncarnation != Incarnation()
+        && message.receiverIncarnation != m_options.incarnation;
+    if (forEarlierLife || message.senderIncarnation != m_peerIncarnation) {
+        ++m_counters.staleIncarnation;
+        return;
+    }
+    Q_EMIT received(message);
+}
+
+void PeerLink::acceptHello(const PeerMessage &message)
+{
+    if (m_ready || message.sender.empty()) {
+        reject("unexpected hello");
+        return;
+    }
+    if (m_options.tls) {
+        const QStringList names =
+            m_socket->peerCertificate().subjectInfo(QSslCertificate::CommonName);
+        if (!names.contains(QString::fromStdString(message.sender.value()))) {
+            reject("node id differs from the certificate");
+            return;
+        }
+    }
+    m_helloTimer.stop();
+    m_peer = message.sender;
+    m_peerIncarnation = message.senderIncarnation;
+    m_ready = true;
+    Q_EMIT identified();
+}
+
+void PeerLink::reject(const char *reason)
+{
+    Q_UNUSED(reason);
+    ++m_counters.linksRejected;
+    close();
+}
+
+} // namespace shallotlever
--- /dev/null
+++ b/src/wire/peer_link.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <functional>
+
+#include <QObject>
+#include <QSslSocket>
+#include <QTimer>
+
+#include "shallotlever/wire/frame.h"
+#include "shallotlever/wire/peer_transport.h"
+
+namespace shallotlever {
+
+/// One connection to another node, accepted or opened. Owns its socket and deletes itself through
+/// its owner after `closed`.
+class PeerLink : public QObject
+{
+    Q_OBJECT
+public:
+    /// A link that sends no Hello within this time is closed.
+    static constexpr std::chrono::milliseconds kHelloTimeout { 3000 };
+    /// Messages are dropped while more than this many bytes wait in the socket.
+    static constexpr qint64 kMaxUnsentBytes = 8 * 1024 * 1024;
+
+    PeerLink(QSslSocket *socket, const PeerTransportOptions &options,
+             PeerTransportCounters &counters, QObject *parent);
+
+    /// Starts the exchange of Hello messages on a connected (and encrypted) socket.
+    void start();
+    bool ready() const { return m_ready; }
+    const NodeId &peer() const { return m_peer; }
+    bool send(PeerMessage message);
+    void close();
+
+Q_SIGNALS:
+    void identified();
+    void received(const shallotlever::PeerMessage &message);
+    void closed();
+
+private:
+    void readAvailable();
+    void handle(PeerMessage message);
+    void acceptHello(const PeerMessage &message);
+    void reject(const char *reason);
+
+    QSslSocket *m_socket;
+    const PeerTransportOptions &m_options;
+    PeerTransportCounters &m_counters;
+    FrameReader m_reader;
+    QTimer m_helloTimer;
+    NodeId m_peer;
+    Incarnation m_peerIncarnation;
+    bool m_ready = false;
+    bool m_closed = false;
+};
+
+} // namespace shallotlever
--- /dev/null
+++ b/src/wire/peer_transport_test.cpp
@@ -0,0 +1,100 @@
+#include "shallotlever/wire/peer_transport.h"
+
+#include <QCoreApplication>
+#include <QElapsedTimer>
+#include <QTcpSocket>
+#include <gtest/gtest.h>
+
+namespace shallotlever {
+namespace {
+
+constexpr int kPatienceMs = 10000;
+
+/// Runs the event loop until the condition holds; the limit only ends a run that hangs.
+bool runUntil(const std::function<bool()> &condition)
+{
+    QElapsedTimer timer;
+    timer.start();
+    while (!condition() && timer.elapsed() < kPatienceMs)
+        QCoreApplication::processEvents(QEventLoop::AllEvents, 10);
+    return condition();
+}
+
+struct TestPeer
+{
+    std::vector<PeerMessage> received;
+    std::unique_ptr<PeerTransport> transport;
+};
+
+std::unique_ptr<TestPeer> makePeer(const std::string &id, std::uint64_t incarnation,
+                                   std::map<NodeId, Endpoint> peers, std::uint16_t port = 0)
+{
+    auto peer = std::make_unique<TestPeer>();
+    TestPeer *raw = peer.get();
+    auto transport = PeerTransport::create(
+        { NodeId(id), Incarnation(incarnation), { "127.0.0.1", port }, std::move(peers), {} },
+        [raw](PeerMessage message) { raw->received.push_back(std::move(message)); });
+    EXPECT_TRUE(transport.ok()) << transport.status();
+    peer->transport = std::move(*transport);
+    return peer;
+}
+
+// Guards against a node that can answer only peers it dialled itself.
+TEST(PeerTransport, AnswersOverTheLinkThatThePeerOpened)
+{
+    auto server = makePeer("a", 1, {});
+    auto client = makePeer("b", 2, { { NodeId("a"), { "127.0.0.1", server->transport->port() } } });
+    ASSERT_TRUE(runUntil([&] { return client->transport->isConnected(NodeId("a")); }));
+    ASSERT_TRUE(client->transport->send(NodeId("a"), MessageType::NodeReport, 5, "report"));
+    ASSERT_TRUE(runUntil([&] { return !server->received.empty(); }));
+    EXPECT_EQ(server->received[0].senderIncarnation, Incarnation(2));
+    ASSERT_TRUE(server->transport->send(NodeId("b"), MessageType::NodeLease, 5, "lease"));
+    ASSERT_TRUE(runUntil([&] { return !client->received.empty(); }));
+    EXPECT_EQ(client->received[0].payload, "lease");
+}
+
+// Guards against a link that is not opened again after the peer restarts.
+TEST(PeerTransport, ReconnectsAfterThePeerRestarts)
+{
+    auto server = makePeer("a", 1, {});
+    const std::uint16_t port = server->transport->port();
+    auto client = makePeer("b", 2, { { NodeId("a"), { "127.0.0.1", port } } });
+    ASSERT_TRUE(runUntil([&] { return client->transport->isConnected(NodeId("a")); }));
+    server.reset();
+    ASSERT_TRUE(runUntil([&] { return !client->transport->isConnected(NodeId("a")); }));
+    server = makePeer("a", 7, {}, port);
+    ASSERT_TRUE(runUntil([&] { return client->transport->isConnected(NodeId("a")); }));
+    client->transport->send(NodeId("a"), MessageType::Forward, 1, "again");
+    ASSERT_TRUE(runUntil([&] { return !server->received.empty(); }));
+    EXPECT_EQ(server->received[0].receiverIncarnation, Incarnation(7));
+}
+
+// Guards against a stranger's bytes reaching a protocol or stopping the node.
+TEST(PeerTransport, RejectsABrokenFrame)
+{
+    auto server = makePeer("a", 1, {});
+    QTcpSocket stranger;
+    stranger.connectToHost("127.0.0.1", server->transport->port());
+    ASSERT_TRUE(runUntil([&] { return stranger.state() == QAbstractSocket::ConnectedState; }));
+    stranger.write("GET / HTTP/1.1\r\n\r\n");
+    ASSERT_TRUE(runUntil([&] { return server->transport->counters().linksRejected == 1; }));
+    EXPECT_TRUE(server->received.empty());
+}
+
+// Guards against a send to an unknown peer that blocks or is reported as done.
+TEST(PeerTransport, DropsWithoutALink)
+{
+    auto peer = makePeer("a", 1, {});
+    EXPECT_FALSE(peer->transport->send(NodeId("x"), MessageType::Forward, 1, ""));
+    EXPECT_EQ(peer->transport->counters().messagesDropped, 1U);
+}
+
+} // namespace
+} // namespace shallotlever
+
+int main(int argc, char **argv)
+{
+    QCoreApplication app(argc, argv);
+    testing::InitGoogleTest(&argc, argv);
+    return RUN_ALL_TESTS();
+}
