Add the public headers of the policy library

TeamDemand gains returnedTokens and RateShare gains teamWithinRate: the controller may grant returned burst tokens again only if it knows how many were given up unspent, and a node can tell a refusal inside the team's rate from one over it only if the controller says so.

--- /dev/null
+++ b/src/include/shallotlever/policy/fair_queue.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include <ext/pb_ds/assoc_container.hpp>
+#include <ext/pb_ds/tree_policy.hpp>
+
+#include "shallotlever/base/errors.h"
+#include "shallotlever/base/ids.h"
+#include "shallotlever/base/time.h"
+
+namespace shallotlever {
+
+/// Number of a queued request, unique within the queue's life.
+using TicketId = Number<struct TicketIdTag>;
+
+struct QueuedRequest
+{
+    TicketId ticket;
+    /// Empty for requests of open routes.
+    TeamId team;
+    TimePoint deadline;
+    bool openRoute = false;
+    /// Work in units of an average request, at least kMinCost.
+    double cost = 1;
+};
+
+struct FairQueueOptions
+{
+    std::uint32_t queueLimitPerTeam = 256;
+    /// Requests that may run at the same time.
+    std::uint32_t slots = 1;
+    /// Share of the slots that only open routes may use, 0 to 1.
+    double openRouteReserve = 0;
+    /// Fault for tests: serves in order of arrival regardless of team.
+    bool fifoQueue = false;
+};
+
+/// Why a queued request was taken out without being run; both are not_run.
+struct QueueRefusal
+{
+    TicketId ticket;
+    ErrorKind kind = ErrorKind::DeadlineTooShort;
+};
+
+/// Queue in front of one database or service: deficit round robin over teams, earliest deadline
+/// first within a team. All operations are O(log n). Not thread-safe: owned by one executor.
+class FairQueue
+{
+public:
+    explicit FairQueue(FairQueueOptions options);
+
+    void setOptions(const FairQueueOptions &options);
+
+    /// Returns QueueFull, DeadlineExceeded or DeadlineTooShort if the request is refused.
+    std::optional<ErrorKind> enqueue(const QueuedRequest &request, TimePoint now);
+
+    /// Takes the next request if a slot is free for it. Requests that can no longer finish before
+    /// their deadline are taken out and appended to `refused`.
+    std::optional<QueuedRequest> next(TimePoint now, std::vector<QueueRefusal> &refused);
+
+    /// Frees the slot of a request that next() returned and updates the estimate of service time.
+    void finished(const QueuedRequest &request, Duration serviceTime);
+
+    /// Takes out a request that still waits; false if it does not wait.
+    bool cancel(TicketId ticket);
+
+    /// Estimated time until a request of `team` with this deadline would finish, if queued now.
+    Duration estimatedCompletion(const TeamId &team, bool openRoute, TimePoint deadline) const;
+
+    std::size_t size() const { return m_tickets.size(); }
+    std::uint32_t running() const { return m_runningOpen + m_runningKeyed; }
+
+private:
+    struct Order
+    {
+        TimePoint deadline;
+        TicketId ticket;
+        friend auto operator<=>(const Order &, const Order &) = default;
+    };
+    using Waiting = __gnu_pbds::tree<Order, QueuedRequest, std::less<>, __gnu_pbds::rb_tree_tag,
+                                     __gnu_pbds::tree_order_statistics_node_update>;
+    struct Flow
+    {
+        Waiting waiting;
+        double deficit = 0;
+        bool openRoute = false;
+        /// Position in m_active while `waiting` has requests.
+        std::list<TeamId>::iterator place;
+    };
+
+    std::uint32_t reservedSlots() const;
+    bool slotFree(bool openRoute) const;
+    std::optional<QueuedRequest> serveHead(TimePoint now, std::vector<QueueRefusal> &refused);
+    void dropInfeasible(Flow &flow, TimePoint now, std::vector<QueueRefusal> &refused);
+    QueuedRequest takeFirst(Flow &flow);
+    void deactivateIfEmpty(const TeamId &key);
+    static TeamId flowKey(const TeamId &team, bool openRoute);
+
+    FairQueueOptions m_options;
+    std::map<TeamId, Flow> m_flows;
+    /// Teams with waiting requests, in round-robin order.
+    std::list<TeamId> m_active;
+    std::unordered_map<TicketId, std::pair<TeamId, TimePoint>> m_tickets;
+    std::uint32_t m_runningOpen = 0;
+    std::uint32_t m_runningKeyed = 0;
+    double m_meanServiceUs = 0;
+};
+
+} // namespace shallotlever
--- /dev/null
+++ b/src/include/shallotlever/policy/rate_allocator.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "shallotlever/policy/share_lease.h"
+#include "shallotlever/types/config.h"
+#include "shallotlever/types/shares.h"
+
+/// Leases shares of each team's rate and burst to nodes, at the controller. Tokens are conserved:
+/// the controller's pool, the buckets of the nodes and grants on their way never exceed the burst
+/// together, and refill at no more than the rate together. Hence, in every window of length w,
+/// admitted <= burst + rate * w over all nodes.
+namespace shallotlever {
+
+/// Faults that tests switch on to prove that the oracles detect them. None is set in production.
+struct RateAllocatorFaults
+{
+    /// Grants the rate of a node again before its lease ended or its reduction was acknowledged.
+    bool grantBeforeLeaseExpiry = false;
+    /// Treats the burst held by an expired or reduced share as unspent.
+    bool forgetSpentBurst = false;
+    /// A new controller grants at once instead of waiting for its predecessor's leases.
+    bool skipPredecessorWait = false;
+};
+
+/// A grant that the node may be using.
+struct RateEntry
+{
+    GrantNumber grant;
+    double ratePerSecond = 0;
+    double burst = 0;
+    TimePoint expires;
+};
+
+/// One team on one node incarnation.
+struct RateHolding
+{
+    /// Ascending by grant: the one known to be applied, if any, then those not yet acknowledged.
+    std::vector<RateEntry> entries;
+    /// Maxima over the entries, counted in the team's sums.
+    double rateHeld = 0;
+    double burstHeld = 0;
+    /// Requests per second last reported, waiting requests included.
+    double demand = 0;
+    double returnedSeen = 0;
+    bool returnedKnown = false;
+};
+
+struct RateTeam
+{
+    double ratePerSecond = 0;
+    double burst = 0;
+    /// Tokens no node holds, as of poolAt.
+    double pool = 0;
+    TimePoint poolAt;
+    double rateHeld = 0;
+    double burstHeld = 0;
+    double demand = 0;
+};
+
+struct RateNode
+{
+    Incarnation incarnation;
+    std::uint64_t reportSequence = 0;
+    TimePoint expires;
+    std::map<TeamId, RateHolding> holdings;
+};
+
+/// Owned by the controller's thread.
+struct RateAllocator
+{
+    GrantNumber nextGrant;
+    /// No share is granted before this time.
+    TimePoint grantsFrom;
+    std::map<TeamId, RateTeam> teams;
+    /// By node and incarnation: a restarted node's earlier leases stay counted until they expire.
+    std::map<std::pair<NodeId, Incarnation>, RateNode> nodes;
+    TimePoint nextExpiryScan;
+    RateAllocatorFaults faults;
+};
+
+struct RateReport
+{
+    ReportStamp stamp;
+    /// Every team that the node has a share of or saw requests of since the last report.
+    std::vector<TeamDemand> demands;
+};
+
+/// Answer to a RateReport. A team that is not listed keeps its earlier share until that expires.
+struct RateGrant
+{
+    GrantNumber number;
+    std::vector<RateShare> shares;
+};
+
+/// Starts a controller that knows nothing of earlier shares. `predecessorGone` is the time by
+/// which no earlier controller can answer reports any more; grants start kShareLease after it.
+RateAllocator makeRateAllocator(ControlTerm term, TimePoint predecessorGone,
+                                RateAllocatorFaults faults = {});
+
+/// Takes over teams and limits of a new configuration. Lowered limits bind at the latest when the
+/// leases in force have expired.
+void applyTeamConfig(RateAllocator &allocator, const std::map<TeamId, TeamConfig> &teams,
+                     TimePoint now);
+
+/// Accounts for a report and computes the node's new shares. O(teams of this node).
+RateGrant onRateReport(RateAllocator &allocator, const RateReport &report, TimePoint now);
+
+/// Drops expired leases; their tokens count as spent. Called by onRateReport every 100 ms.
+void expireRateLeases(RateAllocator &allocator, TimePoint now);
+
+} // namespace shallotlever
--- /dev/null
+++ b/src/include/shallotlever/policy/retry.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+#include "shallotlever/base/errors.h"
+#include "shallotlever/base/random.h"
+#include "shallotlever/base/time.h"
+#include "shallotlever/types/config.h"
+
+namespace shallotlever {
+
+/// Why an attempt failed. The list is closed; the names are used as metric labels.
+enum class RetryReason : std::uint8_t {
+    /// The connection could not be opened; nothing was sent.
+    ConnectFailed,
+    /// The connection broke before the statement was sent.
+    UpstreamLostBeforeSend,
+    /// The connection broke while a read ran.
+    ReadConnectionLost,
+    /// The replica turned out to be older than the request accepts.
+    ReplicaStale,
+    /// The upstream was ejected while the request waited for it.
+    UpstreamEjected,
+    /// The upstream refused the request because it is fenced; the request did not run.
+    Fenced,
+    /// The database rolled back the transaction because of a conflict.
+    SerializationConflict,
+};
+inline constexpr std::size_t kRetryReasons = 7;
+
+/// snake_case name.
+std::string_view retryReasonName(RetryReason reason);
+
+/// Node-wide budget in tokens: each first attempt earns retryBudgetRatio, each retry costs one.
+struct RetryBudget
+{
+    double tokens = 10;
+    /// Cap, and value at start, so that a quiet node can still retry.
+    double maxTokens = 10;
+};
+void earnRetryBudget(RetryBudget &budget, const PresetPolicy &policy);
+
+struct RetryQuestion
+{
+    RetryReason reason = RetryReason::ConnectFailed;
+    bool read = false;
+    /// Carries an idempotency key, so a repeat returns the first result.
+    bool idempotent = false;
+    /// Part of a transaction that has already run statements: only the caller can repeat it.
+    bool insideTransaction = false;
+    /// Attempts made, the failed one included.
+    std::uint32_t attempts = 1;
+    TimePoint deadline;
+    /// Expected time of an attempt; a retry that cannot finish in time is not made.
+    Duration expectedServiceTime { 0 };
+};
+
+enum class RetryRefusal : std::uint8_t { NotRepeatable, TooManyAttempts, Deadline, Budget };
+
+struct RetryDecision
+{
+    bool retry = false;
+    /// Pause before the retry: exponential with full jitter.
+    Duration delay { 0 };
+    /// The retry should go to another upstream if there is one.
+    bool avoidUpstream = true;
+    /// Set if retry is false.
+    std::optional<RetryRefusal> refusal;
+};
+
+/// Whether the request may be repeated, regardless of deadline and budget.
+bool mayRepeat(const RetryQuestion &question);
+
+/// Decides and, if the answer is yes, charges the budget.
+RetryDecision decideRetry(const RetryQuestion &question, RetryBudget &budget,
+                          const PresetPolicy &policy, TimePoint now, Random &random);
+
+} // namespace shallotlever
--- /dev/null
+++ b/src/include/shallotlever/policy/token_bucket.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <optional>
+
+#include "shallotlever/base/time.h"
+#include "shallotlever/types/shares.h"
+
+namespace shallotlever {
+
+/// Whether a refused request was inside the team's cluster-wide rate, as far as the last share
+/// tells. Refusals inside the rate are the proxy's own shortcoming.
+enum class RateRefusal : std::uint8_t { InsideRate, OverRate };
+
+/// A node's bucket for one team. tryTake, timeUntilToken, refusalClass and the waiting counters
+/// are lock-free and may be called from any thread; applyShare and takeDemand are called by the
+/// control thread only.
+class TokenBucket
+{
+public:
+    /// Takes one token; false without a share, after its expiry or when the bucket is empty.
+    bool tryTake(TimePoint now);
+
+    /// Time until the bucket may hold a token again; nullopt if the share expires first or has no
+    /// rate. Other threads may take that token.
+    std::optional<Duration> timeUntilToken(TimePoint now) const;
+
+    /// Counts a request that arrived, admitted or not. Once per request, before tryTake.
+    void countArrival() { m_arrivals.fetch_add(1, std::memory_order_relaxed); }
+    void beginWait() { m_waiting.fetch_add(1, std::memory_order_relaxed); }
+    void endWait() { m_waiting.fetch_sub(1, std::memory_order_relaxed); }
+
+    RateRefusal refusalClass(TimePoint now) const;
+
+    /// Takes over a share that ends at `leaseExpiry`. A bucket whose earlier share has expired
+    /// restarts empty. Returns true if the share reduces the bucket: the node then reports at once
+    /// so that the controller can grant the difference to others.
+    bool applyShare(const RateShare &share, TimePoint leaseExpiry, TimePoint now);
+
+    /// Demand since the last call, for the next report.
+    TeamDemand takeDemand(const TeamId &team, TimePoint now);
+
+    /// Requests wait or were refused since the last report: the node should report before the
+    /// period ends, at most every kEarlyReportInterval.
+    bool wantsEarlyReport() const;
+
+private:
+    /// One generation of the share. Written before the generation is published in m_word.
+    struct Parameters
+    {
+        std::atomic<std::int64_t> microTokensPerSecond { 0 };
+        std::atomic<std::int64_t> depthMicroTokens { 0 };
+        std::atomic<std::int64_t> expires { 0 };
+        std::atomic<std::int64_t> refilledAt { 0 };
+        std::atomic<bool> teamWithinRate { true };
+    };
+
+    const Parameters &parametersOf(std::uint64_t word) const;
+    Parameters &parametersOf(std::uint64_t word);
+    void refill(TimePoint now);
+
+    /// Generation of the share in the upper 16 bits, microtokens in the lower 48. A refill
+    /// computed for an earlier generation does not match and is dropped.
+    std::atomic<std::uint64_t> m_word { 0 };
+    std::array<Parameters, 2> m_parameters;
+    std::atomic<std::uint64_t> m_arrivals { 0 };
+    std::atomic<std::uint64_t> m_refused { 0 };
+    std::atomic<std::uint32_t> m_waiting { 0 };
+    // Control thread only.
+    double m_returnedTokens = 0;
+    TimePoint m_windowStart;
+    std::uint64_t m_windowArrivals = 0;
+    double m_lastRate = 0;
+    std::uint64_t m_refusedReported = 0;
+};
+
+/// Shortest interval between early reports of a node.
+inline constexpr Duration kEarlyReportInterval = 20ms;
+
+} // namespace shallotlever
--- a/src/include/shallotlever/types/shares.h
+++ b/src/include/shallotlever/types/shares.h
@@ -19,6 +19,9 @@
     std::uint32_t waiting = 0;
     /// Burst tokens the node holds and has not spent.
     double unspentTokens = 0;
+    /// Unspent tokens given up when a share's bucket depth shrank, counted since the process
+    /// started. The controller may grant them again.
+    double returnedTokens = 0;
     friend bool operator==(const TeamDemand &, const TeamDemand &) = default;
 };
 
@@ -37,12 +40,16 @@
 {
     TeamId team;
     double ratePerSecond = 0;
-    /// Bucket depth.
+    /// Bucket depth. A deeper bucket than before brings the difference as tokens; a shallower one
+    /// returns the tokens above it.
     double burst = 0;
+    /// All nodes together asked for no more than the team's rate when the share was granted.
+    bool teamWithinRate = true;
     friend bool operator==(const RateShare &, const RateShare &) = default;
 };
 
-/// Part of an upstream's connections, valid until the lease it came with runs out.
+/// Part of an upstream's connections, valid until the lease it came with runs out. Includes the
+/// node's status connection; a node with a share of 1 uses that connection for statements too.
 struct SlotShare
 {
     UpstreamId upstream;
