Add the decision code of the policy library

The token bucket publishes a share and its tokens in one atomic word, so that a refill computed under an earlier share is dropped.

--- a/src/include/shallotlever/policy/fair_queue.h
+++ b/src/include/shallotlever/policy/fair_queue.h
@@ -16,6 +16,9 @@
 
 namespace shallotlever {
 
+/// Least cost of a request in units of an average request.
+inline constexpr double kMinCost = 0.25;
+
 /// Number of a queued request, unique within the queue's life.
 using TicketId = Number<struct TicketIdTag>;
 
@@ -49,7 +52,8 @@
 };
 
 /// Queue in front of one database or service: deficit round robin over teams, earliest deadline
-/// first within a team. All operations are O(log n). Not thread-safe: owned by one executor.
+/// first within a team. Operations take O(log n), next() amortised over the requests it returns.
+/// Not thread-safe: owned by one executor.
 class FairQueue
 {
 public:
@@ -85,28 +89,38 @@
     };
     using Waiting = __gnu_pbds::tree<Order, QueuedRequest, std::less<>, __gnu_pbds::rb_tree_tag,
                                      __gnu_pbds::tree_order_statistics_node_update>;
+    /// Open routes share one flow.
+    struct FlowKey
+    {
+        bool openRoute = false;
+        TeamId team;
+        friend auto operator<=>(const FlowKey &, const FlowKey &) = default;
+    };
+    /// The waiting requests of one team; removed when it becomes empty.
     struct Flow
     {
         Waiting waiting;
-        double deficit = 0;
-        bool openRoute = false;
-        /// Position in m_active while `waiting` has requests.
-        std::list<TeamId>::iterator place;
+        /// A team that starts waiting need not wait a round for its first request.
+        double deficit = 1;
+        std::list<FlowKey>::iterator place;
     };
 
+    FlowKey flowKey(const TeamId &team, bool openRoute) const;
+    Order orderOf(const QueuedRequest &request) const;
     std::uint32_t reservedSlots() const;
-    bool slotFree(bool openRoute) const;
-    std::optional<QueuedRequest> serveHead(TimePoint now, std::vector<QueueRefusal> &refused);
+    bool keyedSlotFree() const;
+    bool openRouteFirst() const;
+    std::optional<QueuedRequest> serveOpenRoute(TimePoint now, std::vector<QueueRefusal> &refused);
+    std::optional<QueuedRequest> serveRoundRobin(TimePoint now, std::vector<QueueRefusal> &refused);
     void dropInfeasible(Flow &flow, TimePoint now, std::vector<QueueRefusal> &refused);
     QueuedRequest takeFirst(Flow &flow);
-    void deactivateIfEmpty(const TeamId &key);
-    static TeamId flowKey(const TeamId &team, bool openRoute);
+    void removeIfEmpty(const FlowKey &key);
 
     FairQueueOptions m_options;
-    std::map<TeamId, Flow> m_flows;
-    /// Teams with waiting requests, in round-robin order.
-    std::list<TeamId> m_active;
-    std::unordered_map<TicketId, std::pair<TeamId, TimePoint>> m_tickets;
+    std::map<FlowKey, Flow> m_flows;
+    /// Round-robin order.
+    std::list<FlowKey> m_active;
+    std::unordered_map<TicketId, std::pair<FlowKey, Order>> m_tickets;
     std::uint32_t m_runningOpen = 0;
     std::uint32_t m_runningKeyed = 0;
     double m_meanServiceUs = 0;
--- a/src/include/shallotlever/policy/replica_choice.h
+++ b/src/include/shallotlever/policy/replica_choice.h
@@ -63,6 +63,7 @@
     double serviceMean = 0;
     double serviceSecondMoment = 0;
     std::uint32_t inFlight = 0;
+    /// Connections this node may use there (its SlotShare).
     std::uint32_t slots = 1;
     /// From upstream_health; false while ejected.
     bool healthy = true;
@@ -109,7 +110,7 @@
     Kind kind = Kind::Refuse;
     UpstreamId upstream;
     Duration wait { 0 };
-    /// Known bound of the age of the answer; unset if nothing is known.
+    /// Known bound of the age of the answer, against the primary in office; unset if unknown.
     std::optional<Duration> staleness;
     /// Open route served with data older than its stated age.
     bool degraded = false;
--- a/src/include/shallotlever/policy/retry.h
+++ b/src/include/shallotlever/policy/retry.h
@@ -55,6 +55,8 @@
     TimePoint deadline;
     /// Expected time of an attempt; a retry that cannot finish in time is not made.
     Duration expectedServiceTime { 0 };
+    /// Fault for tests: repeats requests that may have run.
+    bool ignorePermission = false;
 };
 
 enum class RetryRefusal : std::uint8_t { NotRepeatable, TooManyAttempts, Deadline, Budget };
--- a/src/include/shallotlever/policy/token_bucket.h
+++ b/src/include/shallotlever/policy/token_bucket.h
@@ -23,8 +23,9 @@
     /// Takes one token; false without a share, after its expiry or when the bucket is empty.
     bool tryTake(TimePoint now);
 
-    /// Time until the bucket may hold a token again; nullopt if the share expires first or has no
-    /// rate. Other threads may take that token.
+    /// Time until the bucket may hold a token again; other threads may take that token. nullopt if
+    /// only a new share can bring one: the caller still waits for PresetPolicy::rateWait, as an
+    /// early report asks for that share.
     std::optional<Duration> timeUntilToken(TimePoint now) const;
 
     /// Counts a request that arrived, admitted or not. Once per request, before tryTake.
--- a/src/include/shallotlever/policy/upstream_health.h
+++ b/src/include/shallotlever/policy/upstream_health.h
@@ -35,6 +35,7 @@
     /// Ejections and failed probes since the upstream was last healthy; sets the back-off.
     std::uint32_t backoffExponent = 0;
     TimePoint nextProbe;
+    bool probeRunning = false;
     TimePoint returningSince;
 };
 
--- /dev/null
+++ b/src/policy/rate_allocator.cpp
@@ -0,0 +1,314 @@
+#include "shallotlever/policy/rate_allocator.h"
+
+#include <algorithm>
+
+namespace shallotlever {
+namespace {
+
+constexpr Duration kExpiryScanInterval = 100ms;
+/// A node gets more rate than it used, so that growth inside the team's rate is not refused.
+constexpr double kRateHeadroom = 1.5;
+/// Least headroom, as a share of the team's rate: lets a node without history start at once.
+constexpr double kMinRateHeadroom = 0.02;
+/// Bucket depth of a node that keeps within its rate, as seconds of its demand. Covers random
+/// arrivals; the rest of the burst stays in the pool for nodes that need it.
+constexpr double kDepthSeconds = 0.25;
+/// Part of the burst spread over all nodes, so that the first requests at a node need no round
+/// trip to the controller.
+constexpr double kFloorShare = 0.25;
+/// Above this number of nodes no floors are kept: they would cost a record per node and team.
+constexpr std::size_t kMaxNodesWithFloor = 64;
+/// A bucket of less than one token admits nothing.
+constexpr double kLeastUsefulDepth = 1.0;
+
+double seconds(Duration d)
+{
+    return std::chrono::duration<double>(d).count();
+}
+
+/// Brings the pool up to date. Must precede every change of the team's sums or limits.
+void accrue(RateTeam &team, TimePoint now)
+{
+    if (now <= team.poolAt)
+        return;
+    const double free = std::max(0.0, team.ratePerSecond - team.rateHeld);
+    const double room = std::max(0.0, team.burst - team.burstHeld);
+    team.pool = std::min(team.pool + free * seconds(now - team.poolAt), room);
+    team.poolAt = now;
+}
+
+/// Recomputes what the holding may use and updates the team's sums.
+void updateSums(RateTeam &team, RateHolding &holding)
+{
+    double rate = 0;
+    double burst = 0;
+    for (const RateEntry &entry : holding.entries) {
+        rate = std::max(rate, entry.ratePerSecond);
+        burst = std::max(burst, entry.burst);
+    }
+    team.rateHeld = std::max(0.0, team.rateHeld + rate - holding.rateHeld);
+    team.burstHeld = std::max(0.0, team.burstHeld + burst - holding.burstHeld);
+    holding.rateHeld = rate;
+    holding.burstHeld = burst;
+}
+
+void setDemand(RateTeam &team, RateHolding &holding, double demand)
+{
+    team.demand = std::max(0.0, team.demand + demand - holding.demand);
+    holding.demand = demand;
+}
+
+/// Drops entries that the node cannot be using: expired ones, and those before the newest entry
+/// that it has applied.
+void pruneEntries(RateHolding &holding, GrantNumber applied, TimePoint now)
+{
+    auto &entries = holding.entries;
+    std::erase_if(entries, [now](const RateEntry &e) { return e.expires <= now; });
+    auto firstUnapplied = std::find_if(entries.begin(), entries.end(),
+                                       [applied](const RateEntry &e) { return e.grant > applied; });
+    if (firstUnapplied - entries.begin() > 1)
+        entries.erase(entries.begin(), firstUnapplied - 1);
+}
+
+/// Puts tokens back into the pool that the node gave up unspent. Only as many as its depth shrank
+/// by: tokens and uncredited returns together never exceeded the depth counted before.
+void creditReturned(RateTeam &team, RateHolding &holding, const TeamDemand *demand,
+                    double depthDropped)
+{
+    if (demand == nullptr)
+        return;
+    const double returned = demand->returnedTokens - holding.returnedSeen;
+    if (holding.returnedKnown && returned > 0) {
+        const double room = std::max(0.0, team.burst - team.burstHeld);
+        team.pool = std::min(team.pool + std::min(returned, depthDropped), room);
+    }
+    holding.returnedSeen = demand->returnedTokens;
+    holding.returnedKnown = true;
+}
+
+void accountForReport(RateAllocator &allocator, RateTeam &team, RateHolding &holding,
+                      const TeamDemand *demand, GrantNumber applied, TimePoint now)
+{
+    accrue(team, now);
+    const double depthBefore = holding.burstHeld;
+    pruneEntries(holding, applied, now);
+    updateSums(team, holding);
+    const double dropped = std::max(0.0, depthBefore - holding.burstHeld);
+    creditReturned(team, holding, demand, dropped);
+    if (allocator.faults.forgetSpentBurst)
+        team.pool = std::min(team.pool + dropped, std::max(0.0, team.burst - team.burstHeld));
+    const double wanted = demand == nullptr
+        ? 0.0
+        : std::max(demand->arrivalsPerSecond, static_cast<double>(demand->waiting));
+    setDemand(team, holding, wanted);
+}
+
+double rateTarget(const RateTeam &team, const RateHolding &holding)
+{
+    if (holding.demand <= 0 || team.demand <= 0)
+        return 0;
+    const double proportional = team.ratePerSecond * holding.demand / team.demand;
+    const double needed = std::max(holding.demand * kRateHeadroom,
+                                   holding.demand + team.ratePerSecond * kMinRateHeadroom);
+    return std::min(proportional, needed);
+}
+
+double floorDepth(const RateTeam &team, std::size_t nodes)
+{
+    if (nodes == 0 || nodes > kMaxNodesWithFloor)
+        return 0;
+    const double floor = team.burst * kFloorShare / static_cast<double>(nodes);
+    return floor >= kLeastUsefulDepth ? floor : 0;
+}
+
+double depthTarget(const RateTeam &team, const RateHolding &holding, const TeamDemand *demand,
+                   double lastDepth, std::size_t nodes)
+{
+    double target = floorDepth(team, nodes);
+    if (holding.demand <= 0 || team.demand <= 0)
+        return target;
+    const double part = holding.demand / team.demand;
+    const double steady = std::min(team.burst * part / 2, holding.demand * kDepthSeconds);
+    target = std::max({ target, steady, std::min(kLeastUsefulDepth, team.burst) });
+    const bool pressed =
+        demand != nullptr && (demand->waiting > 0 || holding.demand > holding.rateHeld);
+    if (pressed)
+        target = std::max(target, std::min(lastDepth + team.pool * part, team.burst * part));
+    return target;
+}
+
+/// Depth that can be granted now. While a reduction is unacknowledged the depth is not raised, so
+/// that returned tokens are never counted twice.
+double grantableDepth(RateTeam &team, const RateHolding &holding, double target, double lastDepth)
+{
+    if (target <= lastDepth)
+        return target;
+    if (holding.burstHeld > lastDepth)
+        return lastDepth;
+    const double raise = std::min(target - lastDepth, team.pool);
+    team.pool -= raise;
+    return lastDepth + raise;
+}
+
+/// Computes and records the next share of one team on one node.
+RateShare grantShare(RateAllocator &allocator, RateTeam &team, RateHolding &holding,
+                     const TeamDemand *demand, const TeamId &id, TimePoint now)
+{
+    const double lastDepth = holding.entries.empty() ? 0 : holding.entries.back().burst;
+    const double available = team.ratePerSecond - (team.rateHeld - holding.rateHeld);
+    RateShare share;
+    share.team = id;
+    share.ratePerSecond = std::clamp(available, 0.0, rateTarget(team, holding));
+    const double depth = depthTarget(team, holding, demand, lastDepth, allocator.nodes.size());
+    share.burst = grantableDepth(team, holding, depth, lastDepth);
+    share.teamWithinRate = team.demand <= team.ratePerSecond;
+    if (allocator.faults.grantBeforeLeaseExpiry)
+        holding.entries.clear();
+    holding.entries.push_back(
+        { allocator.nextGrant, share.ratePerSecond, share.burst, now + kShareLease });
+    updateSums(team, holding);
+    return share;
+}
+
+/// True once the node holds and wants nothing, and no earlier grant can be in use.
+bool isIdle(const RateHolding &holding)
+{
+    return holding.demand <= 0 && holding.rateHeld <= 0 && holding.burstHeld <= 0;
+}
+
+void releaseNode(RateAllocator &allocator, RateNode &node, TimePoint now)
+{
+    for (auto &[id, holding] : node.holdings) {
+        RateTeam &team = allocator.teams[id];
+        accrue(team, now);
+        const double held = holding.burstHeld;
+        holding.entries.clear();
+        updateSums(team, holding);
+        setDemand(team, holding, 0);
+        if (allocator.faults.forgetSpentBurst)
+            team.pool = std::min(team.pool + held, std::max(0.0, team.burst - team.burstHeld));
+    }
+}
+
+/// The demand of earlier incarnations has gone with them; their leases have not.
+void forgetEarlierDemand(RateAllocator &allocator, const NodeId &id)
+{
+    for (auto it = allocator.nodes.lower_bound({ id, Incarnation() });
+         it != allocator.nodes.end() && it->first.first == id; ++it) {
+        for (auto &[team, holding] : it->second.holdings)
+            setDemand(allocator.teams[team], holding, 0);
+    }
+}
+
+/// Returns the node's record, or nullptr if the report is older than one already seen.
+RateNode *nodeOf(RateAllocator &allocator, const ReportStamp &stamp, TimePoint now)
+{
+    const auto key = std::make_pair(stamp.node, stamp.incarnation);
+    auto it = allocator.nodes.find(key);
+    if (it == allocator.nodes.end()) {
+        forgetEarlierDemand(allocator, stamp.node);
+        it = allocator.nodes.emplace(key, RateNode {}).first;
+        it->second.incarnation = stamp.incarnation;
+    } else if (stamp.sequence <= it->second.reportSequence) {
+        return nullptr;
+    }
+    it->second.reportSequence = stamp.sequence;
+    it->second.expires = now + kShareLease;
+    return &it->second;
+}
+
+/// Adds a holding for each team the report names, and for each team with a floor.
+void addHoldings(RateAllocator &allocator, RateNode &node, const RateReport &report)
+{
+    for (const TeamDemand &demand : report.demands) {
+        if (allocator.teams.contains(demand.team))
+            node.holdings.try_emplace(demand.team);
+    }
+    if (allocator.nodes.size() > kMaxNodesWithFloor)
+        return;
+    for (const auto &[id, team] : allocator.teams) {
+        if (floorDepth(team, allocator.nodes.size()) > 0)
+            node.holdings.try_emplace(id);
+    }
+}
+
+} // namespace
+
+RateAllocator makeRateAllocator(ControlTerm term, TimePoint predecessorGone,
+                                RateAllocatorFaults faults)
+{
+    RateAllocator allocator;
+    allocator.nextGrant = firstGrantNumber(term);
+    allocator.grantsFrom =
+        faults.skipPredecessorWait ? predecessorGone : predecessorGone + kShareLease;
+    allocator.faults = faults;
+    return allocator;
+}
+
+void applyTeamConfig(RateAllocator &allocator, const std::map<TeamId, TeamConfig> &teams,
+                     TimePoint now)
+{
+    for (auto &[id, team] : allocator.teams) {
+        accrue(team, now);
+        if (!teams.contains(id))
+            team.ratePerSecond = team.burst = team.pool = 0;
+    }
+    for (const auto &[id, config] : teams) {
+        // A new team starts with an empty pool: it may have existed before under the same id, or
+        // under an earlier controller, and have spent its burst.
+        auto [it, added] = allocator.teams.try_emplace(id);
+        RateTeam &team = it->second;
+        if (added)
+            team.poolAt = std::max(now, allocator.grantsFrom);
+        team.ratePerSecond = config.ratePerSecond;
+        team.burst = config.burst;
+        team.pool = std::min(team.pool, std::max(0.0, team.burst - team.burstHeld));
+    }
+}
+
+void expireRateLeases(RateAllocator &allocator, TimePoint now)
+{
+    for (auto it = allocator.nodes.begin(); it != allocator.nodes.end();) {
+        if (it->second.expires > now) {
+            ++it;
+            continue;
+        }
+        releaseNode(allocator, it->second, now);
+        it = allocator.nodes.erase(it);
+    }
+    std::erase_if(allocator.teams, [](const auto &item) {
+        const RateTeam &team = item.second;
+        return team.ratePerSecond <= 0 && team.burst <= 0 && team.burstHeld <= 0
+            && team.rateHeld <= 0 && team.demand <= 0;
+    });
+    allocator.nextExpiryScan = now + kExpiryScanInterval;
+}
+
+RateGrant onRateReport(RateAllocator &allocator, const RateReport &report, TimePoint now)
+{
+    if (now >= allocator.nextExpiryScan)
+        expireRateLeases(allocator, now);
+    RateGrant grant;
+    RateNode *node = nodeOf(allocator, report.stamp, now);
+    if (node == nullptr)
+        return grant;
+    addHoldings(allocator, *node, report);
+    std::map<TeamId, const TeamDemand *> demands;
+    for (const TeamDemand &demand : report.demands)
+        demands.insert_or_assign(demand.team, &demand);
+    grant.number = allocator.nextGrant;
+    for (auto it = node->holdings.begin(); it != node->holdings.end();) {
+        auto &[id, holding] = *it;
+        RateTeam &team = allocator.teams[id];
+        const auto found = demands.find(id);
+        const TeamDemand *demand = found == demands.end() ? nullptr : found->second;
+        accountForReport(allocator, team, holding, demand, report.stamp.appliedGrant, now);
+        if (now >= allocator.grantsFrom)
+            grant.shares.push_back(grantShare(allocator, team, holding, demand, id, now));
+        it = isIdle(holding) ? node->holdings.erase(it) : std::next(it);
+    }
+    allocator.nextGrant = allocator.nextGrant.next();
+    return grant;
+}
+
+} // namespace shallotlever
--- /dev/null
+++ b/src/policy/replica_picker.cpp
@@ -0,0 +1,116 @@
+#include <algorithm>
+
+#include "shallotlever/policy/read_split.h"
+#include "shallotlever/policy/replica_choice.h"
+
+namespace shallotlever {
+namespace {
+
+constexpr double kLeastWeight = 1e-3;
+
+double slotsOf(const UpstreamObservation &o)
+{
+    return std::max<double>(1, o.slots);
+}
+
+double latencySeconds(const UpstreamObservation &o)
+{
+    return std::max(1e-6, std::chrono::duration<double>(o.latency).count());
+}
+
+/// Expected time of one more request: what is in flight, per slot, at the recent latency.
+double loadOf(const ReadCandidate &candidate)
+{
+    const UpstreamObservation &o = *candidate.observation;
+    const double queued = std::max(1.0, (o.inFlight + 1) / slotsOf(o));
+    return queued * latencySeconds(o) / std::max(kLeastWeight, o.weight);
+}
+
+std::vector<std::size_t> nearestWithFreeSlot(std::span<const ReadCandidate> candidates)
+{
+    std::vector<std::size_t> best;
+    Distance nearest = Distance::Other;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const ReadCandidate &c = candidates[i];
+        if (c.observation->inFlight >= c.observation->slots)
+            continue;
+        if (best.empty() || c.distance < nearest) {
+            best.clear();
+            nearest = c.distance;
+        }
+        if (c.distance == nearest)
+            best.push_back(i);
+    }
+    if (best.empty()) {
+        for (std::size_t i = 0; i < candidates.size(); ++i)
+            best.push_back(i);
+    }
+    return best;
+}
+
+std::size_t weightedDraw(std::span<const double> weights, Random &random)
+{
+    double sum = 0;
+    for (const double weight : weights)
+        sum += weight;
+    double drawn = uniformUnit(random) * sum;
+    for (std::size_t i = 0; i < weights.size(); ++i) {
+        drawn -= weights[i];
+        if (drawn < 0)
+            return i;
+    }
+    return weights.size() - 1;
+}
+
+} // namespace
+
+std::size_t pickLeastLoadedOfTwo(std::span<const ReadCandidate> candidates, double, Random &random)
+{
+    const std::vector<std::size_t> usable = nearestWithFreeSlot(candidates);
+    if (usable.size() == 1)
+        return usable.front();
+    std::vector<double> weights;
+    weights.reserve(usable.size());
+    for (const std::size_t i : usable) {
+        const UpstreamObservation &o = *candidates[i].observation;
+        weights.push_back(slotsOf(o) * std::max(kLeastWeight, o.weight));
+    }
+    const std::size_t first = weightedDraw(weights, random);
+    weights[first] = 0;
+    const std::size_t second = weightedDraw(weights, random);
+    const bool firstIsBetter =
+        loadOf(candidates[usable[first]]) <= loadOf(candidates[usable[second]]);
+    return usable[firstIsBetter ? first : second];
+}
+
+std::size_t pickNearest(std::span<const ReadCandidate> candidates, double, Random &)
+{
+    const auto nearer = [](const ReadCandidate &a, const ReadCandidate &b) {
+        return a.distance != b.distance ? a.distance < b.distance
+                                        : a.observation->latency < b.observation->latency;
+    };
+    return static_cast<std::size_t>(std::min_element(candidates.begin(), candidates.end(), nearer)
+                                    - candidates.begin());
+}
+
+std::size_t pickProbabilistic(std::span<const ReadCandidate> candidates, double readsPerSecond,
+                              Random &random)
+{
+    std::vector<ServerMoments> servers;
+    servers.reserve(candidates.size());
+    for (const ReadCandidate &candidate : candidates) {
+        const UpstreamObservation &o = *candidate.observation;
+        const double slots = slotsOf(o);
+        const double network = std::max(0.0, latencySeconds(o) - o.serviceMean);
+        servers.push_back(
+            { network, o.serviceMean / slots, o.serviceSecondMoment / (slots * slots) });
+    }
+    std::vector<double> weights = splitReads(servers, readsPerSecond);
+    for (std::size_t i = 0; i < weights.size(); ++i)
+        weights[i] *= std::max(kLeastWeight, candidates[i].observation->weight);
+    return weightedDraw(weights, random);
+}
+
+const ReplicaPicker kDefaultReplicaPicker = pickLeastLoadedOfTwo;
+
+} // namespace shallotlever
--- /dev/null
+++ b/src/policy/token_bucket.cpp
@@ -0,0 +1,177 @@
+#include "shallotlever/policy/token_bucket.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace shallotlever {
+namespace {
+
+constexpr std::int64_t kMicro = 1'000'000;
+constexpr unsigned kGenerationShift = 48;
+constexpr std::uint64_t kTokenMask = (std::uint64_t { 1 } << kGenerationShift) - 1;
+/// Arrivals are averaged over at least this long before they replace the last average.
+constexpr Duration kDemandWindow = 250ms;
+/// Shortest time over which a few first arrivals are taken for a rate.
+constexpr Duration kMinDemandWindow = 100ms;
+
+std::int64_t tokensOf(std::uint64_t word)
+{
+    return static_cast<std::int64_t>(word & kTokenMask);
+}
+
+std::uint64_t generationOf(std::uint64_t word)
+{
+    return word >> kGenerationShift;
+}
+
+std::uint64_t makeWord(std::uint64_t generation, std::int64_t tokens)
+{
+    return (generation << kGenerationShift) | static_cast<std::uint64_t>(tokens);
+}
+
+std::int64_t microTokens(double tokens)
+{
+    const double limit = static_cast<double>(kTokenMask);
+    return static_cast<std::int64_t>(std::clamp(tokens * kMicro, 0.0, limit));
+}
+
+std::int64_t micros(TimePoint t)
+{
+    return t.time_since_epoch().count();
+}
+
+} // namespace
+
+const TokenBucket::Parameters &TokenBucket::parametersOf(std::uint64_t word) const
+{
+    return m_parameters[generationOf(word) & 1U];
+}
+
+TokenBucket::Parameters &TokenBucket::parametersOf(std::uint64_t word)
+{
+    return m_parameters[generationOf(word) & 1U];
+}
+
+void TokenBucket::refill(TimePoint now)
+{
+    std::uint64_t word = m_word.load();
+    const std::uint64_t generation = generationOf(word);
+    Parameters &p = parametersOf(word);
+    std::int64_t from = p.refilledAt.load();
+    const std::int64_t to = std::min(micros(now), p.expires.load());
+    const std::int64_t rate = p.microTokensPerSecond.load();
+    const std::int64_t depth = p.depthMicroTokens.load();
+    if (to <= from || rate <= 0)
+        return;
+    const double gain = static_cast<double>(rate) * static_cast<double>(to - from) / kMicro;
+    const auto added = static_cast<std::int64_t>(std::min(gain, static_cast<double>(depth)));
+    // The thread that moves refilledAt adds the tokens of that interval; nobody else does.
+    if (added <= 0 || !p.refilledAt.compare_exchange_strong(from, to))
+        return;
+    while (generationOf(word) == generation) {
+        const std::int64_t tokens = std::min(tokensOf(word) + added, depth);
+        if (m_word.compare_exchange_weak(word, makeWord(generation, tokens)))
+            return;
+    }
+}
+
+bool TokenBucket::tryTake(TimePoint now)
+{
+    refill(now);
+    std::uint64_t word = m_word.load();
+    while (micros(now) < parametersOf(word).expires.load() && tokensOf(word) >= kMicro) {
+        if (m_word.compare_exchange_weak(word, word - kMicro))
+            return true;
+    }
+    m_refused.fetch_add(1, std::memory_order_relaxed);
+    return false;
+}
+
+std::optional<Duration> TokenBucket::timeUntilToken(TimePoint now) const
+{
+    const std::uint64_t word = m_word.load();
+    const Parameters &p = parametersOf(word);
+    const std::int64_t expires = p.expires.load();
+    if (micros(now) >= expires)
+        return std::nullopt;
+    const std::int64_t missing = kMicro - tokensOf(word);
+    if (missing <= 0)
+        return Duration(0);
+    const std::int64_t rate = p.microTokensPerSecond.load();
+    if (rate <= 0 || p.depthMicroTokens.load() < kMicro)
+        return std::nullopt;
+    const double wait =
+        std::ceil(static_cast<double>(missing) * kMicro / static_cast<double>(rate));
+    const std::int64_t elapsed = std::max<std::int64_t>(0, micros(now) - p.refilledAt.load());
+    if (wait - static_cast<double>(elapsed) >= static_cast<double>(expires - micros(now)))
+        return std::nullopt;
+    return Duration(std::max<std::int64_t>(0, static_cast<std::int64_t>(wait) - elapsed));
+}
+
+RateRefusal TokenBucket::refusalClass(TimePoint now) const
+{
+    const Parameters &p = parametersOf(m_word.load());
+    const bool known = micros(now) < p.expires.load();
+    return known && !p.teamWithinRate.load() ? RateRefusal::OverRate : RateRefusal::InsideRate;
+}
+
+bool TokenBucket::applyShare(const RateShare &share, TimePoint leaseExpiry, TimePoint now)
+{
+    refill(now);
+    std::uint64_t word = m_word.load();
+    const Parameters &old = parametersOf(word);
+    const std::uint64_t generation = (generationOf(word) + 1) & 0xffffU;
+    Parameters &next = m_parameters[generation & 1U];
+    const std::int64_t depth = microTokens(share.burst);
+    const std::int64_t oldDepth = old.depthMicroTokens.load();
+    const bool expired = micros(now) >= old.expires.load();
+    const std::int64_t growth = std::max<std::int64_t>(0, depth - oldDepth);
+    next.microTokensPerSecond.store(microTokens(share.ratePerSecond));
+    next.depthMicroTokens.store(depth);
+    next.expires.store(micros(leaseExpiry));
+    next.teamWithinRate.store(share.teamWithinRate);
+    std::int64_t tokens = 0;
+    do {
+        // Read after m_word: a refill that this value does not cover changes m_word or is dropped.
+        next.refilledAt.store(expired ? micros(now) : std::max(micros(now), old.refilledAt.load()));
+        tokens = (expired ? 0 : tokensOf(word)) + growth;
+    } while (!m_word.compare_exchange_weak(word, makeWord(generation, std::min(tokens, depth))));
+    m_returnedTokens += static_cast<double>(std::max<std::int64_t>(0, tokens - depth)) / kMicro;
+    return depth < oldDepth || microTokens(share.ratePerSecond) < old.microTokensPerSecond.load();
+}
+
+TeamDemand TokenBucket::takeDemand(const TeamId &team, TimePoint now)
+{
+    refill(now);
+    const std::uint64_t word = m_word.load();
+    const std::uint64_t arrivals = m_arrivals.load(std::memory_order_relaxed);
+    const bool started = m_windowStart != TimePoint();
+    const Duration elapsed =
+        started ? std::max(kMinDemandWindow, now - m_windowStart) : kMinDemandWindow;
+    const double rate = static_cast<double>(arrivals - m_windowArrivals)
+        / std::chrono::duration<double>(elapsed).count();
+    TeamDemand demand;
+    demand.team = team;
+    demand.arrivalsPerSecond = rate;
+    if (started && elapsed < kDemandWindow) {
+        demand.arrivalsPerSecond = std::max(rate, m_lastRate);
+    } else {
+        m_windowStart = now;
+        m_windowArrivals = arrivals;
+        m_lastRate = rate;
+    }
+    demand.waiting = m_waiting.load(std::memory_order_relaxed);
+    const bool live = micros(now) < parametersOf(word).expires.load();
+    demand.unspentTokens = live ? static_cast<double>(tokensOf(word)) / kMicro : 0;
+    demand.returnedTokens = m_returnedTokens;
+    m_refusedReported = m_refused.load(std::memory_order_relaxed);
+    return demand;
+}
+
+bool TokenBucket::wantsEarlyReport() const
+{
+    return m_waiting.load(std::memory_order_relaxed) > 0
+        || m_refused.load(std::memory_order_relaxed) != m_refusedReported;
+}
+
+} // namespace shallotlever
