--- a/src/include/shallotlever/upstream/query.h
+++ b/src/include/shallotlever/upstream/query.h
@@ -17,7 +17,11 @@
 {
     std::vector<std::string> columns;
     std::vector<std::vector<SqlValue>> rows;
+    /// Rows inserted, updated or deleted; 0 for a read.
     std::uint64_t affectedRows = 0;
+    /// Command tag of the database. COMMIT of a failed transaction succeeds with tag ROLLBACK, so a
+    /// commit has taken effect only if wasCommitted() says so.
+    std::string commandTag;
     friend bool operator==(const QueryResult &, const QueryResult &) = default;
 };
 
@@ -44,6 +48,12 @@
     std::string message;
 };
 
+/// Whether the answer to a COMMIT reports a commit.
+inline bool wasCommitted(const QueryResult &result)
+{
+    return result.commandTag == "COMMIT";
+}
+
 using QueryReply = std::variant<QueryResult, QueryError>;
 using QueryCallback = std::function<void(QueryReply)>;
 
--- /dev/null
+++ b/src/upstream/connection.cpp
@@ -0,0 +1,522 @@
+#include "shallotlever/upstream/connection.h"
+
+#include <libpq-fe.h>
+
+#include <QSocketNotifier>
+#include <QTimer>
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "environment.h"
+
+namespace shallotlever {
+
+namespace {
+
+/// libpq reads a password file if no password is given. This public placeholder keeps it from
+/// looking; a database that asks for a password refuses it.
+constexpr const char *kNoPassword = "none";
+/// SQLSTATE as it stands in a verbose message.
+constexpr const char *kTooManyConnections = "53300:";
+/// Severity of an error after which the session goes on; FATAL and PANIC end it.
+constexpr std::string_view kErrorSeverity = "ERROR";
+
+struct ConnectionDeleter
+{
+    void operator()(PGconn *connection) const { PQfinish(connection); }
+};
+struct ResultDeleter
+{
+    void operator()(PGresult *result) const { PQclear(result); }
+};
+struct LaterDeleter
+{
+    // A notifier may be closed from a slot of its own signal.
+    void operator()(QSocketNotifier *notifier) const
+    {
+        notifier->setEnabled(false);
+        notifier->deleteLater();
+    }
+};
+using ResultPtr = std::unique_ptr<PGresult, ResultDeleter>;
+using NotifierPtr = std::unique_ptr<QSocketNotifier, LaterDeleter>;
+
+QueryError makeError(QueryErrorKind kind, std::string message, std::string sqlState = {})
+{
+    return { kind, std::move(sqlState), std::move(message) };
+}
+
+std::string errorField(const PGresult *result, int field)
+{
+    const char *text = PQresultErrorField(result, field);
+    return text == nullptr ? std::string() : std::string(text);
+}
+
+SqlValue fieldOf(const PGresult *result, int row, int column)
+{
+    if (PQgetisnull(result, row, column) != 0)
+        return std::nullopt;
+    return std::string(PQgetvalue(result, row, column),
+                       static_cast<std::size_t>(PQgetlength(result, row, column)));
+}
+
+QueryResult toQueryResult(PGresult *result)
+{
+    QueryResult answer;
+    const int columns = PQnfields(result);
+    for (int column = 0; column < columns; ++column)
+        answer.columns.emplace_back(PQfname(result, column));
+    answer.rows.resize(static_cast<std::size_t>(PQntuples(result)));
+    for (std::size_t row = 0; row < answer.rows.size(); ++row) {
+        for (int column = 0; column < columns; ++column)
+            answer.rows[row].push_back(fieldOf(result, static_cast<int>(row), column));
+    }
+    answer.commandTag = PQcmdStatus(result);
+    // The number in the tag of a SELECT counts the rows of the answer.
+    if (!absl::StartsWith(answer.commandTag, "SELECT")
+        && !absl::SimpleAtoi(PQcmdTuples(result), &answer.affectedRows))
+        answer.affectedRows = 0;
+    return answer;
+}
+
+/// Anything but a whole answer or a plain error leaves the fate of the statement open.
+QueryReply toReply(PGresult *result)
+{
+    switch (PQresultStatus(result)) {
+    case PGRES_COMMAND_OK:
+    case PGRES_TUPLES_OK:
+    case PGRES_EMPTY_QUERY:
+        return toQueryResult(result);
+    default:
+        break;
+    }
+    const std::string state = errorField(result, PG_DIAG_SQLSTATE);
+    const bool plain = errorField(result, PG_DIAG_SEVERITY_NONLOCALIZED) == kErrorSeverity;
+    const auto kind = plain ? QueryErrorKind::Refused : QueryErrorKind::LostAfterSend;
+    std::string message = errorField(result, PG_DIAG_MESSAGE_PRIMARY);
+    if (message.empty())
+        message = PQresultErrorMessage(result);
+    return makeError(kind, std::move(message), state);
+}
+
+/// In a COPY state libpq gives the same result again and again.
+bool isCopy(const PGresult *result)
+{
+    const ExecStatusType status = PQresultStatus(result);
+    return status == PGRES_COPY_IN || status == PGRES_COPY_OUT || status == PGRES_COPY_BOTH;
+}
+
+std::chrono::milliseconds toTimerInterval(Duration duration)
+{
+    return std::max(std::chrono::ceil<std::chrono::milliseconds>(duration), 0ms);
+}
+
+} // namespace
+
+class UpstreamConnection::State : public std::enable_shared_from_this<State>
+{
+public:
+    enum class Phase { Connecting, Idle, Running, Closed };
+
+    static absl::StatusOr<std::shared_ptr<State>> start(const ConnectionParams &params,
+                                                        OpenCallback onOpen);
+    void execute(std::string_view sql, std::span<const SqlValue> params, Duration timeout,
+                 QueryCallback callback);
+    void abandon();
+    /// Closes without calling any callback.
+    void dispose();
+
+    Phase phase() const { return m_phase; }
+    TransactionStatus transactionStatus() const;
+    void setIdleCloseCallback(std::function<void()> callback)
+    {
+        m_onIdleClose = std::move(callback);
+    }
+
+private:
+    void watchSocket();
+    void onReadable();
+    void onWritable();
+    void onTimeout();
+    void pollConnect();
+    void finishOpen(absl::Status status);
+    absl::Status connectFailure() const;
+    bool peerStillOpen();
+    bool sendStatement(const std::string &sql, std::span<const SqlValue> params);
+    void flushOutput();
+    void readIdle();
+    void readAnswer();
+    void addResult(ResultPtr result);
+    void finishQuery(QueryReply reply);
+    void failQuery(QueryErrorKind kind, std::string message);
+    void close();
+    void later(std::function<void()> action);
+
+    std::unique_ptr<PGconn, ConnectionDeleter> m_connection;
+    NotifierPtr m_readNotifier;
+    NotifierPtr m_writeNotifier;
+    QTimer m_timer;
+    /// Receiver of deferred calls; its destruction cancels them.
+    QObject m_context;
+    Phase m_phase = Phase::Connecting;
+    OpenCallback m_onOpen;
+    QueryCallback m_onReply;
+    std::function<void()> m_onIdleClose;
+    std::optional<QueryReply> m_reply;
+};
+
+absl::StatusOr<std::shared_ptr<UpstreamConnection::State>>
+UpstreamConnection::State::start(const ConnectionParams &params, OpenCallback onOpen)
+{
+    if (const char *variable = findLibpqVariable()) {
+        return absl::FailedPreconditionError(std::string(variable)
+                                             + " is set; call clearLibpqEnvironment first");
+    }
+    if (params.endpoint.host.empty() || params.user.empty() || params.database.empty())
+        return absl::InvalidArgumentError("host, user and database are required");
+    const std::string port = std::to_string(params.endpoint.port);
+    const std::array keys { "hostaddr",
+                            "port",
+                            "user",
+                            "dbname",
+                            "password",
+                            "sslmode",
+                            "gssencmode",
+                            "client_encoding",
+                            static_cast<const char *>(nullptr) };
+    const std::array values {
+        params.endpoint.host.c_str(), port.c_str(), params.user.c_str(),
+        params.database.c_str(),      kNoPassword,  params.sslMode.c_str(),
+        params.gssEncMode.c_str(),    "UTF8",       static_cast<const char *>(nullptr)
+    };
+    auto state = std::make_shared<State>();
+    state->m_connection.reset(PQconnectStartParams(keys.data(), values.data(), 0));
+    PGconn *connection = state->m_connection.get();
+    if (connection == nullptr)
+        return absl::ResourceExhaustedError("libpq could not allocate a connection");
+    state->m_onOpen = std::move(onOpen);
+    // An immediate failure is reported like a later one, from the event loop.
+    if (PQstatus(connection) == CONNECTION_BAD || PQsocket(connection) < 0) {
+        state->later([raw = state.get()] { raw->finishOpen(raw->connectFailure()); });
+        return state;
+    }
+    PQsetnonblocking(connection, 1);
+    PQsetErrorVerbosity(connection, PQERRORS_VERBOSE);
+    PQsetNoticeProcessor(
+        connection, [](void *, const char *) {}, nullptr);
+    state->m_timer.setSingleShot(true);
+    QObject::connect(&state->m_timer, &QTimer::timeout, [raw = state.get()] { raw->onTimeout(); });
+    state->m_timer.start(toTimerInterval(params.connectTimeout));
+    state->watchSocket();
+    state->m_readNotifier->setEnabled(false);
+    state->m_writeNotifier->setEnabled(true);
+    return state;
+}
+
+void UpstreamConnection::State::later(std::function<void()> action)
+{
+    QMetaObject::invokeMethod(
+        &m_context,
+        [self = weak_from_this(), run = std::move(action)] {
+            if (const auto alive = self.lock())
+                run();
+        },
+        Qt::QueuedConnection);
+}
+
+void UpstreamConnection::State::watchSocket()
+{
+    const int socket = PQsocket(m_connection.get());
+    if (m_readNotifier && m_readNotifier->socket() == socket)
+        return;
+    m_readNotifier.reset(new QSocketNotifier(socket, QSocketNotifier::Read));
+    m_writeNotifier.reset(new QSocketNotifier(socket, QSocketNotifier::Write));
+    m_writeNotifier->setEnabled(false);
+    QObject::connect(m_readNotifier.get(), &QSocketNotifier::activated, &m_context,
+                     [this] { onReadable(); });
+    QObject::connect(m_writeNotifier.get(), &QSocketNotifier::activated, &m_context,
+                     [this] { onWritable(); });
+}
+
+void UpstreamConnection::State::onReadable()
+{
+    // Keeps the state alive while a callback destroys the connection.
+    const auto self = shared_from_this();
+    switch (m_phase) {
+    case Phase::Connecting:
+        return pollConnect();
+    case Phase::Idle:
+        return readIdle();
+    case Phase::Running:
+        return readAnswer();
+    case Phase::Closed:
+        return;
+    }
+}
+
+void UpstreamConnection::State::onWritable()
+{
+    const auto self = shared_from_this();
+    if (m_phase == Phase::Connecting)
+        pollConnect();
+    else if (m_phase == Phase::Running)
+        flushOutput();
+}
+
+void UpstreamConnection::State::onTimeout()
+{
+    const auto self = shared_from_this();
+    if (m_phase == Phase::Connecting)
+        finishOpen(absl::DeadlineExceededError("connect timeout"));
+    else if (m_phase == Phase::Running)
+        failQuery(QueryErrorKind::Abandoned, "the statement timed out");
+}
+
+void UpstreamConnection::State::pollConnect()
+{
+    const PostgresPollingStatusType status = PQconnectPoll(m_connection.get());
+    if (status == PGRES_POLLING_FAILED)
+        return finishOpen(connectFailure());
+    if (status == PGRES_POLLING_OK) {
+        watchSocket();
+        m_writeNotifier->setEnabled(false);
+        m_readNotifier->setEnabled(true);
+        return finishOpen(absl::OkStatus());
+    }
+    watchSocket();
+    m_readNotifier->setEnabled(status == PGRES_POLLING_READING);
+    m_writeNotifier->setEnabled(status == PGRES_POLLING_WRITING);
+}
+
+absl::Status UpstreamConnection::State::connectFailure() const
+{
+    const std::string message = PQerrorMessage(m_connection.get());
+    // libpq gives the SQLSTATE of a failed connect in the verbose text only.
+    if (absl::StrContains(message, kTooManyConnections))
+        return absl::ResourceExhaustedError(message);
+    return absl::UnavailableError(message);
+}
+
+void UpstreamConnection::State::finishOpen(absl::Status status)
+{
+    m_timer.stop();
+    if (status.ok())
+        m_phase = Phase::Idle;
+    else
+        close();
+    if (const auto callback = std::exchange(m_onOpen, nullptr))
+        callback(std::move(status));
+}
+
+bool UpstreamConnection::State::peerStillOpen()
+{
+    return PQconsumeInput(m_connection.get()) == 1 && PQstatus(m_connection.get()) == CONNECTION_OK;
+}
+
+bool UpstreamConnection::State::sendStatement(const std::string &sql,
+                                              std::span<const SqlValue> params)
+{
+    std::vector<const char *> values;
+    values.reserve(params.size());
+    for (const SqlValue &param : params)
+        values.push_back(param ? param->c_str() : nullptr);
+    return PQsendQueryParams(m_connection.get(), sql.c_str(), static_cast<int>(values.size()),
+                             nullptr, values.data(), nullptr, nullptr, 0)
+        == 1;
+}
+
+void UpstreamConnection::State::execute(std::string_view sql, std::span<const SqlValue> params,
+                                        Duration timeout, QueryCallback callback)
+{
+    const auto refuse = [&](const char *why) {
+        later([callback = std::move(callback), why] {
+            callback(makeError(QueryErrorKind::NotSent, why));
+        });
+    };
+    if (m_phase != Phase::Idle)
+        return refuse("the connection is closed or busy");
+    const auto holdsZero = [](const SqlValue &v) { return v && v->find('\0') != v->npos; };
+    if (sql.find('\0') != sql.npos || std::any_of(params.begin(), params.end(), holdsZero))
+        return refuse("the statement holds a zero byte");
+    // A pooled connection that the database closed is found here, before anything is sent.
+    if (!peerStillOpen()) {
+        close();
+        return refuse("the connection was closed by the database");
+    }
+    if (!sendStatement(std::string(sql), params)) {
+        close();
+        return refuse("libpq refused the statement");
+    }
+    m_phase = Phase::Running;
+    m_onReply = std::move(callback);
+    m_timer.start(toTimerInterval(timeout));
+    m_writeNotifier->setEnabled(PQflush(m_connection.get()) != 0);
+}
+
+void UpstreamConnection::State::flushOutput()
+{
+    // A failed write is reported by the read that follows, with the server's last words if any.
+    m_writeNotifier->setEnabled(PQflush(m_connection.get()) == 1);
+}
+
+void UpstreamConnection::State::readIdle()
+{
+    if (peerStillOpen())
+        return;
+    close();
+    if (const auto callback = std::exchange(m_onIdleClose, nullptr))
+        callback();
+}
+
+void UpstreamConnection::State::readAnswer()
+{
+    PGconn *connection = m_connection.get();
+    if (PQconsumeInput(connection) == 0)
+        return failQuery(QueryErrorKind::LostAfterSend, PQerrorMessage(connection));
+    while (PQisBusy(connection) == 0) {
+        ResultPtr result(PQgetResult(connection));
+        if (!result)
+            break;
+        if (isCopy(result.get()))
+            return failQuery(QueryErrorKind::LostAfterSend, "COPY is not supported");
+        addResult(std::move(result));
+    }
+    if (PQstatus(connection) != CONNECTION_OK)
+        return failQuery(QueryErrorKind::LostAfterSend, PQerrorMessage(connection));
+    // The reply is complete only after ReadyForQuery.
+    if (PQisBusy(connection) == 0 && PQtransactionStatus(connection) != PQTRANS_ACTIVE)
+        finishQuery(m_reply ? std::move(*m_reply)
+                            : makeError(QueryErrorKind::LostAfterSend, "no answer"));
+}
+
+void UpstreamConnection::State::addResult(ResultPtr result)
+{
+    QueryReply reply = toReply(result.get());
+    const bool failed = std::holds_alternative<QueryError>(reply);
+    if (!m_reply || (failed && std::holds_alternative<QueryResult>(*m_reply)))
+        m_reply = std::move(reply);
+}
+
+void UpstreamConnection::State::finishQuery(QueryReply reply)
+{
+    const auto *error = std::get_if<QueryError>(&reply);
+    if (error != nullptr && error->kind != QueryErrorKind::Refused)
+        close();
+    else
+        m_phase = Phase::Idle;
+    m_timer.stop();
+    m_reply.reset();
+    if (const auto callback = std::exchange(m_onReply, nullptr))
+        callback(std::move(reply));
+}
+
+void UpstreamConnection::State::failQuery(QueryErrorKind kind, std::string message)
+{
+    QueryError error = makeError(kind, std::move(message));
+    if (m_reply) {
+        if (const auto *known = std::get_if<QueryError>(&*m_reply))
+            error.sqlState = known->sqlState;
+    }
+    finishQuery(std::move(error));
+}
+
+void UpstreamConnection::State::abandon()
+{
+    const bool running = m_phase == Phase::Running;
+    const bool connecting = m_phase == Phase::Connecting;
+    close();
+    if (running) {
+        later([this] { failQuery(QueryErrorKind::Abandoned, "the statement was abandoned"); });
+    } else if (connecting) {
+        later([this] { finishOpen(absl::CancelledError("the connection was abandoned")); });
+    }
+}
+
+void UpstreamConnection::State::close()
+{
+    m_phase = Phase::Closed;
+    m_timer.stop();
+    // The notifiers go before the socket, whose number may be taken again at once.
+    m_readNotifier.reset();
+    m_writeNotifier.reset();
+    m_connection.reset();
+}
+
+void UpstreamConnection::State::dispose()
+{
+    m_onOpen = nullptr;
+    m_onReply = nullptr;
+    m_onIdleClose = nullptr;
+    close();
+}
+
+TransactionStatus UpstreamConnection::State::transactionStatus() const
+{
+    if (m_phase != Phase::Idle)
+        return TransactionStatus::Unknown;
+    switch (PQtransactionStatus(m_connection.get())) {
+    case PQTRANS_IDLE:
+        return TransactionStatus::Idle;
+    case PQTRANS_INTRANS:
+        return TransactionStatus::InTransaction;
+    case PQTRANS_INERROR:
+        return TransactionStatus::Failed;
+    default:
+        return TransactionStatus::Unknown;
+    }
+}
+
+absl::StatusOr<std::unique_ptr<UpstreamConnection>>
+UpstreamConnection::open(const ConnectionParams &params, OpenCallback onOpen)
+{
+    auto state = State::start(params, std::move(onOpen));
+    if (!state.ok())
+        return state.status();
+    return std::unique_ptr<UpstreamConnection>(new UpstreamConnection(*std::move(state)));
+}
+
+UpstreamConnection::UpstreamConnection(std::shared_ptr<State> state)
+    : m_state(std::move(state))
+{
+}
+
+UpstreamConnection::~UpstreamConnection()
+{
+    m_state->dispose();
+}
+
+void UpstreamConnection::execute(std::string_view sql, std::span<const SqlValue> params,
+                                 Duration timeout, QueryCallback callback)
+{
+    m_state->execute(sql, params, timeout, std::move(callback));
+}
+
+void UpstreamConnection::abandon()
+{
+    m_state->abandon();
+}
+
+bool UpstreamConnection::isReady() const
+{
+    return m_state->phase() == State::Phase::Idle;
+}
+
+bool UpstreamConnection::isClosed() const
+{
+    return m_state->phase() == State::Phase::Closed;
+}
+
+TransactionStatus UpstreamConnection::transactionStatus() const
+{
+    return m_state->transactionStatus();
+}
+
+void UpstreamConnection::setIdleCloseCallback(std::function<void()> callback)
+{
+    m_state->setIdleCloseCallback(std::move(callback));
+}
+
+} // namespace shallotlever
