Share one list of retry reasons and one rule for histories

telemetry and policy each had an enum RetryReason, and fleet and policy each had the rule for session reads; both definitions met in the executor. The settings' ControlMember is renamed to ControlPeer because the control library has a class of that name.

--- a/src/fleet/session_read.cpp
+++ b/src/fleet/session_read.cpp
@@ -1,10 +1,12 @@
 #include "shallotlever/fleet/session_read.h"
 
+#include "shallotlever/types/history.h"
+
 namespace shallotlever {
 
 bool holdsHistory(const HistoryPoint &token, const UpstreamStatus &status)
 {
-    return status.point.term >= token.term && status.point.position >= token.position;
+    return holdsHistory(status.point, token);
 }
 
 } // namespace shallotlever
--- a/src/include/shallotlever/policy/replica_choice.h
+++ b/src/include/shallotlever/policy/replica_choice.h
@@ -10,6 +10,7 @@
 #include "shallotlever/base/random.h"
 #include "shallotlever/base/time.h"
 #include "shallotlever/types/fleet.h"
+#include "shallotlever/types/history.h"
 
 namespace shallotlever {
 
@@ -39,9 +40,6 @@
 std::optional<Duration> stalenessBound(const PrimaryHistory &history, const HistoryPoint &point,
                                        TimePoint now);
 
-/// True if a database at `point` is known to hold everything the token has seen.
-bool holdsHistory(const HistoryPoint &point, const HistoryPoint &token);
-
 enum class Distance : std::uint8_t { SameDataCentre, SameRegion, Other };
 
 /// Regions by data centre, from the settings. A data centre that is not listed is its own region.
--- a/src/include/shallotlever/policy/retry.h
+++ b/src/include/shallotlever/policy/retry.h
@@ -2,37 +2,15 @@
 
 #include <cstdint>
 #include <optional>
-#include <string_view>
 
 #include "shallotlever/base/errors.h"
 #include "shallotlever/base/random.h"
+#include "shallotlever/base/retry_reason.h"
 #include "shallotlever/base/time.h"
 #include "shallotlever/types/config.h"
 
 namespace shallotlever {
 
-/// Why an attempt failed. The list is closed; the names are used as metric labels.
-enum class RetryReason : std::uint8_t {
-    /// The connection could not be opened; nothing was sent.
-    ConnectFailed,
-    /// The connection broke before the statement was sent.
-    UpstreamLostBeforeSend,
-    /// The connection broke while a read ran.
-    ReadConnectionLost,
-    /// The replica turned out to be older than the request accepts.
-    ReplicaStale,
-    /// The upstream was ejected while the request waited for it.
-    UpstreamEjected,
-    /// The upstream refused the request because it is fenced; the request did not run.
-    Fenced,
-    /// The database rolled back the transaction because of a conflict.
-    SerializationConflict,
-};
-inline constexpr std::size_t kRetryReasons = 7;
-
-/// snake_case name.
-std::string_view retryReasonName(RetryReason reason);
-
 /// Node-wide budget in tokens: each first attempt earns retryBudgetRatio, each retry costs one.
 struct RetryBudget
 {
--- a/src/include/shallotlever/settings/node_settings.h
+++ b/src/include/shallotlever/settings/node_settings.h
@@ -28,11 +28,11 @@
 /// Reads `IP:PORT` or `[IPV6]:PORT`. Port 0 is accepted (any free port).
 std::optional<SocketAddress> parseSocketAddress(std::string_view text);
 
-struct ControlMember
+struct ControlPeer
 {
     NodeId id;
     SocketAddress address;
-    friend bool operator==(const ControlMember &, const ControlMember &) = default;
+    friend bool operator==(const ControlPeer &, const ControlPeer &) = default;
 };
 
 struct CertificateFiles
@@ -81,7 +81,7 @@
     SocketAddress listen;
     SocketAddress peerListen;
     /// The control group as the node first knows it; not empty.
-    std::vector<ControlMember> controlMembers;
+    std::vector<ControlPeer> controlMembers;
     /// This node is a member of the control group; dataDir is set.
     bool control = false;
     std::optional<std::filesystem::path> dataDir;
--- a/src/include/shallotlever/telemetry/node_metrics.h
+++ b/src/include/shallotlever/telemetry/node_metrics.h
@@ -7,46 +7,11 @@
 
 #include "shallotlever/base/errors.h"
 #include "shallotlever/base/ids.h"
+#include "shallotlever/base/retry_reason.h"
 #include "shallotlever/telemetry/metrics.h"
 
 namespace shallotlever {
 
-/// Every reason for which the node sends a request again by itself. The list is closed: a new
-/// reason needs a row in retryReasonTable().
-enum class RetryReason {
-    ConnectFailed,
-    /// The connection was lost before the statement was sent.
-    UpstreamLostBeforeSend,
-    /// The connection was lost while a read ran.
-    ReadConnectionLost,
-    /// A read did not finish in time on one database and is repeated on another.
-    ReadTimedOut,
-    /// The replica turned out to lag behind the requested position or age.
-    ReplicaStale,
-    UpstreamEjected,
-    /// The upstream began to leave or was drained before the statement was sent.
-    UpstreamLeaving,
-    /// The database refused the commit because a higher term has fenced it.
-    Fenced,
-    /// The database is no longer the primary.
-    NotPrimary,
-    SerializationConflict,
-    Deadlock,
-    /// The outcome of a write with an idempotency key was unknown, so the record is looked up.
-    IdempotentRepeat,
-};
-
-struct RetryReasonRow
-{
-    RetryReason reason;
-    /// Name in logs and metrics (snake_case).
-    std::string_view name;
-};
-
-/// All rows, in the order of RetryReason.
-std::span<const RetryReasonRow> retryReasonTable();
-std::string_view retryReasonName(RetryReason reason);
-
 enum class ReadSource { Replica, Primary };
 
 /// What a read demanded of the data; the targets for the share of replicas differ.
--- a/src/policy/replica_choice.cpp
+++ b/src/policy/replica_choice.cpp
@@ -188,11 +188,6 @@
     return std::max(Duration(0), now - std::prev(past)->at);
 }
 
-bool holdsHistory(const HistoryPoint &point, const HistoryPoint &token)
-{
-    return point.term >= token.term && point.position >= token.position;
-}
-
 Distance distanceBetween(const DataCentreId &a, const DataCentreId &b, const RegionMap &regions)
 {
     if (a == b)
--- a/src/policy/retry.cpp
+++ b/src/policy/retry.cpp
@@ -1,7 +1,6 @@
 #include "shallotlever/policy/retry.h"
 
 #include <algorithm>
-#include <array>
 
 namespace shallotlever {
 namespace {
@@ -10,31 +9,6 @@
 constexpr Duration kMaxBackoff = 500ms;
 constexpr std::uint32_t kMaxExponent = 16;
 
-struct ReasonRow
-{
-    std::string_view name;
-    /// The request is known not to have run.
-    bool notRun;
-    /// Another upstream may succeed where this one failed.
-    bool avoidUpstream;
-};
-
-constexpr std::array<ReasonRow, kRetryReasons> kReasons { {
-    { "connect_failed", true, true },
-    { "upstream_lost_before_send", true, true },
-    { "read_connection_lost", false, true },
-    { "replica_stale", true, true },
-    { "upstream_ejected", true, true },
-    { "fenced", true, true },
-    // The conflict is with other transactions on the same primary.
-    { "serialization_conflict", true, false },
-} };
-
-const ReasonRow &rowOf(RetryReason reason)
-{
-    return kReasons[static_cast<std::size_t>(reason)];
-}
-
 Duration backoff(std::uint32_t attempts, Random &random)
 {
     const std::uint32_t exponent = std::min(std::max(attempts, 1U) - 1, kMaxExponent);
@@ -51,11 +25,6 @@
 
 } // namespace
 
-std::string_view retryReasonName(RetryReason reason)
-{
-    return rowOf(reason).name;
-}
-
 void earnRetryBudget(RetryBudget &budget, const PresetPolicy &policy)
 {
     budget.tokens = std::min(budget.maxTokens, budget.tokens + policy.retryBudgetRatio);
@@ -65,7 +34,7 @@
 {
     if (question.insideTransaction)
         return false;
-    return question.ignorePermission || rowOf(question.reason).notRun || question.read
+    return question.ignorePermission || retryReasonRow(question.reason).notRun || question.read
         || question.idempotent;
 }
 
@@ -85,7 +54,7 @@
     RetryDecision decision;
     decision.retry = true;
     decision.delay = std::min(backoff(question.attempts, random), spare);
-    decision.avoidUpstream = rowOf(question.reason).avoidUpstream;
+    decision.avoidUpstream = retryReasonRow(question.reason).avoidUpstream;
     return decision;
 }
 
--- a/src/settings/node_settings.cpp
+++ b/src/settings/node_settings.cpp
@@ -76,7 +76,7 @@
     std::string required(const std::string &flag);
     std::string name(const std::string &flag);
     SocketAddress address(const std::string &flag);
-    std::vector<ControlMember> controlMembers();
+    std::vector<ControlPeer> controlMembers();
     std::int64_t number(const std::string &flag, std::int64_t preset, std::int64_t low,
                         std::int64_t high);
     std::chrono::milliseconds duration(const std::string &flag, std::chrono::milliseconds preset,
@@ -126,11 +126,11 @@
     return parsed.value_or(SocketAddress {});
 }
 
-std::vector<ControlMember> SettingsReader::controlMembers()
+std::vector<ControlPeer> SettingsReader::controlMembers()
 {
     const std::string flag = "--control-members";
     const std::string value = required(flag);
-    std::vector<ControlMember> members;
+    std::vector<ControlPeer> members;
     std::set<std::string> ids;
     std::set<std::pair<std::string, std::uint16_t>> addresses;
     for (std::size_t start = 0; isSet(flag) && start <= value.size();) {
--- a/src/settings/node_settings_test.cpp
+++ b/src/settings/node_settings_test.cpp
@@ -77,7 +77,7 @@
     const auto &settings = std::get<NodeSettings>(result);
     EXPECT_EQ(settings.nodeId, NodeId("n1"));
     EXPECT_EQ(settings.listen, (SocketAddress { "127.0.0.1", 8080 }));
-    EXPECT_EQ(settings.controlMembers.at(1), (ControlMember { NodeId("n2"), { "fd00::2", 7000 } }));
+    EXPECT_EQ(settings.controlMembers.at(1), (ControlPeer { NodeId("n2"), { "fd00::2", 7000 } }));
     EXPECT_TRUE(settings.control);
     EXPECT_FALSE(settings.relay);
     EXPECT_EQ(settings.drainNotice, 0ms);
--- a/src/telemetry/node_metrics.cpp
+++ b/src/telemetry/node_metrics.cpp
@@ -1,44 +1,15 @@
 #include "shallotlever/telemetry/node_metrics.h"
 
-#include <cassert>
-
 namespace shallotlever {
 
 namespace {
 
-constexpr std::array kRetryReasonTable {
-    RetryReasonRow { RetryReason::ConnectFailed, "connect_failed" },
-    RetryReasonRow { RetryReason::UpstreamLostBeforeSend, "upstream_lost_before_send" },
-    RetryReasonRow { RetryReason::ReadConnectionLost, "read_connection_lost" },
-    RetryReasonRow { RetryReason::ReadTimedOut, "read_timed_out" },
-    RetryReasonRow { RetryReason::ReplicaStale, "replica_stale" },
-    RetryReasonRow { RetryReason::UpstreamEjected, "upstream_ejected" },
-    RetryReasonRow { RetryReason::UpstreamLeaving, "upstream_leaving" },
-    RetryReasonRow { RetryReason::Fenced, "fenced" },
-    RetryReasonRow { RetryReason::NotPrimary, "not_primary" },
-    RetryReasonRow { RetryReason::SerializationConflict, "serialization_conflict" },
-    RetryReasonRow { RetryReason::Deadlock, "deadlock" },
-    RetryReasonRow { RetryReason::IdempotentRepeat, "idempotent_repeat" },
-};
-
 constexpr std::array<std::string_view, 2> kReadSourceNames { "replica", "primary" };
 constexpr std::array<std::string_view, 3> kReadDemandNames { "stale_allowed", "own_writes",
                                                              "unbounded" };
 
 } // namespace
 
-std::span<const RetryReasonRow> retryReasonTable()
-{
-    return kRetryReasonTable;
-}
-
-std::string_view retryReasonName(RetryReason reason)
-{
-    const auto index = static_cast<std::size_t>(reason);
-    assert(index < kRetryReasonTable.size());
-    return kRetryReasonTable[index].name;
-}
-
 NodeMetrics::NodeMetrics(MetricsRegistry &registry)
     : m_registry(registry)
 {
