Add the replicated configuration

applyCommand decides operator changes by version, remembers first outcomes so that a resent change is answered alike, and checks group decisions so that a voting set never changes during a change of primary. Groups outlive their service, because terms must not be reused under the same name.

--- /dev/null
+++ b/src/config/apply.cpp
@@ -0,0 +1,107 @@
+#include <absl/strings/str_cat.h>
+
+#include "changes.h"
+#include "shallotlever/config/state.h"
+
+namespace shallotlever {
+namespace {
+
+void recordDecision(ReplicatedState &state, std::int64_t wallTimeMs, std::string text)
+{
+    state.decisions.push_back({ state.cluster.index, wallTimeMs, std::move(text) });
+    if (state.decisions.size() > kMaxDecisionRecords)
+        state.decisions.pop_front();
+}
+
+void evictOldest(ChangeHistory &history)
+{
+    const auto oldest = history.results.find(history.order.front());
+    if (oldest->second.outcome == ChangeOutcome::Accepted)
+        history.accepted.erase(oldest->second.version);
+    history.results.erase(oldest);
+    history.order.pop_front();
+}
+
+void remember(ChangeHistory &history, const ChangeId &id, const ChangeResult &result)
+{
+    history.results.emplace(id, result);
+    history.order.push_back(id);
+    if (result.outcome == ChangeOutcome::Accepted)
+        history.accepted.emplace(result.version, id);
+    if (history.order.size() > kMaxRememberedChanges)
+        evictOldest(history);
+}
+
+ChangeResult conflict(const ReplicatedState &state, const OperatorChange &change)
+{
+    const ConfigVersion current = state.cluster.config.version;
+    ChangeResult result { ChangeOutcome::Conflict, current, ChangeId(), std::string() };
+    const auto winner = state.history.accepted.find(change.basedOn.next());
+    if (winner != state.history.accepted.end())
+        result.winner = winner->second;
+    result.message = absl::StrCat("based_on: version ", change.basedOn.value(),
+                                  " is not the version in force, ", current.value());
+    return result;
+}
+
+ChangeResult decide(ReplicatedState &state, const OperatorChange &change, std::string &text)
+{
+    ClusterConfig &config = state.cluster.config;
+    if (change.basedOn != config.version) {
+        const ChangeResult result = conflict(state, change);
+        text = absl::StrCat("refused: ", result.message);
+        if (!result.winner.empty())
+            absl::StrAppend(&text, "; change \"", result.winner.value(), "\" took its place");
+        return result;
+    }
+    const absl::StatusOr<std::string> done = applyChange(config, change.change);
+    if (!done.ok()) {
+        text = absl::StrCat("refused: ", done.status().message());
+        return { ChangeOutcome::Invalid, config.version, ChangeId(),
+                 std::string(done.status().message()) };
+    }
+    config.version = config.version.next();
+    text = absl::StrCat("accepted as version ", config.version.value(), ": ", *done);
+    return { ChangeOutcome::Accepted, config.version, ChangeId(), std::string() };
+}
+
+ChangeResult apply(ReplicatedState &state, const OperatorChange &change, std::int64_t wallTimeMs)
+{
+    if (change.id.empty()) {
+        recordDecision(state, wallTimeMs, "change without an id refused");
+        return { ChangeOutcome::Invalid, state.cluster.config.version, ChangeId(),
+                 "change_id: must not be empty" };
+    }
+    const auto first = state.history.results.find(change.id);
+    if (first != state.history.results.end())
+        return first->second;
+    std::string text;
+    const ChangeResult result = decide(state, change, text);
+    remember(state.history, change.id, result);
+    recordDecision(state, wallTimeMs, absl::StrCat("change \"", change.id.value(), "\" ", text));
+    return result;
+}
+
+ChangeResult apply(ReplicatedState &state, const GroupDecision &decision, std::int64_t wallTimeMs)
+{
+    const absl::StatusOr<std::string> done = applyDecision(state.cluster, decision);
+    const ConfigVersion version = state.cluster.config.version;
+    if (done.ok()) {
+        recordDecision(state, wallTimeMs, *done);
+        return { ChangeOutcome::Accepted, version, ChangeId(), std::string() };
+    }
+    const std::string message(done.status().message());
+    recordDecision(state, wallTimeMs, absl::StrCat("controller decision refused: ", message));
+    return { ChangeOutcome::Invalid, version, ChangeId(), message };
+}
+
+} // namespace
+
+ChangeResult applyCommand(ReplicatedState &state, const Command &command, LogIndex index,
+                          std::int64_t wallTimeMs)
+{
+    state.cluster.index = index;
+    return std::visit([&](const auto &c) { return apply(state, c, wallTimeMs); }, command);
+}
+
+} // namespace shallotlever
--- /dev/null
+++ b/src/config/apply_test.cpp
@@ -0,0 +1,150 @@
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include "shallotlever/config/state.h"
+
+namespace shallotlever {
+namespace {
+
+class ApplyTest : public testing::Test
+{
+protected:
+    ChangeResult apply(const Command &command)
+    {
+        return applyCommand(m_state, command, m_state.cluster.index.next(), 1'000);
+    }
+    ChangeResult change(const std::string &id, std::uint64_t basedOn, Change op)
+    {
+        return apply(OperatorChange { ChangeId(id), ConfigVersion(basedOn), std::move(op) });
+    }
+    ChangeOutcome decide(GroupDecision decision) { return apply(decision).outcome; }
+
+    ReplicatedState m_state = initialState();
+};
+
+PutService putService(const std::string &id)
+{
+    return { ServiceConfig { ServiceId(id) } };
+}
+
+// Guards against two operators both succeeding at one version, and a loser not told the winner.
+TEST_F(ApplyTest, OneOfTwoRacingChangesWins)
+{
+    EXPECT_EQ(change("a", 0, putService("x")).outcome, ChangeOutcome::Accepted);
+    const ChangeResult lost = change("b", 0, putService("y"));
+    EXPECT_EQ(lost.outcome, ChangeOutcome::Conflict);
+    EXPECT_EQ(lost.winner, ChangeId("a"));
+    EXPECT_EQ(m_state.cluster.config.version, ConfigVersion(1));
+}
+
+// Guards against a resend applied twice, or answered with a later outcome.
+TEST_F(ApplyTest, ResendGetsTheFirstOutcome)
+{
+    const ChangeResult accepted = change("a", 0, putService("x"));
+    const ChangeResult refused = change("b", 0, putService("y"));
+    change("c", 1, putService("z"));
+    EXPECT_EQ(change("a", 0, putService("x")), accepted);
+    EXPECT_EQ(change("b", 2, putService("y")), refused);
+    EXPECT_EQ(m_state.cluster.config.version, ConfigVersion(2));
+}
+
+// Guards against a history that grows without bound.
+TEST_F(ApplyTest, HistoryForgetsTheOldestFirst)
+{
+    for (std::size_t i = 0; i <= kMaxRememberedChanges; ++i)
+        change("id" + std::to_string(i), i, SetPreset { PresetId("peak") });
+    EXPECT_EQ(m_state.history.results.size(), kMaxRememberedChanges);
+    EXPECT_EQ(m_state.history.accepted.size(), kMaxRememberedChanges);
+    EXPECT_FALSE(m_state.history.results.contains(ChangeId("id0")));
+    EXPECT_EQ(m_state.decisions.size(), kMaxDecisionRecords);
+}
+
+struct InvalidCase
+{
+    Change change;
+    std::string field;
+};
+
+class InvalidChange : public testing::TestWithParam<InvalidCase>
+{
+};
+
+// Guards against a configuration with dangling references or impossible numbers.
+TEST_P(InvalidChange, IsRefusedNamingTheField)
+{
+    ReplicatedState state = initialState();
+    std::uint64_t version = 0;
+    const auto apply = [&](Change op) {
+        const std::string id = "setup" + std::to_string(version);
+        return applyCommand(state, OperatorChange { ChangeId(id), ConfigVersion(version++), op },
+                            LogIndex(version), 0);
+    };
+    apply(putService("s"));
+    apply(PutTeam { { TeamId("t"), 1, 1, { ServiceId("s") } } });
+    apply(AddKey { { KeyId("k"), KeyRole::Caller, TeamId("t"), {}, { 1 } } });
+    const ClusterConfig before = state.cluster.config;
+    const ChangeResult result = apply(GetParam().change);
+    EXPECT_EQ(result.outcome, ChangeOutcome::Invalid);
+    EXPECT_THAT(result.message, testing::StartsWith(GetParam().field + ":"));
+    EXPECT_EQ(state.cluster.config, before);
+    EXPECT_THAT(state.decisions.back().text, testing::HasSubstr(GetParam().field));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All, InvalidChange,
+    testing::Values(
+        InvalidCase { putService(""), "service.id" },
+        InvalidCase { RemoveService { ServiceId("s") }, "id" },
+        InvalidCase { RemoveService { ServiceId("none") }, "id" },
+        InvalidCase { PutTeam { { TeamId("u"), -1, 1, {} } }, "team.rate_per_second" },
+        InvalidCase { PutTeam { { TeamId("u"), 1, -1, {} } }, "team.burst" },
+        InvalidCase { PutTeam { { TeamId("u"), 1, 1, { ServiceId("n") } } }, "team.services" },
+        InvalidCase { RemoveTeam { TeamId("t") }, "id" },
+        InvalidCase { AddKey { { KeyId("k"), KeyRole::Operator, {}, {}, { 1 } } }, "key.id" },
+        InvalidCase { AddKey { { KeyId("l"), KeyRole::Caller, {}, {}, { 1 } } }, "key.team" },
+        InvalidCase { AddKey { { KeyId("l"), KeyRole::Upstream, {}, {}, { 1 } } }, "key.service" },
+        InvalidCase { AddKey { { KeyId("l"), KeyRole::Operator, {}, {}, {} } }, "key.hash" },
+        InvalidCase { WithdrawKey { KeyId("none") }, "id" },
+        InvalidCase { PutRoute { { RouteId("r"), ServiceId("n"), "select 1", {} } },
+                      "route.service" },
+        InvalidCase { PutRoute { { RouteId("r"), ServiceId("s"), "", {} } }, "route.sql" },
+        InvalidCase { RemoveRoute { RouteId("none") }, "id" },
+        InvalidCase { PutPreset { { PresetId("p"), { .maxAttempts = 0 } } },
+                      "preset.max_attempts" },
+        InvalidCase { PutPreset { { PresetId("p"), { .openRouteReserve = 1.5 } } },
+                      "preset.open_route_reserve" },
+        InvalidCase { SetPreset { PresetId("none") }, "id" }));
+
+// Guards against a voting set that changes under a change of primary, and against reused terms.
+TEST_F(ApplyTest, VotingSetIsFixedDuringAChangeOfPrimary)
+{
+    const ServiceId s("s");
+    EXPECT_EQ(decide(JoinVotingSet { s, UpstreamId("a") }), ChangeOutcome::Invalid);
+    change("a", 0, putService("s"));
+    EXPECT_EQ(decide(JoinVotingSet { s, UpstreamId("a") }), ChangeOutcome::Accepted);
+    EXPECT_EQ(decide(JoinVotingSet { s, UpstreamId("a") }), ChangeOutcome::Invalid);
+    EXPECT_EQ(decide(ReserveTerm { s, Term(3), "first" }), ChangeOutcome::Accepted);
+    EXPECT_EQ(decide(ReserveTerm { s, Term(3), "again" }), ChangeOutcome::Invalid);
+    EXPECT_EQ(decide(JoinVotingSet { s, UpstreamId("b") }), ChangeOutcome::Invalid);
+    EXPECT_EQ(decide(SetPrimary { s, Term(2), UpstreamId("a") }), ChangeOutcome::Invalid);
+    EXPECT_EQ(decide(SetPrimary { s, Term(3), UpstreamId("b") }), ChangeOutcome::Invalid);
+    EXPECT_EQ(decide(SetPrimary { s, Term(3), UpstreamId("a") }), ChangeOutcome::Accepted);
+    EXPECT_EQ(decide(SetPrimary { s, Term(3), UpstreamId("a") }), ChangeOutcome::Invalid);
+    EXPECT_EQ(decide(JoinVotingSet { s, UpstreamId("b") }), ChangeOutcome::Accepted);
+    EXPECT_EQ(decide(LeaveVotingSet { s, UpstreamId("a") }), ChangeOutcome::Invalid);
+    EXPECT_EQ(decide(LeaveVotingSet { s, UpstreamId("b") }), ChangeOutcome::Accepted);
+}
+
+// Guards against terms that start again when a service is removed and put again.
+TEST_F(ApplyTest, TermsSurviveTheRemovalOfTheirService)
+{
+    const ServiceId s("s");
+    change("a", 0, putService("s"));
+    decide(ReserveTerm { s, Term(7), "test" });
+    change("b", 1, RemoveService { s });
+    change("c", 2, putService("s"));
+    EXPECT_EQ(decide(ReserveTerm { s, Term(7), "test" }), ChangeOutcome::Invalid);
+}
+
+} // namespace
+} // namespace shallotlever
--- /dev/null
+++ b/src/config/codec_test.cpp
@@ -0,0 +1,81 @@
+#include <gtest/gtest.h>
+
+#include "shallotlever/base/random.h"
+#include "shallotlever/config/codec.h"
+
+namespace shallotlever {
+namespace {
+
+std::vector<Command> everyCommand()
+{
+    const ServiceId s("s");
+    const UpstreamId u("u");
+    const KeyConfig key { KeyId("k"), KeyRole::Upstream, {}, s, { 1, 2, 3 } };
+    const PresetConfig preset { PresetId("p"), { .queueLimitPerTeam = 7, .writesAllowed = false } };
+    const std::vector<Change> changes { PutService { { s } },
+                                        PutTeam { { TeamId("t"), 2.5, 9, { s } } },
+                                        AddKey { key },
+                                        PutRoute { { RouteId("r"), s, "select 1",
+                                                     std::chrono::milliseconds(9) } },
+                                        PutPreset { preset },
+                                        SetPreset { PresetId("p") },
+                                        WithdrawKey { KeyId("k") },
+                                        RemoveRoute { RouteId("r") },
+                                        RemoveTeam { TeamId("t") },
+                                        RemoveService { ServiceId("none") } };
+    std::vector<Command> out;
+    for (std::size_t i = 0; i < changes.size(); ++i)
+        out.emplace_back(
+            OperatorChange { ChangeId(std::to_string(i)), ConfigVersion(i), changes[i] });
+    out.emplace_back(GroupDecision(JoinVotingSet { s, u }));
+    out.emplace_back(GroupDecision(ReserveTerm { s, Term(4), "why" }));
+    out.emplace_back(GroupDecision(SetPrimary { s, Term(4), u }));
+    out.emplace_back(GroupDecision(LeaveVotingSet { s, u }));
+    return out;
+}
+
+// Guards against a field lost in the log: a replica that applies decoded commands, and one that
+// continues from a decoded snapshot, must both reach the state of the first.
+TEST(ConfigCodec, DecodedCommandsAndSnapshotsGiveEqualStates)
+{
+    ReplicatedState direct = initialState();
+    ReplicatedState decoded = initialState();
+    LogIndex index;
+    for (const Command &command : everyCommand()) {
+        index = index.next();
+        const auto logged = decodeCommand(encodeCommand({ command, 42 }));
+        ASSERT_TRUE(logged.ok()) << logged.status();
+        const ChangeResult result = applyCommand(direct, command, index, 42);
+        EXPECT_EQ(result, applyCommand(decoded, logged->command, index, logged->wallTimeMs));
+        EXPECT_EQ(*decodeChangeResult(encodeChangeResult(result)), result);
+        const auto snapshot = decodeState(encodeState(decoded));
+        ASSERT_TRUE(snapshot.ok()) << snapshot.status();
+        decoded = *snapshot;
+        EXPECT_EQ(direct, decoded) << index;
+    }
+    EXPECT_GE(direct.cluster.config.version, ConfigVersion(9));
+    EXPECT_EQ(configDigest(direct.cluster.config), configDigest(decoded.cluster.config));
+    EXPECT_NE(configDigest(direct.cluster.config), configDigest(initialState().cluster.config));
+    EXPECT_EQ(*decodeConfig(encodeConfig(direct.cluster.config)), direct.cluster.config);
+}
+
+// Guards against reads outside the buffer for damaged or truncated bytes.
+TEST(ConfigCodec, DamagedBytesNeverCrash)
+{
+    Random random(7);
+    std::vector<std::string> samples { encodeState(initialState()) };
+    for (const Command &command : everyCommand())
+        samples.push_back(encodeCommand({ command, 1 }));
+    for (int round = 0; round < 20'000; ++round) {
+        std::string bytes = samples[uniformBelow(random, samples.size())];
+        bytes[uniformBelow(random, bytes.size())] = static_cast<char>(random());
+        bytes.resize(bytes.size() - uniformBelow(random, 3));
+        (void)decodeCommand(bytes);
+        (void)decodeState(bytes);
+    }
+    EXPECT_FALSE(decodeCommand("").ok());
+    EXPECT_FALSE(decodeState("short").ok());
+}
+
+} // namespace
+} // namespace shallotlever
--- /dev/null
+++ b/src/config/command_codec.cpp
@@ -0,0 +1,185 @@
+#include "config_codec.h"
+#include "shallotlever/config/codec.h"
+
+namespace shallotlever {
+namespace {
+
+/// Collects the fields of an OperatorChange table; nested tables must be built before it.
+struct ChangeFields
+{
+    fbs::Operation operation = fbs::Operation::PutService;
+    std::string id;
+    Offset<fbs::Team> team;
+    Offset<fbs::Key> key;
+    Offset<fbs::Route> route;
+    Offset<fbs::Preset> preset;
+};
+
+ChangeFields fields(FlatBufferBuilder &fbb, const Change &change)
+{
+    ChangeFields out;
+    // The operations have the order of the variant.
+    out.operation = static_cast<fbs::Operation>(change.index());
+    if (const auto *putService = std::get_if<PutService>(&change))
+        out.id = putService->service.id.value();
+    else if (const auto *putTeam = std::get_if<PutTeam>(&change))
+        out.team = encode(fbb, putTeam->team);
+    else if (const auto *addKey = std::get_if<AddKey>(&change))
+        out.key = encode(fbb, addKey->key);
+    else if (const auto *putRoute = std::get_if<PutRoute>(&change))
+        out.route = encode(fbb, putRoute->route);
+    else if (const auto *putPreset = std::get_if<PutPreset>(&change))
+        out.preset = encode(fbb, putPreset->preset);
+    else if (const auto *removeService = std::get_if<RemoveService>(&change))
+        out.id = removeService->id.value();
+    else if (const auto *removeTeam = std::get_if<RemoveTeam>(&change))
+        out.id = removeTeam->id.value();
+    else if (const auto *withdrawKey = std::get_if<WithdrawKey>(&change))
+        out.id = withdrawKey->id.value();
+    else if (const auto *removeRoute = std::get_if<RemoveRoute>(&change))
+        out.id = removeRoute->id.value();
+    else if (const auto *setPreset = std::get_if<SetPreset>(&change))
+        out.id = setPreset->id.value();
+    return out;
+}
+
+Offset<fbs::OperatorChange> encode(FlatBufferBuilder &fbb, const OperatorChange &change)
+{
+    const ChangeFields f = fields(fbb, change.change);
+    const auto changeId = fbb.CreateString(change.id.value());
+    const auto id = fbb.CreateString(f.id);
+    return fbs::CreateOperatorChange(fbb, changeId, change.basedOn.value(), f.operation, id, f.team,
+                                     f.key, f.route, f.preset);
+}
+
+Offset<fbs::GroupDecision> encode(FlatBufferBuilder &fbb, const GroupDecision &decision)
+{
+    std::string upstream;
+    std::string reason;
+    Term term;
+    if (const auto *join = std::get_if<JoinVotingSet>(&decision))
+        upstream = join->upstream.value();
+    else if (const auto *leave = std::get_if<LeaveVotingSet>(&decision))
+        upstream = leave->upstream.value();
+    else if (const auto *reserve = std::get_if<ReserveTerm>(&decision))
+        term = reserve->term, reason = reserve->reason;
+    else if (const auto *primary = std::get_if<SetPrimary>(&decision))
+        term = primary->term, upstream = primary->upstream.value();
+    const std::string &service = std::visit(
+        [](const auto &d) -> const std::string & { return d.service.value(); }, decision);
+    const auto serviceOffset = fbb.CreateString(service);
+    const auto upstreamOffset = fbb.CreateString(upstream);
+    const auto reasonOffset = fbb.CreateString(reason);
+    return fbs::CreateGroupDecision(fbb, static_cast<fbs::Decision>(decision.index()),
+                                    serviceOffset, upstreamOffset, term.value(), reasonOffset);
+}
+
+absl::Status missing(std::string_view table)
+{
+    return absl::InvalidArgumentError("command without its " + std::string(table));
+}
+
+absl::StatusOr<Change> decodeTableChange(const fbs::OperatorChange &change)
+{
+    switch (change.operation()) {
+    case fbs::Operation::PutTeam:
+        if (change.team() == nullptr)
+            return missing("team");
+        return Change(PutTeam { decode(*change.team()) });
+    case fbs::Operation::AddKey: {
+        if (change.key() == nullptr)
+            return missing("key");
+        absl::StatusOr<KeyConfig> key = decode(*change.key());
+        if (!key.ok())
+            return key.status();
+        return Change(AddKey { *std::move(key) });
+    }
+    case fbs::Operation::PutRoute:
+        if (change.route() == nullptr)
+            return missing("route");
+        return Change(PutRoute { decode(*change.route()) });
+    case fbs::Operation::PutPreset:
+        if (change.preset() == nullptr)
+            return missing("preset");
+        return Change(PutPreset { decode(*change.preset()) });
+    default:
+        return absl::InvalidArgumentError("operation out of range");
+    }
+}
+
+absl::StatusOr<Change> decodeChange(const fbs::OperatorChange &change)
+{
+    const std::string id = text(change.id());
+    switch (change.operation()) {
+    case fbs::Operation::PutService:
+        return Change(PutService { ServiceConfig { ServiceId(id) } });
+    case fbs::Operation::RemoveService:
+        return Change(RemoveService { ServiceId(id) });
+    case fbs::Operation::RemoveTeam:
+        return Change(RemoveTeam { TeamId(id) });
+    case fbs::Operation::WithdrawKey:
+        return Change(WithdrawKey { KeyId(id) });
+    case fbs::Operation::RemoveRoute:
+        return Change(RemoveRoute { RouteId(id) });
+    case fbs::Operation::SetPreset:
+        return Change(SetPreset { PresetId(id) });
+    default:
+        return decodeTableChange(change);
+    }
+}
+
+absl::StatusOr<Command> decode(const fbs::GroupDecision &decision)
+{
+    const ServiceId service(text(decision.service()));
+    const UpstreamId upstream(text(decision.upstream()));
+    const Term term(decision.term());
+    switch (decision.decision()) {
+    case fbs::Decision::JoinVotingSet:
+        return Command(GroupDecision(JoinVotingSet { service, upstream }));
+    case fbs::Decision::LeaveVotingSet:
+        return Command(GroupDecision(LeaveVotingSet { service, upstream }));
+    case fbs::Decision::ReserveTerm:
+        return Command(GroupDecision(ReserveTerm { service, term, text(decision.reason()) }));
+    case fbs::Decision::SetPrimary:
+        return Command(GroupDecision(SetPrimary { service, term, upstream }));
+    }
+    return absl::InvalidArgumentError("group decision out of range");
+}
+
+absl::StatusOr<Command> decode(const fbs::OperatorChange &change)
+{
+    absl::StatusOr<Change> decoded = decodeChange(change);
+    if (!decoded.ok())
+        return decoded.status();
+    return Command(OperatorChange { ChangeId(text(change.change_id())),
+                                    ConfigVersion(change.based_on()), *std::move(decoded) });
+}
+
+} // namespace
+
+std::string encodeCommand(const LoggedCommand &command)
+{
+    FlatBufferBuilder fbb;
+    Offset<fbs::OperatorChange> change;
+    Offset<fbs::GroupDecision> decision;
+    if (const auto *c = std::get_if<OperatorChange>(&command.command))
+        change = encode(fbb, *c);
+    else if (const auto *d = std::get_if<GroupDecision>(&command.command))
+        decision = encode(fbb, *d);
+    fbb.Finish(fbs::CreateCommand(fbb, command.wallTimeMs, change, decision));
+    return finished(fbb);
+}
+
+absl::StatusOr<LoggedCommand> decodeCommand(std::string_view bytes)
+{
+    const auto *root = verifiedRoot<fbs::Command>(bytes);
+    if (root == nullptr || (root->change() == nullptr) == (root->group_decision() == nullptr))
+        return absl::InvalidArgumentError("malformed command");
+    absl::StatusOr<Command> command =
+        root->change() != nullptr ? decode(*root->change()) : decode(*root->group_decision());
+    if (!command.ok())
+        return command.status();
+    return LoggedCommand { *std::move(command), root->wall_time_ms() };
+}
+
+} // namespace shallotlever
--- /dev/null
+++ b/src/config/config_codec.cpp
@@ -0,0 +1,224 @@
+#include "config_codec.h"
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+#include "shallotlever/config/codec.h"
+
+namespace shallotlever {
+
+Offset<fbs::Team> encode(FlatBufferBuilder &fbb, const TeamConfig &team)
+{
+    const auto id = fbb.CreateString(team.id.value());
+    const auto services = encodeIds(fbb, team.services);
+    return fbs::CreateTeam(fbb, id, team.ratePerSecond, team.burst, services);
+}
+
+Offset<fbs::Key> encode(FlatBufferBuilder &fbb, const KeyConfig &key)
+{
+    const auto id = fbb.CreateString(key.id.value());
+    const auto team = fbb.CreateString(key.team.value());
+    const auto service = fbb.CreateString(key.service.value());
+    const auto hash = fbb.CreateVector(key.hash.data(), key.hash.size());
+    return fbs::CreateKey(fbb, id, static_cast<fbs::KeyRole>(key.role), team, service, hash);
+}
+
+Offset<fbs::Route> encode(FlatBufferBuilder &fbb, const RouteConfig &route)
+{
+    const auto id = fbb.CreateString(route.id.value());
+    const auto service = fbb.CreateString(route.service.value());
+    const auto sql = fbb.CreateString(route.sql);
+    return fbs::CreateRoute(fbb, id, service, sql, route.maxStaleness.count());
+}
+
+Offset<fbs::Preset> encode(FlatBufferBuilder &fbb, const PresetConfig &preset)
+{
+    const PresetPolicy &policy = preset.policy;
+    const auto id = fbb.CreateString(preset.id.value());
+    return fbs::CreatePreset(fbb, id, policy.queueLimitPerTeam, policy.rateWait.count(),
+                             policy.catchUpWait.count(), policy.retryBudgetRatio,
+                             policy.maxAttempts, policy.defaultDeadline.count(),
+                             policy.openRouteReserve, policy.writesAllowed);
+}
+
+namespace {
+
+template <typename Table, typename Map>
+Offset<flatbuffers::Vector<Offset<Table>>> encodeValues(FlatBufferBuilder &fbb, const Map &map)
+{
+    std::vector<Offset<Table>> offsets;
+    for (const auto &[id, value] : map)
+        offsets.push_back(encode(fbb, value));
+    return fbb.CreateVector(offsets);
+}
+
+Offset<flatbuffers::Vector<Offset<flatbuffers::String>>>
+encodeServices(FlatBufferBuilder &fbb, const std::map<ServiceId, ServiceConfig> &services)
+{
+    std::vector<ServiceId> ids;
+    for (const auto &[id, service] : services)
+        ids.push_back(id);
+    return encodeIds(fbb, ids);
+}
+
+template <typename Map, typename Value>
+void insertById(Map &map, Value value)
+{
+    auto id = value.id;
+    map.insert_or_assign(std::move(id), std::move(value));
+}
+
+absl::Status decodeKeys(const fbs::Config &config, std::map<KeyId, KeyConfig> &out)
+{
+    if (config.keys() == nullptr)
+        return absl::OkStatus();
+    for (const fbs::Key *key : *config.keys()) {
+        absl::StatusOr<KeyConfig> decoded = decode(*key);
+        if (!decoded.ok())
+            return decoded.status();
+        insertById(out, *std::move(decoded));
+    }
+    return absl::OkStatus();
+}
+
+} // namespace
+
+Offset<fbs::Config> encode(FlatBufferBuilder &fbb, const ClusterConfig &config)
+{
+    const auto services = encodeServices(fbb, config.services);
+    const auto teams = encodeValues<fbs::Team>(fbb, config.teams);
+    const auto keys = encodeValues<fbs::Key>(fbb, config.keys);
+    const auto routes = encodeValues<fbs::Route>(fbb, config.routes);
+    const auto presets = encodeValues<fbs::Preset>(fbb, config.presets);
+    const auto active = fbb.CreateString(config.activePreset.value());
+    return fbs::CreateConfig(fbb, config.version.value(), services, teams, keys, routes, presets,
+                             active);
+}
+
+Offset<fbs::ChangeResult> encode(FlatBufferBuilder &fbb, const ChangeResult &result)
+{
+    const auto winner = fbb.CreateString(result.winner.value());
+    const auto message = fbb.CreateString(result.message);
+    return fbs::CreateChangeResult(fbb, static_cast<fbs::ChangeOutcome>(result.outcome),
+                                   result.version.value(), winner, message);
+}
+
+TeamConfig decode(const fbs::Team &team)
+{
+    TeamConfig out { TeamId(text(team.id())), team.rate(), team.burst(), {} };
+    if (team.services() != nullptr) {
+        for (const flatbuffers::String *service : *team.services())
+            out.services.insert(ServiceId(service->str()));
+    }
+    return out;
+}
+
+absl::StatusOr<KeyConfig> decode(const fbs::Key &key)
+{
+    KeyConfig out;
+    if (key.role() > fbs::KeyRole::MAX)
+        return absl::InvalidArgumentError("key role out of range");
+    if (key.hash() == nullptr || key.hash()->size() != out.hash.size())
+        return absl::InvalidArgumentError("key hash of wrong size");
+    out.id = KeyId(text(key.id()));
+    out.role = static_cast<KeyRole>(key.role());
+    out.team = TeamId(text(key.team()));
+    out.service = ServiceId(text(key.service()));
+    std::copy(key.hash()->begin(), key.hash()->end(), out.hash.begin());
+    return out;
+}
+
+RouteConfig decode(const fbs::Route &route)
+{
+    return { RouteId(text(route.id())), ServiceId(text(route.service())), text(route.sql()),
+             std::chrono::milliseconds(route.max_staleness_ms()) };
+}
+
+PresetConfig decode(const fbs::Preset &preset)
+{
+    PresetPolicy policy;
+    policy.queueLimitPerTeam = preset.queue_limit_per_team();
+    policy.rateWait = std::chrono::milliseconds(preset.rate_wait_ms());
+    policy.catchUpWait = std::chrono::milliseconds(preset.catch_up_wait_ms());
+    policy.retryBudgetRatio = preset.retry_budget_ratio();
+    policy.maxAttempts = preset.max_attempts();
+    policy.defaultDeadline = std::chrono::milliseconds(preset.default_deadline_ms());
+    policy.openRouteReserve = preset.open_route_reserve();
+    policy.writesAllowed = preset.writes_allowed();
+    return { PresetId(text(preset.id())), policy };
+}
+
+absl::StatusOr<ClusterConfig> decode(const fbs::Config &config)
+{
+    ClusterConfig out;
+    out.version = ConfigVersion(config.version());
+    out.activePreset = PresetId(text(config.active_preset()));
+    if (config.services() != nullptr) {
+        for (const flatbuffers::String *service : *config.services())
+            insertById(out.services, ServiceConfig { ServiceId(service->str()) });
+    }
+    if (config.teams() != nullptr) {
+        for (const fbs::Team *team : *config.teams())
+            insertById(out.teams, decode(*team));
+    }
+    if (config.routes() != nullptr) {
+        for (const fbs::Route *route : *config.routes())
+            insertById(out.routes, decode(*route));
+    }
+    if (config.presets() != nullptr) {
+        for (const fbs::Preset *preset : *config.presets())
+            insertById(out.presets, decode(*preset));
+    }
+    if (const absl::Status status = decodeKeys(config, out.keys); !status.ok())
+        return status;
+    return out;
+}
+
+absl::StatusOr<ChangeResult> decode(const fbs::ChangeResult &result)
+{
+    if (result.outcome() > fbs::ChangeOutcome::MAX)
+        return absl::InvalidArgumentError("change outcome out of range");
+    return ChangeResult { static_cast<ChangeOutcome>(result.outcome()),
+                          ConfigVersion(result.version()), ChangeId(text(result.winner())),
+                          text(result.message()) };
+}
+
+std::string encodeConfig(const ClusterConfig &config)
+{
+    FlatBufferBuilder fbb;
+    fbb.Finish(encode(fbb, config));
+    return finished(fbb);
+}
+
+absl::StatusOr<ClusterConfig> decodeConfig(std::string_view bytes)
+{
+    const auto *root = verifiedRoot<fbs::Config>(bytes);
+    if (root == nullptr)
+        return absl::InvalidArgumentError("malformed configuration");
+    return decode(*root);
+}
+
+std::uint64_t configDigest(const ClusterConfig &config)
+{
+    // The maps are ordered, so equal configurations have equal encodings.
+    const std::string bytes = encodeConfig(config);
+    return XXH3_64bits(bytes.data(), bytes.size());
+}
+
+std::string encodeChangeResult(const ChangeResult &result)
+{
+    FlatBufferBuilder fbb;
+    fbb.Finish(encode(fbb, result));
+    return finished(fbb);
+}
+
+absl::StatusOr<ChangeResult> decodeChangeResult(std::string_view bytes)
+{
+    const auto *root = verifiedRoot<fbs::ChangeResult>(bytes);
+    if (root == nullptr)
+        return absl::InvalidArgumentError("malformed change result");
+    return decode(*root);
+}
+
+} // namespace shallotlever
--- /dev/null
+++ b/src/config/initial_state.cpp
@@ -0,0 +1,48 @@
+#include "shallotlever/config/state.h"
+
+namespace shallotlever {
+namespace {
+
+PresetConfig ordinaryPreset()
+{
+    return { .id = PresetId("ordinary"), .policy = {} };
+}
+
+PresetConfig peakPreset()
+{
+    PresetConfig preset { .id = PresetId("peak"), .policy = {} };
+    preset.policy.queueLimitPerTeam = 1'024;
+    preset.policy.rateWait = std::chrono::milliseconds(150);
+    // Retries add load when there is least room for it.
+    preset.policy.retryBudgetRatio = 0.05;
+    preset.policy.openRouteReserve = 0.3;
+    return preset;
+}
+
+PresetConfig maintenancePreset()
+{
+    PresetConfig preset { .id = PresetId("maintenance"), .policy = {} };
+    preset.policy.writesAllowed = false;
+    return preset;
+}
+
+} // namespace
+
+bool operator==(const ReplicatedState &a, const ReplicatedState &b)
+{
+    return a.cluster.index == b.cluster.index && a.cluster.config == b.cluster.config
+        && a.cluster.groups == b.cluster.groups && a.history == b.history
+        && a.decisions == b.decisions;
+}
+
+ReplicatedState initialState()
+{
+    ReplicatedState state;
+    ClusterConfig &config = state.cluster.config;
+    for (const PresetConfig &preset : { ordinaryPreset(), peakPreset(), maintenancePreset() })
+        config.presets.emplace(preset.id, preset);
+    config.activePreset = PresetId("ordinary");
+    return state;
+}
+
+} // namespace shallotlever
