Add the replicated log of the control group and its fuzz test

A member that lost its disk returns under a new identity; the leader adds it as a learner, removes the former identity and then promotes the learner, each in a committed entry of its own. A single entry for the swap would have allowed two disjoint majorities while the former member is alive.

The fuzz test runs the group with its disks and network in one process and compares it with an oracle; broken variants must be detected.

--- /dev/null
+++ b/src/control/member.cpp
@@ -0,0 +1,290 @@
+#include <algorithm>
+
+#include "member_impl.h"
+
+namespace shallotlever {
+namespace {
+
+/// Proposals beyond this many bytes that are not yet committed are refused.
+constexpr std::size_t kMaxUncommittedEntries = 65'536;
+/// Entries handed out by one takeReady(), so that applying them does not delay heartbeats.
+constexpr std::uint64_t kMaxCommittedPerReady = 4'096;
+
+/// Messages that promise something about durable state.
+bool dependsOnWrites(const ControlBody &body)
+{
+    if (const auto *request = std::get_if<VoteRequest>(&body))
+        return !request->preVote;
+    if (const auto *reply = std::get_if<VoteReply>(&body))
+        return !reply->preVote;
+    return std::holds_alternative<AppendReply>(body) || std::holds_alternative<SnapshotReply>(body);
+}
+
+bool isPreVote(const ControlBody &body)
+{
+    if (const auto *request = std::get_if<VoteRequest>(&body))
+        return request->preVote;
+    const auto *reply = std::get_if<VoteReply>(&body);
+    return reply != nullptr && reply->preVote && reply->granted;
+}
+
+} // namespace
+
+ControlMember::Impl::Impl(TimePoint now, ControlOptions options, RecoveredState recovered)
+    : m_options(std::move(options))
+    , m_random(m_options.seed)
+    , m_self { m_options.node, recovered.identity }
+    , m_hard(std::move(recovered.hardState))
+    , m_log(std::move(recovered.snapshot), std::move(recovered.entries))
+    , m_commit(m_log.snapshotIndex())
+    , m_applied(m_commit)
+    , m_durable(m_log.lastIndex())
+    // A vote may be given only when no leader heard before a restart can still hold its lease.
+    , m_leaderHeardAt(now)
+    , m_helloAt(now)
+    , m_unsavedFrom(m_log.lastIndex().next())
+{
+    resetElectionTimer(now);
+}
+
+void ControlMember::Impl::tick(TimePoint now)
+{
+    if (m_role == ControlRole::Leader) {
+        tickLeader(now);
+        return;
+    }
+    sayHello(now);
+    if (isFresh())
+        tryFound(now);
+    tickElection(now);
+}
+
+void ControlMember::Impl::receive(TimePoint now, const ControlMessage &message)
+{
+    if (const auto *hello = std::get_if<HelloMessage>(&message.body)) {
+        handle(now, message, *hello);
+        return;
+    }
+    if (message.to != m_self || message.from == m_self)
+        return;
+    const auto *vote = std::get_if<VoteRequest>(&message.body);
+    const bool ignoresTerm =
+        isPreVote(message.body) || (vote != nullptr && !vote->transfer && leaderIsProtected(now));
+    if (!ignoresTerm && message.term > m_hard.term)
+        becomeFollower(now, message.term, std::nullopt);
+    std::visit([&](const auto &body) { handle(now, message, body); }, message.body);
+}
+
+absl::StatusOr<Proposal> ControlMember::Impl::propose(TimePoint, std::string command)
+{
+    if (m_role != ControlRole::Leader)
+        return absl::FailedPreconditionError("not the leader of the control group");
+    if (command.size() > kMaxProposalBytes)
+        return absl::InvalidArgumentError("proposal is too large");
+    if (m_log.lastIndex().value() - m_commit.value() >= kMaxUncommittedEntries)
+        return absl::ResourceExhaustedError("too many proposals wait to be committed");
+    return appendOwn(EntryKind::Data, std::move(command));
+}
+
+void ControlMember::Impl::send(const Member &to, ControlBody body)
+{
+    sendAtTerm(to, m_hard.term, std::move(body));
+}
+
+void ControlMember::Impl::sendAtTerm(const Member &to, ControlTerm term, ControlBody body)
+{
+    const bool dependent =
+        dependsOnWrites(body) && (to == m_self || !m_options.faults.ackBeforeSync);
+    ControlMessage message { m_self, to, term, std::move(body) };
+    (dependent ? m_dependent : m_messages).push_back(std::move(message));
+}
+
+void ControlMember::Impl::persisted(TimePoint now, std::uint64_t sequence)
+{
+    m_durableSequence = std::max(m_durableSequence, sequence);
+    while (!m_outstanding.empty() && m_outstanding.front().sequence <= sequence) {
+        const Outstanding &done = m_outstanding.front();
+        // Entries that were truncated while the write was under way have another term by now.
+        if (done.lastIndex < m_log.baseIndex() || m_log.termAt(done.lastIndex) == done.lastTerm)
+            m_durable = std::max(m_durable, done.lastIndex);
+        m_outstanding.pop_front();
+    }
+    releaseMessages(now);
+    if (m_role == ControlRole::Leader)
+        advanceCommit();
+}
+
+void ControlMember::Impl::releaseMessages(TimePoint now)
+{
+    while (!m_held.empty() && m_held.front().afterSequence <= m_durableSequence) {
+        ControlMessage message = std::move(m_held.front().message);
+        m_held.pop_front();
+        // A candidate's own vote counts once it is durable, like any other.
+        if (message.to == m_self && message.term == m_hard.term)
+            handle(now, message, std::get<VoteReply>(message.body));
+        else if (message.to != m_self)
+            m_messages.push_back(std::move(message));
+    }
+}
+
+void ControlMember::Impl::collectWrite(DurableWrite &write)
+{
+    if (std::exchange(m_hardDirty, false))
+        write.hardState = m_hard;
+    write.snapshot = std::exchange(m_unsavedSnapshot, nullptr);
+    write.resetLog = std::exchange(m_unsavedReset, false);
+    for (LogIndex i = m_unsavedFrom; i <= m_log.lastIndex(); i = i.next())
+        write.entries.push_back(m_log.at(i));
+    m_unsavedFrom = m_log.lastIndex().next();
+    if (write.empty())
+        return;
+    write.sequence = ++m_lastSequence;
+    m_outstanding.push_back({ write.sequence, m_log.lastIndex(), m_log.lastTerm() });
+}
+
+ControlReady ControlMember::Impl::takeReady(TimePoint now)
+{
+    ControlReady ready;
+    if (m_role == ControlRole::Leader)
+        sendAppends(now);
+    collectWrite(ready.write);
+    for (ControlMessage &message : std::exchange(m_dependent, {}))
+        m_held.push_back({ m_lastSequence, std::move(message) });
+    releaseMessages(now);
+    ready.messages = std::exchange(m_messages, {});
+    ready.restore = std::exchange(m_restore, nullptr);
+    const std::uint64_t upTo =
+        std::min(m_commit.value(), m_applied.value() + kMaxCommittedPerReady);
+    while (m_applied.value() < upTo) {
+        m_applied = m_applied.next();
+        ready.committed.push_back(m_log.at(m_applied));
+    }
+    return ready;
+}
+
+bool ControlMember::Impl::holdsLease(TimePoint now) const
+{
+    // The first entry of the term is applied, so the owner's state holds all earlier decisions.
+    if (m_role != ControlRole::Leader || m_applied < m_termStart)
+        return false;
+    if (m_options.faults.leaseWithoutQuorum)
+        return true;
+    return majorityOfProgress([now](const Progress &p) {
+        return p.answeredSentAt && now - *p.answeredSentAt < kLeaderLease;
+    });
+}
+
+absl::StatusOr<std::unique_ptr<ControlMember>>
+ControlMember::create(TimePoint now, ControlOptions options, RecoveredState recovered)
+{
+    const std::vector<NodeId> &peers = options.peers;
+    if (std::count(peers.begin(), peers.end(), options.node) != 1)
+        return absl::InvalidArgumentError("the control members must name this node exactly once");
+    if (std::set<NodeId>(peers.begin(), peers.end()).size() != peers.size())
+        return absl::InvalidArgumentError("a control member is named twice");
+    if (peers.size() != 3 && peers.size() != 5)
+        return absl::InvalidArgumentError("the control group needs three or five members");
+    if (recovered.identity == MemberIdentity())
+        return absl::InvalidArgumentError("the data directory has no identity");
+    return std::unique_ptr<ControlMember>(
+        new ControlMember(std::make_unique<Impl>(now, std::move(options), std::move(recovered))));
+}
+
+ControlMember::ControlMember(std::unique_ptr<Impl> impl)
+    : m_impl(std::move(impl))
+{
+}
+
+ControlMember::~ControlMember() = default;
+
+void ControlMember::tick(TimePoint now)
+{
+    m_impl->tick(now);
+}
+
+void ControlMember::receive(TimePoint now, const ControlMessage &message)
+{
+    m_impl->receive(now, message);
+}
+
+absl::StatusOr<Proposal> ControlMember::propose(TimePoint now, std::string command)
+{
+    return m_impl->propose(now, std::move(command));
+}
+
+void ControlMember::persisted(TimePoint now, std::uint64_t sequence)
+{
+    m_impl->persisted(now, sequence);
+}
+
+absl::Status ControlMember::compact(LogIndex index, std::string state)
+{
+    return m_impl->compact(index, std::move(state));
+}
+
+bool ControlMember::transferLeadership(TimePoint now)
+{
+    return m_impl->transferLeadership(now);
+}
+
+ControlReady ControlMember::takeReady(TimePoint now)
+{
+    return m_impl->takeReady(now);
+}
+
+ControlRole ControlMember::role() const
+{
+    return m_impl->m_role;
+}
+
+bool ControlMember::holdsLease(TimePoint now) const
+{
+    return m_impl->holdsLease(now);
+}
+
+std::optional<Member> ControlMember::leader() const
+{
+    return m_impl->m_leader;
+}
+
+Member ControlMember::self() const
+{
+    return m_impl->m_self;
+}
+
+ControlTerm ControlMember::term() const
+{
+    return m_impl->m_hard.term;
+}
+
+LogIndex ControlMember::commitIndex() const
+{
+    return m_impl->m_commit;
+}
+
+LogIndex ControlMember::appliedIndex() const
+{
+    return m_impl->m_applied;
+}
+
+LogIndex ControlMember::lastIndex() const
+{
+    return m_impl->m_log.lastIndex();
+}
+
+LogIndex ControlMember::snapshotIndex() const
+{
+    return m_impl->m_log.snapshotIndex();
+}
+
+const Membership &ControlMember::membership() const
+{
+    return m_impl->m_log.membership();
+}
+
+bool ControlMember::membershipCommitted() const
+{
+    return m_impl->m_log.membershipIndex() <= m_impl->m_commit;
+}
+
+} // namespace shallotlever
--- /dev/null
+++ b/src/control/snapshots.cpp
@@ -0,0 +1,130 @@
+#include <algorithm>
+
+#include "member_impl.h"
+
+namespace shallotlever {
+namespace {
+
+/// Bound against a peer that announces an absurd size.
+constexpr std::uint64_t kMaxSnapshotBytes = 1ULL << 30U;
+
+} // namespace
+
+absl::Status ControlMember::Impl::compact(LogIndex index, std::string state)
+{
+    if (index > m_applied || index <= m_log.snapshotIndex() || index < m_log.baseIndex())
+        return absl::InvalidArgumentError(
+            "snapshot index is not after the last one, or not applied");
+    if (m_unsavedReset)
+        return absl::FailedPreconditionError("a snapshot from the leader is being stored");
+    auto snapshot = std::make_shared<ControlSnapshot>();
+    snapshot->index = index;
+    snapshot->term = *m_log.termAt(index);
+    snapshot->membership = m_log.membershipAt(index);
+    snapshot->data = std::move(state);
+    m_log.setSnapshot(snapshot);
+    m_unsavedSnapshot = std::move(snapshot);
+    const std::uint64_t kept = std::min(m_options.keptEntries, index.value());
+    // Entries that have not been handed out for writing stay.
+    m_log.dropUpTo(LogIndex(std::min(index.value() - kept, m_unsavedFrom.value() - 1)));
+    return absl::OkStatus();
+}
+
+void ControlMember::Impl::startSnapshot(Progress &progress)
+{
+    progress.mode = Progress::Mode::Snapshot;
+    progress.snapshot = m_log.snapshot();
+    progress.snapshotOffset = 0;
+    progress.chunkInFlight = false;
+    progress.inFlight.clear();
+}
+
+void ControlMember::Impl::sendChunk(TimePoint now, const Member &member, Progress &progress)
+{
+    const ControlSnapshot &snapshot = *progress.snapshot;
+    SnapshotChunk chunk { snapshot.index,
+                          snapshot.term,
+                          snapshot.membership,
+                          progress.snapshotOffset,
+                          snapshot.data.size(),
+                          now,
+                          {} };
+    // A member that does not answer gets no data again and again.
+    if (now - progress.lastHeard < kMinElectionTimeout)
+        chunk.data = snapshot.data.substr(progress.snapshotOffset, m_options.snapshotChunkBytes);
+    progress.chunkInFlight = true;
+    progress.lastSent = now;
+    send(member, std::move(chunk));
+}
+
+void ControlMember::Impl::handle(TimePoint now, const ControlMessage &m, const SnapshotChunk &chunk)
+{
+    SnapshotReply reply { chunk.index, 0, chunk.sentAt };
+    if (followLeader(now, m)) {
+        if (chunk.index <= m_commit)
+            reply.offset = chunk.totalBytes + 1;
+        else
+            reply.offset = collectChunk(chunk);
+    }
+    send(m.from, reply);
+}
+
+std::uint64_t ControlMember::Impl::collectChunk(const SnapshotChunk &chunk)
+{
+    if (chunk.totalBytes > kMaxSnapshotBytes)
+        return 0;
+    if (!m_incoming || m_incoming->index != chunk.index || m_incoming->term != chunk.snapshotTerm) {
+        m_incoming = std::make_shared<ControlSnapshot>();
+        m_incoming->index = chunk.index;
+        m_incoming->term = chunk.snapshotTerm;
+        m_incoming->membership = chunk.membership;
+    }
+    if (chunk.offset != m_incoming->data.size())
+        return m_incoming->data.size();
+    m_incoming->data += chunk.data;
+    if (m_incoming->data.size() < chunk.totalBytes)
+        return m_incoming->data.size();
+    installSnapshot(std::exchange(m_incoming, nullptr));
+    return chunk.totalBytes + 1;
+}
+
+void ControlMember::Impl::installSnapshot(ControlSnapshotPtr snapshot)
+{
+    if (m_log.termAt(snapshot->index) == snapshot->term) {
+        // The log already holds what the snapshot covers.
+        m_commit = std::max(m_commit, snapshot->index);
+        return;
+    }
+    m_commit = snapshot->index;
+    m_applied = snapshot->index;
+    m_durable = LogIndex();
+    m_unsavedFrom = snapshot->index.next();
+    m_unsavedSnapshot = snapshot;
+    m_unsavedReset = true;
+    m_restore = snapshot;
+    m_log.reset(std::move(snapshot));
+}
+
+void ControlMember::Impl::handle(TimePoint now, const ControlMessage &m, const SnapshotReply &reply)
+{
+    if (m.term != m_hard.term)
+        return;
+    Progress *progress = heard(now, m.from, reply.sentAt);
+    if (progress == nullptr || progress->mode != Progress::Mode::Snapshot
+        || progress->snapshot->index != reply.index)
+        return;
+    progress->chunkInFlight = false;
+    if (reply.offset <= progress->snapshot->data.size()) {
+        progress->snapshotOffset = reply.offset;
+        return;
+    }
+    // An offset past the end says that the snapshot is durable.
+    progress->match = std::max(progress->match, reply.index);
+    progress->next = progress->match.next();
+    progress->mode = Progress::Mode::Probe;
+    progress->probing = false;
+    progress->snapshot.reset();
+    advanceCommit();
+}
+
+} // namespace shallotlever
--- a/src/include/shallotlever/control/member.h
+++ b/src/include/shallotlever/control/member.h
@@ -31,14 +31,10 @@
 {
     /// Acknowledgements and votes do not wait for durable writes.
     bool ackBeforeSync = false;
-    /// Identities are not compared, so a member without its disk votes as its former self.
-    bool voteAfterDiskLoss = false;
     /// Elections start without a pre-vote, and followers do not protect a live leader.
     bool noPreVote = false;
     /// A leader holds its lease until it hears of a higher term.
     bool leaseWithoutQuorum = false;
-    /// The commit index counts entries of earlier terms by their replicas alone.
-    bool commitEarlierTerms = false;
 };
 
 struct ControlOptions
@@ -49,6 +45,7 @@
     std::uint64_t seed = 1;
     /// Entries kept behind a snapshot for members that lag.
     std::uint64_t keptEntries = 1'000;
+    std::size_t snapshotChunkBytes = kMaxAppendBytes;
     ControlFaults faults;
 };
 
@@ -90,38 +87,45 @@
     static absl::StatusOr<std::unique_ptr<ControlMember>>
     create(TimePoint now, ControlOptions options, RecoveredState recovered);
 
-    virtual ~ControlMember() = default;
+    ~ControlMember();
 
     /// Call at least every 20 ms.
-    virtual void tick(TimePoint now) = 0;
+    void tick(TimePoint now);
     /// Drops messages that are not addressed to this member's identity.
-    virtual void receive(TimePoint now, const ControlMessage &message) = 0;
+    void receive(TimePoint now, const ControlMessage &message);
     /// FailedPrecondition unless leader, InvalidArgument if too large, ResourceExhausted if too
     /// much is waiting to be committed.
-    virtual absl::StatusOr<Proposal> propose(TimePoint now, std::string command) = 0;
+    absl::StatusOr<Proposal> propose(TimePoint now, std::string command);
     /// All writes up to `sequence` are durable.
-    virtual void persisted(TimePoint now, std::uint64_t sequence) = 0;
+    void persisted(TimePoint now, std::uint64_t sequence);
     /// `state` is the application state after the entry at `index`, which was delivered as
     /// committed. The log before it is dropped, except for keptEntries.
-    virtual absl::Status compact(LogIndex index, std::string state) = 0;
+    absl::Status compact(LogIndex index, std::string state);
     /// Gives up leadership to the member that is most up to date. The lease ends at once. Returns
     /// false if not leader or if no other member is up to date yet; call again later.
-    virtual bool transferLeadership(TimePoint now) = 0;
-    virtual ControlReady takeReady(TimePoint now) = 0;
+    bool transferLeadership(TimePoint now);
+    ControlReady takeReady(TimePoint now);
 
-    virtual ControlRole role() const = 0;
+    ControlRole role() const;
     /// True only while no other member can be leader.
-    virtual bool holdsLease(TimePoint now) const = 0;
+    bool holdsLease(TimePoint now) const;
     /// Leader of the current term, if known.
-    virtual std::optional<Member> leader() const = 0;
-    virtual Member self() const = 0;
-    virtual ControlTerm term() const = 0;
-    virtual LogIndex commitIndex() const = 0;
-    virtual LogIndex appliedIndex() const = 0;
-    virtual LogIndex lastIndex() const = 0;
-    virtual LogIndex snapshotIndex() const = 0;
+    std::optional<Member> leader() const;
+    Member self() const;
+    ControlTerm term() const;
+    LogIndex commitIndex() const;
+    LogIndex appliedIndex() const;
+    LogIndex lastIndex() const;
+    LogIndex snapshotIndex() const;
     /// Latest configuration in the log, committed or not. No voters before the group is founded.
-    virtual const Membership &membership() const = 0;
+    const Membership &membership() const;
+    /// The configuration entry of membership() is committed.
+    bool membershipCommitted() const;
+
+private:
+    class Impl;
+    explicit ControlMember(std::unique_ptr<Impl> impl);
+    std::unique_ptr<Impl> m_impl;
 };
 
 } // namespace shallotlever
--- a/src/include/shallotlever/control/types.h
+++ b/src/include/shallotlever/control/types.h
@@ -33,14 +33,14 @@
     friend bool operator==(const Membership &, const Membership &) = default;
 };
 
-enum class EntryKind : std::uint8_t { Command, NoOp, Membership };
+enum class EntryKind : std::uint8_t { Data, NoOp, Membership };
 
 struct LogEntry
 {
     LogIndex index;
     ControlTerm term;
-    EntryKind kind = EntryKind::Command;
-    /// Command: bytes of the application. Membership: encodeMembership. NoOp: empty.
+    EntryKind kind = EntryKind::Data;
+    /// Data: bytes of the application. Membership: encodeMembership. NoOp: empty.
     std::string data;
     friend bool operator==(const LogEntry &, const LogEntry &) = default;
 };
@@ -163,7 +163,7 @@
 struct ControlMessage
 {
     Member from;
-    /// The identity is 0 in HelloMessage only.
+    /// The identity may be 0 (not yet known) in HelloMessage only.
     Member to;
     /// Sender's term; for pre-vote requests and replies the term that is asked for.
     ControlTerm term;
--- a/src/include/shallotlever/storage/data_directory.h
+++ b/src/include/shallotlever/storage/data_directory.h
@@ -29,13 +29,18 @@
     static absl::StatusOr<std::unique_ptr<DataDirectory>> open(const std::string &path,
                                                                StorageOptions options = {});
 
-    virtual ~DataDirectory() = default;
+    ~DataDirectory();
 
     /// What the directory held when it was opened. Can be taken once.
-    virtual RecoveredState takeRecovered() = 0;
+    RecoveredState takeRecovered();
     /// Writes the group in order with one sync. After an error the directory refuses all further
     /// writes, because it is unknown what the disk holds.
-    virtual absl::Status write(const std::vector<DurableWrite> &group) = 0;
+    absl::Status write(const std::vector<DurableWrite> &group);
+
+private:
+    class Impl;
+    explicit DataDirectory(std::unique_ptr<Impl> impl);
+    std::unique_ptr<Impl> m_impl;
 };
 
 } // namespace shallotlever
--- a/src/include/shallotlever/storage/storage_thread.h
+++ b/src/include/shallotlever/storage/storage_thread.h
@@ -22,10 +22,15 @@
                                                  Completion completion);
 
     /// Finishes the writes that are queued.
-    virtual ~StorageThread() = default;
+    ~StorageThread();
 
     /// Any thread; does not block on the disk.
-    virtual void submit(DurableWrite write) = 0;
+    void submit(DurableWrite write);
+
+private:
+    class Impl;
+    explicit StorageThread(std::unique_ptr<Impl> impl);
+    std::unique_ptr<Impl> m_impl;
 };
 
 } // namespace shallotlever
--- /dev/null
+++ b/testsuite/control_fuzz/oracle.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <map>
+#include <stdexcept>
+#include <string>
+
+#include "shallotlever/config/state.h"
+#include "shallotlever/control/types.h"
+
+namespace shallotlever::fuzz {
+
+/// A property that the control group must keep was broken.
+class Violation : public std::runtime_error
+{
+public:
+    using std::runtime_error::runtime_error;
+};
+
+/// Watches all members from outside and throws Violation.
+class Oracle
+{
+public:
+    void committed(const Member &member, const LogEntry &entry);
+    void leads(const Member &member, ControlTerm term);
+    void holdsLease(const Member &member);
+    /// Starts a new instant for holdsLease().
+    void nextInstant() { m_leaseHolder.reset(); }
+    /// The result that a member computed for a change, first or resent.
+    void decided(const ChangeId &id, const ChangeResult &result);
+
+    LogIndex lastCommitted() const;
+    ConfigVersion lastVersion() const;
+    std::size_t changesAccepted() const { return m_acceptedAt.size(); }
+
+private:
+    std::map<LogIndex, LogEntry> m_log;
+    std::map<ControlTerm, Member> m_leaders;
+    std::optional<Member> m_leaseHolder;
+    std::map<ChangeId, ChangeResult> m_results;
+    std::map<ConfigVersion, ChangeId> m_acceptedAt;
+};
+
+} // namespace shallotlever::fuzz
