Send Qt's own messages to the log as JSON lines

QtHttpServer and other parts of Qt write plain text on standard error, which would break readers of the JSON lines. The listener test also covers clients without TLS on a TLS port.

--- a/src/edge/listener_test.cpp
+++ b/src/edge/listener_test.cpp
@@ -12,6 +12,8 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include "shallotlever/edge/qt_log.h"
+
 namespace shallotlever {
 namespace {
 
@@ -345,6 +347,21 @@
     EXPECT_TRUE(eventually([this] { return listener->openConnections() == 0; }));
 }
 
+// Guards against lines on standard error that are not JSON.
+TEST_F(Listener, LogsMessagesOfQt)
+{
+    testing::internal::CaptureStderr();
+    installQtLog(logger);
+    start({});
+    qWarning("a \"quoted\" warning");
+    qInstallMessageHandler(nullptr);
+    EXPECT_THAT(testing::internal::GetCapturedStderr(),
+                testing::MatchesRegex(R"(\{"ts":"[^"]+","level":"warning","event":"qt_message",)"
+                                      R"("node":"test","category":"default",)"
+                                      R"("message":"a \\"quoted\\" warning"\})"
+                                      "\n"));
+}
+
 void makeCertificate(const QString &directory, const QString &name)
 {
     ASSERT_EQ(
@@ -368,8 +385,8 @@
     return socket.peerCertificate().subjectInfo(QSslCertificate::CommonName).value(0);
 }
 
-// Guards against a renewed certificate that needs a restart, and against a half-replaced pair that
-// breaks new connections.
+// Guards against a renewed certificate that needs a restart, a half-replaced pair that breaks new
+// connections, and connections kept after a failed handshake.
 TEST_F(Listener, ReloadsCertificates)
 {
     const QTemporaryDir directory;
@@ -377,6 +394,10 @@
     makeCertificate(directory.path(), "first");
     start({}, EdgeTlsFiles { path / "cert.pem", path / "key.pem" });
     EXPECT_EQ(servedName(listener->port()), "first");
+    RawClient withoutTls = client();
+    withoutTls.send(get("/healthz"));
+    EXPECT_TRUE(withoutTls.isClosedByServer());
+    EXPECT_TRUE(eventually([this] { return listener->openConnections() == 0; }));
     const QTemporaryDir other;
     makeCertificate(other.path(), "second");
     const std::filesystem::path newer = other.path().toStdString();
