--- /dev/null
+++ b/src/controller/controller.cpp
@@ -0,0 +1,92 @@
+#include "shallotlever/controller/controller.h"
+
+#include <algorithm>
+
+#include "group_control.h"
+#include "node_shares.h"
+#include "shallotlever/config/codec.h"
+
+namespace shallotlever {
+
+ControllerState makeController(ControlTerm term, const ReplicatedState &replicated,
+                               const FleetLog &ownView, std::uint64_t seed, TimePoint now)
+{
+    ControllerState controller;
+    controller.controlTerm = term;
+    controller.since = now;
+    controller.random.seed(seed);
+    controller.registry = seedRegistry(ownView.state, now);
+    controller.leases = makeLeaseTable(now);
+    controller.fleetLog = ownView;
+    controller.rates = makeRateAllocator(term, now);
+    controller.slots = makeSlotAllocator(term, now);
+    // Share versions of a later controller are higher than those of every earlier one.
+    controller.lastShareVersion = term.value() << 32U;
+    controller.logIndex = replicated.cluster.index;
+    resetConfigLog(controller.configLog, replicated.cluster.config.version,
+                   encodeConfig(replicated.cluster.config));
+    applyTeamConfig(controller.rates, replicated.cluster.config.teams, now);
+    return controller;
+}
+
+void onCommandApplied(ControllerState &controller, const ReplicatedState &replicated,
+                      const Command &command, const ChangeResult &result, LogIndex index,
+                      TimePoint now)
+{
+    controller.logIndex = index;
+    if (!std::holds_alternative<OperatorChange>(command)
+        || result.outcome != ChangeOutcome::Accepted
+        || result.version != controller.configLog.version.next())
+        return;
+    appendConfigChange(controller.configLog, encodeCommand({ command, 0 }),
+                       encodeConfig(replicated.cluster.config));
+    applyTeamConfig(controller.rates, replicated.cluster.config.teams, now);
+}
+
+std::optional<NodeLease> onNodeReport(ControllerState &controller, const NodeReport &report,
+                                      TimePoint now)
+{
+    std::optional<NodeLease> answer;
+    const LeaseSource source { controller.controlTerm, controller.logIndex, &controller.configLog,
+                               &controller.fleetLog };
+    for (const NodeReport *single : flattenReport(report)) {
+        const ReportResult result = applyReport(controller.registry, *single, now);
+        if (!grantLease(controller.leases, *single, now))
+            continue;
+        const ShareSet &shares = grantShares(controller, *single, now);
+        if (single == &report)
+            answer = makeLease(*single, source, shares, result.wantsAllObservations);
+        else if (answer)
+            answer->nodes.push_back(makeRelayedLease(*single, shares, result.wantsAllObservations));
+    }
+    return answer;
+}
+
+void onUpstreamAnswer(ControllerState &controller, const UpstreamCall &call,
+                      const std::optional<UpstreamStatus> &status, TimePoint askedAt, TimePoint now)
+{
+    GroupControl &group = controller.groups[call.service];
+    onCallAnswer(group.change, { call.kind, call.upstream, call.term, status }, now);
+    if (status)
+        group.statuses[call.upstream] = { *status, askedAt };
+}
+
+ControllerActions advanceController(ControllerState &controller, const ReplicatedState &replicated,
+                                    TimePoint now)
+{
+    ControllerActions actions;
+    expireLeases(controller.leases, now);
+    expireRateLeases(controller.rates, now);
+    expireSlotLeases(controller.slots, now);
+    actions.upstreamStates = advanceRegistry(controller.registry, now);
+    for (const auto &[service, config] : replicated.cluster.config.services)
+        advanceGroup(controller, replicated.cluster, service, actions, now);
+    const FleetState fleet = makeFleetState(controller.registry, replicated.cluster);
+    actions.fleetChanged = publishFleet(controller.fleetLog, fleet, controller.controlTerm);
+    if (actions.fleetChanged)
+        applyUpstreamLimits(controller.slots, controller.fleetLog.state.view);
+    noteViewsInForce(controller, now);
+    return actions;
+}
+
+} // namespace shallotlever
--- /dev/null
+++ b/src/controller/group_control.cpp
@@ -0,0 +1,155 @@
+#include "group_control.h"
+
+namespace shallotlever {
+
+namespace {
+
+template <typename... Functions>
+struct Overloaded : Functions...
+{
+    using Functions::operator()...;
+};
+template <typename... Functions>
+Overloaded(Functions...) -> Overloaded<Functions...>;
+
+GroupState groupStateOf(const ClusterState &cluster, const ServiceId &service)
+{
+    const auto group = cluster.groups.find(service);
+    if (group != cluster.groups.end())
+        return group->second;
+    GroupState state;
+    state.service = service;
+    return state;
+}
+
+std::map<UpstreamId, RegistryEntry> announcedOf(const Registry &registry, const ServiceId &service)
+{
+    std::map<UpstreamId, RegistryEntry> announced;
+    for (const auto &[id, entry] : registry.entries) {
+        if (entry.announcement.service == service)
+            announced.emplace(id, entry);
+    }
+    return announced;
+}
+
+void addCall(const Registry &registry, const ServiceId &service, const UpstreamId &upstream,
+             CallKind kind, Term term, ControllerActions &actions)
+{
+    const auto entry = registry.entries.find(upstream);
+    if (entry == registry.entries.end())
+        return;
+    actions.calls.push_back({ kind, service, upstream, entry->second.announcement.endpoint, term });
+}
+
+void addChangeAction(ControllerState &controller, const ServiceId &service,
+                     const ChangeAction &action, ControllerActions &actions)
+{
+    const Registry &registry = controller.registry;
+    std::visit(
+        Overloaded { [&](const QueryStatus &query) {
+                        addCall(registry, service, query.upstream, CallKind::Status, {}, actions);
+                    },
+                     [&](const Fence &fence) {
+                         addCall(registry, service, fence.upstream, CallKind::Fence, fence.term,
+                                 actions);
+                     },
+                     [&](const Promote &promote) {
+                         addCall(registry, service, promote.upstream, CallKind::Promote,
+                                 promote.term, actions);
+                     },
+                     [&](const Propose &propose) { actions.proposals.push_back(propose.decision); },
+                     [&](const ChangeDone &done) {
+                         actions.changes.push_back({ service, done });
+                     } },
+        action);
+}
+
+void stepChange(ControllerState &controller, const GroupState &state, GroupControl &group,
+                const std::map<UpstreamId, RegistryEntry> &announced, ControllerActions &actions,
+                TimePoint now)
+{
+    ChangeInput input;
+    input.group = state;
+    for (const auto &[id, entry] : announced)
+        input.states[id] = entry.state;
+    if (state.primary) {
+        const auto status = group.statuses.find(*state.primary);
+        if (status != group.statuses.end())
+            input.primaryStatus = status->second.status;
+    }
+    group.change.service = state.service;
+    for (const ChangeAction &action :
+         stepPrimaryChange(group.change, input, now, controller.random))
+        addChangeAction(controller, state.service, action, actions);
+}
+
+/// Queries `upstreams` that were not asked within the interval.
+void queryStatuses(ControllerState &controller, const ServiceId &service, GroupControl &group,
+                   const std::set<UpstreamId> &upstreams, ControllerActions &actions, TimePoint now)
+{
+    for (const UpstreamId &upstream : upstreams) {
+        const auto [asked, first] = group.statusAskedAt.try_emplace(upstream, now);
+        if (!first && now < asked->second + kPrimaryStatusInterval)
+            continue;
+        asked->second = now;
+        addCall(controller.registry, service, upstream, CallKind::Status, {}, actions);
+    }
+}
+
+void proposeMembership(GroupControl &group, const VotingSetInput &input, ControllerActions &actions,
+                       TimePoint now)
+{
+    if (input.group.primary) {
+        if (auto decision = nextVotingSetDecision(group.voting, input, now))
+            actions.proposals.push_back(std::move(*decision));
+        return;
+    }
+    if (now < group.proposedAt + kProposalRetry)
+        return;
+    if (auto decision = nextBootstrapDecision(input, now)) {
+        group.proposedAt = now;
+        actions.proposals.push_back(std::move(*decision));
+    }
+}
+
+} // namespace
+
+void advanceGroup(ControllerState &controller, const ClusterState &cluster,
+                  const ServiceId &service, ControllerActions &actions, TimePoint now)
+{
+    GroupControl &group = controller.groups[service];
+    VotingSetInput input;
+    input.group = groupStateOf(cluster, service);
+    input.announced = announcedOf(controller.registry, service);
+    // A group without a primary is founded by the bootstrap decisions; until then a reserved term
+    // is not an unfinished change.
+    if (input.group.primary)
+        stepChange(controller, input.group, group, input.announced, actions, now);
+    input.primaryChanging = group.change.phase != ChangePhase::Idle;
+    input.viewInForceAt = group.viewInForceAt;
+    input.statuses = group.statuses;
+    input.controllerSince = controller.since;
+    std::set<UpstreamId> queries = votingSetQueries(input);
+    if (input.group.primary)
+        queries.insert(*input.group.primary);
+    queryStatuses(controller, service, group, queries, actions, now);
+    proposeMembership(group, input, actions, now);
+}
+
+void noteViewsInForce(ControllerState &controller, TimePoint now)
+{
+    for (const auto &[service, view] : controller.fleetLog.state.view.groups) {
+        GroupControl &group = controller.groups[service];
+        if (group.shownSince == FleetVersion() || group.shownTerm != view.term
+            || group.shownVotingSet != view.votingSet) {
+            group.shownTerm = view.term;
+            group.shownVotingSet = view.votingSet;
+            group.shownSince = controller.fleetLog.version;
+            group.viewInForceAt.reset();
+        }
+        if (!group.viewInForceAt && fleetInForce(controller.leases, group.shownSince, now).inForce)
+            group.viewInForceAt = now;
+    }
+}
+
+} // namespace shallotlever
--- /dev/null
+++ b/src/controller/node_shares.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include "shallotlever/controller/controller.h"
+
+namespace shallotlever {
+
+/// Grants rate and connection shares in answer to a report and numbers them.
+const ShareSet &grantShares(ControllerState &controller, const NodeReport &report, TimePoint now);
+
+} // namespace shallotlever
--- /dev/null
+++ b/src/executor/read_run.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "run.h"
+
+namespace shallotlever {
+
+/// One read: chooses an upstream, runs the statement in a read-only transaction and repeats it on
+/// another upstream where that is permitted.
+class ReadRun : public std::enable_shared_from_this<ReadRun>
+{
+public:
+    ReadRun(ExecutorContext &context, WorkItem item, RunDone done);
+
+    void start();
+
+private:
+    const StatementWork &statement() const { return std::get<StatementWork>(m_run.item.body); }
+    ReadNeed need() const;
+    ReadChoice choose();
+    void waitForReplica(const ReadChoice &choice);
+    void refuseChoice(const ReadChoice &choice);
+    void connect(const ReadChoice &choice);
+    void begin();
+    void runStatement();
+    void onResult(QueryReply reply);
+    void succeed(QueryResult result);
+    void fail(const Failure &failure);
+    void releaseUpstream(bool succeeded);
+    Duration attemptTimeout() const;
+
+    RunState m_run;
+    ReadChoice m_choice;
+    std::optional<PooledConnection> m_connection;
+    std::vector<UpstreamId> m_tried;
+    Duration m_waited { 0 };
+    TimePoint m_attemptedAt;
+};
+
+} // namespace shallotlever
--- /dev/null
+++ b/src/executor/transactions.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <map>
+#include <memory>
+
+#include "run.h"
+
+namespace shallotlever {
+
+/// A caller's transaction, open on one connection to the primary.
+struct OpenTransaction
+{
+    TransactionId id;
+    TeamId team;
+    SessionId session;
+    AccessMode mode = AccessMode::Write;
+    UpstreamId primary;
+    Term term;
+    PooledConnection connection;
+    /// A statement is under way; transactions are used by one request at a time.
+    bool busy = false;
+    TimePoint expiresAt;
+    TimePoint mustEndBy;
+    RunDone done;
+};
+
+/// The transactions that are open on this node, for one service.
+class TransactionTable
+{
+public:
+    explicit TransactionTable(ExecutorContext &context);
+
+    /// Opens a transaction; `done` is called when it has ended and its slot is free.
+    void begin(WorkItem item, RunDone done);
+    void statement(WorkItem item);
+    void commit(WorkItem item);
+    void rollback(WorkItem item);
+
+    /// Rolls back what has been idle or open for too long.
+    void expire(TimePoint now);
+
+    std::size_t size() const { return m_open.size(); }
+
+private:
+    using Entry = std::shared_ptr<OpenTransaction>;
+
+    /// The transaction if it is open, idle, and belongs to the item's team and session; otherwise
+    /// the item is answered.
+    Entry take(const WorkItem &item, const TransactionId &id);
+    void onStatement(const Entry &entry, const std::shared_ptr<RunState> &run, QueryReply reply);
+    void recordCommit(const Entry &entry, const std::shared_ptr<RunState> &run);
+    void sendCommit(const Entry &entry, const std::shared_ptr<RunState> &run);
+    void onCommitted(const Entry &entry, const std::shared_ptr<RunState> &run);
+    void awaitMajority(const std::shared_ptr<RunState> &run, const HistoryPoint &point);
+    void end(const Entry &entry);
+    void fail(const Entry &entry, const std::shared_ptr<RunState> &run, const QueryError &error,
+              FailurePoint point);
+
+    ExecutorContext &m_context;
+    std::map<TransactionId, Entry> m_open;
+};
+
+} // namespace shallotlever
--- /dev/null
+++ b/src/executor/work_queue.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "shallotlever/base/errors.h"
+#include "shallotlever/executor/work.h"
+#include "shallotlever/policy/fair_queue.h"
+
+namespace shallotlever {
+
+/// Waiting requests of one service and access mode, with the items behind the fair queue's
+/// tickets.
+class WorkQueue
+{
+public:
+    explicit WorkQueue(FairQueueOptions options);
+
+    void setOptions(const FairQueueOptions &options) { m_queue.setOptions(options); }
+
+    /// Answers the item with the refusal if it cannot be queued.
+    void add(WorkItem item, TimePoint now);
+
+    /// Next item that may start, with the ticket to return to finished().
+    std::optional<std::pair<QueuedRequest, WorkItem>> next(TimePoint now);
+
+    /// Frees the slot of an item that next() returned.
+    void finished(const QueuedRequest &ticket, Duration serviceTime);
+
+    /// Answers every waiting item whose deadline has passed with `kind`.
+    void expire(ErrorKind kind, TimePoint now);
+
+    std::size_t waiting() const { return m_items.size(); }
+    std::uint32_t running() const { return m_queue.running(); }
+
+private:
+    WorkItem take(TicketId ticket);
+
+    FairQueue m_queue;
+    std::map<TicketId, WorkItem> m_items;
+    std::set<std::pair<TimePoint, TicketId>> m_deadlines;
+    TicketId m_lastTicket;
+};
+
+/// Answers an item with an error of the given kind.
+void refuse(const WorkItem &item, ErrorKind kind, std::string message = {});
+
+} // namespace shallotlever
--- /dev/null
+++ b/src/include/shallotlever/controller/controller.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <variant>
+#include <vector>
+
+#include "shallotlever/base/random.h"
+#include "shallotlever/config/state.h"
+#include "shallotlever/fleet/distribution.h"
+#include "shallotlever/fleet/freshness.h"
+#include "shallotlever/fleet/primary_change.h"
+#include "shallotlever/fleet/registry.h"
+#include "shallotlever/fleet/voting_set.h"
+#include "shallotlever/policy/rate_allocator.h"
+#include "shallotlever/policy/slot_allocator.h"
+
+/// What the leader of the control group decides beyond its log: leases, the fleet view, changes of
+/// primary and shares. Sans-I/O: the shell calls these functions only while the member holds the
+/// leader lease, and carries out the actions.
+namespace shallotlever {
+
+/// How often the primary of each group is asked for its status.
+constexpr Duration kPrimaryStatusInterval = 500ms;
+
+/// A call to an upstream that the shell makes; the answer comes back through onUpstreamAnswer.
+struct UpstreamCall
+{
+    CallKind kind = CallKind::Status;
+    ServiceId service;
+    UpstreamId upstream;
+    Endpoint endpoint;
+    /// For Fence and Promote.
+    Term term;
+};
+
+/// A finished change of primary, for logs and metrics.
+struct PrimaryChanged
+{
+    ServiceId service;
+    ChangeDone change;
+};
+
+struct ControllerActions
+{
+    std::vector<UpstreamCall> calls;
+    std::vector<GroupDecision> proposals;
+    std::vector<PrimaryChanged> changes;
+    std::vector<StateChange> upstreamStates;
+    /// The fleet view was republished; leases are worth sending before the next report.
+    bool fleetChanged = false;
+};
+
+/// Shares granted to one node, with the grant numbers behind each share version.
+struct NodeShares
+{
+    struct Granted
+    {
+        std::uint64_t version = 0;
+        GrantNumber rate;
+        GrantNumber slot;
+    };
+    Incarnation incarnation;
+    ShareSet shares;
+    std::deque<Granted> recent;
+};
+
+/// What the controller keeps per group beside the committed state.
+struct GroupControl
+{
+    PrimaryChange change;
+    VotingSetProgress voting;
+    std::map<UpstreamId, MemberStatus> statuses;
+    std::map<UpstreamId, TimePoint> statusAskedAt;
+    TimePoint proposedAt;
+    /// Version of the fleet view that shows the current term and voting set.
+    Term shownTerm;
+    std::set<UpstreamId> shownVotingSet;
+    FleetVersion shownSince;
+    std::optional<TimePoint> viewInForceAt;
+};
+
+struct ControllerState
+{
+    ControlTerm controlTerm;
+    TimePoint since;
+    Random random;
+    Registry registry;
+    LeaseTable leases;
+    std::map<ServiceId, GroupControl> groups;
+    ConfigLog configLog;
+    FleetLog fleetLog;
+    RateAllocator rates;
+    SlotAllocator slots;
+    std::map<NodeId, NodeShares> shares;
+    std::uint64_t lastShareVersion = 0;
+    LogIndex logIndex;
+};
+
+/// Takes office. `ownView` is the fleet log of the controller's own node, so that the fleet view
+/// continues. Call only once the member holds the leader lease.
+ControllerState makeController(ControlTerm term, const ReplicatedState &replicated,
+                               const FleetLog &ownView, std::uint64_t seed, TimePoint now);
+
+/// A command was applied to `replicated`.
+void onCommandApplied(ControllerState &controller, const ReplicatedState &replicated,
+                      const Command &command, const ChangeResult &result, LogIndex index,
+                      TimePoint now);
+
+/// Lease in answer to a report, nested ones included; nullopt for a report that came out of order.
+std::optional<NodeLease> onNodeReport(ControllerState &controller, const NodeReport &report,
+                                      TimePoint now);
+
+/// `status` is empty if the call failed.
+void onUpstreamAnswer(ControllerState &controller, const UpstreamCall &call,
+                      const std::optional<UpstreamStatus> &status, TimePoint askedAt,
+                      TimePoint now);
+
+/// Advances everything that depends on time. Call every 50 ms and after each input.
+ControllerActions advanceController(ControllerState &controller, const ReplicatedState &replicated,
+                                    TimePoint now);
+
+} // namespace shallotlever
--- /dev/null
+++ b/src/include/shallotlever/node/node.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <memory>
+
+#include "absl/status/statusor.h"
+#include "shallotlever/settings/node_settings.h"
+
+namespace shallotlever {
+
+/// A whole node: HTTP listener, executors, peer links and, on control members, the control group.
+class Node
+{
+public:
+    /// Binds and starts. Needs a QCoreApplication; runs on its thread, which becomes the control
+    /// thread.
+    static absl::StatusOr<std::unique_ptr<Node>> create(const NodeSettings &settings);
+    ~Node();
+    Node(const Node &) = delete;
+    Node &operator=(const Node &) = delete;
+
+    /// Starts the graceful stop; the application's event loop ends with status 0 when it is done,
+    /// and with status 3 if the drain limit cut requests short. A second call ends it at once.
+    void shutDown();
+
+private:
+    class Impl;
+    explicit Node(std::unique_ptr<Impl> impl);
+
+    std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace shallotlever
--- a/src/include/shallotlever/wire/peer.h
+++ b/src/include/shallotlever/wire/peer.h
@@ -16,6 +16,9 @@
     Forward = 4,
     ForwardReply = 5,
     Hello = 6,
+    /// A control member that is not the controller answers a report with the leader's node id, as
+    /// plain text; empty if it knows none.
+    ControllerHint = 7,
 };
 
 /// Largest frame on a peer link, in bytes.
--- /dev/null
+++ b/src/node/control_group.cpp
@@ -0,0 +1,167 @@
+#include "control_group.h"
+
+#include "shallotlever/base/clock.h"
+#include "shallotlever/control/codec.h"
+
+namespace shallotlever {
+
+namespace {
+
+/// Entries between snapshots. Replaying this many takes well under a second at start.
+constexpr std::uint64_t kEntriesPerSnapshot = 512;
+
+} // namespace
+
+ControlGroup::ControlGroup(Callbacks callbacks)
+    : m_callbacks(std::move(callbacks))
+    , m_state(initialState())
+{
+}
+
+absl::StatusOr<std::unique_ptr<ControlGroup>> ControlGroup::open(const ControlGroupOptions &options,
+                                                                 Callbacks callbacks, TimePoint now)
+{
+    std::unique_ptr<ControlGroup> group(new ControlGroup(std::move(callbacks)));
+    const absl::Status status = group->start(options, now);
+    if (!status.ok())
+        return status;
+    return group;
+}
+
+absl::Status ControlGroup::start(const ControlGroupOptions &options, TimePoint now)
+{
+    auto directory = DataDirectory::open(options.dataDirectory);
+    if (!directory.ok())
+        return directory.status();
+    RecoveredState recovered = (*directory)->takeRecovered();
+    if (recovered.snapshot) {
+        absl::StatusOr<ReplicatedState> state = decodeState(recovered.snapshot->data);
+        if (!state.ok())
+            return state.status();
+        m_state = std::move(*state);
+    }
+    auto member = ControlMember::create(now, options.member, std::move(recovered));
+    if (!member.ok())
+        return member.status();
+    m_member = std::move(*member);
+    m_storage = StorageThread::create(std::move(*directory),
+                                      [this](std::uint64_t sequence, const absl::Status &status) {
+                                          QMetaObject::invokeMethod(
+                                              m_context.get(),
+                                              [this, sequence, status] {
+                                                  if (!status.ok()) {
+                                                      m_callbacks.failed(status);
+                                                      return;
+                                                  }
+                                                  const TimePoint then = monotonicNow();
+                                                  m_member->persisted(then, sequence);
+                                                  drain(then);
+                                              },
+                                              Qt::QueuedConnection);
+                                      });
+    drain(now);
+    return absl::OkStatus();
+}
+
+void ControlGroup::tick(TimePoint now)
+{
+    m_member->tick(now);
+    drain(now);
+}
+
+void ControlGroup::receive(const std::string &payload, TimePoint now)
+{
+    const absl::StatusOr<ControlMessage> message = decodeControlMessage(payload);
+    if (!message.ok())
+        return;
+    m_member->receive(now, *message);
+    drain(now);
+}
+
+void ControlGroup::propose(const Command &command, std::int64_t wallTimeMs,
+                           ProposalCallback callback, TimePoint now)
+{
+    const auto proposal = m_member->propose(now, encodeCommand({ command, wallTimeMs }));
+    if (!proposal.ok()) {
+        callback(proposal.status());
+        return;
+    }
+    m_pending.insert_or_assign(proposal->index, Pending { proposal->term, std::move(callback) });
+    drain(now);
+}
+
+bool ControlGroup::isController(TimePoint now) const
+{
+    return m_member->role() == ControlRole::Leader && m_member->holdsLease(now)
+        && m_lastAppliedTerm == m_member->term();
+}
+
+bool ControlGroup::transferLeadership(TimePoint now)
+{
+    const bool transferred = m_member->transferLeadership(now);
+    drain(now);
+    return transferred;
+}
+
+void ControlGroup::drain(TimePoint now)
+{
+    for (ControlReady ready = m_member->takeReady(now); !ready.empty();
+         ready = m_member->takeReady(now)) {
+        if (!ready.write.empty())
+            m_storage->submit(std::move(ready.write));
+        for (const ControlMessage &message : ready.messages)
+            m_callbacks.send(message.to.node, encodeControlMessage(message));
+        if (ready.restore) {
+            if (auto state = decodeState(ready.restore->data); state.ok())
+                m_state = std::move(*state);
+        }
+        for (const LogEntry &entry : ready.committed)
+            applyEntry(entry);
+    }
+    compactIfDue();
+}
+
+void ControlGroup::applyEntry(const LogEntry &entry)
+{
+    m_lastAppliedTerm = entry.term;
+    if (entry.kind != EntryKind::Data) {
+        answerProposal(entry, {});
+        return;
+    }
+    const absl::StatusOr<LoggedCommand> logged = decodeCommand(entry.data);
+    if (!logged.ok())
+        return;
+    const ChangeResult result =
+        applyCommand(m_state, logged->command, entry.index, logged->wallTimeMs);
+    answerProposal(entry, result);
+    m_callbacks.applied(logged->command, result, entry.index);
+}
+
+void ControlGroup::answerProposal(const LogEntry &entry, const ChangeResult &result)
+{
+    const auto pending = m_pending.find(entry.index);
+    if (pending == m_pending.end())
+        return;
+    const Pending proposal = std::move(pending->second);
+    m_pending.erase(pending);
+    if (proposal.term == entry.term)
+        proposal.callback(result);
+    else
+        proposal.callback(absl::AbortedError("another leader's entry took the place"));
+}
+
+void ControlGroup::compactIfDue()
+{
+    const LogIndex applied = m_member->appliedIndex();
+    if (applied.value() < m_member->snapshotIndex().value() + kEntriesPerSnapshot)
+        return;
+    if (m_member->compact(applied, encodeState(m_state)).ok()) {
+        ControlReady ready = m_member->takeReady(monotonicNow());
+        if (!ready.write.empty())
+            m_storage->submit(std::move(ready.write));
+        for (const ControlMessage &message : ready.messages)
+            m_callbacks.send(message.to.node, encodeControlMessage(message));
+    }
+}
+
+} // namespace shallotlever
--- /dev/null
+++ b/src/node/control_group.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+
+#include <QObject>
+
+#include "absl/status/statusor.h"
+#include "shallotlever/config/codec.h"
+#include "shallotlever/control/member.h"
+#include "shallotlever/storage/storage_thread.h"
+
+namespace shallotlever {
+
+struct ControlGroupOptions
+{
+    std::string dataDirectory;
+    ControlOptions member;
+};
+
+/// Shell around this VM's member of the control group: carries its messages, writes and committed
+/// commands. All functions run on the control thread.
+class ControlGroup
+{
+public:
+    struct Callbacks
+    {
+        std::function<void(const NodeId &to, std::string payload)> send;
+        /// A command has been applied to state().
+        std::function<void(const Command &, const ChangeResult &, LogIndex)> applied;
+        /// The disk failed; the member has stopped and the process has to end.
+        std::function<void(const absl::Status &)> failed;
+    };
+    /// The result, or an error if the proposal was lost to a change of leader.
+    using ProposalCallback = std::function<void(absl::StatusOr<ChangeResult>)>;
+
+    static absl::StatusOr<std::unique_ptr<ControlGroup>> open(const ControlGroupOptions &options,
+                                                              Callbacks callbacks, TimePoint now);
+
+    void tick(TimePoint now);
+    void receive(const std::string &payload, TimePoint now);
+    void propose(const Command &command, std::int64_t wallTimeMs, ProposalCallback callback,
+                 TimePoint now);
+
+    /// Leader with a lease and everything committed before its term applied: what it answers is
+    /// the newest state.
+    bool isController(TimePoint now) const;
+    const ReplicatedState &state() const { return m_state; }
+    const ControlMember &member() const { return *m_member; }
+    bool transferLeadership(TimePoint now);
+
+private:
+    struct Pending
+    {
+        ControlTerm term;
+        ProposalCallback callback;
+    };
+
+    explicit ControlGroup(Callbacks callbacks);
+    absl::Status start(const ControlGroupOptions &options, TimePoint now);
+    void drain(TimePoint now);
+    void applyEntry(const LogEntry &entry);
+    void answerProposal(const LogEntry &entry, const ChangeResult &result);
+    void compactIfDue();
+
+    Callbacks m_callbacks;
+    ReplicatedState m_state;
+    std::map<LogIndex, Pending> m_pending;
+    ControlTerm m_lastAppliedTerm;
+    std::unique_ptr<ControlMember> m_member;
+    /// Receiver of completions from the storage thread.
+    std::unique_ptr<QObject> m_context = std::make_unique<QObject>();
+    std::unique_ptr<StorageThread> m_storage;
+};
+
+} // namespace shallotlever
--- /dev/null
+++ b/src/node/controller_link.cpp
@@ -0,0 +1,39 @@
+#include "controller_link.h"
+
+#include <algorithm>
+
+namespace shallotlever {
+
+const NodeId &currentController(const ControllerLink &link)
+{
+    return link.members[link.current];
+}
+
+void noteControllerAnswer(ControllerLink &link, TimePoint now)
+{
+    link.heardAt = now;
+}
+
+void applyControllerHint(ControllerLink &link, const NodeId &from, const NodeId &leader,
+                         TimePoint now)
+{
+    // A late hint of a member that was given up says nothing about the current one.
+    if (from != currentController(link) || leader == from)
+        return;
+    const auto named = std::find(link.members.begin(), link.members.end(), leader);
+    if (named == link.members.end())
+        return;
+    link.current = static_cast<std::size_t>(named - link.members.begin());
+    link.heardAt = now;
+}
+
+bool advanceControllerLink(ControllerLink &link, TimePoint now)
+{
+    if (now < link.heardAt + kControllerSilence)
+        return false;
+    link.current = (link.current + 1) % link.members.size();
+    link.heardAt = now;
+    return true;
+}
+
+} // namespace shallotlever
--- /dev/null
+++ b/src/node/controller_link.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <optional>
+#include <vector>
+
+#include "shallotlever/base/ids.h"
+#include "shallotlever/base/time.h"
+
+/// Which control member a node takes for the controller. Sans-I/O.
+namespace shallotlever {
+
+/// A controller that has answered nothing for this long is given up for the next member.
+constexpr Duration kControllerSilence = 600ms;
+
+struct ControllerLink
+{
+    std::vector<NodeId> members;
+    std::size_t current = 0;
+    /// Last answer, or when the current member was chosen.
+    TimePoint heardAt;
+};
+
+const NodeId &currentController(const ControllerLink &link);
+
+/// The current member answered with a lease.
+void noteControllerAnswer(ControllerLink &link, TimePoint now);
+
+/// The current member named the leader; empty if it knows none.
+void applyControllerHint(ControllerLink &link, const NodeId &from, const NodeId &leader,
+                         TimePoint now);
+
+/// Moves on to the next member if the current one is silent. Returns true if it changed.
+bool advanceControllerLink(ControllerLink &link, TimePoint now);
+
+} // namespace shallotlever
--- /dev/null
+++ b/src/node/controller_shell.cpp
@@ -0,0 +1,240 @@
+#include "controller_shell.h"
+
+#include <QDateTime>
+
+#include "shallotlever/base/clock.h"
+#include "status_document.h"
+
+namespace shallotlever {
+
+namespace {
+
+/// Below the retry interval of a change of primary, so that an unanswered call does not hold up
+/// the next one.
+constexpr Duration kCallTimeout = 400ms;
+/// Longest time an operator waits for a change to be in force.
+constexpr Duration kInForceWait = 10s;
+
+std::int64_t millisecondsBetween(TimePoint from, TimePoint to)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(to - from).count();
+}
+
+} // namespace
+
+ControllerShell::ControllerShell(ControlGroup &group, const Logger &logger,
+                                 MetricsRegistry &metrics)
+    : m_group(group)
+    , m_logger(logger)
+    , m_primaryChanges(metrics.counter("shallotlever_primary_changes_total",
+                                       "Changes of primary completed by this controller."))
+    , m_writeGap(metrics.histogram("shallotlever_primary_change_seconds",
+                                   "Time from the last sign of the old primary to publication."))
+{
+}
+
+ControllerShell::~ControllerShell() = default;
+
+void ControllerShell::tick(const FleetLog &ownView, TimePoint now)
+{
+    const bool controls = m_group.isController(now);
+    const bool sameTerm = m_controller && m_controller->controlTerm == m_group.member().term();
+    if (m_controller && (!controls || !sameTerm))
+        leaveOffice();
+    if (controls && !m_controller)
+        takeOffice(ownView, now);
+    if (m_controller)
+        advance(now);
+}
+
+void ControllerShell::takeOffice(const FleetLog &ownView, TimePoint now)
+{
+    const ControlTerm term = m_group.member().term();
+    m_controller =
+        makeController(term, m_group.state(), ownView, QDateTime::currentMSecsSinceEpoch(), now);
+    m_logger.info("controller_elected", { { "control_term", term.value() } });
+}
+
+void ControllerShell::leaveOffice()
+{
+    m_logger.info("controller_stepped_down",
+                  { { "control_term", m_controller->controlTerm.value() } });
+    m_controller.reset();
+    m_links.clear();
+    for (const Waiter &waiter : std::exchange(m_waiters, {}))
+        waiter.callback(ChangeAnswer { waiter.result, false, {} });
+}
+
+void ControllerShell::advance(TimePoint now)
+{
+    ControllerActions actions = advanceController(*m_controller, m_group.state(), now);
+    m_pushDue |= actions.fleetChanged;
+    for (const StateChange &change : actions.upstreamStates) {
+        const char *state = !change.after               ? "forgotten"
+            : *change.after == UpstreamState::Live      ? "live"
+            : *change.after == UpstreamState::Suspected ? "suspected"
+                                                        : "leaving";
+        m_logger.info("upstream_state",
+                      { { "upstream", change.upstream.value() }, { "state", state } });
+    }
+    for (const PrimaryChanged &changed : actions.changes)
+        logChange(changed);
+    for (const UpstreamCall &upstreamCall : actions.calls)
+        call(upstreamCall, now);
+    for (const GroupDecision &decision : actions.proposals)
+        propose(decision, now);
+    answerWaiters(now);
+}
+
+UpstreamControl &ControllerShell::controlOf(const UpstreamCall &call)
+{
+    ControlLink &link = m_links[call.upstream];
+    if (!link.control.status || link.endpoint != call.endpoint) {
+        ConnectionParams params;
+        params.endpoint = call.endpoint;
+        params.user = std::string(kControlUser);
+        params.database = call.service.value();
+        link = { call.endpoint, makeUpstreamControl(params) };
+    }
+    return link.control;
+}
+
+void ControllerShell::call(const UpstreamCall &call, TimePoint now)
+{
+    const std::weak_ptr<bool> alive = m_alive;
+    const ControlTerm term = m_controller->controlTerm;
+    const StatusCallback callback = [this, alive, call, now,
+                                     term](absl::StatusOr<UpstreamStatus> status) {
+        if (alive.expired() || !m_controller || m_controller->controlTerm != term)
+            return;
+        const auto answer = status.ok() ? std::optional(*status) : std::nullopt;
+        onUpstreamAnswer(*m_controller, call, answer, now, monotonicNow());
+    };
+    UpstreamControl &control = controlOf(call);
+    switch (call.kind) {
+    case CallKind::Status:
+        control.status(kCallTimeout, callback);
+        break;
+    case CallKind::Fence:
+        control.fence(call.term, kCallTimeout, callback);
+        break;
+    case CallKind::Promote:
+        control.promote(call.term, kCallTimeout, callback);
+        break;
+    }
+}
+
+void ControllerShell::propose(const GroupDecision &decision, TimePoint now)
+{
+    m_group.propose(
+        Command(decision), QDateTime::currentMSecsSinceEpoch(),
+        [](const absl::StatusOr<ChangeResult> &) {}, now);
+}
+
+void ControllerShell::logChange(const PrimaryChanged &changed) const
+{
+    const ChangeTimes &times = changed.change.times;
+    m_primaryChanges.increment();
+    m_writeGap.observe(times.published - times.lastSeen);
+    m_logger.info("primary_changed",
+                  { { "service", changed.service.value() },
+                    { "primary", changed.change.primary.value() },
+                    { "term", changed.change.term.value() },
+                    { "reason", changeReasonName(changed.change.reason) },
+                    { "attempts", changed.change.attempts },
+                    { "detection_ms", millisecondsBetween(times.lastSeen, times.detected) },
+                    { "reservation_ms", millisecondsBetween(times.detected, times.reserved) },
+                    { "fence_ms", millisecondsBetween(times.reserved, times.fenced) },
+                    { "promotion_ms", millisecondsBetween(times.fenced, times.promoted) },
+                    { "confirmation_ms", millisecondsBetween(times.promoted, times.confirmed) },
+                    { "publication_ms", millisecondsBetween(times.confirmed, times.published) } });
+}
+
+std::optional<NodeLease> ControllerShell::answerReport(const NodeReport &report, TimePoint now)
+{
+    if (!m_controller || !m_group.isController(now))
+        return std::nullopt;
+    return onNodeReport(*m_controller, report, now);
+}
+
+void ControllerShell::onApplied(const Command &command, const ChangeResult &result, LogIndex index,
+                                TimePoint now)
+{
+    if (!m_controller)
+        return;
+    onCommandApplied(*m_controller, m_group.state(), command, result, index, now);
+    m_pushDue = true;
+}
+
+void ControllerShell::forward(const OperatorRequest &request, ForwardCallback callback,
+                              TimePoint now)
+{
+    if (!m_controller) {
+        callback(Error { ErrorKind::NoController, {}, std::nullopt });
+        return;
+    }
+    if (const auto *change = std::get_if<ChangeRequest>(&request)) {
+        proposeChange(*change, std::move(callback), now);
+    } else if (const auto *drain = std::get_if<DrainRequest>(&request)) {
+        setDrained(m_controller->registry, drain->upstream.value_or(UpstreamId()), true);
+        callback(DoneAnswer {});
+    } else if (std::holds_alternative<StatusRequest>(request)) {
+        callback(DocumentAnswer { statusDocument(m_group, *m_controller, now) });
+    } else {
+        callback(DocumentAnswer { explainDocument(m_group.state()) });
+    }
+}
+
+void ControllerShell::proposeChange(const ChangeRequest &request, ForwardCallback callback,
+                                    TimePoint now)
+{
+    const bool wait = request.wait;
+    m_group.propose(
+        Command(request.change), QDateTime::currentMSecsSinceEpoch(),
+        [this, wait, callback](const absl::StatusOr<ChangeResult> &result) {
+            const TimePoint decidedAt = monotonicNow();
+            if (!result.ok()) {
+                // The entry may still be committed by the next leader; a resend tells.
+                callback(Error { ErrorKind::OutcomeUnknown,
+                                 "the controller changed; send the "
+                                 "change again with the same id",
+                                 std::nullopt });
+                return;
+            }
+            if (wait && result->outcome == ChangeOutcome::Accepted)
+                m_waiters.push_back({ *result, decidedAt + kInForceWait, callback });
+            else
+                callback(answerOf(*result, decidedAt));
+        },
+        now);
+}
+
+ChangeAnswer ControllerShell::answerOf(const ChangeResult &result, TimePoint now) const
+{
+    ChangeAnswer answer;
+    answer.result = result;
+    if (!m_controller)
+        return answer;
+    const InForce inForce = configInForce(m_controller->leases, result.version, now);
+    answer.inForce = result.outcome == ChangeOutcome::Accepted && inForce.inForce;
+    answer.outstanding = inForce.outstanding;
+    return answer;
+}
+
+void ControllerShell::answerWaiters(TimePoint now)
+{
+    std::erase_if(m_waiters, [&](const Waiter &waiter) {
+        const ChangeAnswer answer = answerOf(waiter.result, now);
+        if (!answer.inForce && now < waiter.deadline)
+            return false;
+        waiter.callback(answer);
+        return true;
+    });
+}
+
+bool ControllerShell::takePushDue()
+{
+    return std::exchange(m_pushDue, false);
+}
+
+} // namespace shallotlever
--- /dev/null
+++ b/src/node/controller_shell.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+
+#include "control_group.h"
+#include "forward.h"
+#include "shallotlever/controller/controller.h"
+#include "shallotlever/telemetry/log.h"
+#include "shallotlever/telemetry/metrics.h"
+#include "shallotlever/upstream/control.h"
+
+namespace shallotlever {
+
+/// Runs the controller's decisions on the leader of the control group: calls upstreams, proposes
+/// decisions, answers reports and operators. Control thread only.
+class ControllerShell
+{
+public:
+    using ForwardCallback = std::function<void(OperatorReply)>;
+
+    /// `group` and `logger` must outlive the shell.
+    ControllerShell(ControlGroup &group, const Logger &logger, MetricsRegistry &metrics);
+    ~ControllerShell();
+
+    /// Takes or leaves office as the lease demands, and advances the decisions. `ownView` is the
+    /// fleet log of this node.
+    void tick(const FleetLog &ownView, TimePoint now);
+
+    bool inOffice() const { return m_controller.has_value(); }
+    /// nullopt if the report must not be answered.
+    std::optional<NodeLease> answerReport(const NodeReport &report, TimePoint now);
+    void onApplied(const Command &command, const ChangeResult &result, LogIndex index,
+                   TimePoint now);
+    void forward(const OperatorRequest &request, ForwardCallback callback, TimePoint now);
+    /// True once after the fleet view or the configuration changed.
+    bool takePushDue();
+
+private:
+    struct Waiter
+    {
+        ChangeResult result;
+        TimePoint deadline;
+        ForwardCallback callback;
+    };
+    struct ControlLink
+    {
+        Endpoint endpoint;
+        UpstreamControl control;
+    };
+
+    void takeOffice(const FleetLog &ownView, TimePoint now);
+    void leaveOffice();
+    void advance(TimePoint now);
+    void call(const UpstreamCall &call, TimePoint now);
+    UpstreamControl &controlOf(const UpstreamCall &call);
+    void propose(const GroupDecision &decision, TimePoint now);
+    void logChange(const PrimaryChanged &changed) const;
+    void proposeChange(const ChangeRequest &request, ForwardCallback callback, TimePoint now);
+    void answerWaiters(TimePoint now);
+    ChangeAnswer answerOf(const ChangeResult &result, TimePoint now) const;
+
+    ControlGroup &m_group;
+    const Logger &m_logger;
+    Counter &m_primaryChanges;
+    LatencyHistogram &m_writeGap;
+    std::optional<ControllerState> m_controller;
+    std::map<UpstreamId, ControlLink> m_links;
+    std::vector<Waiter> m_waiters;
+    bool m_pushDue = false;
+    /// Cancels answers of upstreams that arrive after this object is gone.
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace shallotlever
--- /dev/null
+++ b/src/node/forward.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "absl/status/statusor.h"
+#include "shallotlever/edge/messages.h"
+
+/// Operator requests on their way to the controller.
+namespace shallotlever {
+
+using OperatorRequest = std::variant<ChangeRequest, StatusRequest, ExplainRequest, DrainRequest>;
+using OperatorReply = std::variant<Error, ChangeAnswer, DocumentAnswer, DoneAnswer>;
+
+std::string encodeOperatorRequest(const OperatorRequest &request);
+absl::StatusOr<OperatorRequest> decodeOperatorRequest(std::string_view bytes);
+
+std::string encodeOperatorReply(const OperatorReply &reply);
+absl::StatusOr<OperatorReply> decodeOperatorReply(std::string_view bytes);
+
+} // namespace shallotlever
--- /dev/null
+++ b/src/node/node_control.cpp
@@ -0,0 +1,238 @@
+// Reports, leases and operators' requests: the node's side of the control protocol.
+
+#include <algorithm>
+
+#include "node_impl.h"
+#include "shallotlever/base/clock.h"
+
+namespace shallotlever {
+
+namespace {
+
+constexpr Duration kReportInterval = 500ms;
+constexpr Duration kForwardTimeout = 12s;
+
+} // namespace
+
+void Node::Impl::tick()
+{
+    const TimePoint now = monotonicNow();
+    if (m_controlGroup) {
+        m_controlGroup->tick(now);
+        m_controller->tick(m_view.fleet, now);
+    }
+    const bool pushed = m_controller && m_controller->takePushDue();
+    if (now >= m_nextReport || pushed || earlyReportDue(now))
+        sendReport(now);
+    advanceControllerLink(m_controllerLink, now);
+    expireForwarded(now);
+    const bool fresh = isFresh(m_view.freshness, now);
+    if (fresh != m_fresh) {
+        m_fresh = fresh;
+        m_logger.info(fresh ? "lease_gained" : "lease_lost", {});
+        publishServiceViews();
+    }
+    continueDrain();
+}
+
+bool Node::Impl::earlyReportDue(TimePoint now)
+{
+    if (now < m_lastReportSent + kEarlyReportInterval)
+        return false;
+    return std::any_of(m_buckets.begin(), m_buckets.end(),
+                       [](const auto &entry) { return entry.second->wantsEarlyReport(); });
+}
+
+void Node::Impl::sendReport(TimePoint now)
+{
+    m_nextReport = now + kReportInterval;
+    m_lastReportSent = now;
+    const NodeReport report = makeNodeReport(m_view, reportInput(now), now);
+    const NodeId &controller = currentController(m_controllerLink);
+    if (controller == m_settings.nodeId)
+        answerReport(report, controller, 0, now);
+    else
+        m_transport->send(controller, MessageType::NodeReport, report.number,
+                          encodeNodeReport(report));
+    for (const auto &[service, host] : m_hosts)
+        host->requestReport();
+}
+
+ReportInput Node::Impl::reportInput(TimePoint now)
+{
+    ReportInput input;
+    for (const auto &[id, heard] : std::exchange(m_announcements, {}))
+        input.announcements.push_back({ heard.first, now - heard.second });
+    for (const auto &[service, host] : m_hosts) {
+        const ServiceReport report = host->lastReport();
+        input.reachable.insert(report.reachable.begin(), report.reachable.end());
+        input.slots.insert(input.slots.end(), report.demand.begin(), report.demand.end());
+    }
+    for (const auto &[team, bucket] : m_buckets)
+        input.teams.push_back(bucket->takeDemand(team, now));
+    return input;
+}
+
+void Node::Impl::onPeerMessage(const PeerMessage &message)
+{
+    const TimePoint now = monotonicNow();
+    switch (message.type) {
+    case MessageType::Control:
+        if (m_controlGroup)
+            m_controlGroup->receive(message.payload, now);
+        break;
+    case MessageType::NodeReport:
+        onReport(message, now);
+        break;
+    case MessageType::NodeLease:
+        onLease(message.payload, now);
+        break;
+    case MessageType::Forward:
+        onForward(message, now);
+        break;
+    case MessageType::ForwardReply:
+        onForwardReply(message.requestId, message.payload);
+        break;
+    case MessageType::ControllerHint:
+        applyControllerHint(m_controllerLink, message.sender, NodeId(message.payload), now);
+        break;
+    case MessageType::Hello:
+        break;
+    }
+}
+
+void Node::Impl::onReport(const PeerMessage &message, TimePoint now)
+{
+    const absl::StatusOr<NodeReport> report = decodeNodeReport(message.payload);
+    if (report.ok() && report->node == message.sender
+        && report->incarnation == message.senderIncarnation)
+        answerReport(*report, message.sender, message.requestId, now);
+}
+
+void Node::Impl::answerReport(const NodeReport &report, const NodeId &to, std::uint64_t requestId,
+                              TimePoint now)
+{
+    const bool local = to == m_settings.nodeId;
+    if (m_controller && m_controller->inOffice()) {
+        const std::optional<NodeLease> lease = m_controller->answerReport(report, now);
+        if (lease && local)
+            applyLease(*lease, now);
+        else if (lease)
+            m_transport->send(to, MessageType::NodeLease, requestId, encodeNodeLease(*lease));
+        return;
+    }
+    const std::optional<Member> leader =
+        m_controlGroup ? m_controlGroup->member().leader() : std::nullopt;
+    const NodeId named = leader ? leader->node : NodeId();
+    if (local)
+        applyControllerHint(m_controllerLink, to, named, now);
+    else
+        m_transport->send(to, MessageType::ControllerHint, requestId, named.value());
+}
+
+void Node::Impl::onLease(const std::string &payload, TimePoint now)
+{
+    const absl::StatusOr<NodeLease> lease = decodeNodeLease(payload);
+    if (lease.ok())
+        applyLease(*lease, now);
+}
+
+void Node::Impl::onForward(const PeerMessage &message, TimePoint now)
+{
+    const NodeId sender = message.sender;
+    const std::uint64_t id = message.requestId;
+    const auto reply = [this, sender, id](const OperatorReply &answer) {
+        m_transport->send(sender, MessageType::ForwardReply, id, encodeOperatorReply(answer));
+    };
+    const absl::StatusOr<OperatorRequest> request = decodeOperatorRequest(message.payload);
+    if (!request.ok())
+        reply(Error { ErrorKind::MalformedRequest, {}, std::nullopt });
+    else if (!m_controller)
+        reply(Error { ErrorKind::NoController, {}, std::nullopt });
+    else
+        m_controller->forward(*request, reply, now);
+}
+
+void Node::Impl::onForwardReply(std::uint64_t requestId, const std::string &payload)
+{
+    const auto entry = m_forwarded.find(requestId);
+    if (entry == m_forwarded.end())
+        return;
+    const Forwarded forwarded = std::move(entry->second);
+    m_forwarded.erase(entry);
+    const absl::StatusOr<OperatorReply> reply = decodeOperatorReply(payload);
+    if (!reply.ok()) {
+        forwarded.respond(Error { ErrorKind::Internal, {}, std::nullopt });
+        return;
+    }
+    std::visit([&](const auto &answer) { forwarded.respond(answer); }, *reply);
+}
+
+void Node::Impl::expireForwarded(TimePoint now)
+{
+    std::erase_if(m_forwarded, [now](const auto &entry) {
+        if (now < entry.second.deadline)
+            return false;
+        const ErrorKind kind =
+            entry.second.changes ? ErrorKind::OutcomeUnknown : ErrorKind::NoController;
+        entry.second.respond(Error {
+            kind, "the controller did not answer; send it again with the same id", std::nullopt });
+        return true;
+    });
+}
+
+void Node::Impl::handleControl(EdgeRequest request, EdgeResponder respond)
+{
+    const TimePoint now = monotonicNow();
+    if (const auto *announcement = std::get_if<AnnounceRequest>(&request)) {
+        announce(*announcement, respond);
+    } else if (auto *change = std::get_if<ChangeRequest>(&request)) {
+        forwardRequest(std::move(*change), std::move(respond), now);
+    } else if (const auto *drain = std::get_if<DrainRequest>(&request)) {
+        if (drain->upstream) {
+            forwardRequest(*drain, std::move(respond), now);
+            return;
+        }
+        respond(DoneAnswer {});
+        shutDown();
+    } else if (std::holds_alternative<StatusRequest>(request)) {
+        forwardRequest(StatusRequest {}, std::move(respond), now);
+    } else {
+        forwardRequest(ExplainRequest {}, std::move(respond), now);
+    }
+}
+
+void Node::Impl::announce(const AnnounceRequest &request, const EdgeResponder &respond)
+{
+    m_announcements.insert_or_assign(request.announcement.upstream,
+                                     std::pair(request.announcement, monotonicNow()));
+    // A leaving upstream must not wait for the next report to lose its work.
+    if (request.announcement.leaving)
+        m_nextReport = TimePoint();
+    respond(DoneAnswer {});
+}
+
+void Node::Impl::forwardRequest(const OperatorRequest &request, EdgeResponder respond,
+                                TimePoint now)
+{
+    if (m_controller && m_controller->inOffice()) {
+        m_controller->forward(
+            request,
+            [respond](const OperatorReply &reply) {
+                std::visit([&](const auto &answer) { respond(answer); }, reply);
+            },
+            now);
+        return;
+    }
+    const std::uint64_t id = ++m_lastRequest;
+    if (!m_transport->send(currentController(m_controllerLink), MessageType::Forward, id,
+                           encodeOperatorRequest(request))) {
+        respond(Error { ErrorKind::NoController, {}, std::nullopt });
+        return;
+    }
+    m_forwarded.emplace(id,
+                        Forwarded { std::move(respond), now + kForwardTimeout,
+                                    std::holds_alternative<ChangeRequest>(request) });
+}
+
+} // namespace shallotlever
--- /dev/null
+++ b/src/node/node_drain.cpp
@@ -0,0 +1,89 @@
+// Graceful stop of a node.
+
+#include <QCoreApplication>
+
+#include "node_impl.h"
+#include "shallotlever/base/clock.h"
+
+namespace shallotlever {
+
+namespace {
+
+/// Status if the drain limit ended open work.
+constexpr int kExitDrainLimit = 3;
+constexpr std::chrono::milliseconds kIdleConnectionQuiet { 100 };
+
+} // namespace
+
+void Node::Impl::shutDown()
+{
+    if (m_drainPhase != DrainPhase::None) {
+        m_logger.warning("stop_forced", {});
+        finish(kExitDrainLimit);
+        return;
+    }
+    m_logger.info("drain_started", {});
+    m_shared.draining = true;
+    m_drainPhase = DrainPhase::Notice;
+    m_drainStarted = monotonicNow();
+}
+
+void Node::Impl::continueDrain()
+{
+    const Duration elapsed = monotonicNow() - m_drainStarted;
+    switch (m_drainPhase) {
+    case DrainPhase::None:
+        return;
+    case DrainPhase::Notice:
+        // Nothing is refused while the balancer still sends new connections here.
+        if (elapsed < m_settings.drainNotice)
+            return;
+        m_listener->startDrain();
+        for (const auto &[service, host] : m_hosts)
+            host->startDrain();
+        m_drainPhase = DrainPhase::Transactions;
+        return;
+    case DrainPhase::Transactions:
+        if (openTransactions() > 0 && elapsed < m_settings.drainNotice + m_settings.drainLimit)
+            return;
+        m_listener->stopAccepting();
+        m_drainPhase = DrainPhase::Requests;
+        return;
+    case DrainPhase::Requests:
+        m_listener->closeIdleConnections(kIdleConnectionQuiet);
+        if (m_listener->requestsInFlight() > 0 || m_listener->openConnections() > 0) {
+            if (elapsed < m_settings.drainNotice + m_settings.drainLimit)
+                return;
+            m_logger.warning("drain_limit_reached",
+                             { { "requests", m_listener->requestsInFlight() },
+                               { "transactions", openTransactions() } });
+            finish(kExitDrainLimit);
+            return;
+        }
+        if (m_controlGroup)
+            m_controlGroup->transferLeadership(monotonicNow());
+        m_logger.info("drain_finished", {});
+        finish(0);
+        return;
+    case DrainPhase::Finished:
+        return;
+    }
+}
+
+std::uint32_t Node::Impl::openTransactions() const
+{
+    std::uint32_t open = 0;
+    for (const auto &[service, host] : m_hosts) {
+        host->requestReport();
+        open += host->lastReport().openTransactions;
+    }
+    return open;
+}
+
+void Node::Impl::finish(int status)
+{
+    m_drainPhase = DrainPhase::Finished;
+    QCoreApplication::exit(status);
+}
+
+} // namespace shallotlever
--- /dev/null
+++ b/src/node/node_impl.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <vector>
+
+#include <QObject>
+#include <QThread>
+#include <QTimer>
+
+#include "control_group.h"
+#include "controller_link.h"
+#include "controller_shell.h"
+#include "forward.h"
+#include "node_view.h"
+#include "request_path.h"
+#include "service_host.h"
+#include "shallotlever/edge/listener.h"
+#include "shallotlever/node/node.h"
+#include "shallotlever/wire/peer_transport.h"
+
+namespace shallotlever {
+
+/// Control thread of a node: reports to the controller, applies its leases, and publishes what the
+/// edge and executor threads need.
+class Node::Impl
+{
+public:
+    explicit Impl(const NodeSettings &settings);
+    ~Impl();
+
+    absl::Status start();
+    void shutDown();
+
+private:
+    enum class DrainPhase {
+        None,
+        /// /readyz fails, everything else goes on.
+        Notice,
+        /// New transactions are refused; open ones may finish.
+        Transactions,
+        /// The listener is closed; requests that have begun may finish.
+        Requests,
+        Finished,
+    };
+
+    /// An operator's request that waits for the controller.
+    struct Forwarded
+    {
+        EdgeResponder respond;
+        TimePoint deadline;
+        /// A change may have been accepted although no answer came.
+        bool changes = false;
+    };
+
+    // Start.
+    absl::Status readSecrets();
+    absl::Status startTransport();
+    absl::Status startControlGroup();
+    absl::Status startListener();
+
+    // Periodic work.
+    void tick();
+    void sendReport(TimePoint now);
+    bool earlyReportDue(TimePoint now);
+    ReportInput reportInput(TimePoint now);
+    void expireForwarded(TimePoint now);
+
+    // Messages.
+    void onPeerMessage(const PeerMessage &message);
+    void onReport(const PeerMessage &message, TimePoint now);
+    void answerReport(const NodeReport &report, const NodeId &to, std::uint64_t requestId,
+                      TimePoint now);
+    void onLease(const std::string &payload, TimePoint now);
+    void onForward(const PeerMessage &message, TimePoint now);
+    void onForwardReply(std::uint64_t requestId, const std::string &payload);
+
+    // Requests of operators and upstreams.
+    void handleControl(EdgeRequest request, EdgeResponder respond);
+    void announce(const AnnounceRequest &request, const EdgeResponder &respond);
+    void forwardRequest(const OperatorRequest &request, EdgeResponder respond, TimePoint now);
+
+    // Publication.
+    void applyLease(const NodeLease &lease, TimePoint now);
+    void publishSnapshot();
+    void publishServiceViews();
+    void applyRateShares(TimePoint sharesUntil, TimePoint now);
+    std::shared_ptr<ServiceHost> serviceHost(const ServiceId &service);
+    TeamEntry teamEntry(const TeamConfig &team);
+
+    // Stop.
+    void continueDrain();
+    std::uint32_t openTransactions() const;
+    void finish(int status);
+
+    NodeSettings m_settings;
+    Logger m_logger;
+    MetricsRegistry m_registry;
+    NodeMetrics m_metrics { m_registry };
+    Incarnation m_incarnation;
+    NodeView m_view;
+    NodeShared m_shared;
+    ControllerLink m_controllerLink;
+    std::map<TeamId, std::shared_ptr<TokenBucket>> m_buckets;
+    std::map<ServiceId, std::shared_ptr<ServiceHost>> m_hosts;
+    std::vector<std::unique_ptr<QThread>> m_executorThreads;
+    /// Latest announcement of each upstream that this node heard since its last report.
+    std::map<UpstreamId, std::pair<Announcement, TimePoint>> m_announcements;
+    std::map<std::uint64_t, Forwarded> m_forwarded;
+    std::uint64_t m_lastRequest = 0;
+    TimePoint m_nextReport;
+    TimePoint m_lastReportSent;
+    bool m_fresh = false;
+    TimePoint m_drainStarted;
+    DrainPhase m_drainPhase = DrainPhase::None;
+    /// Receiver of timers and queued calls from other threads.
+    std::unique_ptr<QObject> m_context = std::make_unique<QObject>();
+    QTimer m_timer;
+    std::unique_ptr<ControlGroup> m_controlGroup;
+    std::unique_ptr<ControllerShell> m_controller;
+    std::unique_ptr<PeerTransport> m_transport;
+    std::unique_ptr<EdgeListener> m_listener;
+};
+
+} // namespace shallotlever
--- /dev/null
+++ b/src/node/node_publish.cpp
@@ -0,0 +1,104 @@
+// What the control thread publishes to edge and executor threads.
+
+#include <functional>
+
+#include "node_impl.h"
+#include "shallotlever/base/clock.h"
+
+namespace shallotlever {
+
+void Node::Impl::applyLease(const NodeLease &lease, TimePoint now)
+{
+    const LeaseResult result = applyNodeLease(m_view, lease, now);
+    if (result.verdict != LeaseVerdict::Applied) {
+        m_registry
+            .counter("shallotlever_leases_refused_total", "Leases that could not be applied.",
+                     { { "verdict", std::to_string(static_cast<int>(result.verdict)) } })
+            .increment();
+        return;
+    }
+    noteControllerAnswer(m_controllerLink, now);
+    m_shared.freshUntilUs.store(m_view.freshness.leaseUntil.time_since_epoch().count(),
+                                std::memory_order_release);
+    if (result.configChanged) {
+        publishSnapshot();
+        m_logger.info("config_applied", { { "version", m_view.freshness.appliedConfig.value() } });
+    }
+    applyRateShares(result.sharesUntil, now);
+    publishServiceViews();
+    // The controller counts a change as in force once this node confirms it.
+    if (result.configChanged || result.fleetChanged)
+        m_nextReport = TimePoint();
+}
+
+void Node::Impl::applyRateShares(TimePoint sharesUntil, TimePoint now)
+{
+    for (const RateShare &share : m_view.rates) {
+        const auto bucket = m_buckets.find(share.team);
+        if (bucket != m_buckets.end() && bucket->second->applyShare(share, sharesUntil, now))
+            m_nextReport = TimePoint();
+    }
+}
+
+void Node::Impl::publishSnapshot()
+{
+    const ClusterConfig &config = m_view.replicated.cluster.config;
+    auto snapshot = std::make_unique<NodeSnapshot>();
+    snapshot->version = config.version;
+    snapshot->keys = config.keys;
+    snapshot->routes = config.routes;
+    for (const auto &[id, team] : config.teams)
+        snapshot->teams.emplace(id, teamEntry(team));
+    for (const auto &[id, service] : config.services)
+        snapshot->services.emplace(id, serviceHost(id));
+    const auto preset = config.presets.find(config.activePreset);
+    if (preset != config.presets.end())
+        snapshot->policy = preset->second.policy;
+    m_shared.snapshot.publish(std::move(snapshot));
+}
+
+TeamEntry Node::Impl::teamEntry(const TeamConfig &team)
+{
+    std::shared_ptr<TokenBucket> &bucket = m_buckets[team.id];
+    if (!bucket)
+        bucket = std::make_shared<TokenBucket>();
+    return { team, bucket, m_metrics.team(team.id) };
+}
+
+std::shared_ptr<ServiceHost> Node::Impl::serviceHost(const ServiceId &service)
+{
+    std::shared_ptr<ServiceHost> &host = m_hosts[service];
+    if (host)
+        return host;
+    ServiceExecutorOptions options;
+    options.service = service;
+    options.node = m_settings.nodeId;
+    options.dataCentre = m_settings.dataCentre;
+    options.secret = m_shared.secrets.session;
+    options.seed = m_incarnation.value() + m_hosts.size();
+    const std::size_t thread = std::hash<ServiceId> {}(service) % m_executorThreads.size();
+    host = std::make_shared<ServiceHost>(options, m_metrics, *m_executorThreads[thread]);
+    return host;
+}
+
+void Node::Impl::publishServiceViews()
+{
+    const ClusterConfig &config = m_view.replicated.cluster.config;
+    const auto preset = config.presets.find(config.activePreset);
+    for (const auto &[service, host] : m_hosts) {
+        ServiceView view;
+        const auto group = m_view.fleet.state.view.groups.find(service);
+        if (group != m_view.fleet.state.view.groups.end())
+            view.group = group->second;
+        if (preset != config.presets.end())
+            view.policy = preset->second.policy;
+        for (const SlotShare &share : m_view.slots) {
+            if (view.group.upstreams.contains(share.upstream))
+                view.connectionShares[share.upstream] = share.connections;
+        }
+        view.freshUntil = m_view.freshness.leaseUntil;
+        host->applyView(std::move(view));
+    }
+}
+
+} // namespace shallotlever
--- /dev/null
+++ b/src/node/node_start.cpp
@@ -0,0 +1,202 @@
+#include <fstream>
+#include <sstream>
+
+#include <QDateTime>
+
+#include "absl/strings/ascii.h"
+#include "node_impl.h"
+#include "shallotlever/base/clock.h"
+
+namespace shallotlever {
+
+namespace {
+
+constexpr std::chrono::milliseconds kControlTick { 10 };
+
+absl::StatusOr<std::string> readText(const std::filesystem::path &path)
+{
+    std::ifstream file(path, std::ios::binary);
+    std::ostringstream content;
+    content << file.rdbuf();
+    if (!file)
+        return absl::NotFoundError("cannot read " + path.string());
+    return content.str();
+}
+
+Endpoint endpointOf(const SocketAddress &address)
+{
+    return { address.ip, address.port };
+}
+
+LogLevel levelOf(const NodeSettings &settings)
+{
+    return logLevelFromName(settings.logLevel).value_or(LogLevel::Info);
+}
+
+} // namespace
+
+Node::Impl::Impl(const NodeSettings &settings)
+    : m_settings(settings)
+    , m_logger(settings.nodeId, levelOf(settings))
+    , m_incarnation(static_cast<std::uint64_t>(QDateTime::currentMSecsSinceEpoch()))
+    , m_view(makeNodeView(settings.nodeId, m_incarnation))
+    , m_shared(std::make_unique<NodeSnapshot>())
+{
+    for (const ControlPeer &member : settings.controlMembers)
+        m_controllerLink.members.push_back(member.id);
+    m_controllerLink.heardAt = monotonicNow();
+}
+
+Node::Impl::~Impl()
+{
+    // The listener goes first, so that no request reaches an executor that is being destroyed.
+    m_listener.reset();
+    m_hosts.clear();
+    m_shared.snapshot.publish(std::make_unique<NodeSnapshot>());
+    for (const std::unique_ptr<QThread> &thread : m_executorThreads) {
+        thread->quit();
+        thread->wait();
+    }
+}
+
+absl::Status Node::Impl::start()
+{
+    for (int i = 0; i < m_settings.executorThreads; ++i) {
+        m_executorThreads.push_back(std::make_unique<QThread>());
+        m_executorThreads.back()->start();
+    }
+    for (const auto step : { &Impl::readSecrets, &Impl::startTransport, &Impl::startControlGroup,
+                             &Impl::startListener }) {
+        const absl::Status status = (this->*step)();
+        if (!status.ok())
+            return status;
+    }
+    publishSnapshot();
+    QObject::connect(&m_timer, &QTimer::timeout, m_context.get(), [this] { tick(); });
+    m_timer.setTimerType(Qt::PreciseTimer);
+    m_timer.start(kControlTick);
+    m_logger.info("node_started",
+                  { { "data_centre", m_settings.dataCentre.value() },
+                    { "http_port", m_listener->port() },
+                    { "peer_port", m_transport->port() },
+                    { "control_member", m_settings.control } });
+    return absl::OkStatus();
+}
+
+absl::Status Node::Impl::readSecrets()
+{
+    absl::StatusOr<std::string> session = readText(m_settings.sessionSecretFile);
+    if (!session.ok())
+        return session.status();
+    m_shared.secrets.session = { std::move(*session) };
+    if (!m_settings.operatorKeyFile)
+        return absl::OkStatus();
+    const absl::StatusOr<std::string> key = readText(*m_settings.operatorKeyFile);
+    if (!key.ok())
+        return key.status();
+    m_shared.secrets.operatorKey = hashSecret(std::string(absl::StripAsciiWhitespace(*key)));
+    return absl::OkStatus();
+}
+
+absl::Status Node::Impl::startTransport()
+{
+    PeerTransportOptions options;
+    options.self = m_settings.nodeId;
+    options.incarnation = m_incarnation;
+    options.listen = endpointOf(m_settings.peerListen);
+    for (const ControlPeer &member : m_settings.controlMembers)
+        options.peers.emplace(member.id, endpointOf(member.address));
+    if (m_settings.peerTls) {
+        options.tls = PeerTlsFiles { m_settings.peerTls->certificate, m_settings.peerTls->key,
+                                     m_settings.peerTls->authority };
+    }
+    auto transport = PeerTransport::create(
+        std::move(options), [this](const PeerMessage &message) { onPeerMessage(message); });
+    if (!transport.ok())
+        return transport.status();
+    m_transport = std::move(*transport);
+    return absl::OkStatus();
+}
+
+absl::Status Node::Impl::startControlGroup()
+{
+    if (!m_settings.control)
+        return absl::OkStatus();
+    ControlGroupOptions options;
+    options.dataDirectory = m_settings.dataDir->string();
+    options.member.node = m_settings.nodeId;
+    options.member.peers = m_controllerLink.members;
+    options.member.seed = m_incarnation.value();
+    ControlGroup::Callbacks callbacks;
+    callbacks.send = [this](const NodeId &to, std::string payload) {
+        m_transport->send(to, MessageType::Control, 0, std::move(payload));
+    };
+    callbacks.applied = [this](const Command &command, const ChangeResult &result, LogIndex index) {
+        if (m_controller)
+            m_controller->onApplied(command, result, index, monotonicNow());
+    };
+    callbacks.failed = [this](const absl::Status &status) {
+        m_logger.error("storage_failed", { { "error", std::string(status.message()) } });
+        finish(1);
+    };
+    auto group = ControlGroup::open(options, std::move(callbacks), monotonicNow());
+    if (!group.ok())
+        return group.status();
+    m_controlGroup = std::move(*group);
+    m_controller = std::make_unique<ControllerShell>(*m_controlGroup, m_logger, m_registry);
+    return absl::OkStatus();
+}
+
+absl::Status Node::Impl::startListener()
+{
+    EdgeOptions options;
+    options.listenIp = m_settings.listen.ip;
+    options.port = m_settings.listen.port;
+    options.threads = m_settings.edgeThreads;
+    options.limits = { m_settings.maxHeaderBytes, m_settings.maxBodyBytes,
+                       m_settings.requestTimeout, m_settings.maxConnections };
+    if (m_settings.httpTls)
+        options.tls = EdgeTlsFiles { m_settings.httpTls->certificate, m_settings.httpTls->key };
+    EdgeCallbacks callbacks;
+    callbacks.handler =
+        makeRequestHandler(m_shared, [this](EdgeRequest request, EdgeResponder respond) {
+            QMetaObject::invokeMethod(
+                m_context.get(),
+                [this, request = std::move(request), respond = std::move(respond)] {
+                    handleControl(request, respond);
+                },
+                Qt::QueuedConnection);
+        });
+    callbacks.ready = [this] {
+        const std::int64_t now = monotonicNow().time_since_epoch().count();
+        return !m_shared.draining && now < m_shared.freshUntilUs;
+    };
+    auto listener = EdgeListener::create(options, std::move(callbacks), m_metrics, m_logger);
+    if (!listener.ok())
+        return listener.status();
+    m_listener = std::move(*listener);
+    return absl::OkStatus();
+}
+
+Node::Node(std::unique_ptr<Impl> impl)
+    : m_impl(std::move(impl))
+{
+}
+
+Node::~Node() = default;
+
+absl::StatusOr<std::unique_ptr<Node>> Node::create(const NodeSettings &settings)
+{
+    auto impl = std::make_unique<Impl>(settings);
+    const absl::Status status = impl->start();
+    if (!status.ok())
+        return status;
+    return std::unique_ptr<Node>(new Node(std::move(impl)));
+}
+
+void Node::shutDown()
+{
+    m_impl->shutDown();
+}
+
+} // namespace shallotlever
--- /dev/null
+++ b/src/node/node_view.cpp
@@ -0,0 +1,129 @@
+#include "node_view.h"
+
+#include "shallotlever/config/codec.h"
+
+namespace shallotlever {
+
+namespace {
+
+std::vector<Observation> observationDifferences(const std::map<UpstreamId, bool> &before,
+                                                const std::map<UpstreamId, bool> &after)
+{
+    std::vector<Observation> differences;
+    for (const auto &[upstream, reachable] : after) {
+        const auto old = before.find(upstream);
+        if (old == before.end() || old->second != reachable)
+            differences.push_back({ upstream, reachable, false });
+    }
+    for (const auto &[upstream, reachable] : before) {
+        if (!after.contains(upstream))
+            differences.push_back({ upstream, reachable, true });
+    }
+    return differences;
+}
+
+/// Applies one encoded change; false if it does not follow from the version that the node has.
+bool applyConfigChange(NodeView &view, const std::string &bytes)
+{
+    const absl::StatusOr<LoggedCommand> command = decodeCommand(bytes);
+    if (!command.ok())
+        return false;
+    const ConfigVersion expected = view.replicated.cluster.config.version.next();
+    const ChangeResult result =
+        applyCommand(view.replicated, command->command, view.replicated.cluster.index.next(),
+                     command->wallTimeMs);
+    return result.outcome == ChangeOutcome::Accepted && result.version == expected;
+}
+
+bool applyFullConfig(NodeView &view, const std::string &bytes)
+{
+    absl::StatusOr<ClusterConfig> config = decodeConfig(bytes);
+    if (!config.ok())
+        return false;
+    // The history of change ids belongs to the old state.
+    view.replicated = initialState();
+    view.replicated.cluster.config = std::move(*config);
+    return true;
+}
+
+bool applyConfigUpdate(NodeView &view, const ConfigUpdate &update)
+{
+    if (update.full) {
+        if (!applyFullConfig(view, *update.full))
+            return false;
+        resetConfigLog(view.configLog, update.to, *update.full);
+    }
+    ConfigVersion version = update.full ? update.to : update.from;
+    for (const std::string &change : update.changes) {
+        version = version.next();
+        // The changes may begin before the version that the node has reached meanwhile.
+        if (version <= view.replicated.cluster.config.version)
+            continue;
+        if (!applyConfigChange(view, change))
+            return false;
+        appendConfigChange(view.configLog, change, encodeConfig(view.replicated.cluster.config));
+    }
+    return view.replicated.cluster.config.version == update.to;
+}
+
+} // namespace
+
+NodeView makeNodeView(const NodeId &node, Incarnation incarnation)
+{
+    NodeView view;
+    view.node = node;
+    view.freshness.incarnation = incarnation;
+    view.replicated = initialState();
+    return view;
+}
+
+NodeReport makeNodeReport(NodeView &view, ReportInput input, TimePoint now)
+{
+    NodeReport report;
+    report.node = view.node;
+    report.incarnation = view.freshness.incarnation;
+    report.number = noteReportSent(view.freshness, now);
+    report.appliedConfig = view.freshness.appliedConfig;
+    report.appliedFleet = view.freshness.appliedFleet;
+    report.appliedShares = view.freshness.appliedShares;
+    report.announcements = std::move(input.announcements);
+    report.teams = std::move(input.teams);
+    report.slots = std::move(input.slots);
+    if (view.allObservationsWanted)
+        view.reportedObservations.clear();
+    else
+        report.observationsBase = report.number - 1;
+    report.observations = observationDifferences(view.reportedObservations, input.reachable);
+    view.reportedObservations = std::move(input.reachable);
+    view.allObservationsWanted = false;
+    return report;
+}
+
+LeaseResult applyNodeLease(NodeView &view, const NodeLease &lease, TimePoint now)
+{
+    LeaseResult result;
+    const ConfigVersion configBefore = view.freshness.appliedConfig;
+    const FleetVersion fleetBefore = view.freshness.appliedFleet;
+    result.verdict = acceptLease(view.freshness, lease, now);
+    if (result.verdict != LeaseVerdict::Applied)
+        return result;
+    view.allObservationsWanted = lease.wantsAllObservations;
+    result.configChanged = lease.config.full || view.freshness.appliedConfig != configBefore;
+    if (result.configChanged && !applyConfigUpdate(view, lease.config)) {
+        // Version 0 is asked for in full. The lease ends, because the configuration that it
+        // vouches for is not in force here.
+        view.freshness.appliedConfig = ConfigVersion();
+        view.freshness.leaseUntil = now;
+        result.configChanged = false;
+    }
+    result.fleetChanged = lease.fleet.full || view.freshness.appliedFleet != fleetBefore;
+    applyFleetUpdate(view.fleet, lease.fleet);
+    if (!lease.sharesUnchanged) {
+        view.rates = lease.rates;
+        view.slots = lease.slots;
+    }
+    result.sharesUntil = view.freshness.sentAt.at(lease.report) + kShareLease;
+    return result;
+}
+
+} // namespace shallotlever
