Fuzz the isolation of single followers

Without a pre-vote a returning follower raises the term and deposes a live leader. The general oracle does not see that, since safety holds, so a run with cut links as the only fault checks that the term never changes.

--- a/src/control/repair.cpp
+++ b/src/control/repair.cpp
@@ -75,13 +75,14 @@
 std::optional<Member> ControlMember::Impl::findNewcomer(TimePoint now) const
 {
     const Membership &membership = m_log.membership();
-    for (const auto &[node, newcomer] : m_newcomers) {
+    for (const auto &item : m_newcomers) {
+        const Newcomer &newcomer = item.second;
         if (now - newcomer.heardAt >= kHelloValidity || isVoter(newcomer.member)
             || membership.learner == newcomer.member)
             continue;
         const auto former =
             std::find_if(membership.voters.begin(), membership.voters.end(),
-                         [&node](const Member &voter) { return voter.node == node; });
+                         [&](const Member &v) { return v.node == newcomer.member.node; });
         // Two processes under one node id must not replace each other in turns.
         if (former == membership.voters.end() || isSilent(now, *former, kMaxElectionTimeout))
             return newcomer.member;
--- a/testsuite/control_fuzz/main.cpp
+++ b/testsuite/control_fuzz/main.cpp
@@ -12,6 +12,7 @@
 
 Usage:
   control_fuzz [--seed=N] [--runs=N] [--steps=N] [--members=N] [--fault=NAME]
+               [--isolation]
 
 Options:
   --seed=N     First seed [default: 1].
@@ -20,6 +21,8 @@
   --members=N  Members of the group [default: 3].
   --fault=NAME Broken variant that must be detected in one of the runs:
                ack-before-sync, vote-after-disk-loss, no-pre-vote, lease-without-quorum.
+  --isolation  The only faults are cut links of one follower at a time; the term must not
+               change then.
 )";
 
 using shallotlever::fuzz::Simulation;
@@ -69,6 +72,7 @@
     options.seed = static_cast<std::uint64_t>(args.at("--seed").asLong());
     options.steps = static_cast<std::uint64_t>(args.at("--steps").asLong());
     options.members = static_cast<std::size_t>(args.at("--members").asLong());
+    options.isolationOnly = args.at("--isolation").asBool();
     const bool expectViolation = args.at("--fault").isString();
     if (expectViolation && !setFault(options, args.at("--fault").asString())) {
         fmt::print(stderr, "unknown fault\n");
--- a/testsuite/control_fuzz/simulation.cpp
+++ b/testsuite/control_fuzz/simulation.cpp
@@ -48,6 +48,7 @@
     }
     for (Node &node : m_nodes)
         start(node);
+    m_faulty = !options.isolationOnly;
 }
 
 TimePoint Simulation::clockOf(const Node &node) const
@@ -146,6 +147,24 @@
     m_cutUntil = m_now + upTo(chance(4) ? 60s : 5s);
 }
 
+/// Cuts one or both directions between a follower and all others, or only the leader.
+void Simulation::isolateFollower()
+{
+    const std::size_t victim = anyNode();
+    const auto &member = m_nodes[victim].member;
+    if (!member || !member->leader() || member->role() == ControlRole::Leader)
+        return;
+    const std::uint64_t directions = 1 + uniformBelow(m_random, 3);
+    const bool leaderOnly = chance(3);
+    for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+        if (leaderOnly && m_nodes[i].id != member->leader()->node)
+            continue;
+        m_cut[victim][i] = (directions & 1U) != 0;
+        m_cut[i][victim] = (directions & 2U) != 0;
+    }
+    m_cutUntil = m_now + upTo(30s);
+}
+
 void Simulation::heal()
 {
     for (auto &row : m_cut)
@@ -156,6 +175,8 @@
 {
     if (m_cutUntil <= m_now)
         heal();
+    if (m_options.isolationOnly && chance(300) && m_cutUntil <= m_now)
+        isolateFollower();
     if (!m_faulty)
         return;
     Node &node = m_nodes[anyNode()];
@@ -278,7 +299,8 @@
         (void)node.member->compact(node.member->appliedIndex(), encodeState(node.state));
         drain(node);
     }
-    if (chance(1'000) && node.member->transferLeadership(clockOf(node))) {
+    if (!m_options.isolationOnly && chance(1'000)
+        && node.member->transferLeadership(clockOf(node))) {
         ++m_report.transfers;
         drain(node);
     }
@@ -294,6 +316,10 @@
             m_oracle.leads(node.member->self(), node.member->term());
         if (node.member->holdsLease(clockOf(node)))
             m_oracle.holdsLease(node.member->self());
+        if (m_options.isolationOnly && node.member->holdsLease(clockOf(node)))
+            m_settledTerm = m_settledTerm.value_or(node.member->term());
+        if (m_settledTerm && node.member->term() > *m_settledTerm)
+            throw Violation(fmt::format("{} disturbed the group", node.id.value()));
         m_report.terms = std::max(m_report.terms, node.member->term().value());
     }
 }
--- a/testsuite/control_fuzz/simulation.h
+++ b/testsuite/control_fuzz/simulation.h
@@ -20,6 +20,8 @@
     ControlFaults faults;
     /// Broken variant: a member that lost its disk starts under its former identity.
     bool keepIdentity = false;
+    /// The only faults are cut links of one follower at a time. The term must not change then.
+    bool isolationOnly = false;
 };
 
 struct SimulationReport
@@ -84,6 +86,7 @@
     void step();
     void injectFaults();
     void cutLinks();
+    void isolateFollower();
     void heal();
     void crash(Node &node);
     void loseDisk(Node &node);
@@ -112,6 +115,7 @@
     bool m_faulty = true;
     /// No more proposals.
     bool m_idle = false;
+    std::optional<ControlTerm> m_settledTerm;
     std::uint64_t m_nextIdentity = 1;
     std::uint64_t m_nextChange = 1;
     Oracle m_oracle;
