Test the upstream library against the stand-in database

The tests start the stand-in as a child process and inject lost, late and truncated answers, kills, fences and partitions. testsuite/support starts, kills and reaps programs for this and later tests. A cut between databases also drops the answer to a waiting request; without that a replica received one more entry after the cut.

--- a/testsuite/standin_db/replication.cpp
+++ b/testsuite/standin_db/replication.cpp
@@ -120,7 +120,9 @@
             ? pullAnswer(storage, request)
             : statusAnswer(storage.status());
         faults.waitWhileFrozen();
-        if (!socket.sendAll(toLine(answer)))
+        // A cut also stops the answer to a request that has been waiting for new entries.
+        if (faults.isCut(request["from"].toString().toStdString(), Direction::In)
+            || !socket.sendAll(toLine(answer)))
             return;
     }
 }
@@ -198,7 +200,7 @@
                               { "after", text(own.position) },
                               { "after_term", text(own.term) } });
     // A fenced primary serves no stream of its lower term.
-    if (!answer || !(*answer)["serves"].toBool())
+    if (!answer || m_faults.isCut(peer, Direction::Out) || !(*answer)["serves"].toBool())
         return false;
     m_faults.waitWhileFrozen();
     const std::uint64_t term = number((*answer)["term"]);
--- /dev/null
+++ b/testsuite/support/program.cpp
@@ -0,0 +1,60 @@
+#include "program.h"
+
+#include <QDeadlineTimer>
+#include <QJsonDocument>
+#include <QStringList>
+#include <stdexcept>
+
+#include "event_loop.h"
+
+namespace shallotlever::support {
+
+namespace {
+
+constexpr int kPatienceMs = std::chrono::milliseconds(kPatience).count();
+
+} // namespace
+
+Program::Program(const std::string &path, const std::vector<std::string> &arguments)
+{
+    ensureApplication();
+    QStringList list;
+    for (const std::string &argument : arguments)
+        list.append(QString::fromStdString(argument));
+    m_process.setProcessChannelMode(QProcess::ForwardedErrorChannel);
+    m_process.start(QString::fromStdString(path), list);
+    const QDeadlineTimer deadline(kPatience);
+    while (!m_process.canReadLine()) {
+        if (deadline.hasExpired() || !m_process.waitForReadyRead(kPatienceMs))
+            throw std::runtime_error("no ready line from " + path);
+    }
+    m_ready = QJsonDocument::fromJson(m_process.readLine()).object();
+}
+
+Program::~Program()
+{
+    kill();
+}
+
+std::uint16_t Program::port(const char *field) const
+{
+    return static_cast<std::uint16_t>(m_ready[QLatin1String(field)].toInt());
+}
+
+void Program::kill()
+{
+    if (m_process.state() == QProcess::NotRunning)
+        return;
+    m_process.kill();
+    m_process.waitForFinished(kPatienceMs);
+}
+
+int Program::terminate()
+{
+    m_process.terminate();
+    // The event loop runs meanwhile: the program may talk to a server inside the test.
+    const bool ended = spinUntil([this] { return m_process.state() == QProcess::NotRunning; });
+    return ended && m_process.exitStatus() == QProcess::NormalExit ? m_process.exitCode() : -1;
+}
+
+} // namespace shallotlever::support
