Bound timer intervals and test the fence under load

A timeout longer than a QTimer interval wrapped round and never fired. The new tests check that no commit follows the answer to a fence while writers are busy, and that a writer that waits for another one ends with a serialization failure. The usage text of the stand-in lists its fault commands.

--- a/src/upstream/connection.cpp
+++ b/src/upstream/connection.cpp
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "environment.h"
+#include "timer.h"
 
 namespace shallotlever {
 
@@ -109,11 +110,6 @@
     return status == PGRES_COPY_IN || status == PGRES_COPY_OUT || status == PGRES_COPY_BOTH;
 }
 
-std::chrono::milliseconds toTimerInterval(Duration duration)
-{
-    return std::max(std::chrono::ceil<std::chrono::milliseconds>(duration), 0ms);
-}
-
 } // namespace
 
 class UpstreamConnection::State : public std::enable_shared_from_this<State>
@@ -209,7 +205,7 @@
         connection, [](void *, const char *) {}, nullptr);
     state->m_timer.setSingleShot(true);
     QObject::connect(&state->m_timer, &QTimer::timeout, [raw = state.get()] { raw->onTimeout(); });
-    state->m_timer.start(toTimerInterval(params.connectTimeout));
+    state->m_timer.start(timerInterval(params.connectTimeout));
     state->watchSocket();
     state->m_readNotifier->setEnabled(false);
     state->m_writeNotifier->setEnabled(true);
@@ -352,7 +348,7 @@
     }
     m_phase = Phase::Running;
     m_onReply = std::move(callback);
-    m_timer.start(toTimerInterval(timeout));
+    m_timer.start(timerInterval(timeout));
     m_writeNotifier->setEnabled(PQflush(m_connection.get()) != 0);
 }
 
--- a/src/upstream/control.cpp
+++ b/src/upstream/control.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "shallotlever/base/clock.h"
+#include "timer.h"
 
 namespace shallotlever {
 
@@ -85,8 +86,7 @@
     const std::uint64_t id = ++m_nextId;
     m_calls.push_back(
         { id, std::move(sql), std::move(params), monotonicNow() + timeout, std::move(callback) });
-    QTimer::singleShot(std::chrono::ceil<std::chrono::milliseconds>(timeout), &m_context,
-                       [this, id] { expire(id); });
+    QTimer::singleShot(timerInterval(timeout), &m_context, [this, id] { expire(id); });
     scheduleStart();
 }
 
--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "shallotlever/base/clock.h"
+#include "timer.h"
 
 namespace shallotlever {
 
@@ -17,11 +18,6 @@
 
 using ConnectionPtr = std::unique_ptr<UpstreamConnection>;
 
-std::chrono::milliseconds untilTime(TimePoint when)
-{
-    return std::max(std::chrono::ceil<std::chrono::milliseconds>(when - monotonicNow()), 0ms);
-}
-
 } // namespace
 
 class PoolCore : public std::enable_shared_from_this<PoolCore>
@@ -301,7 +297,7 @@
     if (inBackoff())
         consider(m_nextAttempt);
     if (next)
-        m_timer.start(untilTime(*next));
+        m_timer.start(timerInterval(*next - monotonicNow()));
     else
         m_timer.stop();
 }
--- a/testsuite/standin_db/main.cpp
+++ b/testsuite/standin_db/main.cpp
@@ -40,6 +40,20 @@
   --statement-time-ms=N      Simulated service time of a statement [default: 0].
   --announce=URLS            Entry VMs, http://IP:PORT,... [default: ].
   --credential-file=FILE     File with the credential of announcements [default: ].
+
+Prints one JSON line with port and control_port when it is ready. Each line sent to the control
+port is a command, answered by one line:
+  freeze | unfreeze               accept, answer, announce and replicate nothing
+  cut IDS [in|out|both]           in: requests from these peers get no answer;
+  heal IDS [in|out|both]          out: no requests are sent to them
+  cut-clients | heal-clients      clients get no answers; nothing is announced
+  refuse on|off                   close new client connections at once
+  drop-after N                    close the next answered connection after N bytes of the answer
+  drop-before-answer [PREFIX]     close instead of answering the next statement that starts so
+  replication-delay MS | statement-time MS | leaving on|off
+  peers id=host:port,...          replace the list of peers
+  stats                           counters as JSON
+Sessions of user shallotlever_control are exempt from the connection limit and from dropped answers.
 )";
 
 using Arguments = std::map<std::string, docopt::value>;
--- a/testsuite/upstream/connection_test.cpp
+++ b/testsuite/upstream/connection_test.cpp
@@ -114,6 +114,17 @@
     EXPECT_EQ(countSeats(), "1");
 }
 
+// Guards against a writer that waits for ever for another one.
+TEST_F(Connection, WriterThatWaitsTooLongGetsASerializationFailure)
+{
+    mustQuery(*m_connection, "BEGIN");
+    mustQuery(*m_connection, "INSERT INTO seats VALUES (1, 'x')");
+    const auto second = openConnection(m_database.params());
+    EXPECT_EQ(errorOf(query(*second, "INSERT INTO seats VALUES (2, 'y')")).sqlState, "40001");
+    EXPECT_TRUE(wasCommitted(mustQuery(*m_connection, "COMMIT")));
+    EXPECT_EQ(mustQuery(*second, "INSERT INTO seats VALUES (2, 'y')").affectedRows, 1U);
+}
+
 // Guards against a lost answer that is reported as not run, which would let it be repeated.
 TEST_F(Connection, DropBeforeAnswerLeavesTheFateUnknown)
 {
--- a/testsuite/upstream/group_test.cpp
+++ b/testsuite/upstream/group_test.cpp
@@ -1,5 +1,8 @@
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <array>
+
 #include "event_loop.h"
 #include "standin.h"
 
@@ -68,6 +71,51 @@
     EXPECT_TRUE(rows("a").empty());
 }
 
+/// Inserts rows on one connection until an insert is refused.
+struct Writer
+{
+    std::unique_ptr<UpstreamConnection> connection;
+    int nextValue = 0;
+    int committed = 0;
+    std::string refusal;
+
+    void insert()
+    {
+        const std::vector<SqlValue> params { std::to_string(nextValue++) };
+        connection->execute("INSERT INTO t VALUES ($1)", params, 20s, [this](const auto &reply) {
+            refusal = sqlStateOf(reply);
+            if (!refusal.empty())
+                return;
+            ++committed;
+            insert();
+        });
+    }
+};
+
+// Guards against a commit that slips past the fence while writers are busy.
+TEST_F(Group, NoCommitFollowsTheAnswerToTheFence)
+{
+    constexpr int kWriters = 4;
+    std::array<Writer, kWriters> writers;
+    for (int i = 0; i < kWriters; ++i) {
+        writers[i].connection = connect("a");
+        writers[i].nextValue = i * 1000000;
+        writers[i].insert();
+    }
+    ASSERT_TRUE(spinUntil([&] { return writers[0].committed > 20; }));
+    const auto fenced = fence(m_group["a"], 2);
+    ASSERT_TRUE(fenced.ok());
+    for (Writer &writer : writers) {
+        EXPECT_TRUE(spinUntil([&] { return !writer.refusal.empty(); }));
+        EXPECT_THAT(writer.refusal, testing::AnyOf("57P04", "40001"));
+    }
+    EXPECT_EQ(*statusOf(m_group["a"]), *fenced);
+    std::uint64_t committed = 0;
+    for (const Writer &writer : writers)
+        committed += static_cast<std::uint64_t>(writer.committed);
+    EXPECT_EQ(fenced->point, point(1, 2 + committed));
+}
+
 // Guards against a fence that a restart forgets.
 TEST_F(Group, FenceSurvivesAKill)
 {
@@ -113,7 +161,8 @@
     m_group["a"].kill();
     ASSERT_TRUE(fence(m_group["b"], 2).ok());
     ASSERT_TRUE(fence(m_group["c"], 2).ok());
-    EXPECT_GT(statusOf(m_group["b"])->point, statusOf(m_group["c"])->point);
+    EXPECT_EQ(statusOf(m_group["b"])->point, point(1, 3));
+    EXPECT_EQ(statusOf(m_group["c"])->point, point(1, 2));
     EXPECT_EQ(promote(m_group["b"], 2)->point, point(2, 4));
     m_group["c"].command("heal a,b");
     insert("b", 2);
