--- a/src/fleet/voting_set.cpp
+++ b/src/fleet/voting_set.cpp
@@ -119,6 +119,14 @@
         progress.barrier = primary->status.point.position;
 }
 
+std::optional<GroupDecision> repeatOutstanding(VotingSetProgress &progress, TimePoint now)
+{
+    if (now < progress.proposedAt + kDecisionRetry)
+        return std::nullopt;
+    progress.proposedAt = now;
+    return progress.outstanding;
+}
+
 /// Announced primaries with the highest term.
 std::vector<const Announcement *> announcedPrimaries(const VotingSetInput &input)
 {
@@ -143,16 +151,17 @@
                                                    const VotingSetInput &input, TimePoint now)
 {
     const GroupState &group = input.group;
-    if (!group.primary || input.primaryChanging || group.reservedTerm != group.term) {
-        progress = {};
+    if (!group.primary || input.primaryChanging || group.reservedTerm != group.term)
         return std::nullopt;
-    }
     if (progress.term != group.term || progress.votingSet != group.votingSet)
         progress = { .term = group.term,
                      .votingSet = group.votingSet,
                      .barrier = std::nullopt,
-                     .proposalUntil = std::nullopt };
-    if (!input.viewInForceAt || (progress.proposalUntil && now < *progress.proposalUntil))
+                     .outstanding = std::nullopt,
+                     .proposedAt = now };
+    if (progress.outstanding)
+        return repeatOutstanding(progress, now);
+    if (!input.viewInForceAt)
         return std::nullopt;
     setBarrier(progress, input);
     if (!progress.barrier)
@@ -160,8 +169,8 @@
     auto decision = joinDecision(progress, input, now);
     if (!decision)
         decision = leaveDecision(progress, input, now);
-    if (decision)
-        progress.proposalUntil = now + kDecisionRetry;
+    progress.outstanding = decision;
+    progress.proposedAt = now;
     return decision;
 }
 
--- a/src/include/shallotlever/fleet/voting_set.h
+++ b/src/include/shallotlever/fleet/voting_set.h
@@ -37,8 +37,10 @@
     std::set<UpstreamId> votingSet;
     /// Position of the primary, asked after the view was in force.
     std::optional<LogPosition> barrier;
-    /// A decision is proposed but not yet applied; repeated after proposalUntil.
-    std::optional<TimePoint> proposalUntil;
+    /// Proposed but not yet applied. It is repeated until the set or term changes, and no other
+    /// decision is proposed meanwhile, as both might be committed.
+    std::optional<GroupDecision> outstanding;
+    TimePoint proposedAt;
 };
 
 struct VotingSetInput
