--- a/src/control/member.cpp
+++ b/src/control/member.cpp
@@ -5,7 +5,7 @@
 namespace shallotlever {
 namespace {
 
-/// Proposals beyond this many bytes that are not yet committed are refused.
+/// Proposals are refused while this many entries wait to be committed.
 constexpr std::size_t kMaxUncommittedEntries = 65'536;
 /// Entries handed out by one takeReady(), so that applying them does not delay heartbeats.
 constexpr std::uint64_t kMaxCommittedPerReady = 4'096;
--- /dev/null
+++ b/src/control/member_test.cpp
@@ -0,0 +1,149 @@
+#include "shallotlever/control/member.h"
+
+#include <map>
+#include <set>
+
+#include <gtest/gtest.h>
+
+namespace shallotlever {
+namespace {
+
+/// Three members with instant disks and an instant network whose links can be cut.
+class Trio : public testing::Test
+{
+protected:
+    Trio()
+    {
+        for (const char *name : { "a", "b", "c" })
+            start(name, m_members.size() + 1);
+        runFor(5s);
+    }
+
+    void start(const std::string &name, std::uint64_t identity)
+    {
+        ControlOptions options;
+        options.node = NodeId(name);
+        options.peers = { NodeId("a"), NodeId("b"), NodeId("c") };
+        options.seed = identity;
+        RecoveredState recovered;
+        recovered.identity = MemberIdentity(identity);
+        m_members[name] = *ControlMember::create(m_now, options, recovered);
+    }
+
+    void drain(const std::string &name)
+    {
+        ControlMember &member = *m_members.at(name);
+        for (ControlReady r = member.takeReady(m_now); !r.empty(); r = member.takeReady(m_now)) {
+            m_applied[name] += r.committed.size();
+            if (!r.write.empty())
+                member.persisted(m_now, r.write.sequence);
+            for (const ControlMessage &message : r.messages) {
+                if (!m_cut.contains({ name, message.to.node.value() }))
+                    m_network.push_back(message);
+            }
+        }
+    }
+
+    void runFor(Duration duration)
+    {
+        for (const TimePoint end = m_now + duration; m_now < end; m_now += 10ms) {
+            for (auto &[name, member] : m_members) {
+                member->tick(m_now);
+                drain(name);
+            }
+            for (const ControlMessage &message : std::exchange(m_network, {})) {
+                const std::string &to = message.to.node.value();
+                if (m_members.contains(to)) {
+                    m_members.at(to)->receive(m_now, message);
+                    drain(to);
+                }
+            }
+        }
+    }
+
+    std::string leader() const
+    {
+        for (const auto &[name, member] : m_members) {
+            if (member->holdsLease(m_now))
+                return name;
+        }
+        return "";
+    }
+
+    TimePoint m_now { 1h };
+    std::map<std::string, std::unique_ptr<ControlMember>> m_members;
+    std::map<std::string, std::size_t> m_applied;
+    std::set<std::pair<std::string, std::string>> m_cut;
+    std::vector<ControlMessage> m_network;
+};
+
+// Guards against a group that never gets its first configuration.
+TEST_F(Trio, FoundsAGroupAndCommits)
+{
+    ASSERT_NE(leader(), "");
+    const std::string name = leader();
+    EXPECT_EQ(m_members.at(name)->membership().voters.size(), 3U);
+    EXPECT_TRUE(m_members.at(name)->propose(m_now, "command").ok());
+    runFor(1s);
+    EXPECT_EQ(m_applied["a"], m_applied[name]);
+    EXPECT_EQ(m_members.at("a")->commitIndex(), m_members.at(name)->lastIndex());
+}
+
+// Guards against a leader that stays in office although it hears nobody: followers that still
+// receive its heartbeats would never elect another one.
+TEST_F(Trio, LeaderThatHearsNobodyStepsDown)
+{
+    const std::string former = leader();
+    for (const auto &[name, member] : m_members)
+        m_cut.insert({ name, former });
+    runFor(1s);
+    EXPECT_FALSE(m_members.at(former)->holdsLease(m_now));
+    runFor(3s);
+    EXPECT_NE(leader(), "");
+    EXPECT_NE(leader(), former);
+}
+
+// Guards against a planned stop that costs an election timeout, and against a former leader that
+// keeps its lease.
+TEST_F(Trio, TransferMovesTheLeaseAtOnce)
+{
+    const std::string former = leader();
+    EXPECT_TRUE(m_members.at(former)->transferLeadership(m_now));
+    EXPECT_FALSE(m_members.at(former)->holdsLease(m_now));
+    runFor(kMinElectionTimeout / 2);
+    EXPECT_NE(leader(), "");
+    EXPECT_NE(leader(), former);
+}
+
+// Guards against a lost disk that needs an operator, and a former identity that still counts.
+TEST_F(Trio, LostDiskIsRepairedUnderTheNewIdentity)
+{
+    const std::string lost = leader() == "b" ? "c" : "b";
+    m_members.erase(lost);
+    runFor(2s);
+    start(lost, 99);
+    runFor(10s);
+    const Membership &membership = m_members.at(leader())->membership();
+    EXPECT_EQ(membership.voters.size(), 3U);
+    EXPECT_FALSE(membership.learner);
+    EXPECT_TRUE(std::count(membership.voters.begin(), membership.voters.end(),
+                           Member { NodeId(lost), MemberIdentity(99) }));
+    EXPECT_EQ(m_members.at(lost)->commitIndex(), m_members.at(leader())->commitIndex());
+}
+
+// Guards against two processes under one node id that replace each other: a member that answers is
+// not replaced.
+TEST_F(Trio, LivingMemberIsNotReplaced)
+{
+    const std::string follower = leader() == "b" ? "c" : "b";
+    ControlMessage hello;
+    hello.from = { NodeId(follower), MemberIdentity(99) };
+    hello.to = { NodeId(leader()), MemberIdentity() };
+    hello.body = HelloMessage { true };
+    m_members.at(leader())->receive(m_now, hello);
+    runFor(500ms);
+    EXPECT_FALSE(m_members.at(leader())->membership().learner);
+}
+
+} // namespace
+} // namespace shallotlever
