--- a/src/storage/data_directory_test.cpp
+++ b/src/storage/data_directory_test.cpp
@@ -4,11 +4,13 @@
 #include <filesystem>
 #include <fstream>
 #include <future>
+#include <set>
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 #include <unistd.h>
 
+#include "shallotlever/base/random.h"
 #include "shallotlever/config/codec.h"
 #include "shallotlever/storage/storage_thread.h"
 
@@ -207,6 +209,88 @@
     EXPECT_EQ(reopen().entries.size(), 200U);
 }
 
+/// What the directory has to hold, in memory.
+struct Model
+{
+    HardState hardState;
+    ControlSnapshotPtr snapshot;
+    std::vector<LogEntry> entries;
+
+    LogIndex last() const
+    {
+        const LogIndex covered = snapshot ? snapshot->index : LogIndex();
+        return entries.empty() ? covered : entries.back().index;
+    }
+    void apply(const DurableWrite &write)
+    {
+        if (write.hardState)
+            hardState = *write.hardState;
+        if (write.resetLog)
+            entries.clear();
+        if (write.snapshot)
+            snapshot = write.snapshot;
+        const LogIndex covered = snapshot ? snapshot->index : LogIndex();
+        const LogIndex first = write.entries.empty() ? LogIndex(~0ULL) : write.entries[0].index;
+        std::erase_if(entries, [&](const LogEntry &e) { return e.index >= first; });
+        entries.insert(entries.end(), write.entries.begin(), write.entries.end());
+        std::erase_if(entries, [&](const LogEntry &e) { return e.index <= covered; });
+    }
+};
+
+DurableWrite randomWrite(Random &random, const Model &model, std::uint64_t term)
+{
+    const std::uint64_t last = model.last().value();
+    const std::uint64_t covered = model.snapshot ? model.snapshot->index.value() : 0;
+    const std::uint64_t kind = uniformBelow(random, 10);
+    if (kind == 0)
+        return snapshotAt(last + 1 + uniformBelow(random, 5), term, true);
+    if (kind == 1 && last > covered)
+        return snapshotAt(covered + 1 + uniformBelow(random, last - covered), term, false);
+    const std::uint64_t first = covered + 1 + uniformBelow(random, last - covered + 1);
+    DurableWrite write = entries(first, first + uniformBelow(random, 4), term);
+    if (kind < 5)
+        write.hardState = HardState { ControlTerm(term), std::nullopt };
+    return write;
+}
+
+// Guards against any order of truncations, snapshots, new segments, torn records and restarts
+// after which the directory holds something else than was written.
+TEST_F(StorageTest, AgreesWithAModel)
+{
+    Random random(11);
+    Model model;
+    for (std::uint64_t step = 1; step <= 400; ++step) {
+        const Model before = model;
+        std::vector<DurableWrite> group;
+        for (std::uint64_t n = 1 + uniformBelow(random, 3); n > 0; --n) {
+            group.push_back(randomWrite(random, model, step));
+            model.apply(group.back());
+        }
+        ASSERT_TRUE(m_directory->write(group).ok());
+        if (uniformBelow(random, 4) != 0)
+            continue;
+        const bool tear = before.snapshot == model.snapshot && uniformBelow(random, 2) == 0;
+        m_directory.reset();
+        if (tear) {
+            std::set<std::string> names;
+            for (const auto &item : fs::directory_iterator(m_path))
+                names.insert(item.path().string());
+            const std::string last = *std::prev(names.lower_bound(m_path + "/m"));
+            fs::resize_file(last, fs::file_size(last) - 1);
+            model = before;
+        }
+        const RecoveredState state = reopen({ .segmentBytes = 300 });
+        ASSERT_EQ(state.hardState, model.hardState) << step;
+        ASSERT_EQ(bool(state.snapshot), bool(model.snapshot)) << step;
+        Model recovered { state.hardState, state.snapshot, state.entries };
+        recovered.apply({});
+        ASSERT_EQ(recovered.entries, model.entries) << step;
+        if (model.snapshot) {
+            ASSERT_EQ(*state.snapshot, *model.snapshot) << step;
+        }
+    }
+}
+
 struct RecoveryCase
 {
     std::uint64_t changes;
