Let the fuzz test lose several disks at a time

Any loss that leaves a majority of the committed configuration with its disks must be survived, also while an earlier one is being repaired.

--- a/testsuite/control_fuzz/simulation.cpp
+++ b/testsuite/control_fuzz/simulation.cpp
@@ -97,28 +97,49 @@
     ++m_report.crashes;
 }
 
-/// A lost disk is survivable once the former ones are repaired: the committed configuration names
-/// exactly the identities that exist.
+const ControlMember *Simulation::leaseHolder() const
+{
+    const auto found = std::find_if(m_nodes.begin(), m_nodes.end(), [this](const Node &n) {
+        return runs(n) && n.member->holdsLease(clockOf(n));
+    });
+    return found == m_nodes.end() ? nullptr : found->member.get();
+}
+
+bool Simulation::isCurrent(const Member &voter) const
+{
+    return std::any_of(m_nodes.begin(), m_nodes.end(), [&](const Node &n) {
+        return voter == Member { n.id, n.disk.state.identity };
+    });
+}
+
 bool Simulation::groupIsRepaired() const
 {
-    for (const Node &node : m_nodes) {
-        if (!runs(node) || !node.member->holdsLease(clockOf(node)))
-            continue;
-        const Membership &membership = node.member->membership();
-        if (membership.learner || membership.voters.size() != m_nodes.size()
-            || !node.member->membershipCommitted())
-            return false;
-        return std::all_of(m_nodes.begin(), m_nodes.end(), [&](const Node &n) {
-            const Member current { n.id, n.disk.state.identity };
-            return std::count(membership.voters.begin(), membership.voters.end(), current) == 1;
-        });
-    }
-    return false;
+    const ControlMember *leader = leaseHolder();
+    if (leader == nullptr || leader->membership().learner || !leader->membershipCommitted())
+        return false;
+    const std::vector<Member> &voters = leader->membership().voters;
+    return voters.size() == m_nodes.size()
+        && std::all_of(voters.begin(), voters.end(),
+                       [this](const Member &v) { return isCurrent(v); });
+}
+
+/// The group can go on without this disk if a majority of the committed configuration keeps its
+/// disks.
+bool Simulation::canLose(const Node &node) const
+{
+    const ControlMember *leader = leaseHolder();
+    if (leader == nullptr || !leader->membershipCommitted())
+        return false;
+    const std::vector<Member> &voters = leader->membership().voters;
+    const auto left = std::count_if(voters.begin(), voters.end(), [&](const Member &voter) {
+        return voter.node != node.id && isCurrent(voter);
+    });
+    return static_cast<std::size_t>(left) > voters.size() / 2;
 }
 
 void Simulation::loseDisk(Node &node)
 {
-    if (!groupIsRepaired())
+    if (!canLose(node))
         return;
     if (node.member)
         crash(node);
@@ -184,7 +205,7 @@
         cutLinks();
     if (chance(500) && node.member)
         crash(node);
-    if (chance(900))
+    if (chance(500))
         loseDisk(node);
     if (chance(800))
         node.frozenUntil = m_now + upTo(3s);
--- a/testsuite/control_fuzz/simulation.h
+++ b/testsuite/control_fuzz/simulation.h
@@ -90,7 +90,11 @@
     void heal();
     void crash(Node &node);
     void loseDisk(Node &node);
+    const ControlMember *leaseHolder() const;
+    /// The member's disk still exists.
+    bool isCurrent(const Member &voter) const;
     bool groupIsRepaired() const;
+    bool canLose(const Node &node) const;
     void start(Node &node);
     void restore(Node &node, const ControlSnapshotPtr &snapshot);
     void deliver();
