--- /dev/null
+++ b/src/include/shallotlever/telemetry/node_metrics.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <array>
+#include <span>
+#include <string_view>
+#include <vector>
+
+#include "shallotlever/base/errors.h"
+#include "shallotlever/base/ids.h"
+#include "shallotlever/base/retry_reason.h"
+#include "shallotlever/telemetry/metrics.h"
+
+namespace shallotlever {
+
+enum class ReadSource { Replica, Primary };
+
+/// What a read demanded of the data; the targets for the share of replicas differ.
+enum class ReadDemand {
+    /// The caller stated a permitted age.
+    StaleAllowed,
+    /// The session token demands the session's own writes.
+    OwnWrites,
+    /// Neither an age nor a position was demanded.
+    Unbounded,
+};
+
+/// Counters of one team. The referenced counters live as long as the registry.
+struct TeamCounters
+{
+    Counter *admitted = nullptr;
+    /// Refused for any reason, including those counted by refusedInsideRate.
+    Counter *refused = nullptr;
+    /// Refused although the team was within its rate.
+    Counter *refusedInsideRate = nullptr;
+};
+
+/// The counters named on the design page. All series with a closed label set exist from the start.
+class NodeMetrics
+{
+public:
+    explicit NodeMetrics(MetricsRegistry &registry);
+
+    MetricsRegistry &registry() { return m_registry; }
+
+    /// Lock-free.
+    Counter &refusal(ErrorKind kind) { return *m_refusals[static_cast<std::size_t>(kind)]; }
+    Counter &retry(RetryReason reason) { return *m_retries[static_cast<std::size_t>(reason)]; }
+    Counter &read(ReadSource source, ReadDemand demand);
+
+    /// Takes the registry's lock: look up once per configuration and keep the result.
+    TeamCounters team(const TeamId &team);
+
+private:
+    static constexpr std::size_t kReadSources = 2;
+    static constexpr std::size_t kReadDemands = 3;
+
+    MetricsRegistry &m_registry;
+    std::vector<Counter *> m_refusals;
+    std::vector<Counter *> m_retries;
+    std::array<Counter *, kReadSources * kReadDemands> m_reads {};
+};
+
+} // namespace shallotlever
