--- a/src/fleet/fuzz/simulation.h
+++ b/src/fleet/fuzz/simulation.h
@@ -111,6 +111,7 @@
 
     void tick();
     void injectFailure();
+    void isolateFromControllers(const std::string &name);
     void elect();
     void send(const std::string &from, const std::string &to, std::function<void()> deliver);
     void deliverMessages();
@@ -118,6 +119,7 @@
     bool chance(unsigned oneIn) { return uniformBelow(m_random, oneIn) == 0; }
 
     void stepDatabases();
+    std::size_t replicationStep(const UpstreamId &replica);
     void announce(Database &db);
     void stepNode(std::size_t index);
     void report(std::size_t index);
@@ -147,6 +149,12 @@
     Random m_random;
     Variant m_variant;
     TimePoint m_now;
+    /// Ticks between failures and between replication steps, on average.
+    unsigned m_failureOneIn = 0;
+    bool m_failing = false;
+    unsigned m_replicationOneIn = 0;
+    /// Follows terms, but takes hardly any entries.
+    UpstreamId m_slow;
     std::map<UpstreamId, Database> m_databases;
     std::vector<Node> m_nodes;
     std::vector<Controller> m_controllers;
--- a/src/fleet/fuzz/simulation_controller.cpp
+++ b/src/fleet/fuzz/simulation_controller.cpp
@@ -143,8 +143,13 @@
         call(index, CallKind::Promote, promote->upstream, promote->term);
     else if (const auto *proposal = std::get_if<Propose>(&action))
         propose(index, proposal->decision);
-    else
+    else if (const auto *done = std::get_if<ChangeDone>(&action)) {
         ++m_changes;
+        // A new primary fails soon after it took office more often than at other times.
+        const UpstreamId primary = done->primary;
+        if (m_failing && chance(3))
+            send("log", "log", [this, primary] { m_databases.at(primary).up = false; });
+    }
 }
 
 void Simulation::call(std::size_t index, CallKind kind, const UpstreamId &target, Term term)
--- a/src/fleet/primary_change.cpp
+++ b/src/fleet/primary_change.cpp
@@ -223,7 +223,11 @@
 void stepConfirming(Step &step)
 {
     PrimaryChange &change = step.change;
-    if (change.followers.size() >= majorityOf(step.group().votingSet.size())) {
+    // Databases outside the voting set are queried too, but they prove nothing.
+    const auto followers = std::ranges::count_if(change.followers, [&](const UpstreamId &id) {
+        return step.group().votingSet.contains(id);
+    });
+    if (static_cast<std::size_t>(followers) >= majorityOf(step.group().votingSet.size())) {
         change.times.confirmed = step.now;
         step.enter(ChangePhase::Publishing);
     } else if (candidateLost(step)) {
