Make the fuzzing reach nodes that lose the controller for long

Replication is fast again once failures are repaired, so that the recovery bound measures the change of primary and not a backlog of the model.

--- a/src/fleet/fuzz/simulation.cpp
+++ b/src/fleet/fuzz/simulation.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::size_t kMostDatabases = 5;
+/// Entries per step once failures, slow replication among them, are repaired.
+constexpr std::size_t kRepairedStep = 256;
 constexpr std::size_t kNodes = 4;
 constexpr std::size_t kControllers = 2;
 /// Simulated time in which a write must be acknowledged after every failure has been repaired.
@@ -189,7 +191,10 @@
         m_cuts.insert({ name(), name() });
         break;
     default:
-        m_cuts.clear();
+        // A node that has lost the controller often stays so while the databases recover.
+        std::erase_if(m_cuts, [this](const auto &cut) {
+            return !cut.first.starts_with("controller") || chance(4);
+        });
         for (auto &[id, other] : m_databases) {
             other.up = other.up || chance(2);
             other.leaving = other.leaving && chance(2);
@@ -305,6 +310,8 @@
 
 std::size_t Simulation::replicationStep(const UpstreamId &replica)
 {
+    if (!m_failing)
+        return kRepairedStep;
     if (replica == m_slow)
         return chance(10) ? 1 : 0;
     return uniformBelow(m_random, 2ULL * m_replicationOneIn);
