--- /dev/null
+++ b/src/fleet/registry_test.cpp
@@ -0,0 +1,146 @@
+#include <gtest/gtest.h>
+
+#include "shallotlever/fleet/registry.h"
+
+namespace shallotlever {
+namespace {
+
+const UpstreamId kDb("db1");
+
+HeardAnnouncement heard(const char *host = "10.0.0.1", bool leaving = false)
+{
+    HeardAnnouncement h;
+    h.announcement.upstream = kDb;
+    h.announcement.service = ServiceId("s");
+    h.announcement.endpoint = { .host = host, .port = 5432 };
+    h.announcement.leaving = leaving;
+    return h;
+}
+
+NodeReport observation(std::size_t node, std::vector<Observation> observations)
+{
+    NodeReport report;
+    report.node = NodeId("n" + std::to_string(node));
+    report.incarnation = Incarnation(1);
+    report.number = 1;
+    report.observations = std::move(observations);
+    return report;
+}
+
+struct VoteCase
+{
+    const char *name;
+    /// For each node: whether it reaches db1, db2, db3.
+    std::vector<std::array<bool, 3>> votes;
+    Duration age { 0 };
+    bool down;
+};
+
+class ObservedDown : public testing::TestWithParam<VoteCase>
+{
+};
+
+TEST_P(ObservedDown, CountsTrustedObservers)
+{
+    const VoteCase &c = GetParam();
+    Registry registry;
+    for (std::size_t i = 0; i < c.votes.size(); ++i) {
+        std::vector<Observation> observations;
+        for (std::size_t db = 0; db < 3; ++db)
+            observations.push_back({ .upstream = UpstreamId("db" + std::to_string(db + 1)),
+                                     .reachable = c.votes[i][db] });
+        NodeReport report = observation(i, observations);
+        report.age = c.age;
+        applyReport(registry, report, TimePoint(100s));
+    }
+    EXPECT_EQ(observedDown(registry, kDb, TimePoint(100s)), c.down);
+}
+
+constexpr std::array kAll { true, true, true };
+constexpr std::array kNotFirst { false, true, true };
+constexpr std::array kNone { false, false, false };
+
+INSTANTIATE_TEST_SUITE_P(
+    Rules, ObservedDown,
+    testing::Values(VoteCase { "nobody_observes", {}, 0s, false },
+                    VoteCase { "only_observer", { kNotFirst }, 0s, true },
+                    VoteCase { "one_of_two", { kNotFirst, kAll }, 0s, false },
+                    VoteCase { "two_of_three", { kNotFirst, kNotFirst, kAll }, 0s, true },
+                    VoteCase { "two_of_four", { kNotFirst, kNotFirst, kAll, kAll }, 0s, false },
+                    VoteCase { "broken_node_does_not_help",
+                               { kNotFirst, kNotFirst, kNone, kAll, kAll },
+                               0s,
+                               false },
+                    VoteCase { "all_down_for_all", { kNone, kNone, kNone }, 0s, true },
+                    VoteCase { "votes_too_old", { kNotFirst, kNotFirst }, 2s, false }),
+    [](const auto &info) { return info.param.name; });
+
+UpstreamState stateAfter(Registry &registry, TimePoint now)
+{
+    advanceRegistry(registry, now);
+    return registry.entries.at(kDb).state;
+}
+
+TEST(Registry, LeaseExpiresAndLeavingTakesEffectAtOnce)
+{
+    Registry registry;
+    applyAnnouncement(registry, heard(), TimePoint(100s), TimePoint(100s));
+    EXPECT_EQ(stateAfter(registry, TimePoint(101s)), UpstreamState::Live);
+    EXPECT_EQ(stateAfter(registry, TimePoint(102s)), UpstreamState::Suspected);
+    applyAnnouncement(registry, heard("10.0.0.1", true), TimePoint(103s), TimePoint(103s));
+    EXPECT_EQ(stateAfter(registry, TimePoint(103s)), UpstreamState::Leaving);
+    // A renewal that was received earlier at another node must not cancel the leave.
+    EXPECT_EQ(applyAnnouncement(registry, heard(), TimePoint(102s), TimePoint(103s)),
+              AnnouncementVerdict::Outdated);
+}
+
+// One lost renewal of a healthy primary must not start a change of primary.
+TEST(Registry, ReachableUpstreamOutlivesALostRenewal)
+{
+    Registry registry;
+    applyAnnouncement(registry, heard(), TimePoint(100s), TimePoint(100s));
+    applyReport(registry, observation(1, { { .upstream = kDb, .reachable = true } }),
+                TimePoint(101s));
+    EXPECT_EQ(stateAfter(registry, TimePoint(102s)), UpstreamState::Live);
+    EXPECT_EQ(stateAfter(registry, TimePoint(106s)), UpstreamState::Suspected);
+}
+
+TEST(Registry, DrainedUntilUndrainedAndTakenOverByANewController)
+{
+    Registry registry;
+    applyAnnouncement(registry, heard(), TimePoint(100s), TimePoint(100s));
+    setDrained(registry, kDb, true);
+    EXPECT_EQ(stateAfter(registry, TimePoint(100s)), UpstreamState::Leaving);
+    ClusterState cluster;
+    cluster.config.services[ServiceId("s")] = {};
+    Registry next = seedRegistry(makeFleetState(registry, cluster), TimePoint(101s));
+    applyAnnouncement(next, heard(), TimePoint(101s), TimePoint(101s));
+    EXPECT_EQ(stateAfter(next, TimePoint(101s)), UpstreamState::Leaving);
+    setDrained(next, kDb, false);
+    EXPECT_EQ(stateAfter(next, TimePoint(101s)), UpstreamState::Live);
+}
+
+TEST(Registry, AnotherEndpointWaitsForTheLease)
+{
+    Registry registry;
+    applyAnnouncement(registry, heard(), TimePoint(100s), TimePoint(100s));
+    EXPECT_EQ(applyAnnouncement(registry, heard("10.0.0.2"), TimePoint(101s), TimePoint(101s)),
+              AnnouncementVerdict::Conflict);
+    EXPECT_EQ(applyAnnouncement(registry, heard("10.0.0.2"), TimePoint(102s), TimePoint(102s)),
+              AnnouncementVerdict::Accepted);
+    EXPECT_EQ(registry.entries.at(kDb).announcement.endpoint.host, "10.0.0.2");
+}
+
+// Differences that do not connect must not be counted as votes.
+TEST(Registry, AsksForAllObservationsWhenDifferencesDoNotConnect)
+{
+    Registry registry;
+    NodeReport report = observation(1, { { .upstream = kDb, .reachable = false } });
+    report.number = 8;
+    report.observationsBase = 7;
+    EXPECT_TRUE(applyReport(registry, report, TimePoint(100s)).wantsAllObservations);
+    EXPECT_FALSE(observedDown(registry, kDb, TimePoint(100s)));
+}
+
+} // namespace
+} // namespace shallotlever
