--- /dev/null
+++ b/src/policy/fuzz_main_test.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include <gtest/gtest.h>
+
+namespace shallotlever {
+
+/// What a fuzz run found; nullopt if all oracles held.
+using Violation = std::optional<std::string>;
+
+/// Options of the fuzz programs: `--seed N` runs that seed only, `--steps N` sets the length.
+struct FuzzOptions
+{
+    std::uint64_t firstSeed = 1;
+    std::uint64_t lastSeed = 8;
+    std::uint64_t steps = 0;
+};
+inline FuzzOptions fuzzOptions;
+
+/// Runs `run(seed, steps, faults)` over the seeds until one finds a violation.
+template <typename Run, typename Faults>
+Violation fuzzSeeds(Run run, std::uint64_t defaultSteps, const Faults &faults)
+{
+    const std::uint64_t steps = fuzzOptions.steps == 0 ? defaultSteps : fuzzOptions.steps;
+    for (std::uint64_t seed = fuzzOptions.firstSeed; seed <= fuzzOptions.lastSeed; ++seed) {
+        if (const Violation found = run(seed, steps, faults))
+            return "seed " + std::to_string(seed) + ": " + *found;
+    }
+    return std::nullopt;
+}
+
+inline int fuzzMain(int argc, char **argv)
+{
+    testing::InitGoogleTest(&argc, argv);
+    for (int i = 1; i + 1 < argc; i += 2) {
+        const std::string name = argv[i];
+        if (name == "--seed")
+            fuzzOptions.firstSeed = fuzzOptions.lastSeed = std::stoull(argv[i + 1]);
+        else if (name == "--steps")
+            fuzzOptions.steps = std::stoull(argv[i + 1]);
+    }
+    return RUN_ALL_TESTS();
+}
+
+} // namespace shallotlever
--- /dev/null
+++ b/src/policy/rate_fuzz_test.cpp
@@ -0,0 +1,304 @@
+#include <algorithm>
+#include <deque>
+#include <memory>
+
+#include "fuzz_main_test.h"
+#include "shallotlever/base/random.h"
+#include "shallotlever/policy/rate_allocator.h"
+#include "shallotlever/policy/token_bucket.h"
+
+namespace shallotlever {
+namespace {
+
+constexpr Duration kTick = 5ms;
+constexpr std::size_t kNodes = 5;
+constexpr double kTolerance = 0.01;
+
+/// Virtual bucket over all nodes: it stays at or above zero if and only if admitted <= burst +
+/// rate * w in every window. After a change of limits the higher ones count for one lease more.
+struct WindowOracle
+{
+    std::deque<std::pair<TimePoint, std::pair<double, double>>> limits;
+    double level = 0;
+    TimePoint at;
+
+    void setLimits(TimePoint now, double rate, double burst)
+    {
+        limits.push_back({ now, { rate, burst } });
+    }
+    bool admit(TimePoint now, int count)
+    {
+        while (limits.size() > 1 && limits[1].first + kShareLease + 1s <= now)
+            limits.pop_front();
+        double rate = 0;
+        double burst = 0;
+        for (const auto &[since, limit] : limits) {
+            rate = std::max(rate, limit.first);
+            burst = std::max(burst, limit.second);
+        }
+        level = std::min(burst, level + rate * std::chrono::duration<double>(now - at).count());
+        at = now;
+        level -= count;
+        return level >= -kTolerance;
+    }
+};
+
+struct Node
+{
+    Incarnation incarnation { 1 };
+    std::uint64_t sequence = 0;
+    GrantNumber applied;
+    std::map<TeamId, std::unique_ptr<TokenBucket>> buckets;
+    TimePoint nextReport;
+    TimePoint lastReport;
+    /// One-way partitions: reports or replies are lost until then.
+    TimePoint reportsCutUntil;
+    TimePoint repliesCutUntil;
+    bool reportSoon = false;
+};
+
+struct Message
+{
+    TimePoint due;
+    std::size_t node = 0;
+    std::size_t controller = 0;
+    TimePoint sent;
+    Incarnation incarnation;
+    std::optional<RateReport> report;
+    RateGrant grant;
+};
+
+struct Controller
+{
+    RateAllocator allocator;
+    /// It answers no report after this time.
+    TimePoint gone = TimePoint::max();
+};
+
+/// Nodes with the real buckets and controllers with the real allocator over a faulty network.
+class World
+{
+public:
+    World(std::uint64_t seed, RateAllocatorFaults faults)
+        : m_random(seed)
+        , m_faults(faults)
+        , m_nodes(kNodes)
+    {
+        m_teams[TeamId("large")] = { TeamId("large"), 400, 200, {} };
+        m_teams[TeamId("small")] = { TeamId("small"), 40, 20, {} };
+        for (const auto &[id, team] : m_teams)
+            m_oracles[id].setLimits(m_now, team.ratePerSecond, team.burst);
+        elect();
+    }
+
+    Violation step()
+    {
+        m_now += kTick;
+        disturb();
+        deliver();
+        for (std::size_t i = 0; i < kNodes; ++i) {
+            if (const Violation found = serve(i))
+                return found;
+            maybeReport(i);
+        }
+        return std::nullopt;
+    }
+
+private:
+    bool chance(std::uint64_t in) { return uniformBelow(m_random, in) == 0; }
+    Duration delay()
+    {
+        return chance(20) ? uniformDuration(m_random, 0ms, 3s)
+                          : uniformDuration(m_random, 1ms, 40ms);
+    }
+
+    void elect()
+    {
+        const TimePoint gone = m_now + uniformDuration(m_random, 0ms, 500ms);
+        if (!m_controllers.empty())
+            m_controllers.back().gone = gone;
+        const ControlTerm term(m_controllers.size() + 1);
+        m_controllers.push_back({ makeRateAllocator(term, gone, m_faults) });
+        applyTeamConfig(m_controllers.back().allocator, m_teams, m_now);
+    }
+
+    void disturb()
+    {
+        const std::size_t victim = uniformBelow(m_random, kNodes);
+        if (chance(400))
+            m_nodes[victim].reportsCutUntil = m_now + uniformDuration(m_random, 0ms, 5s);
+        if (chance(400))
+            m_nodes[victim].repliesCutUntil = m_now + uniformDuration(m_random, 0ms, 5s);
+        if (chance(600))
+            restart(m_nodes[victim]);
+        if (chance(1500))
+            elect();
+        if (chance(1000))
+            changeLimits();
+        if (chance(200))
+            m_hot = uniformBelow(m_random, kNodes);
+    }
+
+    static void restart(Node &node)
+    {
+        const Incarnation next = node.incarnation.next();
+        node = Node {};
+        node.incarnation = next;
+    }
+
+    void changeLimits()
+    {
+        TeamConfig &team = m_teams[TeamId("large")];
+        team.ratePerSecond = 100.0 * static_cast<double>(1 + uniformBelow(m_random, 6));
+        team.burst = 50.0 * static_cast<double>(1 + uniformBelow(m_random, 6));
+        m_oracles[team.id].setLimits(m_now, team.ratePerSecond, team.burst);
+        for (Controller &controller : m_controllers)
+            applyTeamConfig(controller.allocator, m_teams, m_now);
+    }
+
+    Violation serve(std::size_t index)
+    {
+        for (const auto &[id, team] : m_teams) {
+            auto &bucket = m_nodes[index].buckets[id];
+            if (!bucket)
+                bucket = std::make_unique<TokenBucket>();
+            const std::uint64_t wanted = uniformBelow(m_random, index == m_hot ? 40 : 2);
+            int admitted = 0;
+            for (std::uint64_t k = 0; k < wanted; ++k) {
+                bucket->countArrival();
+                admitted += bucket->tryTake(m_now) ? 1 : 0;
+            }
+            if (!m_oracles[id].admit(m_now, admitted))
+                return "team " + id.value() + " admitted over burst + rate * w at "
+                    + std::to_string(m_now.time_since_epoch().count()) + " us";
+        }
+        return std::nullopt;
+    }
+
+    void maybeReport(std::size_t index)
+    {
+        Node &node = m_nodes[index];
+        bool early = node.reportSoon;
+        for (const auto &[id, bucket] : node.buckets)
+            early = early || bucket->wantsEarlyReport();
+        const bool allowed = m_now - node.lastReport >= kEarlyReportInterval;
+        if (m_now < node.nextReport && !(early && allowed))
+            return;
+        node.nextReport = m_now + 500ms;
+        node.lastReport = m_now;
+        node.reportSoon = false;
+        RateReport report;
+        report.stamp = { NodeId("n" + std::to_string(index)), node.incarnation, ++node.sequence,
+                         node.applied };
+        for (const auto &[id, bucket] : node.buckets)
+            report.demands.push_back(bucket->takeDemand(id, m_now));
+        const std::size_t back = m_controllers.size() > 1 && chance(3) ? 2 : 1;
+        send({ m_now + delay(),
+               index,
+               m_controllers.size() - back,
+               m_now,
+               node.incarnation,
+               std::move(report),
+               {} });
+    }
+
+    void send(Message message)
+    {
+        const Node &node = m_nodes[message.node];
+        const TimePoint cut = message.report ? node.reportsCutUntil : node.repliesCutUntil;
+        if (!chance(20) && cut <= m_now)
+            m_messages.push_back(std::move(message));
+    }
+
+    void deliver()
+    {
+        std::vector<Message> due;
+        std::erase_if(m_messages, [&](Message &m) {
+            if (m.due > m_now)
+                return false;
+            due.push_back(std::move(m));
+            return true;
+        });
+        for (Message &message : due)
+            message.report ? answer(message) : apply(message);
+    }
+
+    void answer(Message &message)
+    {
+        Controller &controller = m_controllers[message.controller];
+        if (m_now >= controller.gone)
+            return;
+        Message reply = message;
+        reply.grant = onRateReport(controller.allocator, *message.report, m_now);
+        reply.report.reset();
+        reply.due = m_now + delay();
+        send(std::move(reply));
+    }
+
+    void apply(const Message &message)
+    {
+        Node &node = m_nodes[message.node];
+        const TimePoint expires = message.sent + kShareLease;
+        if (message.incarnation != node.incarnation || message.grant.number <= node.applied
+            || expires <= m_now)
+            return;
+        node.applied = message.grant.number;
+        for (const RateShare &share : message.grant.shares) {
+            if (auto &bucket = node.buckets[share.team])
+                node.reportSoon |= bucket->applyShare(share, expires, m_now);
+        }
+    }
+
+    Random m_random;
+    RateAllocatorFaults m_faults;
+    TimePoint m_now { 10s };
+    std::map<TeamId, TeamConfig> m_teams;
+    std::map<TeamId, WindowOracle> m_oracles;
+    std::vector<Node> m_nodes;
+    std::vector<Controller> m_controllers;
+    std::vector<Message> m_messages;
+    std::size_t m_hot = 0;
+};
+
+Violation run(std::uint64_t seed, std::uint64_t steps, const RateAllocatorFaults &faults)
+{
+    World world(seed, faults);
+    for (std::uint64_t i = 0; i < steps; ++i) {
+        if (const Violation found = world.step())
+            return found;
+    }
+    return std::nullopt;
+}
+
+constexpr std::uint64_t kSteps = 20000;
+
+// Guards against more than burst + rate * w in any window, under cuts, restarts, controller
+// changes, lost, late and reordered messages, and changed limits.
+TEST(RateFuzz, NoWindowExceedsBurstAndRate)
+{
+    const Violation found = fuzzSeeds(run, kSteps, RateAllocatorFaults {});
+    EXPECT_FALSE(found) << *found;
+}
+
+class RateFault : public testing::TestWithParam<RateAllocatorFaults>
+{
+};
+
+// Guards against an oracle that would not notice the fault.
+TEST_P(RateFault, IsDetected)
+{
+    EXPECT_TRUE(fuzzSeeds(run, kSteps, GetParam()));
+}
+
+INSTANTIATE_TEST_SUITE_P(Faults, RateFault,
+                         testing::Values(RateAllocatorFaults { .grantBeforeLeaseExpiry = true },
+                                         RateAllocatorFaults { .forgetSpentBurst = true },
+                                         RateAllocatorFaults { .skipPredecessorWait = true }));
+
+} // namespace
+} // namespace shallotlever
+
+int main(int argc, char **argv)
+{
+    return shallotlever::fuzzMain(argc, argv);
+}
--- /dev/null
+++ b/src/policy/slot_fuzz_test.cpp
@@ -0,0 +1,244 @@
+#include <algorithm>
+
+#include "fuzz_main_test.h"
+#include "shallotlever/base/random.h"
+#include "shallotlever/policy/slot_allocator.h"
+
+namespace shallotlever {
+namespace {
+
+constexpr Duration kTick = 10ms;
+constexpr std::size_t kNodes = 6;
+
+/// One node's connections to the one upstream.
+struct Node
+{
+    Incarnation incarnation { 1 };
+    std::uint64_t sequence = 0;
+    GrantNumber applied;
+    std::uint32_t share = 0;
+    TimePoint expires;
+    std::uint32_t open = 0;
+    std::uint32_t busy = 0;
+    std::uint32_t waiting = 0;
+    TimePoint nextReport;
+    TimePoint reportsCutUntil;
+    TimePoint repliesCutUntil;
+};
+
+struct Message
+{
+    TimePoint due;
+    std::size_t node = 0;
+    std::size_t controller = 0;
+    TimePoint sent;
+    Incarnation incarnation;
+    std::optional<SlotReport> report;
+    SlotGrant grant;
+};
+
+struct Controller
+{
+    SlotAllocator allocator;
+    TimePoint gone = TimePoint::max();
+};
+
+class World
+{
+public:
+    World(std::uint64_t seed, SlotAllocatorFaults faults)
+        : m_random(seed)
+        , m_faults(faults)
+        , m_nodes(kNodes)
+    {
+        UpstreamInfo info;
+        info.id = UpstreamId("u");
+        info.connectionLimit = 12 + static_cast<std::uint32_t>(uniformBelow(m_random, 20));
+        m_capacity = info.connectionLimit - connectionReserve(info.connectionLimit);
+        m_fleet.groups[ServiceId("s")].upstreams[info.id] = info;
+        elect();
+    }
+
+    Violation step()
+    {
+        m_now += kTick;
+        disturb();
+        deliver();
+        std::uint32_t sum = 0;
+        for (std::size_t i = 0; i < kNodes; ++i) {
+            work(m_nodes[i]);
+            report(i);
+            if (m_now < m_nodes[i].expires)
+                sum += std::max(m_nodes[i].open, m_nodes[i].share);
+        }
+        if (sum > m_capacity)
+            return std::to_string(sum) + " connections leased of " + std::to_string(m_capacity);
+        return std::nullopt;
+    }
+
+private:
+    bool chance(std::uint64_t in) { return uniformBelow(m_random, in) == 0; }
+    Duration delay()
+    {
+        return chance(20) ? uniformDuration(m_random, 0ms, 3s)
+                          : uniformDuration(m_random, 1ms, 40ms);
+    }
+
+    void elect()
+    {
+        const TimePoint gone = m_now + uniformDuration(m_random, 0ms, 500ms);
+        if (!m_controllers.empty())
+            m_controllers.back().gone = gone;
+        const ControlTerm term(m_controllers.size() + 1);
+        m_controllers.push_back({ makeSlotAllocator(term, gone, m_faults) });
+        applyUpstreamLimits(m_controllers.back().allocator, m_fleet);
+    }
+
+    void disturb()
+    {
+        Node &victim = m_nodes[uniformBelow(m_random, kNodes)];
+        if (chance(200))
+            victim.reportsCutUntil = m_now + uniformDuration(m_random, 0ms, 5s);
+        if (chance(200))
+            victim.repliesCutUntil = m_now + uniformDuration(m_random, 0ms, 5s);
+        if (chance(300)) {
+            const Incarnation next = victim.incarnation.next();
+            victim = Node {};
+            victim.incarnation = next;
+        }
+        if (chance(800))
+            elect();
+        if (chance(100))
+            m_hot = uniformBelow(m_random, kNodes);
+    }
+
+    void work(Node &node)
+    {
+        const bool hot = &node == &m_nodes[m_hot];
+        const auto wanted = static_cast<std::uint32_t>(uniformBelow(m_random, hot ? 40 : 3));
+        const std::uint32_t allowed = m_now < node.expires ? node.share : 0;
+        // Busy connections of a reduced share are closed one by one as their work finishes.
+        if (node.open > allowed)
+            node.open = m_now < node.expires ? node.open - (chance(5) ? 1 : 0) : 0;
+        else if (wanted > node.open)
+            node.open = std::min(allowed, node.open + 2);
+        node.busy = std::min(wanted, node.open);
+        node.waiting = wanted - node.busy;
+    }
+
+    void report(std::size_t index)
+    {
+        Node &node = m_nodes[index];
+        if (m_now < node.nextReport)
+            return;
+        node.nextReport = m_now + 500ms;
+        SlotReport report;
+        report.stamp = { NodeId("n" + std::to_string(index)), node.incarnation, ++node.sequence,
+                         node.applied };
+        report.demands = { { UpstreamId("u"), node.open, node.busy, node.waiting } };
+        const std::size_t back = m_controllers.size() > 1 && chance(3) ? 2 : 1;
+        send({ m_now + delay(),
+               index,
+               m_controllers.size() - back,
+               m_now,
+               node.incarnation,
+               std::move(report),
+               {} });
+    }
+
+    void send(Message message)
+    {
+        const Node &node = m_nodes[message.node];
+        if (!chance(20) && (message.report ? node.reportsCutUntil : node.repliesCutUntil) <= m_now)
+            m_messages.push_back(std::move(message));
+    }
+
+    void deliver()
+    {
+        std::vector<Message> due;
+        std::erase_if(m_messages, [&](Message &m) {
+            if (m.due <= m_now)
+                due.push_back(m);
+            return m.due <= m_now;
+        });
+        for (Message &message : due)
+            message.report ? answer(message) : apply(message);
+    }
+
+    void answer(Message &message)
+    {
+        Controller &controller = m_controllers[message.controller];
+        if (m_now >= controller.gone)
+            return;
+        Message reply = message;
+        reply.grant = onSlotReport(controller.allocator, *message.report, m_now);
+        reply.report.reset();
+        reply.due = m_now + delay();
+        send(std::move(reply));
+    }
+
+    void apply(const Message &message)
+    {
+        Node &node = m_nodes[message.node];
+        const TimePoint expires = message.sent + kShareLease;
+        if (message.incarnation != node.incarnation || message.grant.number <= node.applied
+            || expires <= m_now)
+            return;
+        node.applied = message.grant.number;
+        for (const SlotShare &share : message.grant.shares) {
+            node.share = share.connections;
+            node.expires = expires;
+        }
+    }
+
+    Random m_random;
+    SlotAllocatorFaults m_faults;
+    TimePoint m_now { 10s };
+    FleetView m_fleet;
+    std::uint32_t m_capacity = 0;
+    std::vector<Node> m_nodes;
+    std::vector<Controller> m_controllers;
+    std::vector<Message> m_messages;
+    std::size_t m_hot = 0;
+};
+
+Violation run(std::uint64_t seed, std::uint64_t steps, const SlotAllocatorFaults &faults)
+{
+    World world(seed, faults);
+    for (std::uint64_t i = 0; i < steps; ++i) {
+        if (const Violation found = world.step())
+            return found;
+    }
+    return std::nullopt;
+}
+
+constexpr std::uint64_t kSteps = 20000;
+
+// Guards against more leased connections than the upstream accepts, whatever fails.
+TEST(SlotFuzz, LeasesNeverExceedTheLimit)
+{
+    const Violation found = fuzzSeeds(run, kSteps, SlotAllocatorFaults {});
+    EXPECT_FALSE(found) << *found;
+}
+
+class SlotFault : public testing::TestWithParam<SlotAllocatorFaults>
+{
+};
+
+// Guards against an oracle that would not notice the fault.
+TEST_P(SlotFault, IsDetected)
+{
+    EXPECT_TRUE(fuzzSeeds(run, kSteps, GetParam()));
+}
+
+INSTANTIATE_TEST_SUITE_P(Faults, SlotFault,
+                         testing::Values(SlotAllocatorFaults { .shrinkWithoutReport = true },
+                                         SlotAllocatorFaults { .skipPredecessorWait = true }));
+
+} // namespace
+} // namespace shallotlever
+
+int main(int argc, char **argv)
+{
+    return shallotlever::fuzzMain(argc, argv);
+}
