Let rate shares follow traffic that moves between nodes

A node now reports early when its traffic stops, a start of traffic is measured from its start, and nodes get less headroom while the pool is low, so that the pool refills. Demand above the rate counts as over the rate only after a second, because moving traffic is counted twice for a moment; over-rate teams cause fewer early reports.

--- a/src/include/shallotlever/policy/rate_allocator.h
+++ b/src/include/shallotlever/policy/rate_allocator.h
@@ -58,6 +58,8 @@
     double rateHeld = 0;
     double burstHeld = 0;
     double demand = 0;
+    /// Since when the demand has exceeded the rate; max() while it does not.
+    TimePoint overSince = TimePoint::max();
 };
 
 struct RateNode
--- a/src/include/shallotlever/policy/token_bucket.h
+++ b/src/include/shallotlever/policy/token_bucket.h
@@ -10,6 +10,9 @@
 
 namespace shallotlever {
 
+/// Shortest interval between early reports of a node.
+inline constexpr Duration kEarlyReportInterval = 20ms;
+
 /// Whether a refused request was inside the team's cluster-wide rate, as far as the last share
 /// tells. Refusals inside the rate are the proxy's own shortcoming.
 enum class RateRefusal : std::uint8_t { InsideRate, OverRate };
@@ -43,9 +46,10 @@
     /// Demand since the last call, for the next report.
     TeamDemand takeDemand(const TeamId &team, TimePoint now);
 
-    /// Requests wait or were refused since the last report: the node should report before the
-    /// period ends, at most every kEarlyReportInterval.
-    bool wantsEarlyReport() const;
+    /// The node should report before the period ends: requests wait or were refused since the last
+    /// report, or the traffic has stopped and others may need the share. Control thread only;
+    /// polled every kEarlyReportInterval or more often.
+    bool wantsEarlyReport(TimePoint now);
 
 private:
     /// One generation of the share. Written before the generation is published in m_word.
@@ -58,6 +62,7 @@
         std::atomic<bool> teamWithinRate { true };
     };
 
+    void noteQuiet(TimePoint now);
     const Parameters &parametersOf(std::uint64_t word) const;
     Parameters &parametersOf(std::uint64_t word);
     void refill(TimePoint now);
@@ -75,9 +80,12 @@
     std::uint64_t m_windowArrivals = 0;
     double m_lastRate = 0;
     std::uint64_t m_refusedReported = 0;
+    /// No request has arrived since.
+    TimePoint m_quietSince;
+    TimePoint m_lastPoll;
+    std::uint64_t m_quietArrivals = 0;
+    bool m_stopped = false;
+    TimePoint m_lastReport;
 };
 
-/// Shortest interval between early reports of a node.
-inline constexpr Duration kEarlyReportInterval = 20ms;
-
 } // namespace shallotlever
--- a/src/policy/experiment/team_scenarios.cpp
+++ b/src/policy/experiment/team_scenarios.cpp
@@ -195,7 +195,7 @@
         Node &node = m_nodes[index];
         const bool due = m_loop.now() - node.lastReport >= kEarlyReportInterval;
         if (m_sharing == Sharing::EarlyReports && due
-            && (node.reportSoon || node.bucket.wantsEarlyReport())) {
+            && (node.reportSoon || node.bucket.wantsEarlyReport(m_loop.now()))) {
             sendReport(index);
             m_early += 1;
         }
--- a/src/policy/rate_allocator.cpp
+++ b/src/policy/rate_allocator.cpp
@@ -6,18 +6,26 @@
 namespace {
 
 constexpr Duration kExpiryScanInterval = 100ms;
-/// A node gets more rate than it used, so that growth inside the team's rate is not refused.
-constexpr double kRateHeadroom = 1.5;
+/// A node gets more rate than it used, so that growth inside the team's rate is not refused. With
+/// an empty pool it gets the least headroom: rate that no node holds refills the pool, which
+/// carries traffic that moves to another node until the rate follows.
+constexpr double kLeastHeadroom = 1.05;
+constexpr double kMostHeadroom = 1.5;
 /// Least headroom, as a share of the team's rate: lets a node without history start at once.
 constexpr double kMinRateHeadroom = 0.02;
 /// Bucket depth of a node that keeps within its rate, as seconds of its demand. Covers random
 /// arrivals; the rest of the burst stays in the pool for nodes that need it.
-constexpr double kDepthSeconds = 0.25;
+constexpr double kDepthSeconds = 0.15;
 /// Part of the burst spread over all nodes, so that the first requests at a node need no round
 /// trip to the controller.
 constexpr double kFloorShare = 0.25;
 /// Above this number of nodes no floors are kept: they would cost a record per node and team.
 constexpr std::size_t kMaxNodesWithFloor = 64;
+/// Requests per second that a waiting request stands for: it waits 50 ms by default.
+constexpr double kDemandPerWaiting = 20;
+/// Demand above the rate counts as over the rate only after this time: traffic that moves is
+/// counted at its old and new node for a moment.
+constexpr Duration kOverRateTime = 1s;
 /// A bucket of less than one token admits nothing.
 constexpr double kLeastUsefulDepth = 1.0;
 
@@ -99,7 +107,7 @@
         team.pool = std::min(team.pool + dropped, std::max(0.0, team.burst - team.burstHeld));
     const double wanted = demand == nullptr
         ? 0.0
-        : std::max(demand->arrivalsPerSecond, static_cast<double>(demand->waiting));
+        : std::max(demand->arrivalsPerSecond, demand->waiting * kDemandPerWaiting);
     setDemand(team, holding, wanted);
 }
 
@@ -108,8 +116,11 @@
     if (holding.demand <= 0 || team.demand <= 0)
         return 0;
     const double proportional = team.ratePerSecond * holding.demand / team.demand;
-    const double needed = std::max(holding.demand * kRateHeadroom,
-                                   holding.demand + team.ratePerSecond * kMinRateHeadroom);
+    const double room = std::max(1.0, team.burst - team.burstHeld);
+    const double fill = std::min(1.0, team.pool / room);
+    const double headroom = kLeastHeadroom + (kMostHeadroom - kLeastHeadroom) * fill;
+    const double needed =
+        std::max(holding.demand * headroom, holding.demand + team.ratePerSecond * kMinRateHeadroom);
     return std::min(proportional, needed);
 }
 
@@ -130,9 +141,8 @@
     const double part = holding.demand / team.demand;
     const double steady = std::min(team.burst * part / 2, holding.demand * kDepthSeconds);
     target = std::max({ target, steady, std::min(kLeastUsefulDepth, team.burst) });
-    const bool pressed =
-        demand != nullptr && (demand->waiting > 0 || holding.demand > holding.rateHeld);
-    if (pressed)
+    // Random excess over the rate is no reason to take tokens from the pool; waiting requests are.
+    if (demand != nullptr && demand->waiting > 0)
         target = std::max(target, std::min(lastDepth + team.pool * part, team.burst * part));
     return target;
 }
@@ -150,6 +160,15 @@
     return lastDepth + raise;
 }
 
+bool withinRate(RateTeam &team, TimePoint now)
+{
+    if (team.demand <= team.ratePerSecond)
+        team.overSince = TimePoint::max();
+    else
+        team.overSince = std::min(team.overSince, now);
+    return team.overSince == TimePoint::max() || now - team.overSince < kOverRateTime;
+}
+
 /// Computes and records the next share of one team on one node.
 RateShare grantShare(RateAllocator &allocator, RateTeam &team, RateHolding &holding,
                      const TeamDemand *demand, const TeamId &id, TimePoint now)
@@ -161,7 +180,7 @@
     share.ratePerSecond = std::clamp(available, 0.0, rateTarget(team, holding));
     const double depth = depthTarget(team, holding, demand, lastDepth, allocator.nodes.size());
     share.burst = grantableDepth(team, holding, depth, lastDepth);
-    share.teamWithinRate = team.demand <= team.ratePerSecond;
+    share.teamWithinRate = withinRate(team, now);
     if (allocator.faults.grantBeforeLeaseExpiry)
         holding.entries.clear();
     holding.entries.push_back(
--- a/src/policy/rate_fuzz_test.cpp
+++ b/src/policy/rate_fuzz_test.cpp
@@ -180,7 +180,7 @@
         Node &node = m_nodes[index];
         bool early = node.reportSoon;
         for (const auto &[id, bucket] : node.buckets)
-            early = early || bucket->wantsEarlyReport();
+            early = early || bucket->wantsEarlyReport(m_now);
         const bool allowed = m_now - node.lastReport >= kEarlyReportInterval;
         if (m_now < node.nextReport && !(early && allowed))
             return;
--- a/src/policy/token_bucket.cpp
+++ b/src/policy/token_bucket.cpp
@@ -12,7 +12,14 @@
 /// Arrivals are averaged over at least this long before they replace the last average.
 constexpr Duration kDemandWindow = 250ms;
 /// Shortest time over which a few first arrivals are taken for a rate.
-constexpr Duration kMinDemandWindow = 100ms;
+constexpr Duration kMinDemandWindow = 50ms;
+/// Traffic has stopped when this many requests fewer than usual came: random gaps of that size
+/// are rare (3 in 10,000), and a needless report does no harm.
+constexpr double kMissedArrivals = 8;
+constexpr Duration kMinQuiet = 40ms;
+/// Shortest interval between early reports while the team is over its rate: there is nothing to
+/// grant, and the node has 2 KB/s for control traffic.
+constexpr Duration kOverRateReportInterval = 200ms;
 
 std::int64_t tokensOf(std::uint64_t word)
 {
@@ -140,36 +147,64 @@
     return depth < oldDepth || microTokens(share.ratePerSecond) < old.microTokensPerSecond.load();
 }
 
+void TokenBucket::noteQuiet(TimePoint now)
+{
+    const std::uint64_t arrivals = m_arrivals.load(std::memory_order_relaxed);
+    if (arrivals != m_quietArrivals) {
+        // Traffic that starts again is measured from its start, not from the last report.
+        if (m_lastRate <= 0 && now - m_quietSince >= kMinQuiet) {
+            m_windowStart = m_lastPoll;
+            m_windowArrivals = m_quietArrivals;
+        }
+        m_quietArrivals = arrivals;
+        m_quietSince = now;
+    }
+    m_lastPoll = now;
+    const Duration quiet = now - m_quietSince;
+    m_stopped = m_lastRate > 0 && quiet >= kMinQuiet
+        && m_lastRate * std::chrono::duration<double>(quiet).count() >= kMissedArrivals;
+}
+
 TeamDemand TokenBucket::takeDemand(const TeamId &team, TimePoint now)
 {
+    noteQuiet(now);
     refill(now);
     const std::uint64_t word = m_word.load();
     const std::uint64_t arrivals = m_arrivals.load(std::memory_order_relaxed);
     const bool started = m_windowStart != TimePoint();
     const Duration elapsed =
         started ? std::max(kMinDemandWindow, now - m_windowStart) : kMinDemandWindow;
-    const double rate = static_cast<double>(arrivals - m_windowArrivals)
-        / std::chrono::duration<double>(elapsed).count();
-    TeamDemand demand;
-    demand.team = team;
-    demand.arrivalsPerSecond = rate;
-    if (started && elapsed < kDemandWindow) {
-        demand.arrivalsPerSecond = std::max(rate, m_lastRate);
+    double rate = m_stopped ? 0
+                            : static_cast<double>(arrivals - m_windowArrivals)
+            / std::chrono::duration<double>(elapsed).count();
+    if (started && elapsed < kDemandWindow && !m_stopped) {
+        rate = std::max(rate, m_lastRate);
     } else {
         m_windowStart = now;
         m_windowArrivals = arrivals;
         m_lastRate = rate;
+        m_stopped = false;
     }
-    demand.waiting = m_waiting.load(std::memory_order_relaxed);
     const bool live = micros(now) < parametersOf(word).expires.load();
+    TeamDemand demand;
+    demand.team = team;
+    demand.arrivalsPerSecond = rate;
+    demand.waiting = m_waiting.load(std::memory_order_relaxed);
     demand.unspentTokens = live ? static_cast<double>(tokensOf(word)) / kMicro : 0;
     demand.returnedTokens = m_returnedTokens;
+    m_lastReport = now;
     m_refusedReported = m_refused.load(std::memory_order_relaxed);
     return demand;
 }
 
-bool TokenBucket::wantsEarlyReport() const
+bool TokenBucket::wantsEarlyReport(TimePoint now)
 {
+    noteQuiet(now);
+    if (m_stopped)
+        return true;
+    const bool within = parametersOf(m_word.load()).teamWithinRate.load();
+    if (now - m_lastReport < (within ? kEarlyReportInterval : kOverRateReportInterval))
+        return false;
     return m_waiting.load(std::memory_order_relaxed) > 0
         || m_refused.load(std::memory_order_relaxed) != m_refusedReported;
 }
