--- a/src/include/shallotlever/policy/replica_choice.h
+++ b/src/include/shallotlever/policy/replica_choice.h
@@ -130,8 +130,8 @@
 using ReplicaPicker = std::size_t (*)(std::span<const ReadCandidate> candidates,
                                       double readsPerSecond, Random &random);
 
-/// Least loaded of two random choices weighted by slots, among the nearest distance that has a
-/// free slot.
+/// Per distance, least loaded of two random choices weighted by slots; a farther one only if it is
+/// clearly faster than the nearer.
 std::size_t pickLeastLoadedOfTwo(std::span<const ReadCandidate>, double, Random &);
 /// Nearest; lowest latency among equals.
 std::size_t pickNearest(std::span<const ReadCandidate>, double, Random &);
--- a/src/policy/experiment/read_scenarios.cpp
+++ b/src/policy/experiment/read_scenarios.cpp
@@ -56,6 +56,29 @@
              { "replica_share", replica / std::max(1.0, count) } };
 }
 
+QJsonObject comparePickers(const Deployment &deployment, bool oneDataCentre, std::uint64_t seed)
+{
+    QJsonObject byLoad;
+    for (const double utilisation : { 0.3, 0.6, 0.85 }) {
+        QJsonObject byPicker;
+        for (const NamedPicker &named : kPickers) {
+            ReadWorldOptions options;
+            options.deployment = deployment;
+            options.oneDataCentre = oneDataCentre;
+            options.picker = named.picker;
+            // One of the three has half the speed.
+            options.serviceMeans = { kServiceMean, kServiceMean, 2 * kServiceMean };
+            options.seed = seed;
+            options.readsPerSecond = loadOf(options, utilisation);
+            ReadWorld world(options);
+            world.run(60s);
+            byPicker[named.name] = latencyFigures(world.results());
+        }
+        byLoad["utilisation_" + QString::number(utilisation)] = byPicker;
+    }
+    return byLoad;
+}
+
 /// Reads answered per second among those asked in [from, to).
 double throughput(const std::vector<ReadResult> &results, TimePoint from, TimePoint to)
 {
@@ -109,24 +132,9 @@
 {
     QJsonObject result;
     for (const Deployment &deployment : kDeployments) {
-        QJsonObject byLoad;
-        for (const double utilisation : { 0.3, 0.6, 0.85 }) {
-            QJsonObject byPicker;
-            for (const NamedPicker &named : kPickers) {
-                ReadWorldOptions options;
-                options.deployment = deployment;
-                options.picker = named.picker;
-                // One of the three has half the speed.
-                options.serviceMeans = { kServiceMean, kServiceMean, 2 * kServiceMean };
-                options.seed = seed;
-                options.readsPerSecond = loadOf(options, utilisation);
-                ReadWorld world(options);
-                world.run(60s);
-                byPicker[named.name] = latencyFigures(world.results());
-            }
-            byLoad["utilisation_" + QString::number(utilisation)] = byPicker;
-        }
-        result[QString::fromStdString(deployment.name)] = byLoad;
+        const QString name = QString::fromStdString(deployment.name);
+        result[name + "_three_data_centres"] = comparePickers(deployment, false, seed);
+        result[name + "_one_data_centre"] = comparePickers(deployment, true, seed);
     }
     return result;
 }
--- a/src/policy/experiment/read_world.cpp
+++ b/src/policy/experiment/read_world.cpp
@@ -32,17 +32,18 @@
             std::make_unique<Database>(m_loop, m_random, slots, m_options.serviceMeans[i]));
         UpstreamInfo info;
         info.id = UpstreamId(name(i));
-        info.dataCentre = DataCentreId(name(i % kDataCentres));
+        info.dataCentre = DataCentreId(name(m_options.oneDataCentre ? 0 : i % kDataCentres));
         info.slots = slots;
         m_group.upstreams[info.id] = info;
     }
     m_nodes.resize(kNodes);
     for (std::size_t n = 0; n < kNodes; ++n) {
         Node &node = m_nodes[n];
-        node.dataCentre = n % kDataCentres;
+        node.dataCentre = m_options.oneDataCentre ? 0 : n % kDataCentres;
         node.health.resize(m_databases.size());
         for (std::size_t i = 0; i < m_databases.size(); ++i) {
-            const Duration way = oneWay(m_options.deployment, node.dataCentre, i);
+            const Duration way =
+                oneWay(m_options.deployment, node.dataCentre, m_options.oneDataCentre ? 0 : i);
             UpstreamObservation observation;
             observation.id = UpstreamId(name(i));
             observation.slots = m_options.deployment.slots;
--- a/src/policy/experiment/read_world.h
+++ b/src/policy/experiment/read_world.h
@@ -19,6 +19,8 @@
     /// One per database; the first is the primary and in data centre 0, and so on.
     std::vector<double> serviceMeans { 0.004, 0.004, 0.004 };
     double readsPerSecond = 100;
+    /// Puts all nodes and databases into one data centre.
+    bool oneDataCentre = false;
     bool ejection = true;
     bool retries = true;
     /// Without it, retries are limited by the number of attempts only.
--- a/src/policy/experiment/team_scenarios.cpp
+++ b/src/policy/experiment/team_scenarios.cpp
@@ -83,20 +83,27 @@
     std::array<double, kTeams> m_answered {};
 };
 
+/// Rate per second and burst of the team in each run.
+constexpr std::array<std::pair<double, double>, 5> kTeamLimits {
+    { { 20, 20 }, { 200, 100 }, { 200, 200 }, { 200, 400 }, { 2000, 2000 } }
+};
+
 enum class Sharing { Static, PeriodicReports, EarlyReports };
 
 /// One team whose traffic moves from node to node, with the real allocator and buckets.
 class MovingWorld
 {
 public:
-    MovingWorld(const Deployment &deployment, Sharing sharing, double burst, std::uint64_t seed)
+    MovingWorld(const Deployment &deployment, Sharing sharing, double rate, double burst,
+                std::uint64_t seed)
         : m_deployment(deployment)
         , m_sharing(sharing)
         , m_random(seed)
+        , m_rate(rate)
         , m_burst(burst)
         , m_allocator(makeRateAllocator(ControlTerm(1), m_loop.now()))
     {
-        applyTeamConfig(m_allocator, { { kTeam, { kTeam, kRate, burst, {} } } }, m_loop.now());
+        applyTeamConfig(m_allocator, { { kTeam, { kTeam, rate, burst, {} } } }, m_loop.now());
         for (std::size_t i = 0; i < kNodes; ++i) {
             report(i);
             checkEarly(i);
@@ -117,7 +124,6 @@
     }
 
 private:
-    static constexpr double kRate = 200;
     static constexpr double kLoad = 0.8;
     static constexpr Duration kWarmUp = 10s;
     static constexpr Duration kPeriod = 500ms;
@@ -141,10 +147,10 @@
 
     void arrive()
     {
-        m_loop.after(exponential(m_random, 1 / (kRate * kLoad)), [this] {
+        m_loop.after(exponential(m_random, 1 / (m_rate * kLoad)), [this] {
             m_asked += 1;
             m_nodes[m_hot].bucket.countArrival();
-            const double gained = kRate * toSeconds(m_loop.now() - m_idealAt);
+            const double gained = m_rate * toSeconds(m_loop.now() - m_idealAt);
             m_ideal = std::min(m_burst, m_ideal + gained);
             m_idealAt = m_loop.now();
             const bool inside = m_ideal >= 1;
@@ -179,7 +185,7 @@
     /// Level of a bucket over all nodes: below zero, more than rate and burst was admitted.
     void countAdmitted()
     {
-        m_level = std::min(m_burst, m_level + kRate * toSeconds(m_loop.now() - m_levelAt)) - 1;
+        m_level = std::min(m_burst, m_level + m_rate * toSeconds(m_loop.now() - m_levelAt)) - 1;
         m_levelAt = m_loop.now();
         m_lowest = std::min(m_lowest, m_level);
     }
@@ -207,7 +213,7 @@
         Node &node = m_nodes[index];
         const TimePoint sent = m_loop.now();
         if (m_sharing == Sharing::Static) {
-            node.bucket.applyShare({ kTeam, kRate / kNodes, m_burst / kNodes }, sent + kShareLease,
+            node.bucket.applyShare({ kTeam, m_rate / kNodes, m_burst / kNodes }, sent + kShareLease,
                                    sent);
             return;
         }
@@ -238,6 +244,7 @@
     Sharing m_sharing;
     Random m_random;
     EventLoop m_loop;
+    double m_rate;
     double m_burst;
     RateAllocator m_allocator;
     std::array<Node, kNodes> m_nodes;
@@ -272,14 +279,14 @@
     QJsonObject result;
     for (const Deployment &deployment : kDeployments) {
         QJsonObject byBurst;
-        for (const double burst : { 100.0, 200.0, 400.0 }) {
-            const auto run = [&](Sharing sharing) {
-                return MovingWorld(deployment, sharing, burst, seed).run();
+        for (const auto &[rate, burst] : kTeamLimits) {
+            const auto run = [&, rate = rate, burst = burst](Sharing sharing) {
+                return MovingWorld(deployment, sharing, rate, burst, seed).run();
             };
-            byBurst["burst_" + QString::number(burst)] =
-                QJsonObject { { "static_split", run(Sharing::Static) },
-                              { "periodic_reports", run(Sharing::PeriodicReports) },
-                              { "early_reports", run(Sharing::EarlyReports) } };
+            const QString name = QString("rate_%1_burst_%2").arg(rate).arg(burst);
+            byBurst[name] = QJsonObject { { "static_split", run(Sharing::Static) },
+                                          { "periodic_reports", run(Sharing::PeriodicReports) },
+                                          { "early_reports", run(Sharing::EarlyReports) } };
         }
         result[QString::fromStdString(deployment.name)] = byBurst;
     }
--- a/src/policy/replica_picker.cpp
+++ b/src/policy/replica_picker.cpp
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <array>
+#include <optional>
 
 #include "shallotlever/policy/read_split.h"
 #include "shallotlever/policy/replica_choice.h"
@@ -7,6 +9,10 @@
 namespace {
 
 constexpr double kLeastWeight = 1e-3;
+constexpr std::array<Distance, 3> kDistances { Distance::SameDataCentre, Distance::SameRegion,
+                                               Distance::Other };
+/// A farther database is used if it is expected to take at most this part of the nearer one's time.
+constexpr double kFarAdvantage = 0.8;
 
 double slotsOf(const UpstreamObservation &o)
 {
@@ -18,34 +24,12 @@
     return std::max(1e-6, std::chrono::duration<double>(o.latency).count());
 }
 
-/// Expected time of one more request: what is in flight, per slot, at the recent latency.
+/// Expected time of one more request: recent latency, and the wait for a connection of this node.
 double loadOf(const ReadCandidate &candidate)
 {
     const UpstreamObservation &o = *candidate.observation;
-    const double queued = std::max(1.0, (o.inFlight + 1) / slotsOf(o));
-    return queued * latencySeconds(o) / std::max(kLeastWeight, o.weight);
-}
-
-std::vector<std::size_t> nearestWithFreeSlot(std::span<const ReadCandidate> candidates)
-{
-    std::vector<std::size_t> best;
-    Distance nearest = Distance::Other;
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
-        const ReadCandidate &c = candidates[i];
-        if (c.observation->inFlight >= c.observation->slots)
-            continue;
-        if (best.empty() || c.distance < nearest) {
-            best.clear();
-            nearest = c.distance;
-        }
-        if (c.distance == nearest)
-            best.push_back(i);
-    }
-    if (best.empty()) {
-        for (std::size_t i = 0; i < candidates.size(); ++i)
-            best.push_back(i);
-    }
-    return best;
+    const double excess = std::max(0.0, o.inFlight + 1 - slotsOf(o)) / slotsOf(o);
+    return (latencySeconds(o) + excess * o.serviceMean) / std::max(kLeastWeight, o.weight);
 }
 
 std::size_t weightedDraw(std::span<const double> weights, Random &random)
@@ -64,9 +48,21 @@
 
 } // namespace
 
-std::size_t pickLeastLoadedOfTwo(std::span<const ReadCandidate> candidates, double, Random &random)
+namespace {
+
+std::vector<std::size_t> atDistance(std::span<const ReadCandidate> candidates, Distance distance)
+{
+    std::vector<std::size_t> result;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        if (candidates[i].distance == distance)
+            result.push_back(i);
+    }
+    return result;
+}
+
+std::size_t leastLoadedOfTwo(std::span<const ReadCandidate> candidates,
+                             const std::vector<std::size_t> &usable, Random &random)
 {
-    const std::vector<std::size_t> usable = nearestWithFreeSlot(candidates);
     if (usable.size() == 1)
         return usable.front();
     std::vector<double> weights;
@@ -83,6 +79,22 @@
     return usable[firstIsBetter ? first : second];
 }
 
+} // namespace
+
+std::size_t pickLeastLoadedOfTwo(std::span<const ReadCandidate> candidates, double, Random &random)
+{
+    std::optional<std::size_t> best;
+    for (const Distance distance : kDistances) {
+        const std::vector<std::size_t> usable = atDistance(candidates, distance);
+        if (usable.empty())
+            continue;
+        const std::size_t picked = leastLoadedOfTwo(candidates, usable, random);
+        if (!best || loadOf(candidates[picked]) < kFarAdvantage * loadOf(candidates[*best]))
+            best = picked;
+    }
+    return *best;
+}
+
 std::size_t pickNearest(std::span<const ReadCandidate> candidates, double, Random &)
 {
     const auto nearer = [](const ReadCandidate &a, const ReadCandidate &b) {
