Grant burst tokens explicitly with a share

A deeper bucket used to bring the difference as tokens, paid from the pool. A node with a shallow bucket then wasted its rate while the pool stayed empty: 13% of a team of 20 requests a second were refused inside its rate. Depth is now granted without tokens where there is room.

--- a/src/include/shallotlever/types/shares.h
+++ b/src/include/shallotlever/types/shares.h
@@ -40,9 +40,10 @@
 {
     TeamId team;
     double ratePerSecond = 0;
-    /// Bucket depth. A deeper bucket than before brings the difference as tokens; a shallower one
-    /// returns the tokens above it.
+    /// Bucket depth. The node returns tokens above it.
     double burst = 0;
+    /// Added to the bucket once, when the share is applied.
+    double tokens = 0;
     /// All nodes together asked for no more than the team's rate when the share was granted.
     bool teamWithinRate = true;
     friend bool operator==(const RateShare &, const RateShare &) = default;
--- a/src/policy/policy_test.cpp
+++ b/src/policy/policy_test.cpp
@@ -76,7 +76,7 @@
     TokenBucket bucket;
     EXPECT_FALSE(bucket.tryTake(TimePoint(1s)));
     EXPECT_EQ(bucket.refusalClass(TimePoint(1s)), RateRefusal::InsideRate);
-    bucket.applyShare({ kTeam, 10, 2, false }, TimePoint(3s), TimePoint(1s));
+    bucket.applyShare({ kTeam, 10, 2, 2, false }, TimePoint(3s), TimePoint(1s));
     EXPECT_TRUE(bucket.tryTake(TimePoint(1s)));
     EXPECT_TRUE(bucket.tryTake(TimePoint(1s)));
     EXPECT_FALSE(bucket.tryTake(TimePoint(1s)));
@@ -98,7 +98,7 @@
     std::atomic<int> taken { 0 };
     std::atomic<std::uint64_t> attempts { 0 };
     std::vector<std::thread> threads;
-    bucket.applyShare({ kTeam, 1000, 50 }, TimePoint(9s), TimePoint(1s));
+    bucket.applyShare({ kTeam, 1000, 50, 50 }, TimePoint(9s), TimePoint(1s));
     for (int t = 0; t < 4; ++t)
         threads.emplace_back([&] {
             while (clock < 2'000'000) {
--- a/src/policy/rate_allocator.cpp
+++ b/src/policy/rate_allocator.cpp
@@ -1,6 +1,7 @@
 #include "shallotlever/policy/rate_allocator.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace shallotlever {
 namespace {
@@ -13,9 +14,11 @@
 constexpr double kMostHeadroom = 1.5;
 /// Least headroom, as a share of the team's rate: lets a node without history start at once.
 constexpr double kMinRateHeadroom = 0.02;
-/// Bucket depth of a node that keeps within its rate, as seconds of its demand. Covers random
-/// arrivals; the rest of the burst stays in the pool for nodes that need it.
+/// Bucket depth of a node that keeps within its rate: seconds of its demand, and at least this
+/// many standard deviations of the arrivals of a second. The rest of the burst stays in the pool
+/// for nodes that need it.
 constexpr double kDepthSeconds = 0.15;
+constexpr double kDepthDeviations = 2;
 /// Part of the burst spread over all nodes, so that the first requests at a node need no round
 /// trip to the controller.
 constexpr double kFloorShare = 0.25;
@@ -132,6 +135,19 @@
     return floor >= kLeastUsefulDepth ? floor : 0;
 }
 
+bool isPressed(const TeamDemand *demand)
+{
+    return demand != nullptr && demand->waiting > 0;
+}
+
+/// Tokens of the pool for a node whose requests wait: its part of the demand, at least one.
+double poolPart(const RateTeam &team, const RateHolding &holding)
+{
+    if (team.demand <= 0)
+        return 0;
+    return std::min(team.pool, std::max(1.0, team.pool * holding.demand / team.demand));
+}
+
 double depthTarget(const RateTeam &team, const RateHolding &holding, const TeamDemand *demand,
                    double lastDepth, std::size_t nodes)
 {
@@ -139,25 +155,32 @@
     if (holding.demand <= 0 || team.demand <= 0)
         return target;
     const double part = holding.demand / team.demand;
-    const double steady = std::min(team.burst * part / 2, holding.demand * kDepthSeconds);
+    const double wanted =
+        std::max(holding.demand * kDepthSeconds, kDepthDeviations * std::sqrt(holding.demand));
+    const double steady = std::min(team.burst * part / 2, wanted);
     target = std::max({ target, steady, std::min(kLeastUsefulDepth, team.burst) });
     // Random excess over the rate is no reason to take tokens from the pool; waiting requests are.
-    if (demand != nullptr && demand->waiting > 0)
-        target = std::max(target, std::min(lastDepth + team.pool * part, team.burst * part));
+    if (isPressed(demand))
+        target = std::max(target, std::min(lastDepth + poolPart(team, holding), team.burst * part));
     return target;
 }
 
-/// Depth that can be granted now. While a reduction is unacknowledged the depth is not raised, so
-/// that returned tokens are never counted twice.
-double grantableDepth(RateTeam &team, const RateHolding &holding, double target, double lastDepth)
+/// Sets the depth and tokens that can be granted now. While a reduction is unacknowledged the
+/// depth is not raised, so that returned tokens are never counted twice. Tokens come with at most
+/// an equal increase of depth: the bucket and tokens on their way never exceed the depth counted.
+void grantDepth(RateTeam &team, const RateHolding &holding, const TeamDemand *demand, double target,
+                double lastDepth, RateShare &share)
 {
-    if (target <= lastDepth)
-        return target;
-    if (holding.burstHeld > lastDepth)
-        return lastDepth;
-    const double raise = std::min(target - lastDepth, team.pool);
-    team.pool -= raise;
-    return lastDepth + raise;
+    share.burst = std::min(target, lastDepth);
+    if (target <= lastDepth || holding.burstHeld > lastDepth)
+        return;
+    // Room that is neither granted as depth nor filled by the pool is granted without tokens.
+    const double room = std::max(0.0, team.burst - team.burstHeld - team.pool);
+    const double raise = std::min(target - lastDepth, room + team.pool);
+    const double wanted = isPressed(demand) ? poolPart(team, holding) : 0;
+    share.tokens = std::clamp(wanted, std::max(0.0, raise - room), std::min(raise, team.pool));
+    share.burst = lastDepth + raise;
+    team.pool -= share.tokens;
 }
 
 bool withinRate(RateTeam &team, TimePoint now)
@@ -179,7 +202,7 @@
     share.team = id;
     share.ratePerSecond = std::clamp(available, 0.0, rateTarget(team, holding));
     const double depth = depthTarget(team, holding, demand, lastDepth, allocator.nodes.size());
-    share.burst = grantableDepth(team, holding, depth, lastDepth);
+    grantDepth(team, holding, demand, depth, lastDepth, share);
     share.teamWithinRate = withinRate(team, now);
     if (allocator.faults.grantBeforeLeaseExpiry)
         holding.entries.clear();
--- a/src/policy/token_bucket.cpp
+++ b/src/policy/token_bucket.cpp
@@ -132,7 +132,7 @@
     const std::int64_t depth = microTokens(share.burst);
     const std::int64_t oldDepth = old.depthMicroTokens.load();
     const bool expired = micros(now) >= old.expires.load();
-    const std::int64_t growth = std::max<std::int64_t>(0, depth - oldDepth);
+    const std::int64_t granted = microTokens(share.tokens);
     next.microTokensPerSecond.store(microTokens(share.ratePerSecond));
     next.depthMicroTokens.store(depth);
     next.expires.store(micros(leaseExpiry));
@@ -141,7 +141,7 @@
     do {
         // Read after m_word: a refill that this value does not cover changes m_word or is dropped.
         next.refilledAt.store(expired ? micros(now) : std::max(micros(now), old.refilledAt.load()));
-        tokens = (expired ? 0 : tokensOf(word)) + growth;
+        tokens = (expired ? 0 : tokensOf(word)) + granted;
     } while (!m_word.compare_exchange_weak(word, makeWord(generation, std::min(tokens, depth))));
     m_returnedTokens += static_cast<double>(std::max<std::int64_t>(0, tokens - depth)) / kMicro;
     return depth < oldDepth || microTokens(share.ratePerSecond) < old.microTokensPerSecond.load();
