Make small teams' demand less noisy and give waiting nodes tokens sooner

Averages over few arrivals made a team of 20 requests a second look over its rate. The fuzz driver now reports waiting requests, without which the fault forgetSpentBurst was not detected any more.

--- a/src/include/shallotlever/policy/rate_allocator.h
+++ b/src/include/shallotlever/policy/rate_allocator.h
@@ -58,8 +58,9 @@
     double rateHeld = 0;
     double burstHeld = 0;
     double demand = 0;
-    /// Since when the demand has exceeded the rate; max() while it does not.
-    TimePoint overSince = TimePoint::max();
+    /// Demand averaged over two seconds, as of averageAt; tells a team over its rate.
+    double averageDemand = 0;
+    TimePoint averageAt;
 };
 
 struct RateNode
--- a/src/policy/rate_allocator.cpp
+++ b/src/policy/rate_allocator.cpp
@@ -24,11 +24,13 @@
 constexpr double kFloorShare = 0.25;
 /// Above this number of nodes no floors are kept: they would cost a record per node and team.
 constexpr std::size_t kMaxNodesWithFloor = 64;
-/// Requests per second that a waiting request stands for: it waits 50 ms by default.
-constexpr double kDemandPerWaiting = 20;
-/// Demand above the rate counts as over the rate only after this time: traffic that moves is
-/// counted at its old and new node for a moment.
-constexpr Duration kOverRateTime = 1s;
+/// Least demand per second that a waiting request stands for.
+constexpr double kDemandPerWaiting = 4;
+/// A team is over its rate by its demand averaged over this time, and by this margin: traffic that
+/// moves is counted at its old and new node for a moment, and small teams' demand is noisy.
+constexpr double kDemandAverageSeconds = 2;
+constexpr double kOverRateMargin = 1.25;
+constexpr double kUrgentPart = 0.5;
 /// A bucket of less than one token admits nothing.
 constexpr double kLeastUsefulDepth = 1.0;
 
@@ -140,12 +142,17 @@
     return demand != nullptr && demand->waiting > 0;
 }
 
-/// Tokens of the pool for a node whose requests wait: its part of the demand, at least one.
+/// Part of the burst that a node may take at once when its requests wait: its part of the demand,
+/// and more than that while its demand is only beginning to show.
+double urgentPart(const RateTeam &team, const RateHolding &holding)
+{
+    return team.demand <= 0 ? 0 : std::max(kUrgentPart, holding.demand / team.demand);
+}
+
+/// Tokens of the pool for a node whose requests wait, at least one.
 double poolPart(const RateTeam &team, const RateHolding &holding)
 {
-    if (team.demand <= 0)
-        return 0;
-    return std::min(team.pool, std::max(1.0, team.pool * holding.demand / team.demand));
+    return std::min(team.pool, std::max(1.0, team.pool * urgentPart(team, holding)));
 }
 
 double depthTarget(const RateTeam &team, const RateHolding &holding, const TeamDemand *demand,
@@ -161,7 +168,9 @@
     target = std::max({ target, steady, std::min(kLeastUsefulDepth, team.burst) });
     // Random excess over the rate is no reason to take tokens from the pool; waiting requests are.
     if (isPressed(demand))
-        target = std::max(target, std::min(lastDepth + poolPart(team, holding), team.burst * part));
+        target = std::max(
+            target,
+            std::min(lastDepth + poolPart(team, holding), team.burst * urgentPart(team, holding)));
     return target;
 }
 
@@ -185,11 +194,11 @@
 
 bool withinRate(RateTeam &team, TimePoint now)
 {
-    if (team.demand <= team.ratePerSecond)
-        team.overSince = TimePoint::max();
-    else
-        team.overSince = std::min(team.overSince, now);
-    return team.overSince == TimePoint::max() || now - team.overSince < kOverRateTime;
+    const double elapsed = seconds(std::max(Duration(0), now - team.averageAt));
+    const double weight = 1 - std::exp(-elapsed / kDemandAverageSeconds);
+    team.averageDemand += (team.demand - team.averageDemand) * weight;
+    team.averageAt = now;
+    return team.averageDemand <= team.ratePerSecond * kOverRateMargin;
 }
 
 /// Computes and records the next share of one team on one node.
--- a/src/policy/rate_fuzz_test.cpp
+++ b/src/policy/rate_fuzz_test.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <deque>
 #include <memory>
+#include <utility>
 
 #include "fuzz_main_test.h"
 #include "shallotlever/base/random.h"
@@ -49,6 +50,8 @@
     std::uint64_t sequence = 0;
     GrantNumber applied;
     std::map<TeamId, std::unique_ptr<TokenBucket>> buckets;
+    /// Requests wait until the next tick.
+    std::map<TeamId, bool> waits;
     TimePoint nextReport;
     TimePoint lastReport;
     /// One-way partitions: reports or replies are lost until then.
@@ -162,12 +165,18 @@
             auto &bucket = m_nodes[index].buckets[id];
             if (!bucket)
                 bucket = std::make_unique<TokenBucket>();
+            if (std::exchange(m_nodes[index].waits[id], false))
+                bucket->endWait();
             const std::uint64_t wanted = uniformBelow(m_random, index == m_hot ? 40 : 2);
             int admitted = 0;
             for (std::uint64_t k = 0; k < wanted; ++k) {
                 bucket->countArrival();
                 admitted += bucket->tryTake(m_now) ? 1 : 0;
             }
+            if (static_cast<std::uint64_t>(admitted) < wanted) {
+                bucket->beginWait();
+                m_nodes[index].waits[id] = true;
+            }
             if (!m_oracles[id].admit(m_now, admitted))
                 return "team " + id.value() + " admitted over burst + rate * w at "
                     + std::to_string(m_now.time_since_epoch().count()) + " us";
--- a/src/policy/token_bucket.cpp
+++ b/src/policy/token_bucket.cpp
@@ -9,8 +9,12 @@
 constexpr std::int64_t kMicro = 1'000'000;
 constexpr unsigned kGenerationShift = 48;
 constexpr std::uint64_t kTokenMask = (std::uint64_t { 1 } << kGenerationShift) - 1;
-/// Arrivals are averaged over at least this long before they replace the last average.
+/// Arrivals are averaged over at least this time and number before they replace the last average,
+/// or over the longer time.
 constexpr Duration kDemandWindow = 250ms;
+constexpr double kDemandWindowArrivals = 16;
+constexpr Duration kMaxDemandWindow = 1s;
+constexpr double kFewArrivals = 2;
 /// Shortest time over which a few first arrivals are taken for a rate.
 constexpr Duration kMinDemandWindow = 50ms;
 /// Traffic has stopped when this many requests fewer than usual came: random gaps of that size
@@ -171,19 +175,22 @@
     refill(now);
     const std::uint64_t word = m_word.load();
     const std::uint64_t arrivals = m_arrivals.load(std::memory_order_relaxed);
+    const auto count = static_cast<double>(arrivals - m_windowArrivals);
     const bool started = m_windowStart != TimePoint();
     const Duration elapsed =
         started ? std::max(kMinDemandWindow, now - m_windowStart) : kMinDemandWindow;
-    double rate = m_stopped ? 0
-                            : static_cast<double>(arrivals - m_windowArrivals)
-            / std::chrono::duration<double>(elapsed).count();
-    if (started && elapsed < kDemandWindow && !m_stopped) {
-        rate = std::max(rate, m_lastRate);
-    } else {
+    const bool complete = !started || m_stopped || elapsed >= kMaxDemandWindow
+        || (elapsed >= kDemandWindow && count >= kDemandWindowArrivals);
+    double rate = count / std::chrono::duration<double>(elapsed).count();
+    if (complete) {
+        rate = m_stopped ? 0 : rate;
         m_windowStart = now;
         m_windowArrivals = arrivals;
         m_lastRate = rate;
         m_stopped = false;
+    } else {
+        // A few arrivals in a short time do not make a rate yet.
+        rate = std::max(m_lastRate, rate * count / (count + kFewArrivals));
     }
     const bool live = micros(now) < parametersOf(word).expires.load();
     TeamDemand demand;
