--- a/src/policy/replica_picker.cpp
+++ b/src/policy/replica_picker.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr double kLeastWeight = 1e-3;
+constexpr double kLeastService = 1e-4;
 constexpr std::array<Distance, 3> kDistances { Distance::SameDataCentre, Distance::SameRegion,
                                                Distance::Other };
 /// A farther database is used if it is expected to take at most this part of the nearer one's time.
@@ -69,10 +70,12 @@
     weights.reserve(usable.size());
     for (const std::size_t i : usable) {
         const UpstreamObservation &o = *candidates[i].observation;
-        weights.push_back(slotsOf(o) * std::max(kLeastWeight, o.weight));
+        const double capacity = slotsOf(o) / std::max(kLeastService, o.serviceMean);
+        weights.push_back(capacity * std::max(kLeastWeight, o.weight));
     }
+    // Drawn with replacement: of two databases, the slower-looking one still gets some reads, so
+    // that nodes do not all move to the same one at once.
     const std::size_t first = weightedDraw(weights, random);
-    weights[first] = 0;
     const std::size_t second = weightedDraw(weights, random);
     const bool firstIsBetter =
         loadOf(candidates[usable[first]]) <= loadOf(candidates[usable[second]]);
