Renew shares in force while a new controller waits for old leases

It now renews what a node holds once the predecessor cannot grant any more, which adds nothing to the sum: the node takes the smaller of its present and the renewed share. Reports that acknowledge a later controller's grant are not answered.

The fuzz drivers let controllers overlap for seconds, which is needed to detect renewals that come too early (fault renewTooEarly).

--- a/src/include/shallotlever/policy/rate_allocator.h
+++ b/src/include/shallotlever/policy/rate_allocator.h
@@ -23,6 +23,8 @@
     bool forgetSpentBurst = false;
     /// A new controller grants at once instead of waiting for its predecessor's leases.
     bool skipPredecessorWait = false;
+    /// Renews shares while the predecessor may still grant them to others.
+    bool renewTooEarly = false;
 };
 
 /// A grant that the node may be using.
@@ -75,7 +77,9 @@
 struct RateAllocator
 {
     GrantNumber nextGrant;
-    /// No share is granted before this time.
+    /// From this time shares in force are renewed, as no earlier controller can change them.
+    TimePoint renewsFrom;
+    /// No other share is granted before this time.
     TimePoint grantsFrom;
     std::map<TeamId, RateTeam> teams;
     /// By node and incarnation: a restarted node's earlier leases stay counted until they expire.
@@ -95,11 +99,15 @@
 struct RateGrant
 {
     GrantNumber number;
+    /// The shares only extend those in force: the node takes the smaller of each value, and nothing
+    /// if its share has expired.
+    bool renewal = false;
     std::vector<RateShare> shares;
 };
 
 /// Starts a controller that knows nothing of earlier shares. `predecessorGone` is the time by
-/// which no earlier controller can answer reports any more; grants start kShareLease after it.
+/// which no earlier controller can answer reports any more. From then on it renews what nodes hold,
+/// which adds nothing to the sum; other grants start kShareLease later.
 RateAllocator makeRateAllocator(ControlTerm term, TimePoint predecessorGone,
                                 RateAllocatorFaults faults = {});
 
--- a/src/include/shallotlever/policy/slot_allocator.h
+++ b/src/include/shallotlever/policy/slot_allocator.h
@@ -19,6 +19,8 @@
     /// Counts a reduced share as free before the node reported fewer open connections.
     bool shrinkWithoutReport = false;
     bool skipPredecessorWait = false;
+    /// Renews shares while the predecessor may still grant them to others.
+    bool renewTooEarly = false;
 };
 
 struct SlotEntry
@@ -60,6 +62,9 @@
 struct SlotAllocator
 {
     GrantNumber nextGrant;
+    /// From this time shares in force are renewed, as no earlier controller can change them.
+    TimePoint renewsFrom;
+    /// No other share is granted before this time.
     TimePoint grantsFrom;
     std::map<UpstreamId, SlotUpstream> upstreams;
     std::map<std::pair<NodeId, Incarnation>, SlotNode> nodes;
@@ -77,6 +82,9 @@
 struct SlotGrant
 {
     GrantNumber number;
+    /// The shares only extend those in force: the node takes the smaller of each value, and nothing
+    /// if its share has expired.
+    bool renewal = false;
     std::vector<SlotShare> shares;
 };
 
--- a/src/include/shallotlever/policy/token_bucket.h
+++ b/src/include/shallotlever/policy/token_bucket.h
@@ -43,6 +43,10 @@
     /// so that the controller can grant the difference to others.
     bool applyShare(const RateShare &share, TimePoint leaseExpiry, TimePoint now);
 
+    /// Extends the share in force, as a RateGrant with `renewal` asks; does nothing if it has
+    /// expired. Control thread only.
+    void renewShare(const RateShare &share, TimePoint leaseExpiry, TimePoint now);
+
     /// Demand since the last call, for the next report.
     TeamDemand takeDemand(const TeamId &team, TimePoint now);
 
--- a/src/include/shallotlever/types/shares.h
+++ b/src/include/shallotlever/types/shares.h
@@ -22,6 +22,9 @@
     /// Unspent tokens given up when a share's bucket depth shrank, counted since the process
     /// started. The controller may grant them again.
     double returnedTokens = 0;
+    /// Share in force when the report was sent; 0 if none. A new controller renews it.
+    double heldRate = 0;
+    double heldBurst = 0;
     friend bool operator==(const TeamDemand &, const TeamDemand &) = default;
 };
 
@@ -29,9 +32,12 @@
 struct SlotDemand
 {
     UpstreamId upstream;
+    /// Includes connections being opened.
     std::uint32_t connectionsOpen = 0;
     std::uint32_t connectionsBusy = 0;
     std::uint32_t waiting = 0;
+    /// Share in force when the report was sent; 0 if none.
+    std::uint32_t connectionsHeld = 0;
     friend bool operator==(const SlotDemand &, const SlotDemand &) = default;
 };
 
--- a/src/policy/experiment/slope_scenario.cpp
+++ b/src/policy/experiment/slope_scenario.cpp
@@ -70,7 +70,7 @@
         report.stamp = { NodeId("node-" + std::to_string(n)), Incarnation(1), ++sequence,
                          applied[n] };
         for (std::size_t i = 0; i < seen; ++i)
-            report.demands.push_back({ ids[(n + i) % teams], uniformUnit(random) * 10, 0, 0, 0 });
+            report.demands.push_back({ ids[(n + i) % teams], uniformUnit(random) * 10 });
         applied[n] = onRateReport(allocator, report, now).number;
     });
     QJsonObject result = figures(cpu, heapMegabytes() - before, nodes);
@@ -101,7 +101,7 @@
                          applied[n] };
         for (std::size_t i = 0; i < served; ++i) {
             const auto busy = static_cast<std::uint32_t>(uniformBelow(random, 3));
-            report.demands.push_back({ ids[(n * 7 + i) % upstreams], 2, busy, 0 });
+            report.demands.push_back({ ids[(n * 7 + i) % upstreams], 2, busy });
         }
         applied[n] = onSlotReport(allocator, report, now).number;
     });
--- a/src/policy/experiment/team_scenarios.cpp
+++ b/src/policy/experiment/team_scenarios.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr std::size_t kTeams = 8;
+const TeamId kTeam { "team" };
 
 /// One queue in front of the three databases of a service; team 0 sends five times its rate.
 class NoisyWorld
@@ -128,7 +129,6 @@
     static constexpr Duration kWarmUp = 10s;
     static constexpr Duration kPeriod = 500ms;
     static constexpr Duration kPoll = 2ms;
-    const TeamId kTeam { "team" };
 
     struct Node
     {
--- a/src/policy/policy_test.cpp
+++ b/src/policy/policy_test.cpp
@@ -35,7 +35,7 @@
         stamp = { NodeId(node), Incarnation(1), stamp.sequence + 1, stamp.appliedGrant };
         const std::uint32_t waiting = arrivals > 0 ? 1 : 0;
         const RateGrant grant =
-            onRateReport(allocator, { stamp, { { kTeam, arrivals, waiting, 0, 0 } } }, now);
+            onRateReport(allocator, { stamp, { { kTeam, arrivals, waiting } } }, now);
         stamp.appliedGrant = grant.number;
         return grant.shares.empty() ? RateShare {} : grant.shares.front();
     }
@@ -60,6 +60,26 @@
     EXPECT_GT(rounds.report("a", 100, TimePoint(2s)).ratePerSecond, 0);
 }
 
+// Guards against refusals while a new controller waits for its predecessor's leases to end.
+TEST(RateAllocator, NewControllerRenewsSharesInForce)
+{
+    TokenBucket bucket;
+    bucket.applyShare({ kTeam, 40, 10, 10 }, TimePoint(3s), TimePoint(1s));
+    RateRounds rounds;
+    rounds.allocator = makeRateAllocator(ControlTerm(2), TimePoint(2s));
+    applyTeamConfig(rounds.allocator, { { kTeam, { kTeam, 100, 50, {} } } }, TimePoint(2s));
+    const RateReport report { { NodeId("a"), Incarnation(1), 1, GrantNumber(7) },
+                              { bucket.takeDemand(kTeam, TimePoint(2s)) } };
+    const RateGrant grant = onRateReport(rounds.allocator, report, TimePoint(2s));
+    EXPECT_TRUE(grant.renewal);
+    ASSERT_EQ(grant.shares.size(), 1U);
+    bucket.renewShare(grant.shares.front(), TimePoint(4s), TimePoint(2s));
+    EXPECT_TRUE(bucket.tryTake(TimePoint(3500ms)));
+    // The renewed share counts until it has expired.
+    EXPECT_EQ(rounds.report("b", 100, TimePoint(3999ms)).ratePerSecond, 0);
+    EXPECT_LE(rounds.allocator.teams[kTeam].rateHeld, 40);
+}
+
 // Guards against the rate of a node that stopped reporting being lost, or granted too early.
 TEST(RateAllocator, RateOfASilentNodeIsFreeAfterItsLease)
 {
--- a/src/policy/rate_allocator.cpp
+++ b/src/policy/rate_allocator.cpp
@@ -221,6 +221,17 @@
     return share;
 }
 
+/// Extends the share that the node holds, before other shares can be granted.
+RateShare renewShare(RateAllocator &allocator, RateTeam &team, RateHolding &holding,
+                     const TeamDemand &demand, TimePoint now)
+{
+    RateShare share { demand.team, demand.heldRate, demand.heldBurst, 0, true };
+    holding.entries.push_back(
+        { allocator.nextGrant, share.ratePerSecond, share.burst, now + kShareLease });
+    updateSums(team, holding);
+    return share;
+}
+
 /// True once the node holds and wants nothing, and no earlier grant can be in use.
 bool isIdle(const RateHolding &holding)
 {
@@ -290,6 +301,7 @@
 {
     RateAllocator allocator;
     allocator.nextGrant = firstGrantNumber(term);
+    allocator.renewsFrom = faults.renewTooEarly ? TimePoint::min() : predecessorGone;
     allocator.grantsFrom =
         faults.skipPredecessorWait ? predecessorGone : predecessorGone + kShareLease;
     allocator.faults = faults;
@@ -341,13 +353,16 @@
         expireRateLeases(allocator, now);
     RateGrant grant;
     RateNode *node = nodeOf(allocator, report.stamp, now);
-    if (node == nullptr)
+    // A node that has applied a later controller's grant ignores this one's: its acknowledgement
+    // says nothing about the grants counted here.
+    if (node == nullptr || report.stamp.appliedGrant >= allocator.nextGrant)
         return grant;
     addHoldings(allocator, *node, report);
     std::map<TeamId, const TeamDemand *> demands;
     for (const TeamDemand &demand : report.demands)
         demands.insert_or_assign(demand.team, &demand);
     grant.number = allocator.nextGrant;
+    grant.renewal = now >= allocator.renewsFrom && now < allocator.grantsFrom;
     for (auto it = node->holdings.begin(); it != node->holdings.end();) {
         auto &[id, holding] = *it;
         RateTeam &team = allocator.teams[id];
@@ -356,6 +371,8 @@
         accountForReport(allocator, team, holding, demand, report.stamp.appliedGrant, now);
         if (now >= allocator.grantsFrom)
             grant.shares.push_back(grantShare(allocator, team, holding, demand, id, now));
+        else if (grant.renewal && demand != nullptr && demand->heldBurst > 0)
+            grant.shares.push_back(renewShare(allocator, team, holding, *demand, now));
         it = isIdle(holding) ? node->holdings.erase(it) : std::next(it);
     }
     allocator.nextGrant = allocator.nextGrant.next();
--- a/src/policy/rate_fuzz_test.cpp
+++ b/src/policy/rate_fuzz_test.cpp
@@ -48,6 +48,7 @@
 {
     Incarnation incarnation { 1 };
     std::uint64_t sequence = 0;
+    std::size_t controller = 0;
     GrantNumber applied;
     std::map<TeamId, std::unique_ptr<TokenBucket>> buckets;
     /// Requests wait until the next tick.
@@ -117,7 +118,8 @@
 
     void elect()
     {
-        const TimePoint gone = m_now + uniformDuration(m_random, 0ms, 500ms);
+        const TimePoint gone = std::max(m_gone, m_now) + uniformDuration(m_random, 0ms, 4s);
+        m_gone = gone;
         if (!m_controllers.empty())
             m_controllers.back().gone = gone;
         const ControlTerm term(m_controllers.size() + 1);
@@ -167,7 +169,7 @@
                 bucket = std::make_unique<TokenBucket>();
             if (std::exchange(m_nodes[index].waits[id], false))
                 bucket->endWait();
-            const std::uint64_t wanted = uniformBelow(m_random, index == m_hot ? 40 : 2);
+            const std::uint64_t wanted = uniformBelow(m_random, index == m_hot ? 40 : 12);
             int admitted = 0;
             for (std::uint64_t k = 0; k < wanted; ++k) {
                 bucket->countArrival();
@@ -201,10 +203,13 @@
                          node.applied };
         for (const auto &[id, bucket] : node.buckets)
             report.demands.push_back(bucket->takeDemand(id, m_now));
-        const std::size_t back = m_controllers.size() > 1 && chance(3) ? 2 : 1;
+        // Nodes learn of a new controller at different times, and may return to an earlier one.
+        if (chance(60))
+            node.controller = m_controllers.size()
+                - (chance(4) ? std::min<std::size_t>(m_controllers.size(), 2) : 1);
         send({ m_now + delay(),
                index,
-               m_controllers.size() - back,
+               node.controller,
                m_now,
                node.incarnation,
                std::move(report),
@@ -253,7 +258,10 @@
             return;
         node.applied = message.grant.number;
         for (const RateShare &share : message.grant.shares) {
-            if (auto &bucket = node.buckets[share.team])
+            auto &bucket = node.buckets[share.team];
+            if (bucket && message.grant.renewal)
+                bucket->renewShare(share, expires, m_now);
+            else if (bucket)
                 node.reportSoon |= bucket->applyShare(share, expires, m_now);
         }
     }
@@ -265,6 +273,7 @@
     std::map<TeamId, WindowOracle> m_oracles;
     std::vector<Node> m_nodes;
     std::vector<Controller> m_controllers;
+    TimePoint m_gone;
     std::vector<Message> m_messages;
     std::size_t m_hot = 0;
 };
@@ -302,7 +311,8 @@
 INSTANTIATE_TEST_SUITE_P(Faults, RateFault,
                          testing::Values(RateAllocatorFaults { .grantBeforeLeaseExpiry = true },
                                          RateAllocatorFaults { .forgetSpentBurst = true },
-                                         RateAllocatorFaults { .skipPredecessorWait = true }));
+                                         RateAllocatorFaults { .skipPredecessorWait = true },
+                                         RateAllocatorFaults { .renewTooEarly = true }));
 
 } // namespace
 } // namespace shallotlever
--- a/src/policy/slot_allocator.cpp
+++ b/src/policy/slot_allocator.cpp
@@ -97,6 +97,15 @@
     return share;
 }
 
+/// Extends the share that the node holds, before other shares can be granted.
+SlotShare renewShare(SlotAllocator &allocator, SlotUpstream &upstream, SlotHolding &holding,
+                     const SlotDemand &demand, TimePoint now)
+{
+    holding.entries.push_back({ allocator.nextGrant, demand.connectionsHeld, now + kShareLease });
+    updateSum(upstream, holding, now);
+    return { demand.upstream, demand.connectionsHeld };
+}
+
 void releaseNode(SlotAllocator &allocator, SlotNode &node, TimePoint now)
 {
     for (auto &[id, holding] : node.holdings) {
@@ -152,6 +161,7 @@
 {
     SlotAllocator allocator;
     allocator.nextGrant = firstGrantNumber(term);
+    allocator.renewsFrom = faults.renewTooEarly ? TimePoint::min() : predecessorGone;
     allocator.grantsFrom =
         faults.skipPredecessorWait ? predecessorGone : predecessorGone + kShareLease;
     allocator.faults = faults;
@@ -191,7 +201,9 @@
         expireSlotLeases(allocator, now);
     SlotGrant grant;
     SlotNode *node = nodeOf(allocator, report.stamp, now);
-    if (node == nullptr)
+    // A node that has applied a later controller's grant ignores this one's: its acknowledgement
+    // says nothing about the grants counted here.
+    if (node == nullptr || report.stamp.appliedGrant >= allocator.nextGrant)
         return grant;
     std::map<UpstreamId, const SlotDemand *> demands;
     for (const SlotDemand &demand : report.demands) {
@@ -201,14 +213,17 @@
         }
     }
     grant.number = allocator.nextGrant;
+    grant.renewal = now >= allocator.renewsFrom && now < allocator.grantsFrom;
     for (auto it = node->holdings.begin(); it != node->holdings.end();) {
         auto &[id, holding] = *it;
         SlotUpstream &upstream = allocator.upstreams[id];
         const auto found = demands.find(id);
-        accountForReport(upstream, holding, found == demands.end() ? nullptr : found->second,
-                         report.stamp.appliedGrant, now);
+        const SlotDemand *demand = found == demands.end() ? nullptr : found->second;
+        accountForReport(upstream, holding, demand, report.stamp.appliedGrant, now);
         if (now >= allocator.grantsFrom)
             grant.shares.push_back(grantShare(allocator, upstream, holding, id, now));
+        else if (grant.renewal && demand != nullptr && demand->connectionsHeld > 0)
+            grant.shares.push_back(renewShare(allocator, upstream, holding, *demand, now));
         it = isIdle(holding) ? node->holdings.erase(it) : std::next(it);
     }
     allocator.nextGrant = allocator.nextGrant.next();
--- a/src/policy/slot_fuzz_test.cpp
+++ b/src/policy/slot_fuzz_test.cpp
@@ -15,6 +15,7 @@
 {
     Incarnation incarnation { 1 };
     std::uint64_t sequence = 0;
+    std::size_t controller = 0;
     GrantNumber applied;
     std::uint32_t share = 0;
     TimePoint expires;
@@ -86,7 +87,8 @@
 
     void elect()
     {
-        const TimePoint gone = m_now + uniformDuration(m_random, 0ms, 500ms);
+        const TimePoint gone = std::max(m_gone, m_now) + uniformDuration(m_random, 0ms, 4s);
+        m_gone = gone;
         if (!m_controllers.empty())
             m_controllers.back().gone = gone;
         const ControlTerm term(m_controllers.size() + 1);
@@ -135,11 +137,15 @@
         SlotReport report;
         report.stamp = { NodeId("n" + std::to_string(index)), node.incarnation, ++node.sequence,
                          node.applied };
-        report.demands = { { UpstreamId("u"), node.open, node.busy, node.waiting } };
-        const std::size_t back = m_controllers.size() > 1 && chance(3) ? 2 : 1;
+        report.demands = { { UpstreamId("u"), node.open, node.busy, node.waiting,
+                             m_now < node.expires ? node.share : 0 } };
+        // Nodes learn of a new controller at different times, and may return to an earlier one.
+        if (chance(4))
+            node.controller = m_controllers.size()
+                - (chance(4) ? std::min<std::size_t>(m_controllers.size(), 2) : 1);
         send({ m_now + delay(),
                index,
-               m_controllers.size() - back,
+               node.controller,
                m_now,
                node.incarnation,
                std::move(report),
@@ -186,7 +192,11 @@
             return;
         node.applied = message.grant.number;
         for (const SlotShare &share : message.grant.shares) {
-            node.share = share.connections;
+            const bool live = m_now < node.expires;
+            if (message.grant.renewal && !live)
+                continue;
+            node.share =
+                message.grant.renewal ? std::min(node.share, share.connections) : share.connections;
             node.expires = expires;
         }
     }
@@ -198,6 +208,7 @@
     std::uint32_t m_capacity = 0;
     std::vector<Node> m_nodes;
     std::vector<Controller> m_controllers;
+    TimePoint m_gone;
     std::vector<Message> m_messages;
     std::size_t m_hot = 0;
 };
@@ -233,7 +244,8 @@
 
 INSTANTIATE_TEST_SUITE_P(Faults, SlotFault,
                          testing::Values(SlotAllocatorFaults { .shrinkWithoutReport = true },
-                                         SlotAllocatorFaults { .skipPredecessorWait = true }));
+                                         SlotAllocatorFaults { .skipPredecessorWait = true },
+                                         SlotAllocatorFaults { .renewTooEarly = true }));
 
 } // namespace
 } // namespace shallotlever
--- a/src/policy/token_bucket.cpp
+++ b/src/policy/token_bucket.cpp
@@ -46,6 +46,11 @@
     return static_cast<std::int64_t>(std::clamp(tokens * kMicro, 0.0, limit));
 }
 
+double tokensFrom(std::int64_t micro)
+{
+    return static_cast<double>(micro) / kMicro;
+}
+
 std::int64_t micros(TimePoint t)
 {
     return t.time_since_epoch().count();
@@ -151,6 +156,20 @@
     return depth < oldDepth || microTokens(share.ratePerSecond) < old.microTokensPerSecond.load();
 }
 
+void TokenBucket::renewShare(const RateShare &share, TimePoint leaseExpiry, TimePoint now)
+{
+    const Parameters &held = parametersOf(m_word.load());
+    if (micros(now) >= held.expires.load())
+        return;
+    RateShare renewed = share;
+    renewed.ratePerSecond =
+        std::min(share.ratePerSecond, tokensFrom(held.microTokensPerSecond.load()));
+    renewed.burst = std::min(share.burst, tokensFrom(held.depthMicroTokens.load()));
+    renewed.tokens = 0;
+    renewed.teamWithinRate = held.teamWithinRate.load();
+    applyShare(renewed, leaseExpiry, now);
+}
+
 void TokenBucket::noteQuiet(TimePoint now)
 {
     const std::uint64_t arrivals = m_arrivals.load(std::memory_order_relaxed);
@@ -192,13 +211,16 @@
         // A few arrivals in a short time do not make a rate yet.
         rate = std::max(m_lastRate, rate * count / (count + kFewArrivals));
     }
-    const bool live = micros(now) < parametersOf(word).expires.load();
+    const Parameters &held = parametersOf(word);
+    const bool live = micros(now) < held.expires.load();
     TeamDemand demand;
     demand.team = team;
     demand.arrivalsPerSecond = rate;
     demand.waiting = m_waiting.load(std::memory_order_relaxed);
-    demand.unspentTokens = live ? static_cast<double>(tokensOf(word)) / kMicro : 0;
+    demand.unspentTokens = live ? tokensFrom(tokensOf(word)) : 0;
     demand.returnedTokens = m_returnedTokens;
+    demand.heldRate = live ? tokensFrom(held.microTokensPerSecond.load()) : 0;
+    demand.heldBurst = live ? tokensFrom(held.depthMicroTokens.load()) : 0;
     m_lastReport = now;
     m_refusedReported = m_refused.load(std::memory_order_relaxed);
     return demand;
