--- a/src/policy/rate_allocator.cpp
+++ b/src/policy/rate_allocator.cpp
@@ -221,11 +221,17 @@
     return share;
 }
 
-/// Extends the share that the node holds, before other shares can be granted.
+/// Extends the share that the node holds, before other shares can be granted. Limits lowered since
+/// it was granted apply to all renewed shares together.
 RateShare renewShare(RateAllocator &allocator, RateTeam &team, RateHolding &holding,
                      const TeamDemand &demand, TimePoint now)
 {
-    RateShare share { demand.team, demand.heldRate, demand.heldBurst, 0, true };
+    const double rate = team.ratePerSecond - (team.rateHeld - holding.rateHeld);
+    const double burst = team.burst - (team.burstHeld - holding.burstHeld);
+    RateShare share;
+    share.team = demand.team;
+    share.ratePerSecond = std::clamp(rate, 0.0, demand.heldRate);
+    share.burst = std::clamp(burst, 0.0, demand.heldBurst);
     holding.entries.push_back(
         { allocator.nextGrant, share.ratePerSecond, share.burst, now + kShareLease });
     updateSums(team, holding);
--- a/src/policy/slot_allocator.cpp
+++ b/src/policy/slot_allocator.cpp
@@ -101,9 +101,12 @@
 SlotShare renewShare(SlotAllocator &allocator, SlotUpstream &upstream, SlotHolding &holding,
                      const SlotDemand &demand, TimePoint now)
 {
-    holding.entries.push_back({ allocator.nextGrant, demand.connectionsHeld, now + kShareLease });
+    const std::uint32_t capacity = capacityOf(upstream);
+    const std::uint32_t available = capacity - std::min(capacity, upstream.held - holding.held);
+    const std::uint32_t renewed = std::min(demand.connectionsHeld, available);
+    holding.entries.push_back({ allocator.nextGrant, renewed, now + kShareLease });
     updateSum(upstream, holding, now);
-    return { demand.upstream, demand.connectionsHeld };
+    return { demand.upstream, renewed };
 }
 
 void releaseNode(SlotAllocator &allocator, SlotNode &node, TimePoint now)
