--- a/src/fleet/messages_decode.cpp
+++ b/src/fleet/messages_decode.cpp
@@ -99,7 +99,10 @@
     return { .team = TeamId(t.team()->str()),
              .arrivalsPerSecond = t.arrivals_per_second(),
              .waiting = t.waiting(),
-             .unspentTokens = t.unspent_tokens() };
+             .unspentTokens = t.unspent_tokens(),
+             .returnedTokens = t.returned_tokens(),
+             .heldRate = t.held_rate(),
+             .heldBurst = t.held_burst() };
 }
 
 SlotDemand slotDemandOf(const fbs::SlotDemand &t)
@@ -107,7 +110,8 @@
     return { .upstream = UpstreamId(t.upstream()->str()),
              .connectionsOpen = t.connections_open(),
              .connectionsBusy = t.connections_busy(),
-             .waiting = t.waiting() };
+             .waiting = t.waiting(),
+             .connectionsHeld = t.connections_held() };
 }
 
 NodeReport Decoder::report(const fbs::NodeReport &t, bool nested)
@@ -205,7 +209,9 @@
 {
     return { .team = TeamId(t.team()->str()),
              .ratePerSecond = t.rate_per_second(),
-             .burst = t.burst() };
+             .burst = t.burst(),
+             .tokens = t.tokens(),
+             .teamWithinRate = t.team_within_rate() };
 }
 
 SlotShare slotShareOf(const fbs::SlotShare &t)
--- a/src/fleet/messages_encode.cpp
+++ b/src/fleet/messages_encode.cpp
@@ -58,13 +58,13 @@
 Offset<fbs::TeamDemand> packTeamDemand(FlatBufferBuilder &b, const TeamDemand &d)
 {
     return fbs::CreateTeamDemand(b, packId(b, d.team), d.arrivalsPerSecond, d.waiting,
-                                 d.unspentTokens);
+                                 d.unspentTokens, d.returnedTokens, d.heldRate, d.heldBurst);
 }
 
 Offset<fbs::SlotDemand> packSlotDemand(FlatBufferBuilder &b, const SlotDemand &d)
 {
     return fbs::CreateSlotDemand(b, packId(b, d.upstream), d.connectionsOpen, d.connectionsBusy,
-                                 d.waiting);
+                                 d.waiting, d.connectionsHeld);
 }
 
 Offset<fbs::NodeReport> packReport(FlatBufferBuilder &b, const NodeReport &r)
@@ -162,7 +162,8 @@
 
 Offset<fbs::RateShare> packRate(FlatBufferBuilder &b, const RateShare &s)
 {
-    return fbs::CreateRateShare(b, packId(b, s.team), s.ratePerSecond, s.burst);
+    return fbs::CreateRateShare(b, packId(b, s.team), s.ratePerSecond, s.burst, s.tokens,
+                                s.teamWithinRate);
 }
 
 Offset<fbs::SlotShare> packSlot(FlatBufferBuilder &b, const SlotShare &s)
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -39,8 +39,11 @@
 {
     if (now < m_lastReportSent + kEarlyReportInterval)
         return false;
-    return std::any_of(m_buckets.begin(), m_buckets.end(),
-                       [](const auto &entry) { return entry.second->wantsEarlyReport(); });
+    // Every bucket is asked: it notices here that its traffic has stopped.
+    bool due = false;
+    for (const auto &[team, bucket] : m_buckets)
+        due = bucket->wantsEarlyReport(now) || due;
+    return due;
 }
 
 void Node::Impl::sendReport(TimePoint now)
--- a/src/policy/policy_test.cpp
+++ b/src/policy/policy_test.cpp
@@ -326,9 +326,9 @@
 TEST(Retry, ReasonNamesDiffer)
 {
     std::set<std::string_view> names;
-    for (std::size_t i = 0; i < kRetryReasons; ++i)
-        names.insert(retryReasonName(static_cast<RetryReason>(i)));
-    EXPECT_EQ(names.size(), kRetryReasons);
+    for (const RetryReasonRow &row : retryReasonTable())
+        names.insert(row.name);
+    EXPECT_EQ(names.size(), retryReasonTable().size());
 }
 
 } // namespace
--- a/src/policy/read_fuzz_test.cpp
+++ b/src/policy/read_fuzz_test.cpp
@@ -199,7 +199,7 @@
         earnRetryBudget(budget, policy);
         most += policy.retryBudgetRatio;
         RetryQuestion q;
-        q.reason = static_cast<RetryReason>(uniformBelow(random, kRetryReasons));
+        q.reason = static_cast<RetryReason>(uniformBelow(random, retryReasonTable().size()));
         q.read = uniformBelow(random, 2) == 0;
         q.idempotent = uniformBelow(random, 4) == 0;
         q.insideTransaction = uniformBelow(random, 4) == 0;
@@ -210,7 +210,8 @@
         q.deadline = now + uniformDuration(random, 0ms, 100ms);
         const RetryDecision decision = decideRetry(q, budget, policy, now, random);
         retries += decision.retry ? 1 : 0;
-        const bool mayHaveRun = q.reason == RetryReason::ReadConnectionLost;
+        const bool mayHaveRun = q.reason == RetryReason::ReadConnectionLost
+            || q.reason == RetryReason::ReadTimedOut || q.reason == RetryReason::IdempotentRepeat;
         if (decision.retry && (q.insideTransaction || (mayHaveRun && !q.read && !q.idempotent)))
             return "repeated a request that may have run";
         if (decision.retry && now + decision.delay + q.expectedServiceTime > q.deadline)
