Number the grants in rate shares so that tokens are added once

The node applies the shares of its view with every lease, also when the lease says that they are unchanged; tokens would have been added each time.

--- a/src/fleet/messages_decode.cpp
+++ b/src/fleet/messages_decode.cpp
@@ -211,7 +211,8 @@
              .ratePerSecond = t.rate_per_second(),
              .burst = t.burst(),
              .tokens = t.tokens(),
-             .teamWithinRate = t.team_within_rate() };
+             .teamWithinRate = t.team_within_rate(),
+             .grant = t.grant() };
 }
 
 SlotShare slotShareOf(const fbs::SlotShare &t)
--- a/src/fleet/messages_encode.cpp
+++ b/src/fleet/messages_encode.cpp
@@ -163,7 +163,7 @@
 Offset<fbs::RateShare> packRate(FlatBufferBuilder &b, const RateShare &s)
 {
     return fbs::CreateRateShare(b, packId(b, s.team), s.ratePerSecond, s.burst, s.tokens,
-                                s.teamWithinRate);
+                                s.teamWithinRate, s.grant);
 }
 
 Offset<fbs::SlotShare> packSlot(FlatBufferBuilder &b, const SlotShare &s)
--- a/src/include/shallotlever/policy/token_bucket.h
+++ b/src/include/shallotlever/policy/token_bucket.h
@@ -79,6 +79,7 @@
     std::atomic<std::uint64_t> m_refused { 0 };
     std::atomic<std::uint32_t> m_waiting { 0 };
     // Control thread only.
+    std::uint64_t m_lastGrant = 0;
     double m_returnedTokens = 0;
     TimePoint m_windowStart;
     std::uint64_t m_windowArrivals = 0;
--- a/src/include/shallotlever/types/shares.h
+++ b/src/include/shallotlever/types/shares.h
@@ -52,6 +52,8 @@
     double tokens = 0;
     /// All nodes together asked for no more than the team's rate when the share was granted.
     bool teamWithinRate = true;
+    /// Number of the grant. Tokens of a grant that was applied before are not added again.
+    std::uint64_t grant = 0;
     friend bool operator==(const RateShare &, const RateShare &) = default;
 };
 
--- a/src/policy/policy_test.cpp
+++ b/src/policy/policy_test.cpp
@@ -110,6 +110,16 @@
     EXPECT_DOUBLE_EQ(bucket.takeDemand(kTeam, TimePoint(4s)).returnedTokens, 1);
 }
 
+// Guards against tokens of a grant that are added again when the same lease is applied twice.
+TEST(TokenBucket, RepeatedGrantAddsNoTokens)
+{
+    TokenBucket bucket;
+    for (int i = 0; i < 3; ++i)
+        bucket.applyShare({ kTeam, 0, 5, 1, true, 7 }, TimePoint(3s), TimePoint(1s));
+    EXPECT_TRUE(bucket.tryTake(TimePoint(1s)));
+    EXPECT_FALSE(bucket.tryTake(TimePoint(1s)));
+}
+
 // Guards against tokens taken twice or refilled twice by concurrent threads while shares change.
 TEST(TokenBucket, ThreadsTakeNoMoreThanTheShares)
 {
--- a/src/policy/rate_allocator.cpp
+++ b/src/policy/rate_allocator.cpp
@@ -209,6 +209,7 @@
     const double available = team.ratePerSecond - (team.rateHeld - holding.rateHeld);
     RateShare share;
     share.team = id;
+    share.grant = allocator.nextGrant.value();
     share.ratePerSecond = std::clamp(available, 0.0, rateTarget(team, holding));
     const double depth = depthTarget(team, holding, demand, lastDepth, allocator.nodes.size());
     grantDepth(team, holding, demand, depth, lastDepth, share);
@@ -230,6 +231,7 @@
     const double burst = team.burst - (team.burstHeld - holding.burstHeld);
     RateShare share;
     share.team = demand.team;
+    share.grant = allocator.nextGrant.value();
     share.ratePerSecond = std::clamp(rate, 0.0, demand.heldRate);
     share.burst = std::clamp(burst, 0.0, demand.heldBurst);
     holding.entries.push_back(
--- a/src/policy/token_bucket.cpp
+++ b/src/policy/token_bucket.cpp
@@ -141,7 +141,9 @@
     const std::int64_t depth = microTokens(share.burst);
     const std::int64_t oldDepth = old.depthMicroTokens.load();
     const bool expired = micros(now) >= old.expires.load();
-    const std::int64_t granted = microTokens(share.tokens);
+    const bool repeated = share.grant != 0 && share.grant <= m_lastGrant;
+    const std::int64_t granted = repeated ? 0 : microTokens(share.tokens);
+    m_lastGrant = std::max(m_lastGrant, share.grant);
     next.microTokensPerSecond.store(microTokens(share.ratePerSecond));
     next.depthMicroTokens.store(depth);
     next.expires.store(micros(leaseExpiry));
