--- a/src/include/shallotlever/types/shares.h
+++ b/src/include/shallotlever/types/shares.h
@@ -22,6 +22,9 @@
     /// Unspent tokens given up when a share's bucket depth shrank, counted since the process
     /// started. The controller may grant them again.
     double returnedTokens = 0;
+    /// Share in force when the report was sent; 0 if none. A new controller renews it.
+    double heldRate = 0;
+    double heldBurst = 0;
     friend bool operator==(const TeamDemand &, const TeamDemand &) = default;
 };
 
@@ -29,9 +32,12 @@
 struct SlotDemand
 {
     UpstreamId upstream;
+    /// Includes connections being opened.
     std::uint32_t connectionsOpen = 0;
     std::uint32_t connectionsBusy = 0;
     std::uint32_t waiting = 0;
+    /// Share in force when the report was sent; 0 if none.
+    std::uint32_t connectionsHeld = 0;
     friend bool operator==(const SlotDemand &, const SlotDemand &) = default;
 };
 
@@ -40,11 +46,14 @@
 {
     TeamId team;
     double ratePerSecond = 0;
-    /// Bucket depth. A deeper bucket than before brings the difference as tokens; a shallower one
-    /// returns the tokens above it.
+    /// Bucket depth. The node returns tokens above it.
     double burst = 0;
+    /// Added to the bucket once, when the share is applied.
+    double tokens = 0;
     /// All nodes together asked for no more than the team's rate when the share was granted.
     bool teamWithinRate = true;
+    /// Number of the grant. Tokens of a grant that was applied before are not added again.
+    std::uint64_t grant = 0;
     friend bool operator==(const RateShare &, const RateShare &) = default;
 };
 
--- a/src/policy/rate_allocator.cpp
+++ b/src/policy/rate_allocator.cpp
@@ -1,23 +1,36 @@
 #include "shallotlever/policy/rate_allocator.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace shallotlever {
 namespace {
 
 constexpr Duration kExpiryScanInterval = 100ms;
-/// A node gets more rate than it used, so that growth inside the team's rate is not refused.
-constexpr double kRateHeadroom = 1.5;
+/// A node gets more rate than it used, so that growth inside the team's rate is not refused. With
+/// an empty pool it gets the least headroom: rate that no node holds refills the pool, which
+/// carries traffic that moves to another node until the rate follows.
+constexpr double kLeastHeadroom = 1.05;
+constexpr double kMostHeadroom = 1.5;
 /// Least headroom, as a share of the team's rate: lets a node without history start at once.
 constexpr double kMinRateHeadroom = 0.02;
-/// Bucket depth of a node that keeps within its rate, as seconds of its demand. Covers random
-/// arrivals; the rest of the burst stays in the pool for nodes that need it.
-constexpr double kDepthSeconds = 0.25;
+/// Bucket depth of a node that keeps within its rate: seconds of its demand, and at least this
+/// many standard deviations of the arrivals of a second. The rest of the burst stays in the pool
+/// for nodes that need it.
+constexpr double kDepthSeconds = 0.15;
+constexpr double kDepthDeviations = 2;
 /// Part of the burst spread over all nodes, so that the first requests at a node need no round
 /// trip to the controller.
 constexpr double kFloorShare = 0.25;
 /// Above this number of nodes no floors are kept: they would cost a record per node and team.
 constexpr std::size_t kMaxNodesWithFloor = 64;
+/// Least demand per second that a waiting request stands for.
+constexpr double kDemandPerWaiting = 4;
+/// A team is over its rate by its demand averaged over this time, and by this margin: traffic that
+/// moves is counted at its old and new node for a moment, and small teams' demand is noisy.
+constexpr double kDemandAverageSeconds = 2;
+constexpr double kOverRateMargin = 1.25;
+constexpr double kUrgentPart = 0.5;
 /// A bucket of less than one token admits nothing.
 constexpr double kLeastUsefulDepth = 1.0;
 
@@ -99,7 +112,7 @@
         team.pool = std::min(team.pool + dropped, std::max(0.0, team.burst - team.burstHeld));
     const double wanted = demand == nullptr
         ? 0.0
-        : std::max(demand->arrivalsPerSecond, static_cast<double>(demand->waiting));
+        : std::max(demand->arrivalsPerSecond, demand->waiting * kDemandPerWaiting);
     setDemand(team, holding, wanted);
 }
 
@@ -108,8 +121,11 @@
     if (holding.demand <= 0 || team.demand <= 0)
         return 0;
     const double proportional = team.ratePerSecond * holding.demand / team.demand;
-    const double needed = std::max(holding.demand * kRateHeadroom,
-                                   holding.demand + team.ratePerSecond * kMinRateHeadroom);
+    const double room = std::max(1.0, team.burst - team.burstHeld);
+    const double fill = std::min(1.0, team.pool / room);
+    const double headroom = kLeastHeadroom + (kMostHeadroom - kLeastHeadroom) * fill;
+    const double needed =
+        std::max(holding.demand * headroom, holding.demand + team.ratePerSecond * kMinRateHeadroom);
     return std::min(proportional, needed);
 }
 
@@ -121,6 +137,24 @@
     return floor >= kLeastUsefulDepth ? floor : 0;
 }
 
+bool isPressed(const TeamDemand *demand)
+{
+    return demand != nullptr && demand->waiting > 0;
+}
+
+/// Part of the burst that a node may take at once when its requests wait: its part of the demand,
+/// and more than that while its demand is only beginning to show.
+double urgentPart(const RateTeam &team, const RateHolding &holding)
+{
+    return team.demand <= 0 ? 0 : std::max(kUrgentPart, holding.demand / team.demand);
+}
+
+/// Tokens of the pool for a node whose requests wait, at least one.
+double poolPart(const RateTeam &team, const RateHolding &holding)
+{
+    return std::min(team.pool, std::max(1.0, team.pool * urgentPart(team, holding)));
+}
+
 double depthTarget(const RateTeam &team, const RateHolding &holding, const TeamDemand *demand,
                    double lastDepth, std::size_t nodes)
 {
@@ -128,26 +162,43 @@
     if (holding.demand <= 0 || team.demand <= 0)
         return target;
     const double part = holding.demand / team.demand;
-    const double steady = std::min(team.burst * part / 2, holding.demand * kDepthSeconds);
+    const double wanted =
+        std::max(holding.demand * kDepthSeconds, kDepthDeviations * std::sqrt(holding.demand));
+    const double steady = std::min(team.burst * part / 2, wanted);
     target = std::max({ target, steady, std::min(kLeastUsefulDepth, team.burst) });
-    const bool pressed =
-        demand != nullptr && (demand->waiting > 0 || holding.demand > holding.rateHeld);
-    if (pressed)
-        target = std::max(target, std::min(lastDepth + team.pool * part, team.burst * part));
+    // Random excess over the rate is no reason to take tokens from the pool; waiting requests are.
+    if (isPressed(demand))
+        target = std::max(
+            target,
+            std::min(lastDepth + poolPart(team, holding), team.burst * urgentPart(team, holding)));
     return target;
 }
 
-/// Depth that can be granted now. While a reduction is unacknowledged the depth is not raised, so
-/// that returned tokens are never counted twice.
-double grantableDepth(RateTeam &team, const RateHolding &holding, double target, double lastDepth)
+/// Sets the depth and tokens that can be granted now. While a reduction is unacknowledged the
+/// depth is not raised, so that returned tokens are never counted twice. Tokens come with at most
+/// an equal increase of depth: the bucket and tokens on their way never exceed the depth counted.
+void grantDepth(RateTeam &team, const RateHolding &holding, const TeamDemand *demand, double target,
+                double lastDepth, RateShare &share)
 {
-    if (target <= lastDepth)
-        return target;
-    if (holding.burstHeld > lastDepth)
-        return lastDepth;
-    const double raise = std::min(target - lastDepth, team.pool);
-    team.pool -= raise;
-    return lastDepth + raise;
+    share.burst = std::min(target, lastDepth);
+    if (target <= lastDepth || holding.burstHeld > lastDepth)
+        return;
+    // Room that is neither granted as depth nor filled by the pool is granted without tokens.
+    const double room = std::max(0.0, team.burst - team.burstHeld - team.pool);
+    const double raise = std::min(target - lastDepth, room + team.pool);
+    const double wanted = isPressed(demand) ? poolPart(team, holding) : 0;
+    share.tokens = std::clamp(wanted, std::max(0.0, raise - room), std::min(raise, team.pool));
+    share.burst = lastDepth + raise;
+    team.pool -= share.tokens;
+}
+
+bool withinRate(RateTeam &team, TimePoint now)
+{
+    const double elapsed = seconds(std::max(Duration(0), now - team.averageAt));
+    const double weight = 1 - std::exp(-elapsed / kDemandAverageSeconds);
+    team.averageDemand += (team.demand - team.averageDemand) * weight;
+    team.averageAt = now;
+    return team.averageDemand <= team.ratePerSecond * kOverRateMargin;
 }
 
 /// Computes and records the next share of one team on one node.
@@ -158,10 +209,11 @@
     const double available = team.ratePerSecond - (team.rateHeld - holding.rateHeld);
     RateShare share;
     share.team = id;
+    share.grant = allocator.nextGrant.value();
     share.ratePerSecond = std::clamp(available, 0.0, rateTarget(team, holding));
     const double depth = depthTarget(team, holding, demand, lastDepth, allocator.nodes.size());
-    share.burst = grantableDepth(team, holding, depth, lastDepth);
-    share.teamWithinRate = team.demand <= team.ratePerSecond;
+    grantDepth(team, holding, demand, depth, lastDepth, share);
+    share.teamWithinRate = withinRate(team, now);
     if (allocator.faults.grantBeforeLeaseExpiry)
         holding.entries.clear();
     holding.entries.push_back(
@@ -170,6 +222,24 @@
     return share;
 }
 
+/// Extends the share that the node holds, before other shares can be granted. Limits lowered since
+/// it was granted apply to all renewed shares together.
+RateShare renewShare(RateAllocator &allocator, RateTeam &team, RateHolding &holding,
+                     const TeamDemand &demand, TimePoint now)
+{
+    const double rate = team.ratePerSecond - (team.rateHeld - holding.rateHeld);
+    const double burst = team.burst - (team.burstHeld - holding.burstHeld);
+    RateShare share;
+    share.team = demand.team;
+    share.grant = allocator.nextGrant.value();
+    share.ratePerSecond = std::clamp(rate, 0.0, demand.heldRate);
+    share.burst = std::clamp(burst, 0.0, demand.heldBurst);
+    holding.entries.push_back(
+        { allocator.nextGrant, share.ratePerSecond, share.burst, now + kShareLease });
+    updateSums(team, holding);
+    return share;
+}
+
 /// True once the node holds and wants nothing, and no earlier grant can be in use.
 bool isIdle(const RateHolding &holding)
 {
@@ -239,6 +309,7 @@
 {
     RateAllocator allocator;
     allocator.nextGrant = firstGrantNumber(term);
+    allocator.renewsFrom = faults.renewTooEarly ? TimePoint::min() : predecessorGone;
     allocator.grantsFrom =
         faults.skipPredecessorWait ? predecessorGone : predecessorGone + kShareLease;
     allocator.faults = faults;
@@ -290,13 +361,16 @@
         expireRateLeases(allocator, now);
     RateGrant grant;
     RateNode *node = nodeOf(allocator, report.stamp, now);
-    if (node == nullptr)
+    // A node that has applied a later controller's grant ignores this one's: its acknowledgement
+    // says nothing about the grants counted here.
+    if (node == nullptr || report.stamp.appliedGrant >= allocator.nextGrant)
         return grant;
     addHoldings(allocator, *node, report);
     std::map<TeamId, const TeamDemand *> demands;
     for (const TeamDemand &demand : report.demands)
         demands.insert_or_assign(demand.team, &demand);
     grant.number = allocator.nextGrant;
+    grant.renewal = now >= allocator.renewsFrom && now < allocator.grantsFrom;
     for (auto it = node->holdings.begin(); it != node->holdings.end();) {
         auto &[id, holding] = *it;
         RateTeam &team = allocator.teams[id];
@@ -305,6 +379,8 @@
         accountForReport(allocator, team, holding, demand, report.stamp.appliedGrant, now);
         if (now >= allocator.grantsFrom)
             grant.shares.push_back(grantShare(allocator, team, holding, demand, id, now));
+        else if (grant.renewal && demand != nullptr && demand->heldBurst > 0)
+            grant.shares.push_back(renewShare(allocator, team, holding, *demand, now));
         it = isIdle(holding) ? node->holdings.erase(it) : std::next(it);
     }
     allocator.nextGrant = allocator.nextGrant.next();
--- a/src/policy/token_bucket.cpp
+++ b/src/policy/token_bucket.cpp
@@ -9,10 +9,21 @@
 constexpr std::int64_t kMicro = 1'000'000;
 constexpr unsigned kGenerationShift = 48;
 constexpr std::uint64_t kTokenMask = (std::uint64_t { 1 } << kGenerationShift) - 1;
-/// Arrivals are averaged over at least this long before they replace the last average.
+/// Arrivals are averaged over at least this time and number before they replace the last average,
+/// or over the longer time.
 constexpr Duration kDemandWindow = 250ms;
+constexpr double kDemandWindowArrivals = 16;
+constexpr Duration kMaxDemandWindow = 1s;
+constexpr double kFewArrivals = 2;
 /// Shortest time over which a few first arrivals are taken for a rate.
-constexpr Duration kMinDemandWindow = 100ms;
+constexpr Duration kMinDemandWindow = 50ms;
+/// Traffic has stopped when this many requests fewer than usual came: random gaps of that size
+/// are rare (3 in 10,000), and a needless report does no harm.
+constexpr double kMissedArrivals = 8;
+constexpr Duration kMinQuiet = 40ms;
+/// Shortest interval between early reports while the team is over its rate: there is nothing to
+/// grant, and the node has 2 KB/s for control traffic.
+constexpr Duration kOverRateReportInterval = 200ms;
 
 std::int64_t tokensOf(std::uint64_t word)
 {
@@ -35,6 +46,11 @@
     return static_cast<std::int64_t>(std::clamp(tokens * kMicro, 0.0, limit));
 }
 
+double tokensFrom(std::int64_t micro)
+{
+    return static_cast<double>(micro) / kMicro;
+}
+
 std::int64_t micros(TimePoint t)
 {
     return t.time_since_epoch().count();
@@ -125,7 +141,9 @@
     const std::int64_t depth = microTokens(share.burst);
     const std::int64_t oldDepth = old.depthMicroTokens.load();
     const bool expired = micros(now) >= old.expires.load();
-    const std::int64_t growth = std::max<std::int64_t>(0, depth - oldDepth);
+    const bool repeated = share.grant != 0 && share.grant <= m_lastGrant;
+    const std::int64_t granted = repeated ? 0 : microTokens(share.tokens);
+    m_lastGrant = std::max(m_lastGrant, share.grant);
     next.microTokensPerSecond.store(microTokens(share.ratePerSecond));
     next.depthMicroTokens.store(depth);
     next.expires.store(micros(leaseExpiry));
@@ -134,42 +152,90 @@
     do {
         // Read after m_word: a refill that this value does not cover changes m_word or is dropped.
         next.refilledAt.store(expired ? micros(now) : std::max(micros(now), old.refilledAt.load()));
-        tokens = (expired ? 0 : tokensOf(word)) + growth;
+        tokens = (expired ? 0 : tokensOf(word)) + granted;
     } while (!m_word.compare_exchange_weak(word, makeWord(generation, std::min(tokens, depth))));
     m_returnedTokens += static_cast<double>(std::max<std::int64_t>(0, tokens - depth)) / kMicro;
     return depth < oldDepth || microTokens(share.ratePerSecond) < old.microTokensPerSecond.load();
 }
 
+void TokenBucket::renewShare(const RateShare &share, TimePoint leaseExpiry, TimePoint now)
+{
+    const Parameters &held = parametersOf(m_word.load());
+    if (micros(now) >= held.expires.load())
+        return;
+    RateShare renewed = share;
+    renewed.ratePerSecond =
+        std::min(share.ratePerSecond, tokensFrom(held.microTokensPerSecond.load()));
+    renewed.burst = std::min(share.burst, tokensFrom(held.depthMicroTokens.load()));
+    renewed.tokens = 0;
+    renewed.teamWithinRate = held.teamWithinRate.load();
+    applyShare(renewed, leaseExpiry, now);
+}
+
+void TokenBucket::noteQuiet(TimePoint now)
+{
+    const std::uint64_t arrivals = m_arrivals.load(std::memory_order_relaxed);
+    if (arrivals != m_quietArrivals) {
+        // Traffic that starts again is measured from its start, not from the last report.
+        if (m_lastRate <= 0 && now - m_quietSince >= kMinQuiet) {
+            m_windowStart = m_lastPoll;
+            m_windowArrivals = m_quietArrivals;
+        }
+        m_quietArrivals = arrivals;
+        m_quietSince = now;
+    }
+    m_lastPoll = now;
+    const Duration quiet = now - m_quietSince;
+    m_stopped = m_lastRate > 0 && quiet >= kMinQuiet
+        && m_lastRate * std::chrono::duration<double>(quiet).count() >= kMissedArrivals;
+}
+
 TeamDemand TokenBucket::takeDemand(const TeamId &team, TimePoint now)
 {
+    noteQuiet(now);
     refill(now);
     const std::uint64_t word = m_word.load();
     const std::uint64_t arrivals = m_arrivals.load(std::memory_order_relaxed);
+    const auto count = static_cast<double>(arrivals - m_windowArrivals);
     const bool started = m_windowStart != TimePoint();
     const Duration elapsed =
         started ? std::max(kMinDemandWindow, now - m_windowStart) : kMinDemandWindow;
-    const double rate = static_cast<double>(arrivals - m_windowArrivals)
-        / std::chrono::duration<double>(elapsed).count();
-    TeamDemand demand;
-    demand.team = team;
-    demand.arrivalsPerSecond = rate;
-    if (started && elapsed < kDemandWindow) {
-        demand.arrivalsPerSecond = std::max(rate, m_lastRate);
-    } else {
+    const bool complete = !started || m_stopped || elapsed >= kMaxDemandWindow
+        || (elapsed >= kDemandWindow && count >= kDemandWindowArrivals);
+    double rate = count / std::chrono::duration<double>(elapsed).count();
+    if (complete) {
+        rate = m_stopped ? 0 : rate;
         m_windowStart = now;
         m_windowArrivals = arrivals;
         m_lastRate = rate;
+        m_stopped = false;
+    } else {
+        // A few arrivals in a short time do not make a rate yet.
+        rate = std::max(m_lastRate, rate * count / (count + kFewArrivals));
     }
+    const Parameters &held = parametersOf(word);
+    const bool live = micros(now) < held.expires.load();
+    TeamDemand demand;
+    demand.team = team;
+    demand.arrivalsPerSecond = rate;
     demand.waiting = m_waiting.load(std::memory_order_relaxed);
-    const bool live = micros(now) < parametersOf(word).expires.load();
-    demand.unspentTokens = live ? static_cast<double>(tokensOf(word)) / kMicro : 0;
+    demand.unspentTokens = live ? tokensFrom(tokensOf(word)) : 0;
     demand.returnedTokens = m_returnedTokens;
+    demand.heldRate = live ? tokensFrom(held.microTokensPerSecond.load()) : 0;
+    demand.heldBurst = live ? tokensFrom(held.depthMicroTokens.load()) : 0;
+    m_lastReport = now;
     m_refusedReported = m_refused.load(std::memory_order_relaxed);
     return demand;
 }
 
-bool TokenBucket::wantsEarlyReport() const
+bool TokenBucket::wantsEarlyReport(TimePoint now)
 {
+    noteQuiet(now);
+    if (m_stopped)
+        return true;
+    const bool within = parametersOf(m_word.load()).teamWithinRate.load();
+    if (now - m_lastReport < (within ? kEarlyReportInterval : kOverRateReportInterval))
+        return false;
     return m_waiting.load(std::memory_order_relaxed) > 0
         || m_refused.load(std::memory_order_relaxed) != m_refusedReported;
 }
