--- a/src/executor/transaction_resolution.cpp
+++ b/src/executor/transaction_resolution.cpp
@@ -78,7 +78,15 @@
 
 void TransactionResolution::commitRecord(const QueryResult &)
 {
-    execute("COMMIT", {}, &TransactionResolution::findPoint);
+    execute("COMMIT", {}, &TransactionResolution::afterCommit);
+}
+
+void TransactionResolution::afterCommit(const QueryResult &result)
+{
+    if (wasCommitted(result))
+        findPoint({});
+    else
+        giveUp();
 }
 
 void TransactionResolution::findPoint(const QueryResult &)
--- a/src/executor/transaction_resolution.h
+++ b/src/executor/transaction_resolution.h
@@ -33,6 +33,7 @@
     void find(const QueryResult &);
     void onRecord(const QueryResult &result);
     void commitRecord(const QueryResult &);
+    void afterCommit(const QueryResult &result);
     void findPoint(const QueryResult &);
     void onPoint(const QueryResult &result);
     void answer(const HistoryPoint &point);
--- a/src/executor/transactions.cpp
+++ b/src/executor/transactions.cpp
@@ -191,11 +191,19 @@
                                [this, entry, run](const QueryReply &reply) {
                                    if (const auto *error = std::get_if<QueryError>(&reply))
                                        fail(entry, run, *error, FailurePoint::Commit);
+                                   else if (!wasCommitted(std::get<QueryResult>(reply)))
+                                       onRolledBack(entry, run);
                                    else
                                        onCommitted(entry, run);
                                });
 }
 
+void TransactionTable::onRolledBack(const Entry &entry, const std::shared_ptr<RunState> &run)
+{
+    end(entry);
+    finishRun(*run, transactionLost());
+}
+
 void TransactionTable::onCommitted(const Entry &entry, const std::shared_ptr<RunState> &run)
 {
     if (entry->mode == AccessMode::Read) {
--- a/src/executor/transactions.h
+++ b/src/executor/transactions.h
@@ -50,6 +50,7 @@
     void onStatement(const Entry &entry, const std::shared_ptr<RunState> &run, QueryReply reply);
     void recordCommit(const Entry &entry, const std::shared_ptr<RunState> &run);
     void sendCommit(const Entry &entry, const std::shared_ptr<RunState> &run);
+    void onRolledBack(const Entry &entry, const std::shared_ptr<RunState> &run);
     void onCommitted(const Entry &entry, const std::shared_ptr<RunState> &run);
     void awaitMajority(const std::shared_ptr<RunState> &run, const HistoryPoint &point);
     void end(const Entry &entry);
--- a/src/executor/write_run.cpp
+++ b/src/executor/write_run.cpp
@@ -145,8 +145,15 @@
     execute("COMMIT", {}, FailurePoint::Commit, &WriteRun::afterCommit);
 }
 
-void WriteRun::afterCommit(QueryResult)
+void WriteRun::afterCommit(QueryResult result)
 {
+    // A COMMIT of a failed transaction succeeds as a rollback.
+    if (!wasCommitted(result)) {
+        fail({ std::nullopt,
+               Error { ErrorKind::SqlError, "the transaction was rolled back", std::nullopt },
+               false });
+        return;
+    }
     findCommitPoint();
 }
 
@@ -162,7 +169,12 @@
     m_answer.upstream = m_primary;
     m_answer.repeated = true;
     // The first commit may not have reached a majority yet. The current position is at or past it.
-    execute("ROLLBACK", {}, FailurePoint::BeforeCommit, &WriteRun::afterCommit);
+    execute("ROLLBACK", {}, FailurePoint::BeforeCommit, &WriteRun::afterRollback);
+}
+
+void WriteRun::afterRollback(QueryResult)
+{
+    findCommitPoint();
 }
 
 void WriteRun::findCommitPoint()
--- a/src/executor/write_run.h
+++ b/src/executor/write_run.h
@@ -38,7 +38,8 @@
     void runInTransaction();
     void insertRecord(QueryResult result);
     void commit(QueryResult);
-    void afterCommit(QueryResult);
+    void afterCommit(QueryResult result);
+    void afterRollback(QueryResult);
     void repeatRecorded(const std::vector<SqlParam> &record);
 
     // Steps of every write.
