Connect renewed shares and own term reservations to the node

A new controller renews what nodes hold while its predecessor's leases may live; the lease says so, and the node then takes the smaller value. Only the controller whose own entry reserved a term may use it, and statuses asked before a primary took office are not used to judge it.

--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -8,6 +8,37 @@
 
 namespace shallotlever {
 
+namespace {
+
+void notePrimarySet(ControllerState &controller, const Command &command, const ChangeResult &result,
+                    TimePoint now)
+{
+    const auto *decision = std::get_if<GroupDecision>(&command);
+    const auto *set = decision == nullptr ? nullptr : std::get_if<SetPrimary>(decision);
+    if (set == nullptr || result.outcome != ChangeOutcome::Accepted)
+        return;
+    GroupControl &group = controller.groups[set->service];
+    group.primarySince = now;
+    group.statuses.clear();
+}
+
+/// Building the view costs time in proportion to the fleet, so it is built only after a change.
+bool publishFleetIfChanged(ControllerState &controller, const ReplicatedState &replicated)
+{
+    if (controller.shownIndex == replicated.cluster.index
+        && controller.shownRevision == controller.registry.revision)
+        return false;
+    controller.shownIndex = replicated.cluster.index;
+    controller.shownRevision = controller.registry.revision;
+    const FleetState fleet = makeFleetState(controller.registry, replicated.cluster);
+    if (!publishFleet(controller.fleetLog, fleet, controller.controlTerm))
+        return false;
+    applyUpstreamLimits(controller.slots, controller.fleetLog.state.view);
+    return true;
+}
+
+} // namespace
+
 ControllerState makeController(ControlTerm term, const ReplicatedState &replicated,
                                const FleetLog &ownView, std::uint64_t seed, TimePoint now)
 {
@@ -34,6 +65,7 @@
                       TimePoint now)
 {
     controller.logIndex = index;
+    notePrimarySet(controller, command, result, now);
     if (!std::holds_alternative<OperatorChange>(command)
         || result.outcome != ChangeOutcome::Accepted
         || result.version != controller.configLog.version.next())
@@ -43,6 +75,12 @@
     applyTeamConfig(controller.rates, replicated.cluster.config.teams, now);
 }
 
+void onOwnDecisionAccepted(ControllerState &controller, const GroupDecision &decision)
+{
+    if (const auto *reserved = std::get_if<ReserveTerm>(&decision))
+        controller.groups[reserved->service].ownReservedTerm = reserved->term;
+}
+
 std::optional<NodeLease> onNodeReport(ControllerState &controller, const NodeReport &report,
                                       TimePoint now)
 {
@@ -67,7 +105,7 @@
 {
     GroupControl &group = controller.groups[call.service];
     onCallAnswer(group.change, { call.kind, call.upstream, call.term, status }, now);
-    if (status)
+    if (status && askedAt >= group.primarySince)
         group.statuses[call.upstream] = { *status, askedAt };
 }
 
@@ -81,10 +119,7 @@
     actions.upstreamStates = advanceRegistry(controller.registry, now);
     for (const auto &[service, config] : replicated.cluster.config.services)
         advanceGroup(controller, replicated.cluster, service, actions, now);
-    const FleetState fleet = makeFleetState(controller.registry, replicated.cluster);
-    actions.fleetChanged = publishFleet(controller.fleetLog, fleet, controller.controlTerm);
-    if (actions.fleetChanged)
-        applyUpstreamLimits(controller.slots, controller.fleetLog.state.view);
+    actions.fleetChanged = publishFleetIfChanged(controller, replicated);
     noteViewsInForce(controller, now);
     return actions;
 }
--- a/src/controller/group_control.cpp
+++ b/src/controller/group_control.cpp
@@ -77,6 +77,8 @@
         if (status != group.statuses.end())
             input.primaryStatus = status->second.status;
     }
+    input.ownReservedTerm = group.ownReservedTerm;
+    input.registryComplete = now >= controller.since + kAnnouncementLease;
     group.change.service = state.service;
     for (const ChangeAction &action :
          stepPrimaryChange(group.change, input, now, controller.random))
--- a/src/controller/node_shares.cpp
+++ b/src/controller/node_shares.cpp
@@ -35,6 +35,8 @@
     RateGrant rates = onRateReport(controller.rates, { stamp, report.teams }, now);
     stamp.appliedGrant = applied.slot;
     SlotGrant slots = onSlotReport(controller.slots, { stamp, report.slots }, now);
+    // Both allocators took office together, so their grants are renewals at the same time.
+    node.shares.renewed = rates.renewal;
     node.shares.version = ++controller.lastShareVersion;
     node.shares.rates = std::move(rates.shares);
     node.shares.slots = std::move(slots.shares);
--- a/src/fleet/distribution.cpp
+++ b/src/fleet/distribution.cpp
@@ -252,6 +252,7 @@
         lease.rates = shares.rates;
         lease.slots = shares.slots;
     }
+    lease.sharesRenewed = shares.renewed;
     lease.wantsAllObservations = wantsAllObservations;
     return lease;
 }
--- a/src/fleet/messages_decode.cpp
+++ b/src/fleet/messages_decode.cpp
@@ -242,6 +242,7 @@
     l.rates = all(t.rates(), rateShareOf);
     l.slots = all(t.slots(), slotShareOf);
     l.wantsAllObservations = t.wants_all_observations();
+    l.sharesRenewed = t.shares_renewed();
     l.nodes = all(t.nodes(), [this](const auto &n) { return lease(n, true); });
     return l;
 }
--- a/src/fleet/messages_encode.cpp
+++ b/src/fleet/messages_encode.cpp
@@ -181,7 +181,7 @@
     return fbs::CreateNodeLease(b, packId(b, l.node), l.incarnation.value(), l.report,
                                 l.length.count(), l.controlTerm.value(), l.logIndex.value(), config,
                                 fleet, l.shareVersion, l.sharesUnchanged, rates, slots,
-                                l.wantsAllObservations, nodes);
+                                l.wantsAllObservations, nodes, l.sharesRenewed);
 }
 
 std::string finish(FlatBufferBuilder &b, Offset<fbs::FleetMessage> root)
--- a/src/include/shallotlever/controller/controller.h
+++ b/src/include/shallotlever/controller/controller.h
@@ -80,6 +80,11 @@
     std::set<UpstreamId> shownVotingSet;
     FleetVersion shownSince;
     std::optional<TimePoint> viewInForceAt;
+    /// Highest term that this controller reserved itself, in its present control term.
+    Term ownReservedTerm;
+    /// When the decision that put the primary into office was applied; statuses that were asked
+    /// before say nothing about it.
+    TimePoint primarySince;
 };
 
 struct ControllerState
@@ -97,6 +102,9 @@
     std::map<NodeId, NodeShares> shares;
     std::uint64_t lastShareVersion = 0;
     LogIndex logIndex;
+    /// State that the published fleet view shows.
+    std::uint64_t shownRevision = 0;
+    std::optional<LogIndex> shownIndex;
 };
 
 /// Takes office. `ownView` is the fleet log of the controller's own node, so that the fleet view
@@ -109,6 +117,9 @@
                       const Command &command, const ChangeResult &result, LogIndex index,
                       TimePoint now);
 
+/// A decision that this controller proposed was committed as its own entry and accepted.
+void onOwnDecisionAccepted(ControllerState &controller, const GroupDecision &decision);
+
 /// Lease in answer to a report, nested ones included; nullopt for a report that came out of order.
 std::optional<NodeLease> onNodeReport(ControllerState &controller, const NodeReport &report,
                                       TimePoint now);
--- a/src/include/shallotlever/fleet/distribution.h
+++ b/src/include/shallotlever/fleet/distribution.h
@@ -59,6 +59,8 @@
 struct ShareSet
 {
     std::uint64_t version = 0;
+    /// See NodeLease::sharesRenewed.
+    bool renewed = false;
     std::vector<RateShare> rates;
     std::vector<SlotShare> slots;
 };
--- a/src/include/shallotlever/fleet/messages.h
+++ b/src/include/shallotlever/fleet/messages.h
@@ -153,6 +153,9 @@
     std::uint64_t shareVersion = 0;
     /// The node reported this share version already, so the shares are left out.
     bool sharesUnchanged = false;
+    /// The shares only extend those in force: the node takes the smaller of each value, and nothing
+    /// if its share has expired. Sent by a new controller while its predecessor's leases may live.
+    bool sharesRenewed = false;
     std::vector<RateShare> rates;
     std::vector<SlotShare> slots;
     /// The controller cannot use differences: the next report must hold all observations.
--- a/src/node/controller_shell.cpp
+++ b/src/node/controller_shell.cpp
@@ -126,9 +126,15 @@
 
 void ControllerShell::propose(const GroupDecision &decision, TimePoint now)
 {
+    const ControlTerm term = m_controller->controlTerm;
     m_group.propose(
         Command(decision), QDateTime::currentMSecsSinceEpoch(),
-        [](const absl::StatusOr<ChangeResult> &) {}, now);
+        [this, decision, term](const absl::StatusOr<ChangeResult> &result) {
+            const bool accepted = result.ok() && result->outcome == ChangeOutcome::Accepted;
+            if (accepted && m_controller && m_controller->controlTerm == term)
+                onOwnDecisionAccepted(*m_controller, decision);
+        },
+        now);
 }
 
 void ControllerShell::logChange(const PrimaryChanged &changed) const
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -12,6 +12,17 @@
 constexpr Duration kReportInterval = 500ms;
 constexpr Duration kForwardTimeout = 12s;
 
+void noteHeldConnections(std::vector<SlotDemand> &demand, const std::vector<SlotShare> &shares)
+{
+    for (SlotDemand &entry : demand) {
+        const auto held = std::find_if(shares.begin(), shares.end(), [&](const SlotShare &share) {
+            return share.upstream == entry.upstream;
+        });
+        if (held != shares.end())
+            entry.connectionsHeld = held->connections;
+    }
+}
+
 } // namespace
 
 void Node::Impl::tick()
@@ -71,6 +82,8 @@
         input.reachable.insert(report.reachable.begin(), report.reachable.end());
         input.slots.insert(input.slots.end(), report.demand.begin(), report.demand.end());
     }
+    if (isFresh(m_view.freshness, now))
+        noteHeldConnections(input.slots, m_view.slots);
     for (const auto &[team, bucket] : m_buckets)
         input.teams.push_back(bucket->takeDemand(team, now));
     return input;
--- a/src/node/node_publish.cpp
+++ b/src/node/node_publish.cpp
@@ -35,7 +35,11 @@
 {
     for (const RateShare &share : m_view.rates) {
         const auto bucket = m_buckets.find(share.team);
-        if (bucket != m_buckets.end() && bucket->second->applyShare(share, sharesUntil, now))
+        if (bucket == m_buckets.end())
+            continue;
+        if (m_view.sharesRenewed)
+            bucket->second->renewShare(share, sharesUntil, now);
+        else if (bucket->second->applyShare(share, sharesUntil, now))
             m_nextReport = TimePoint();
     }
 }
--- a/src/node/node_view.cpp
+++ b/src/node/node_view.cpp
@@ -1,5 +1,7 @@
 #include "node_view.h"
 
+#include <algorithm>
+
 #include "shallotlever/config/codec.h"
 
 namespace shallotlever {
@@ -66,6 +68,19 @@
     return view.replicated.cluster.config.version == update.to;
 }
 
+/// A renewal never raises a share.
+std::vector<SlotShare> renewedSlots(const std::vector<SlotShare> &held,
+                                    std::vector<SlotShare> renewed)
+{
+    for (SlotShare &share : renewed) {
+        const auto old = std::find_if(held.begin(), held.end(), [&](const SlotShare &other) {
+            return other.upstream == share.upstream;
+        });
+        share.connections = old == held.end() ? 0 : std::min(share.connections, old->connections);
+    }
+    return renewed;
+}
+
 } // namespace
 
 NodeView makeNodeView(const NodeId &node, Incarnation incarnation)
@@ -120,8 +135,9 @@
     applyFleetUpdate(view.fleet, lease.fleet);
     if (!lease.sharesUnchanged) {
         view.rates = lease.rates;
-        view.slots = lease.slots;
+        view.slots = lease.sharesRenewed ? renewedSlots(view.slots, lease.slots) : lease.slots;
     }
+    view.sharesRenewed = lease.sharesRenewed;
     result.sharesUntil = view.freshness.sentAt.at(lease.report) + kShareLease;
     return result;
 }
--- a/src/node/node_view.h
+++ b/src/node/node_view.h
@@ -20,6 +20,8 @@
     ReplicatedState replicated;
     ConfigLog configLog;
     FleetLog fleet;
+    /// The shares only extend those in force.
+    bool sharesRenewed = false;
     std::vector<RateShare> rates;
     std::vector<SlotShare> slots;
     bool allObservationsWanted = true;
