--- a/src/include/shallotlever/node/node.h
+++ b/src/include/shallotlever/node/node.h
@@ -18,6 +18,10 @@
     Node(const Node &) = delete;
     Node &operator=(const Node &) = delete;
 
+    /// Ports that are listened on, for settings with port 0.
+    std::uint16_t httpPort() const;
+    std::uint16_t peerPort() const;
+
     /// Starts the graceful stop; the application's event loop ends with status 0 when it is done,
     /// and with status 3 if the drain limit cut requests short. A second call ends it at once.
     void shutDown();
--- a/src/node/node_impl.h
+++ b/src/node/node_impl.h
@@ -31,6 +31,8 @@
 
     absl::Status start();
     void shutDown();
+    std::uint16_t httpPort() const { return m_listener->port(); }
+    std::uint16_t peerPort() const { return m_transport->port(); }
 
 private:
     enum class DrainPhase {
--- a/src/node/node_start.cpp
+++ b/src/node/node_start.cpp
@@ -194,6 +194,16 @@
     return std::unique_ptr<Node>(new Node(std::move(impl)));
 }
 
+std::uint16_t Node::httpPort() const
+{
+    return m_impl->httpPort();
+}
+
+std::uint16_t Node::peerPort() const
+{
+    return m_impl->peerPort();
+}
+
 void Node::shutDown()
 {
     m_impl->shutDown();
--- a/src/shallotleverd/main.cpp
+++ b/src/shallotleverd/main.cpp
@@ -48,6 +48,9 @@
         logger.error("start_failed", { { "error", std::string(node.status().message()) } });
         return 1;
     }
+    // For tools that start nodes; logs go to standard error.
+    std::cout << R"({"ready":true,"port":)" << (*node)->httpPort() << R"(,"peer_port":)"
+              << (*node)->peerPort() << "}" << std::endl;
     QSocketNotifier notifier(signalDescriptor, QSocketNotifier::Read);
     QObject::connect(&notifier, &QSocketNotifier::activated, &application, [&] {
         signalfd_siginfo info {};
