--- a/src/controller/node_shares.cpp
+++ b/src/controller/node_shares.cpp
@@ -40,7 +40,12 @@
     node.shares.version = ++controller.lastShareVersion;
     node.shares.rates = std::move(rates.shares);
     node.shares.slots = std::move(slots.shares);
-    node.recent.push_back({ node.shares.version, rates.number, slots.number });
+    // An empty grant has number 0 and leaves the last one in force.
+    const auto numberOr = [](GrantNumber number, GrantNumber last) {
+        return number == GrantNumber() ? last : number;
+    };
+    node.recent.push_back({ node.shares.version, numberOr(rates.number, applied.rate),
+                            numberOr(slots.number, applied.slot) });
     if (node.recent.size() > kVersionsRemembered)
         node.recent.pop_front();
     return node.shares;
--- a/src/include/shallotlever/types/shares.h
+++ b/src/include/shallotlever/types/shares.h
@@ -57,8 +57,8 @@
     friend bool operator==(const RateShare &, const RateShare &) = default;
 };
 
-/// Part of an upstream's connections, valid until the lease it came with runs out. Includes the
-/// node's status connection; a node with a share of 1 uses that connection for statements too.
+/// Part of an upstream's connections, valid until the lease it came with runs out. The node's
+/// status connection is a control connection, which the platform does not count.
 struct SlotShare
 {
     UpstreamId upstream;
