--- a/src/executor/transactions.cpp
+++ b/src/executor/transactions.cpp
@@ -6,7 +6,7 @@
 #include "commit_point.h"
 #include "idempotency.h"
 #include "shallotlever/base/clock.h"
-#include "shallotlever/session/keys.h"
+#include "shallotlever/session/transaction_id.h"
 #include "transaction_resolution.h"
 
 namespace shallotlever {
@@ -58,18 +58,18 @@
             return;
         }
         const AccessMode mode = std::get<BeginWork>(run->item.body).mode;
-        const auto entry = std::make_shared<OpenTransaction>(
-            OpenTransaction { TransactionId(m_context.options.node.value() + "." + randomId()),
-                              run->item.team,
-                              run->item.token.session,
-                              mode,
-                              id,
-                              term,
-                              std::move(*connection),
-                              true,
-                              {},
-                              {},
-                              *slot });
+        const auto entry = std::make_shared<OpenTransaction>(OpenTransaction {
+            makeTransactionId(m_context.options.node, run->item.team, m_context.options.secret),
+            run->item.team,
+            run->item.token.session,
+            mode,
+            id,
+            term,
+            std::move(*connection),
+            true,
+            {},
+            {},
+            *slot });
         const char *sql = mode == AccessMode::Read ? "BEGIN READ ONLY" : "BEGIN";
         entry->connection->execute(
             sql, {}, timeLeft(run->item.deadline, monotonicNow()),
@@ -156,6 +156,10 @@
 {
     const TransactionId id = std::get<CommitWork>(item.body).transaction;
     if (!m_open.contains(id)) {
+        if (!isGenuineTransactionId(id, item.team, m_context.options.secret)) {
+            refuse(item, ErrorKind::UnknownTransaction);
+            return;
+        }
         std::make_shared<TransactionResolution>(makeRun(m_context, std::move(item)), id)->start();
         return;
     }
--- a/src/node/request_path.cpp
+++ b/src/node/request_path.cpp
@@ -48,10 +48,10 @@
     return RollbackWork { std::get<RollbackRequest>(request).transaction };
 }
 
-/// Requests inside a transaction were paid for when it began, and refusing a commit helps nobody.
+/// A refused commit or rollback would only hold the transaction's connection for longer.
 bool needsToken(const WorkBody &body)
 {
-    return std::holds_alternative<StatementWork>(body) || std::holds_alternative<BeginWork>(body);
+    return !std::holds_alternative<CommitWork>(body) && !std::holds_alternative<RollbackWork>(body);
 }
 
 void countRefusal(const AdmittedWork &admitted)
--- a/src/session/session_test.cpp
+++ b/src/session/session_test.cpp
@@ -3,6 +3,7 @@
 #include "absl/strings/str_cat.h"
 #include "shallotlever/session/keys.h"
 #include "shallotlever/session/token.h"
+#include "shallotlever/session/transaction_id.h"
 
 namespace shallotlever {
 namespace {
@@ -77,6 +78,42 @@
     EXPECT_EQ(token.points.size(), kMaxTokenServices);
 }
 
+struct ForeignTransactionId
+{
+    const char *name;
+    TransactionId (*make)();
+};
+
+class TransactionIdForeign : public testing::TestWithParam<ForeignTransactionId>
+{
+};
+
+// Guards against ids that a caller made up, for which the system would write records.
+TEST_P(TransactionIdForeign, IsNotGenuine)
+{
+    EXPECT_FALSE(isGenuineTransactionId(GetParam().make(), TeamId("t1"), kSecret));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Cases, TransactionIdForeign,
+    testing::Values(ForeignTransactionId { "Empty", [] { return TransactionId(); } },
+                    ForeignTransactionId { "NoCode", [] { return TransactionId("n1.abc"); } },
+                    ForeignTransactionId {
+                        "OtherTeam",
+                        [] { return makeTransactionId(NodeId("n1"), TeamId("t2"), kSecret); } },
+                    ForeignTransactionId { "OtherSecret",
+                                           [] {
+                                               return makeTransactionId(NodeId("n1"), TeamId("t1"),
+                                                                        { std::string(32, 'x') });
+                                           } }),
+    [](const auto &info) { return info.param.name; });
+
+TEST(TransactionIds, AreGenuineForTheirTeam)
+{
+    const TransactionId id = makeTransactionId(NodeId("n.1"), TeamId("t1"), kSecret);
+    EXPECT_TRUE(isGenuineTransactionId(id, TeamId("t1"), kSecret));
+}
+
 TEST(Keys, AuthenticateOnlyWithTheSecret)
 {
     const GeneratedKey key = generateKey();
--- a/src/session/token.cpp
+++ b/src/session/token.cpp
@@ -3,29 +3,14 @@
 #include <algorithm>
 #include <vector>
 
-#include <openssl/crypto.h>
-#include <openssl/evp.h>
-#include <openssl/hmac.h>
-
 #include "absl/strings/escaping.h"
 #include "generated/token_generated.h"
+#include "mac.h"
 
 namespace shallotlever {
 
 namespace {
 
-constexpr std::size_t kMacBytes = 32;
-
-std::string macOf(std::string_view content, const SessionSecret &secret)
-{
-    std::string mac(kMacBytes, '\0');
-    unsigned int size = kMacBytes;
-    HMAC(EVP_sha256(), secret.bytes.data(), static_cast<int>(secret.bytes.size()),
-         reinterpret_cast<const unsigned char *>(content.data()), content.size(),
-         reinterpret_cast<unsigned char *>(mac.data()), &size);
-    return mac;
-}
-
 absl::Status invalidToken()
 {
     return absl::UnauthenticatedError("the session token is not valid");
@@ -57,7 +42,7 @@
         return invalidToken();
     // A copy of its own, because FlatBuffers needs an aligned start.
     const std::string content = raw.substr(kMacBytes);
-    if (CRYPTO_memcmp(raw.data(), macOf(content, secret).data(), kMacBytes) != 0)
+    if (!sameMac(std::string_view(raw).substr(0, kMacBytes), macOf(content, secret)))
         return invalidToken();
     const auto *data = reinterpret_cast<const std::uint8_t *>(content.data());
     flatbuffers::Verifier verifier(data, content.size());
