Run a read in one round trip

Cause: a read took two round trips before its answer (BEGIN READ ONLY, the statement) and a third one before its connection was free (ROLLBACK). Change: the three commands are sent as one libpq pipeline. The stand-in got the fault command round-trip-time, which stands for the distance to a database.

--- a/src/executor/read_run.cpp
+++ b/src/executor/read_run.cpp
@@ -103,26 +103,14 @@
                               return;
                           }
                           self->m_connection = std::move(*connection);
-                          self->begin();
-                      });
-}
-
-void ReadRun::begin()
-{
-    (*m_connection)
-        ->execute("BEGIN READ ONLY", {}, attemptTimeout(),
-                  [self = shared_from_this()](QueryReply reply) {
-                      if (std::holds_alternative<QueryError>(reply))
-                          self->onResult(std::move(reply));
-                      else
                           self->runStatement();
-                  });
+                      });
 }
 
 void ReadRun::runStatement()
 {
     (*m_connection)
-        ->execute(
+        ->executeReadOnly(
             statement().sql, statement().params, attemptTimeout(),
             [self = shared_from_this()](QueryReply reply) { self->onResult(std::move(reply)); });
 }
@@ -177,15 +165,16 @@
     }
     if (!m_connection)
         return;
-    // The transaction is rolled back rather than committed: settings that the statement changed
+    // The transaction was rolled back rather than committed: settings that the statement changed
     // are undone with it, so they do not reach the next session.
-    auto connection = std::make_shared<PooledConnection>(std::move(*m_connection));
+    PooledConnection connection = std::move(*m_connection);
     m_connection.reset();
-    if (!succeeded)
+    if (!connection->isReady())
         return;
-    (*connection)->execute("ROLLBACK", {}, kReadAttemptTimeout, [connection](const QueryReply &) {
-        connection->release(SessionReset::None);
-    });
+    if (connection->transactionStatus() == TransactionStatus::Idle)
+        connection.release(SessionReset::None);
+    else
+        rollBackAndRelease(std::move(connection));
 }
 
 Duration ReadRun::attemptTimeout() const
--- a/src/executor/read_run.h
+++ b/src/executor/read_run.h
@@ -24,7 +24,6 @@
     void waitForReplica(const ReadChoice &choice);
     void refuseChoice(const ReadChoice &choice);
     void connect(const ReadChoice &choice);
-    void begin();
     void runStatement();
     void onResult(QueryReply reply);
     void succeed(QueryResult result);
--- a/src/include/shallotlever/upstream/connection.h
+++ b/src/include/shallotlever/upstream/connection.h
@@ -61,6 +61,12 @@
     void execute(std::string_view sql, std::span<const SqlValue> params, Duration timeout,
                  QueryCallback callback);
 
+    /// Runs one statement in a read-only transaction that is rolled back afterwards, in one round
+    /// trip: the three commands are sent as a libpq pipeline. Reports like execute(). After an
+    /// error of the statement the transaction is still open, as transactionStatus() says.
+    void executeReadOnly(std::string_view sql, std::span<const SqlValue> params, Duration timeout,
+                         QueryCallback callback);
+
     /// Closes the connection; a pending statement is reported as Abandoned from the event loop.
     void abandon();
 
--- a/src/upstream/connection.cpp
+++ b/src/upstream/connection.cpp
@@ -119,8 +119,10 @@
 
     static absl::StatusOr<std::shared_ptr<State>> start(const ConnectionParams &params,
                                                         OpenCallback onOpen);
-    void execute(std::string_view sql, std::span<const SqlValue> params, Duration timeout,
-                 QueryCallback callback);
+    enum class Mode { Single, ReadOnlyPipeline };
+
+    void execute(Mode mode, std::string_view sql, std::span<const SqlValue> params,
+                 Duration timeout, QueryCallback callback);
     void abandon();
     /// Closes without calling any callback.
     void dispose();
@@ -142,6 +144,9 @@
     absl::Status connectFailure() const;
     bool peerStillOpen();
     bool sendStatement(const std::string &sql, std::span<const SqlValue> params);
+    bool sendReadOnly(const std::string &sql, std::span<const SqlValue> params);
+    void readPipeline();
+    void addPipelineResult(PGresult *result);
     void flushOutput();
     void readIdle();
     void readAnswer();
@@ -162,6 +167,9 @@
     QueryCallback m_onReply;
     std::function<void()> m_onIdleClose;
     std::optional<QueryReply> m_reply;
+    Mode m_mode = Mode::Single;
+    /// Results of the pipeline read so far.
+    int m_pipelineResults = 0;
 };
 
 absl::StatusOr<std::shared_ptr<UpstreamConnection::State>>
@@ -324,8 +332,18 @@
         == 1;
 }
 
-void UpstreamConnection::State::execute(std::string_view sql, std::span<const SqlValue> params,
-                                        Duration timeout, QueryCallback callback)
+bool UpstreamConnection::State::sendReadOnly(const std::string &sql,
+                                             std::span<const SqlValue> params)
+{
+    PGconn *connection = m_connection.get();
+    return PQenterPipelineMode(connection) == 1 && sendStatement("BEGIN READ ONLY", {})
+        && sendStatement(sql, params) && sendStatement("ROLLBACK", {})
+        && PQpipelineSync(connection) == 1;
+}
+
+void UpstreamConnection::State::execute(Mode mode, std::string_view sql,
+                                        std::span<const SqlValue> params, Duration timeout,
+                                        QueryCallback callback)
 {
     const auto refuse = [&](const char *why) {
         later([callback = std::move(callback), why] {
@@ -342,11 +360,16 @@
         close();
         return refuse("the connection was closed by the database");
     }
-    if (!sendStatement(std::string(sql), params)) {
+    const std::string text(sql);
+    const bool sent =
+        mode == Mode::Single ? sendStatement(text, params) : sendReadOnly(text, params);
+    if (!sent) {
         close();
         return refuse("libpq refused the statement");
     }
     m_phase = Phase::Running;
+    m_mode = mode;
+    m_pipelineResults = 0;
     m_onReply = std::move(callback);
     m_timer.start(timerInterval(timeout));
     m_writeNotifier->setEnabled(PQflush(m_connection.get()) != 0);
@@ -372,6 +395,8 @@
     PGconn *connection = m_connection.get();
     if (PQconsumeInput(connection) == 0)
         return failQuery(QueryErrorKind::LostAfterSend, PQerrorMessage(connection));
+    if (m_mode == Mode::ReadOnlyPipeline)
+        return readPipeline();
     while (PQisBusy(connection) == 0) {
         ResultPtr result(PQgetResult(connection));
         if (!result)
@@ -388,6 +413,39 @@
                             : makeError(QueryErrorKind::LostAfterSend, "no answer"));
 }
 
+void UpstreamConnection::State::readPipeline()
+{
+    PGconn *connection = m_connection.get();
+    // An empty result ends each command; two in a row mean that nothing more has arrived.
+    for (int empty = 0; empty < 2 && PQisBusy(connection) == 0;) {
+        const ResultPtr result(PQgetResult(connection));
+        empty = result ? 0 : empty + 1;
+        if (!result)
+            continue;
+        if (PQresultStatus(result.get()) != PGRES_PIPELINE_SYNC) {
+            addPipelineResult(result.get());
+            continue;
+        }
+        if (!m_reply || PQexitPipelineMode(connection) == 0)
+            return failQuery(QueryErrorKind::LostAfterSend, "the pipeline gave no answer");
+        return finishQuery(std::move(*m_reply));
+    }
+    if (PQstatus(connection) != CONNECTION_OK)
+        failQuery(QueryErrorKind::LostAfterSend, PQerrorMessage(connection));
+}
+
+void UpstreamConnection::State::addPipelineResult(PGresult *result)
+{
+    // BEGIN, the statement, ROLLBACK: the statement's answer counts, or the first error.
+    constexpr int kStatementResult = 1;
+    const int index = m_pipelineResults++;
+    if (m_reply || PQresultStatus(result) == PGRES_PIPELINE_ABORTED)
+        return;
+    QueryReply reply = toReply(result);
+    if (index == kStatementResult || std::holds_alternative<QueryError>(reply))
+        m_reply = std::move(reply);
+}
+
 void UpstreamConnection::State::addResult(ResultPtr result)
 {
     QueryReply reply = toReply(result.get());
@@ -487,7 +545,13 @@
 void UpstreamConnection::execute(std::string_view sql, std::span<const SqlValue> params,
                                  Duration timeout, QueryCallback callback)
 {
-    m_state->execute(sql, params, timeout, std::move(callback));
+    m_state->execute(State::Mode::Single, sql, params, timeout, std::move(callback));
+}
+
+void UpstreamConnection::executeReadOnly(std::string_view sql, std::span<const SqlValue> params,
+                                         Duration timeout, QueryCallback callback)
+{
+    m_state->execute(State::Mode::ReadOnlyPipeline, sql, params, timeout, std::move(callback));
 }
 
 void UpstreamConnection::abandon()
--- a/testsuite/overhead/main.cpp
+++ b/testsuite/overhead/main.cpp
@@ -25,12 +25,14 @@
 
 Usage:
   overhead_bench [--threads=N] [--seconds=S] [--edge-threads=N] [--executor-threads=N]
+                 [--round-trip-ms=MS]
 
 Options:
   --threads=N           Closed-loop clients [default: 16].
   --seconds=S           Time of each measurement [default: 3].
   --edge-threads=N      HTTP threads of a node [default: 2].
   --executor-threads=N  Executor threads of a node [default: 2].
+  --round-trip-ms=MS    Distance from node to databases [default: 0].
 )";
 
 using Clock = std::chrono::steady_clock;
@@ -170,6 +172,9 @@
     const std::chrono::seconds duration(arguments.at("--seconds").asLong());
     Deployment deployment(static_cast<int>(arguments.at("--edge-threads").asLong()),
                           static_cast<int>(arguments.at("--executor-threads").asLong()));
+    for (const char *id : { "db0", "db1", "db2" })
+        deployment.database(id).command("round-trip-time "
+                                        + arguments.at("--round-trip-ms").asString());
     const auto nodeCase = [&](const char *name, const char *sql, const char *mode) {
         const double before = processorSeconds(deployment.nodeProcess(0));
         const Result result = measure(clients, duration, throughNode(deployment, sql, mode));
--- a/testsuite/standin_db/faults.cpp
+++ b/testsuite/standin_db/faults.cpp
@@ -55,6 +55,8 @@
         replicationDelayMs = std::stoi(argument);
     else if (command == "statement-time")
         statementTimeMs = std::stoi(argument);
+    else if (command == "round-trip-time")
+        roundTripMs = std::stoi(argument);
     else if (command == "leaving")
         leaving = switchValue(argument);
     else
--- a/testsuite/standin_db/faults.h
+++ b/testsuite/standin_db/faults.h
@@ -22,6 +22,8 @@
 public:
     std::atomic<int> replicationDelayMs = 0;
     std::atomic<int> statementTimeMs = 0;
+    /// Pause before each answer to a client, which stands for the distance to the database.
+    std::atomic<int> roundTripMs = 0;
     std::atomic<bool> leaving = false;
     std::atomic<bool> refuseConnections = false;
     std::atomic<int> connections = 0;
--- a/testsuite/standin_db/main.cpp
+++ b/testsuite/standin_db/main.cpp
@@ -50,7 +50,7 @@
   refuse on|off                   close new client connections at once
   drop-after N                    close the next answered connection after N bytes of the answer
   drop-before-answer [PREFIX]     close instead of answering the next statement that starts so
-  replication-delay MS | statement-time MS | leaving on|off
+  replication-delay MS | statement-time MS | round-trip-time MS | leaving on|off
   peers id=host:port,...          replace the list of peers
   stats                           counters as JSON
 Sessions of user shallotlever_control are exempt from the connection limit and from dropped answers.
--- a/testsuite/standin_db/protocol.cpp
+++ b/testsuite/standin_db/protocol.cpp
@@ -250,6 +250,7 @@
 
     void flush()
     {
+        std::this_thread::sleep_for(std::chrono::milliseconds(m_server.faults.roundTripMs));
         m_server.faults.waitForClients();
         if (m_answersStatement && !m_control && !m_dropped) {
             if (const auto limit = m_server.faults.takeDropAfter()) {
--- a/testsuite/upstream/connection_test.cpp
+++ b/testsuite/upstream/connection_test.cpp
@@ -104,6 +104,42 @@
 }
 
 // Guards against a read transaction that sees commits made after its first read.
+QueryReply readOnly(UpstreamConnection &connection, std::string_view sql,
+                    const std::vector<SqlValue> &params = {}, Duration timeout = 20s)
+{
+    return await<QueryReply>([&](const QueryCallback &callback) {
+        connection.executeReadOnly(sql, params, timeout, callback);
+    });
+}
+
+// Guards against answers of BEGIN or ROLLBACK being taken for the statement's, and against a
+// connection that is left inside the transaction.
+TEST_F(Connection, ReadOnlyPipelineAnswersTheStatementAndRollsBack)
+{
+    for (int round = 0; round < 3; ++round) {
+        const QueryReply reply = readOnly(*m_connection, "SELECT $1 AS v", { { "x" } });
+        ASSERT_TRUE(std::holds_alternative<QueryResult>(reply)) << errorOf(reply).message;
+        EXPECT_EQ(std::get<QueryResult>(reply).rows[0][0], "x");
+        EXPECT_EQ(m_connection->transactionStatus(), TransactionStatus::Idle);
+    }
+    mustQuery(*m_connection, "INSERT INTO seats VALUES (1, 'after')");
+    EXPECT_EQ(countSeats(), "1");
+}
+
+// Guards against a mislabelled write that takes effect, and against a failed pipeline that leaves
+// the connection unusable.
+TEST_F(Connection, ReadOnlyPipelineRefusesAWriteAndStaysUsable)
+{
+    EXPECT_EQ(errorOf(readOnly(*m_connection, "INSERT INTO seats VALUES (1, 'a')")).sqlState,
+              "25006");
+    EXPECT_EQ(m_connection->transactionStatus(), TransactionStatus::Failed);
+    mustQuery(*m_connection, "ROLLBACK");
+    EXPECT_EQ(errorOf(readOnly(*m_connection, "SELECT nonsense FROM")).sqlState, "42601");
+    mustQuery(*m_connection, "ROLLBACK");
+    EXPECT_TRUE(std::holds_alternative<QueryResult>(readOnly(*m_connection, "SELECT 1")));
+    EXPECT_EQ(countSeats(), "0");
+}
+
 TEST_F(Connection, ReadOnlyTransactionKeepsItsSnapshot)
 {
     mustQuery(*m_connection, "BEGIN READ ONLY");
@@ -160,6 +196,15 @@
 }
 
 // The whole answer has 426 bytes or more: two columns described, and 20 rows of 17 bytes or more.
+// Guards against a cut pipeline that is reported as a whole answer.
+TEST_P(DropAfter, PartOfAPipelineIsAnError)
+{
+    m_database.command("drop-after " + std::to_string(GetParam()));
+    const QueryReply reply = readOnly(*m_connection, "SELECT hex(zeroblob(500)) AS long");
+    EXPECT_EQ(errorOf(reply).kind, QueryErrorKind::LostAfterSend);
+    EXPECT_TRUE(m_connection->isClosed());
+}
+
 INSTANTIATE_TEST_SUITE_P(Bytes, DropAfter, testing::Values(0, 1, 5, 10, 64, 100, 200, 300, 400));
 
 // Guards against a request that waits for ever, and against its late answer meeting the next one.
