--- a/src/operator/command_line.cpp
+++ b/src/operator/command_line.cpp
@@ -49,7 +49,8 @@
 {
     std::string text = "Controls a shallotlever system.\n\nUsage:\n";
     for (const CliCommand &command : commands)
-        text += fmt::format("  shallotlever [options] {} {}\n", wordsOf(command), command.pattern);
+        text += fmt::format("  shallotlever [options] {}{}{}\n", wordsOf(command),
+                            command.pattern.empty() ? "" : " ", command.pattern);
     text += "  shallotlever --help\n  shallotlever --version\n\nCommands:\n";
     for (const CliCommand &command : commands)
         text += fmt::format("  {:<16}  {}\n", wordsOf(command), command.help);
