--- a/src/operator/statement_command.cpp
+++ b/src/operator/statement_command.cpp
@@ -97,7 +97,9 @@
 
 void printAnswer(const CommandContext &context, const QJsonObject &answer)
 {
-    context.out << rowText(answer.value(QLatin1String("columns")).toArray());
+    const QJsonArray columns = answer.value(QLatin1String("columns")).toArray();
+    if (!columns.isEmpty())
+        context.out << rowText(columns);
     for (const QJsonValue &row : answer.value(QLatin1String("rows")).toArray())
         context.out << rowText(row.toArray());
     context.out << "affected rows " << cellText(answer, "affected_rows") << ", upstream "
