--- a/testsuite/support/program.cpp
+++ b/testsuite/support/program.cpp
@@ -18,13 +18,17 @@
 
 } // namespace
 
-Program::Program(const std::string &path, const std::vector<std::string> &arguments)
+Program::Program(const std::string &path, const std::vector<std::string> &arguments,
+                 const std::string &log)
 {
     ensureApplication();
     QStringList list;
     for (const std::string &argument : arguments)
         list.append(QString::fromStdString(argument));
-    m_process.setProcessChannelMode(QProcess::ForwardedErrorChannel);
+    if (log.empty())
+        m_process.setProcessChannelMode(QProcess::ForwardedErrorChannel);
+    else
+        m_process.setStandardErrorFile(QString::fromStdString(log), QIODevice::Append);
     // A test that crashes must not leave processes behind, which would also hold its output open.
     m_process.setChildProcessModifier([] { prctl(PR_SET_PDEATHSIG, SIGKILL); });
     m_process.start(QString::fromStdString(path), list);
@@ -57,9 +61,24 @@
 int Program::terminate()
 {
     m_process.terminate();
+    return terminated();
+}
+
+int Program::terminated()
+{
     // The event loop runs meanwhile: the program may talk to a server inside the test.
     const bool ended = spinUntil([this] { return m_process.state() == QProcess::NotRunning; });
     return ended && m_process.exitStatus() == QProcess::NormalExit ? m_process.exitCode() : -1;
 }
 
+void Program::freeze() const
+{
+    ::kill(static_cast<pid_t>(processId()), SIGSTOP);
+}
+
+void Program::thaw() const
+{
+    ::kill(static_cast<pid_t>(processId()), SIGCONT);
+}
+
 } // namespace shallotlever::support
--- a/testsuite/support/program.h
+++ b/testsuite/support/program.h
@@ -13,7 +13,9 @@
 {
 public:
     /// Starts the program and waits for its ready line; throws std::runtime_error.
-    Program(const std::string &path, const std::vector<std::string> &arguments);
+    /// Standard error is appended to `log`, or forwarded if it is empty.
+    Program(const std::string &path, const std::vector<std::string> &arguments,
+            const std::string &log = {});
     ~Program();
     Program(const Program &) = delete;
     Program &operator=(const Program &) = delete;
@@ -26,6 +28,13 @@
     void kill();
     /// SIGTERM; returns the exit status, or -1 if the process did not exit normally.
     int terminate();
+    /// SIGTERM without waiting.
+    void stop() { m_process.terminate(); }
+    /// Waits for the end of a program that was told to stop; status as of terminate().
+    int terminated();
+    /// SIGSTOP and SIGCONT.
+    void freeze() const;
+    void thaw() const;
 
 private:
     QProcess m_process;
