Hold reads and writes that no database can take until their deadline

Cause: after a kill -9 of the primary, writes were refused with connect_failed after three attempts within 30 ms, and reads with no_fresh_replica while the replicas had not yet reported the new term. Ruled out: a wrong outcome, since both were true not_run answers; the fair queue, which refused nothing. Change: a write that is known not to have run is repeated every 50 ms, and a read's choice every 20 ms, until the caller's deadline; nothing is sent for a read meanwhile, and the writes that repeat are bounded by the queue's slots.

--- a/src/executor/read_run.cpp
+++ b/src/executor/read_run.cpp
@@ -11,6 +11,10 @@
 /// holds no slot until the caller's deadline.
 constexpr Duration kReadAttemptTimeout = 1s;
 
+/// No database could serve the read. During a change of primary this passes within a second, so
+/// the choice is repeated until the caller's deadline; nothing is sent meanwhile.
+constexpr Duration kChoicePause = 20ms;
+
 std::chrono::milliseconds toMilliseconds(Duration duration)
 {
     return std::chrono::ceil<std::chrono::milliseconds>(duration);
@@ -86,8 +90,15 @@
 
 void ReadRun::refuseChoice(const ReadChoice &choice)
 {
+    const TimePoint now = monotonicNow();
+    if (now + kChoicePause < m_run.item.deadline) {
+        m_run.context.metrics->retry(RetryReason::ReplicaStale).increment();
+        m_tried.clear();
+        callLater(m_run.context, kChoicePause, [self = shared_from_this()] { self->start(); });
+        return;
+    }
     const ErrorKind kind = choice.anyUsable ? ErrorKind::NoFreshReplica : ErrorKind::NoUpstream;
-    fail({ RetryReason::ReplicaStale, Error { kind, {}, std::nullopt }, false });
+    finishRun(m_run, Error { kind, {}, std::nullopt });
 }
 
 void ReadRun::connect(const ReadChoice &choice)
--- a/src/executor/write_run.cpp
+++ b/src/executor/write_run.cpp
@@ -9,6 +9,23 @@
 
 namespace shallotlever {
 
+namespace {
+
+/// Pause before another attempt on a primary that cannot be reached.
+constexpr Duration kPrimaryRetryPause = 50ms;
+
+/// The write is known not to have run and only the primary can take it, so it is repeated until
+/// its deadline: a new primary may be in office before that. The writes that do so are bounded by
+/// the slots of the queue, so they cause no storm.
+bool isConnectionFailure(const Failure &failure)
+{
+    return failure.reason == RetryReason::ConnectFailed
+        || failure.reason == RetryReason::UpstreamLostBeforeSend
+        || failure.reason == RetryReason::UpstreamLeaving;
+}
+
+} // namespace
+
 WriteRun::WriteRun(ExecutorContext &context, WorkItem item, RunDone done)
     : m_run { context, std::move(item), std::move(done), monotonicNow(), 1, false }
 {
@@ -226,6 +243,10 @@
         waitForPrimary(*failure.reason, m_term);
         return;
     }
+    if (isConnectionFailure(failure)) {
+        retryOnPrimary(*failure.reason);
+        return;
+    }
     if (failure.outcomeUnknown && !idempotent()) {
         finishRun(m_run, failure.error);
         return;
@@ -234,6 +255,13 @@
                 [self = shared_from_this()] { self->start(); });
 }
 
+void WriteRun::retryOnPrimary(RetryReason reason)
+{
+    m_run.context.metrics->retry(reason).increment();
+    ++m_run.attempts;
+    callLater(m_run.context, kPrimaryRetryPause, [self = shared_from_this()] { self->start(); });
+}
+
 void WriteRun::waitForPrimary(RetryReason reason, Term afterTerm)
 {
     m_run.context.metrics->retry(reason).increment();
--- a/src/executor/write_run.h
+++ b/src/executor/write_run.h
@@ -48,6 +48,7 @@
     void awaitMajority(const HistoryPoint &point);
     void onMajority(AckOutcome outcome, const HistoryPoint &point);
     void fail(const Failure &failure);
+    void retryOnPrimary(RetryReason reason);
     void waitForPrimary(RetryReason reason, Term afterTerm);
     void recycleConnection();
 
