Lease connections of databases right after a change of controller

Cause: a new controller learned the connection limits of databases only when it published a changed fleet view. After a change of controller the first view is often equal to the predecessor's, so no node got connection shares until an upstream changed, and each node fell to one connection per database.

Ruled out: the renewal of shares itself; it was skipped because the allocator knew no upstream.

Change: the limits are taken from the view with which the controller starts.

--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -51,6 +51,9 @@
     controller.fleetLog = ownView;
     controller.rates = makeRateAllocator(term, now);
     controller.slots = makeSlotAllocator(term, now);
+    // The first view of a new controller is often the same as its predecessor's; then nothing is
+    // published that would bring the limits.
+    applyUpstreamLimits(controller.slots, ownView.state.view);
     // Share versions of a later controller are higher than those of every earlier one.
     controller.lastShareVersion = term.value() << 32U;
     controller.logIndex = replicated.cluster.index;
