Do not let a new controller take databases out of the nodes' views

Cause: a new controller starts from the fleet view of its own node. A member that has just started has no view, and one that was cut off has an old one. It published that view at once under its higher term, and every node replaced its complete view: open routes had no database until the announcements came.

Change: a new controller publishes nothing before upstreams had time to renew their announcements, 2 s, or 4 s if it started without a view. Until then a node with a newer view than the controller's keeps it.

Cost: a change of an upstream's state is published up to 2 s later after a change of controller (4 s after one without a view).

--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -10,6 +10,10 @@
 
 namespace {
 
+/// Nodes need up to 1.8 s to find a new controller (kControllerSilence for each of three members);
+/// an upstream renews within 1 s after that, and the node reports it within 0.5 s.
+constexpr Duration kEmptyViewWait = 4s;
+
 void notePrimarySet(ControllerState &controller, const Command &command, const ChangeResult &result,
                     TimePoint now)
 {
@@ -23,8 +27,14 @@
 }
 
 /// Building the view costs time in proportion to the fleet, so it is built only after a change.
-bool publishFleetIfChanged(ControllerState &controller, const ReplicatedState &replicated)
+bool publishFleetIfChanged(ControllerState &controller, const ReplicatedState &replicated,
+                           TimePoint now)
 {
+    // Before every upstream had time to renew its announcement, the view may lack upstreams that
+    // nodes know from the predecessor.
+    const bool startedEmpty = controller.takenOver == FleetVersion();
+    if (now < controller.since + (startedEmpty ? kEmptyViewWait : kAnnouncementLease))
+        return false;
     if (controller.shownIndex == replicated.cluster.index
         && controller.shownRevision == controller.registry.revision)
         return false;
@@ -37,6 +47,15 @@
     return true;
 }
 
+/// Whether the node has a newer view than the one the controller started with and has not replaced
+/// yet: that node may know upstreams that the controller does not.
+bool keepsItsView(const ControllerState &controller, const NodeReport &report, TimePoint now)
+{
+    return report.appliedFleet > controller.takenOver
+        && controller.fleetLog.version == controller.takenOver
+        && report.appliedFleet.controlTerm < controller.controlTerm;
+}
+
 } // namespace
 
 ControllerState makeController(ControlTerm term, const ReplicatedState &replicated,
@@ -49,6 +68,7 @@
     controller.registry = seedRegistry(ownView.state, now);
     controller.leases = makeLeaseTable(now);
     controller.fleetLog = ownView;
+    controller.takenOver = ownView.version;
     controller.rates = makeRateAllocator(term, now);
     controller.slots = makeSlotAllocator(term, now);
     // The first view of a new controller is often the same as its predecessor's; then nothing is
@@ -100,6 +120,8 @@
         else if (answer)
             answer->nodes.push_back(makeRelayedLease(*single, shares, result.wantsAllObservations));
     }
+    if (answer && keepsItsView(controller, report, now))
+        answer->fleet = { report.appliedFleet, report.appliedFleet, false, {} };
     return answer;
 }
 
@@ -122,7 +144,7 @@
     actions.upstreamStates = advanceRegistry(controller.registry, now);
     for (const auto &[service, config] : replicated.cluster.config.services)
         advanceGroup(controller, replicated.cluster, service, actions, now);
-    actions.fleetChanged = publishFleetIfChanged(controller, replicated);
+    actions.fleetChanged = publishFleetIfChanged(controller, replicated, now);
     noteViewsInForce(controller, now);
     return actions;
 }
--- a/src/include/shallotlever/controller/controller.h
+++ b/src/include/shallotlever/controller/controller.h
@@ -97,6 +97,9 @@
     std::map<ServiceId, GroupControl> groups;
     ConfigLog configLog;
     FleetLog fleetLog;
+    /// View with which it took office. It may be older than that of other nodes, or empty if this
+    /// process has just started.
+    FleetVersion takenOver;
     RateAllocator rates;
     SlotAllocator slots;
     std::map<NodeId, NodeShares> shares;
