Create the table of commit records before a write transaction

Cause: COMMIT of a write transaction inserts a commit record into shallotlever_idempotency, but only writes with an idempotency key created that table. On a database that had never seen a keyed write, each commit failed and was answered transaction_lost. Ruled out: a lost connection or a change of primary, since the primary of the test stayed in office and plain writes passed.

Change: BEGIN of a write transaction creates the table first, unless it is known to exist at this primary and term, as keyed writes do.

Before: NodeFailure.CommittedTransactionIsConfirmedElsewhere failed at its first commit. After: the commit is answered 200 and confirmed through another node.

--- a/src/executor/transactions.cpp
+++ b/src/executor/transactions.cpp
@@ -70,24 +70,56 @@
                               {},
                               {},
                               *slot });
-        const char *sql = mode == AccessMode::Read ? "BEGIN READ ONLY" : "BEGIN";
-        entry->connection->execute(
-            sql, {}, timeLeft(run->item.deadline, monotonicNow()),
-            [this, entry, run, refuseBegin](const QueryReply &reply) {
-                if (const auto *error = std::get_if<QueryError>(&reply)) {
-                    refuseBegin(classifyFailure(*error, FailurePoint::BeforeCommit).error);
-                    return;
-                }
-                const TimePoint now = monotonicNow();
-                entry->busy = false;
-                entry->expiresAt = now + kIdleLimit;
-                entry->mustEndBy = now + kTransactionLimit;
-                m_open.emplace(entry->id, entry);
-                finishRun(*run, TransactionAnswer { entry->id, tokenFor(*run, std::nullopt) });
-            });
+        const BeginFailed failed = [refuseBegin](const QueryError &error) {
+            refuseBegin(classifyFailure(error, FailurePoint::BeforeCommit).error);
+        };
+        if (mode == AccessMode::Write)
+            ensureTable(entry, run, failed);
+        else
+            open(entry, run, failed);
     });
 }
 
+void TransactionTable::ensureTable(const Entry &entry, const std::shared_ptr<RunState> &run,
+                                   const BeginFailed &failed)
+{
+    const std::pair known(entry->primary, entry->term);
+    if (m_context.idempotencyTable == known) {
+        open(entry, run, failed);
+        return;
+    }
+    entry->connection->execute(std::string(kCreateIdempotencyTable), {},
+                               timeLeft(run->item.deadline, monotonicNow()),
+                               [this, entry, run, failed, known](const QueryReply &reply) {
+                                   if (const auto *error = std::get_if<QueryError>(&reply)) {
+                                       failed(*error);
+                                       return;
+                                   }
+                                   m_context.idempotencyTable = known;
+                                   open(entry, run, failed);
+                               });
+}
+
+void TransactionTable::open(const Entry &entry, const std::shared_ptr<RunState> &run,
+                            const BeginFailed &failed)
+{
+    const char *sql = entry->mode == AccessMode::Read ? "BEGIN READ ONLY" : "BEGIN";
+    entry->connection->execute(
+        sql, {}, timeLeft(run->item.deadline, monotonicNow()),
+        [this, entry, run, failed](const QueryReply &reply) {
+            if (const auto *error = std::get_if<QueryError>(&reply)) {
+                failed(*error);
+                return;
+            }
+            const TimePoint now = monotonicNow();
+            entry->busy = false;
+            entry->expiresAt = now + kIdleLimit;
+            entry->mustEndBy = now + kTransactionLimit;
+            m_open.emplace(entry->id, entry);
+            finishRun(*run, TransactionAnswer { entry->id, tokenFor(*run, std::nullopt) });
+        });
+}
+
 TransactionTable::Entry TransactionTable::take(const WorkItem &item, const TransactionId &id)
 {
     const auto open = m_open.find(id);
--- a/src/executor/transactions.h
+++ b/src/executor/transactions.h
@@ -46,6 +46,12 @@
 
     /// The transaction if it is open, idle, and belongs to the item's team and session; otherwise
     /// the item is answered.
+    using BeginFailed = std::function<void(const QueryError &)>;
+
+    /// Creates the table of the commit records if it may be missing, then opens the transaction.
+    void ensureTable(const Entry &entry, const std::shared_ptr<RunState> &run,
+                     const BeginFailed &failed);
+    void open(const Entry &entry, const std::shared_ptr<RunState> &run, const BeginFailed &failed);
     Entry take(const WorkItem &item, const TransactionId &id);
     void onStatement(const Entry &entry, const std::shared_ptr<RunState> &run, QueryReply reply);
     void recordCommit(const Entry &entry, const std::shared_ptr<RunState> &run);
