Wait for a fresh database before a session read is refused

Cause: a read without any database known to be fresh enough was repeated three times within about 15 ms and then refused as no_fresh_replica. The known positions are up to a poll interval (50 ms) old, and without a primary no other database can serve a session that has just written. Ruled out: a replica that lacks the write, since acknowledged writes are on a majority.

Change: the positions are asked again every 5 ms for up to 1 s. These rounds take nothing from the retry budget, because no statement is sent.

--- a/src/executor/read_run.cpp
+++ b/src/executor/read_run.cpp
@@ -10,6 +10,11 @@
 /// A read that got no answer within this time is repeated elsewhere, so that a frozen database
 /// holds no slot until the caller's deadline.
 constexpr Duration kReadAttemptTimeout = 1s;
+/// Without a fresh database, the positions are asked again after this pause and for this long. What
+/// this node knows of a replica is up to a poll interval old, and without a primary no other
+/// database can serve a session that has just written. The bound keeps slots for other reads.
+constexpr Duration kFreshnessPause = 5ms;
+constexpr Duration kFreshnessWait = 1s;
 
 std::chrono::milliseconds toMilliseconds(Duration duration)
 {
@@ -86,8 +91,18 @@
 
 void ReadRun::refuseChoice(const ReadChoice &choice)
 {
-    const ErrorKind kind = choice.anyUsable ? ErrorKind::NoFreshReplica : ErrorKind::NoUpstream;
-    fail({ RetryReason::ReplicaStale, Error { kind, {}, std::nullopt }, false });
+    const TimePoint now = monotonicNow();
+    const TimePoint giveUpAt = std::min(m_run.startedAt + kFreshnessWait, m_run.item.deadline);
+    if (now + kFreshnessPause >= giveUpAt) {
+        const ErrorKind kind = choice.anyUsable ? ErrorKind::NoFreshReplica : ErrorKind::NoUpstream;
+        finishRun(m_run, Error { kind, {}, std::nullopt });
+        return;
+    }
+    m_tried.clear();
+    m_run.context.metrics->retry(RetryReason::ReplicaStale).increment();
+    for (const auto &[id, handle] : m_run.context.upstreams)
+        queryStatus(m_run.context, id);
+    callLater(m_run.context, kFreshnessPause, [self = shared_from_this()] { self->start(); });
 }
 
 void ReadRun::connect(const ReadChoice &choice)
