Answer a repeated write as unknown after an unknown attempt

Cause: a write with an idempotency key is repeated after a lost answer to its commit. Ruled out: the record itself, since the next request with the same key got the first result.

Change: once the outcome of an attempt is unknown, each later error of the same request is answered as outcome_unknown.

Before: Primary.RepeatedWriteOfUnknownOutcomeIsNotToldAsNotRun got 503 connect_failed for a committed row. After: 504 outcome_unknown.

--- a/src/executor/write_run.cpp
+++ b/src/executor/write_run.cpp
@@ -18,11 +18,11 @@
 {
     const TimePoint now = monotonicNow();
     if (now >= m_run.item.deadline) {
-        finishRun(m_run, Error { ErrorKind::DeadlineExceeded, {}, std::nullopt });
+        finishWith(Error { ErrorKind::DeadlineExceeded, {}, std::nullopt });
         return;
     }
     if (now >= m_run.context.view.freshUntil) {
-        finishRun(m_run, Error { ErrorKind::ConfigStale, {}, std::nullopt });
+        finishWith(Error { ErrorKind::ConfigStale, {}, std::nullopt });
         return;
     }
     UpstreamHandle *primary = usablePrimary(m_run.context);
@@ -226,12 +226,27 @@
         waitForPrimary(*failure.reason, m_term);
         return;
     }
+    m_outcomeUnknown |= failure.outcomeUnknown;
     if (failure.outcomeUnknown && !idempotent()) {
-        finishRun(m_run, failure.error);
+        finishWith(failure.error);
         return;
     }
-    retryOrFail(m_run, failure, false, idempotent(),
-                [self = shared_from_this()] { self->start(); });
+    Failure last = failure;
+    last.error = reported(failure.error);
+    retryOrFail(m_run, last, false, idempotent(), [self = shared_from_this()] { self->start(); });
+}
+
+Error WriteRun::reported(const Error &error) const
+{
+    // A mismatch is found in the record of the first attempt, so it is certain.
+    if (!m_outcomeUnknown || error.kind == ErrorKind::IdempotencyMismatch)
+        return error;
+    return { ErrorKind::OutcomeUnknown, "an earlier attempt may have taken effect", std::nullopt };
+}
+
+void WriteRun::finishWith(const Error &error)
+{
+    finishRun(m_run, reported(error));
 }
 
 void WriteRun::waitForPrimary(RetryReason reason, Term afterTerm)
--- a/src/executor/write_run.h
+++ b/src/executor/write_run.h
@@ -50,12 +50,17 @@
     void fail(const Failure &failure);
     void waitForPrimary(RetryReason reason, Term afterTerm);
     void recycleConnection();
+    /// The error to answer: unknown if an earlier attempt may have taken effect.
+    Error reported(const Error &error) const;
+    void finishWith(const Error &error);
 
     RunState m_run;
     UpstreamId m_primary;
     /// Term of the primary when this attempt began.
     Term m_term;
     std::optional<PooledConnection> m_connection;
+    /// An earlier attempt may have taken effect or may still do so.
+    bool m_outcomeUnknown = false;
     StatementAnswer m_answer;
 };
 
