Hold a write while the primary refuses connections

Cause: a failed connection to the primary was retried up to three times within about 15 ms, before two failed status queries mark the primary as unreachable. Writes of the first 100 ms after the kill were refused as connect_failed, while later ones waited for the next primary. Ruled out: an exhausted pool.

Change: nothing has been sent at this point, so the write waits for a usable primary until its deadline.

--- a/src/executor/write_run.cpp
+++ b/src/executor/write_run.cpp
@@ -40,7 +40,9 @@
     acquireConnection(m_run, m_primary,
                       [self = shared_from_this()](absl::StatusOr<PooledConnection> connection) {
                           if (!connection.ok()) {
-                              self->fail(connectFailure());
+                              // Nothing was sent, and a primary that refuses connections is
+                              // replaced soon.
+                              self->waitForPrimary(RetryReason::ConnectFailed, Term());
                               return;
                           }
                           self->m_connection = std::move(*connection);
