Refuse announcements on a node without a lease

Cause: a node that is cut off from the controller went on accepting announcements, although its reports reach nobody. An upstream that announces itself there got 200 and never tried another node, so the controller forgot it. Ruled out: the election, which gave a new controller in time, and the links between databases, which were not cut.

Change: without a freshness lease an announcement is refused as config_stale (503), and the upstream turns to the next entry VM of its list. Open routes use the last known view and are not affected.

Before: with the former controller cut off, writes through the new controller failed for the whole wait of 30 s (Partition.CutOffControllerIsReplaced).

--- a/src/node/admission.cpp
+++ b/src/node/admission.cpp
@@ -63,10 +63,13 @@
 }
 
 Admission admitAnnouncement(const CallerContext &caller, const AnnounceRequest &request,
-                            const NodeSnapshot &snapshot)
+                            const NodeSnapshot &snapshot, TimePoint freshUntil, TimePoint now)
 {
     if (caller.bearerKey.empty())
         return errorOf(ErrorKind::MissingKey);
+    // Without a lease the controller does not hear this node, so the upstream must try another.
+    if (now >= freshUntil)
+        return errorOf(ErrorKind::ConfigStale);
     const KeyConfig *key = authenticate(caller.bearerKey, snapshot.keys);
     if (key == nullptr || key->role != KeyRole::Upstream)
         return errorOf(ErrorKind::InvalidKey);
@@ -149,7 +152,7 @@
     if (const auto *route = std::get_if<OpenRouteRequest>(&request))
         return admitRoute(caller, *route, snapshot);
     if (const auto *announce = std::get_if<AnnounceRequest>(&request))
-        return admitAnnouncement(caller, *announce, snapshot);
+        return admitAnnouncement(caller, *announce, snapshot, freshUntil, now);
     if (serviceOf(request) != nullptr)
         return admitCaller(caller, request, snapshot, secrets, freshUntil, now);
     return admitOperator(caller, request, snapshot, secrets, freshUntil, now);
