--- a/src/node/status_document.cpp
+++ b/src/node/status_document.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/// Identities have 64 bits, which a JSON number does not hold exactly.
+constexpr int kIdentityBase = 16;
+
 template <typename Tag>
 QString text(const Id<Tag> &id)
 {
@@ -95,13 +98,17 @@
 QJsonObject controlObject(const ControlMember &member)
 {
     QJsonArray voters;
-    for (const Member &voter : member.membership().voters)
+    QJsonObject identities;
+    for (const Member &voter : member.membership().voters) {
         voters.append(text(voter.node));
+        identities.insert(text(voter.node), QString::number(voter.identity.value(), kIdentityBase));
+    }
     const std::optional<Member> leader = member.leader();
     return { { "leader", leader ? QJsonValue(text(leader->node)) : QJsonValue() },
              { "term", number(member.term()) },
              { "commit_index", number(member.commitIndex()) },
-             { "voters", voters } };
+             { "voters", voters },
+             { "identities", identities } };
 }
 
 std::string toText(const QJsonObject &object)
--- a/testsuite/support/cluster.cpp
+++ b/testsuite/support/cluster.cpp
@@ -129,8 +129,7 @@
                                     "--control",
                                     "--data-dir=" + file("data" + std::to_string(node)),
                                     "--operator-key-file=" + file("operator"),
-                                    "--session-secret-file=" + file("secret"),
-                                    "--drain-notice-ms=200" };
+                                    "--session-secret-file=" + file("secret") };
     list.insert(list.end(), m_options.nodeOptions.begin(), m_options.nodeOptions.end());
     const std::string tls = "--peer-tls";
     const bool hasTls = std::any_of(list.begin(), list.end(), [&](const std::string &option) {
--- a/testsuite/support/cluster.h
+++ b/testsuite/support/cluster.h
@@ -24,7 +24,7 @@
     std::vector<std::string> databases { "a", "b", "c" };
     /// Connections between nodes go through relays.
     bool relays = false;
-    std::vector<std::string> nodeOptions;
+    std::vector<std::string> nodeOptions { "--drain-notice-ms=200" };
 };
 
 /// Nodes on 127.0.0.1 in front of one group of stand-in databases, configured with a service, a
--- a/testsuite/support/load.cpp
+++ b/testsuite/support/load.cpp
@@ -101,7 +101,9 @@
     }
     ++m_counts.refusals[reply.status == 0 ? "interrupted" : reply.kind()];
     m_counts.interrupted += reply.status == 0 ? 1 : 0;
-    (reply.outcome() == "not_run" ? m_counts.notRun : m_counts.unknown).push_back(row);
+    const bool notRun = reply.outcome() == "not_run";
+    (notRun ? m_counts.notRun : m_counts.unknown).push_back(row);
+    m_unknown += notRun ? 0 : 1;
 }
 
 std::vector<int> rowsOf(const Cluster &cluster, int node, const std::string &session)
--- a/testsuite/support/load.h
+++ b/testsuite/support/load.h
@@ -51,6 +51,8 @@
     LoadCounts stop();
     /// Acknowledged writes so far.
     int acknowledged() const { return m_acknowledged; }
+    /// Writes of unknown outcome so far.
+    int unknown() const { return m_unknown; }
     /// No further requests go to the node.
     void avoid(int node) { m_avoided |= 1U << node; }
     void use(int node) { m_avoided &= ~(1U << node); }
@@ -66,6 +68,7 @@
     Options m_options;
     std::atomic<bool> m_stop = false;
     std::atomic<int> m_acknowledged = 0;
+    std::atomic<int> m_unknown = 0;
     std::atomic<unsigned> m_avoided = 0;
     std::mutex m_mutex;
     LoadCounts m_counts;
