--- a/src/executor/read_run.cpp
+++ b/src/executor/read_run.cpp
@@ -10,10 +10,11 @@
 /// A read that got no answer within this time is repeated elsewhere, so that a frozen database
 /// holds no slot until the caller's deadline.
 constexpr Duration kReadAttemptTimeout = 1s;
-
-/// No database could serve the read. During a change of primary this passes within a second, so
-/// the choice is repeated until the caller's deadline; nothing is sent meanwhile.
-constexpr Duration kChoicePause = 20ms;
+/// Without a fresh database, the positions are asked again after this pause and for this long. What
+/// this node knows of a replica is up to a poll interval old, and without a primary no other
+/// database can serve a session that has just written. The bound keeps slots for other reads.
+constexpr Duration kFreshnessPause = 5ms;
+constexpr Duration kFreshnessWait = 1s;
 
 std::chrono::milliseconds toMilliseconds(Duration duration)
 {
@@ -91,14 +92,17 @@
 void ReadRun::refuseChoice(const ReadChoice &choice)
 {
     const TimePoint now = monotonicNow();
-    if (now + kChoicePause < m_run.item.deadline) {
-        m_run.context.metrics->retry(RetryReason::ReplicaStale).increment();
-        m_tried.clear();
-        callLater(m_run.context, kChoicePause, [self = shared_from_this()] { self->start(); });
+    const TimePoint giveUpAt = std::min(m_run.startedAt + kFreshnessWait, m_run.item.deadline);
+    if (now + kFreshnessPause >= giveUpAt) {
+        const ErrorKind kind = choice.anyUsable ? ErrorKind::NoFreshReplica : ErrorKind::NoUpstream;
+        finishRun(m_run, Error { kind, {}, std::nullopt });
         return;
     }
-    const ErrorKind kind = choice.anyUsable ? ErrorKind::NoFreshReplica : ErrorKind::NoUpstream;
-    finishRun(m_run, Error { kind, {}, std::nullopt });
+    m_tried.clear();
+    m_run.context.metrics->retry(RetryReason::ReplicaStale).increment();
+    for (const auto &[id, handle] : m_run.context.upstreams)
+        queryStatus(m_run.context, id);
+    callLater(m_run.context, kFreshnessPause, [self = shared_from_this()] { self->start(); });
 }
 
 void ReadRun::connect(const ReadChoice &choice)
