--- a/src/load/load.cpp
+++ b/src/load/load.cpp
@@ -20,7 +20,7 @@
 
 Usage:
   shallotlever load --workload=FILE --keys=FILE --nodes=PORTS [options]
-  shallotlever load --compare A B [--svg=FILE]
+  shallotlever load --compare A B [options]
 
 Options:
   --workload=FILE     Workload, JSON.
--- a/src/load/runner.cpp
+++ b/src/load/runner.cpp
@@ -246,8 +246,9 @@
         request.headers.append({ "Shallotlever-Session", call->session->token });
     if (call->kind == Kind::Idempotent) {
         request.headers.append({ "Idempotency-Key", QByteArray::fromStdString(call->id) });
-        request.dropAnswer = call->attempt == 1 && uniformUnit(m_random) < m_workload.lostAnswers;
+        call->dropped = call->attempt == 1 && uniformUnit(m_random) < m_workload.lostAnswers;
     }
+    request.dropAnswer = call->dropped;
     const bool takesToken = !path.endsWith("/commit");
     if (takesToken)
         call->insideRate = call->team->account.takeAt(now());
@@ -263,7 +264,8 @@
     call->error.clear();
     call->outcome.clear();
     if (reply.transport != Transport::Answered) {
-        call->error = call->lost ? "connection_lost" : "not_sent";
+        const char *lost = call->dropped ? "dropped_by_tool" : "connection_lost";
+        call->error = call->lost ? lost : "not_sent";
         call->outcome = call->lost ? "unknown" : "not_run";
     } else if (reply.status != 200) {
         const QJsonObject error = call->answer.value("error").toObject();
@@ -275,7 +277,8 @@
     outcome.replica = call->answer.value("replica").toBool();
     outcome.degraded = call->answer.value("degraded").toBool();
     outcome.repeated = call->answer.value("repeated").toBool();
-    outcome.takesToken = takesToken;
+    // Nobody can tell whether a send that the tool abandoned would have been answered.
+    outcome.takesToken = takesToken && !call->dropped;
     outcome.insideRate = call->insideRate;
     outcome.endSeconds = now();
     outcome.latencyMs = (outcome.endSeconds - call->intended) * 1000;
--- a/src/load/runner_impl.h
+++ b/src/load/runner_impl.h
@@ -34,6 +34,8 @@
     int step = 0;
     QString transaction;
     bool mayHaveRun = false;
+    /// The tool closed the connection of the last send before the answer.
+    bool dropped = false;
     // The last reply.
     QJsonObject answer;
     std::string error;
--- a/src/load/statistics.h
+++ b/src/load/statistics.h
@@ -33,7 +33,7 @@
     std::uint64_t byReplica = 0;
     std::uint64_t degraded = 0;
     std::uint64_t repeated = 0;
-    /// By error kind, or `connection_lost` and `not_sent`.
+    /// By error kind, or `connection_lost`, `not_sent` and `dropped_by_tool`.
     std::map<std::string, std::uint64_t> refused;
     LatencyHistogram latency;
 };
--- a/testsuite/experiments/main.cpp
+++ b/testsuite/experiments/main.cpp
@@ -151,6 +151,32 @@
     return changes;
 }
 
+/// Answers a second in a part of the run.
+double answeredPerSecond(const QJsonObject &report, double from, double to)
+{
+    const double perSecond = 1000 / report["bucket_ms"].toDouble(100);
+    const QJsonArray series = report["series"].toArray();
+    double count = 0;
+    for (qsizetype i = 0; i < series.size(); ++i) {
+        const double time = static_cast<double>(i) / perSecond;
+        if (time < from || time >= to)
+            continue;
+        for (const QJsonValue &kind : series[i].toObject()["answered"].toObject())
+            count += kind.toDouble();
+    }
+    return count / (to - from);
+}
+
+/// Throughput before the event and from three seconds after it, the time the target allows.
+QJsonObject throughput(const QJsonObject &report, double at, double duration)
+{
+    constexpr double kWarmUpSeconds = 1;
+    constexpr double kAllowedSeconds = 3;
+    const double before = answeredPerSecond(report, kWarmUpSeconds, at);
+    const double after = answeredPerSecond(report, at + kAllowedSeconds, duration);
+    return { { "before_per_s", before }, { "after_per_s", after }, { "share", after / before } };
+}
+
 int runExperiment(const Arguments &arguments)
 {
     const std::string reportFile = arguments.at("--report").asString();
@@ -186,6 +212,7 @@
                                          { "at_s", eventAt },
                                          { "details", details },
                                          { "load_exit_status", load.exitCode() },
+                                         { "throughput", throughput(report, eventAt, duration) },
                                          { "primary_changes", primaryChanges(logFile) } };
     writeText(reportFile, QJsonDocument(report).toJson());
     writeText(reportFile + ".metrics", QByteArray::fromStdString(deployment.metrics()));
