--- a/src/load/checker.cpp
+++ b/src/load/checker.cpp
@@ -45,12 +45,12 @@
         add(ViolationKind::OwnWriteMissing, id);
 }
 
-void Checker::checkBoard(const std::string &route, std::uint64_t rows, const std::string &error)
+void Checker::checkBoard(const std::string &request, std::uint64_t rows, const std::string &error)
 {
     if (error.empty() && rows > 0)
         return;
     ++m_blankBoards;
-    add(ViolationKind::BlankBoard, absl::StrCat(route, " ", error));
+    add(ViolationKind::BlankBoard, absl::StrCat(request, " ", error));
 }
 
 void Checker::checkRow(const std::string &id, const WriteRecord &record, std::uint64_t rows)
--- a/src/load/checker.h
+++ b/src/load/checker.h
@@ -62,7 +62,8 @@
     void checkEcho(const std::string &sent, const std::string &echoed);
     /// `rows` found by a session for its own acknowledged write.
     void checkOwnWrite(const std::string &id, std::uint64_t rows);
-    void checkBoard(const std::string &route, std::uint64_t rows, const std::string &error);
+    /// `request` names the route and the time; `error` is empty if the route was answered.
+    void checkBoard(const std::string &request, std::uint64_t rows, const std::string &error);
     /// Judges the complete content of one table against every write recorded for its service.
     void checkTable(const std::string &service, const TableContent &content);
 
--- a/src/load/runner.cpp
+++ b/src/load/runner.cpp
@@ -291,7 +291,10 @@
 void Runner::afterBoard(const CallPtr &call)
 {
     const auto rows = static_cast<std::uint64_t>(call->answer.value("rows").toArray().size());
-    m_checker.checkBoard(call->other, rows, call->error);
+    const auto at = static_cast<int>(call->intended * 1000);
+    const auto took = static_cast<int>((now() - call->intended) * 1000);
+    m_checker.checkBoard(absl::StrCat(call->other, " at ", at, " ms, took ", took, " ms"), rows,
+                         call->error);
     finishCall(call);
 }
 
--- a/testsuite/experiments/main.cpp
+++ b/testsuite/experiments/main.cpp
@@ -34,6 +34,7 @@
   --svg=FILE          Plot.
   --duration=SECONDS  Length of the load [default: 12].
   --at=SECONDS        Time of the event [default: 4].
+  --rate-wait-ms=MS   Longest wait for a rate token, in place of the preset's default.
 )";
 
 using Arguments = std::map<std::string, docopt::value>;
@@ -136,6 +137,13 @@
     return result;
 }
 
+void setRateWait(Deployment &deployment, int milliseconds)
+{
+    const QJsonObject policy { { "rate_wait_ms", milliseconds } };
+    const QJsonObject preset { { "id", "ordinary" }, { "policy", policy } };
+    deployment.change({ { "op", "put_preset" }, { "preset", preset } });
+}
+
 /// The log lines `primary_changed` of the nodes.
 QJsonArray primaryChanges(const std::string &log)
 {
@@ -192,6 +200,8 @@
     support::ensureApplication();
     const QJsonObject workload = readObject(arguments.at("--workload").asString());
     Deployment deployment(workload);
+    if (const docopt::value &wait = arguments.at("--rate-wait-ms"))
+        setRateWait(deployment, static_cast<int>(wait.asLong()));
     QProcess load;
     load.setProcessChannelMode(QProcess::ForwardedChannels);
     load.setChildProcessModifier([] { prctl(PR_SET_PDEATHSIG, SIGKILL); });
