--- a/src/load/load_test.cpp
+++ b/src/load/load_test.cpp
@@ -266,5 +266,17 @@
     EXPECT_EQ(team.served(), 0.9);
 }
 
+// Guards against refusals of a team over its rate that are counted as errors of the system, and
+// against those of a team inside its rate that are not.
+TEST(StatisticsTest, RefusedInErrorIsWhatTheRateWouldHavePermitted)
+{
+    TeamStatistics flooding { {}, 500, 100, 100, 60, 400 };
+    EXPECT_EQ(flooding.refusedInError(), 0);
+    TeamStatistics starved { {}, 500, 100, 90, 60, 410 };
+    EXPECT_EQ(starved.refusedInError(), 10);
+    TeamStatistics inside { {}, 100, 100, 95, 5, 5 };
+    EXPECT_EQ(inside.refusedInError(), 5);
+}
+
 } // namespace
 } // namespace shallotlever::load
--- a/src/load/report.cpp
+++ b/src/load/report.cpp
@@ -43,7 +43,7 @@
              { "sent", qint64(team.sent) },
              { "sent_inside_rate", qint64(team.sentInsideRate) },
              { "answered_sends", qint64(team.answeredSends) },
-             { "refused_inside_rate", qint64(team.refusedInsideRate) },
+             { "refused_inside_rate", qint64(team.refusedInError()) },
              { "served", team.served() } };
 }
 
@@ -108,7 +108,7 @@
             lost += found == part.refused.end() ? 0 : found->second;
         }
         inside += team.sentInsideRate;
-        refusedInside += team.refusedInsideRate;
+        refusedInside += team.refusedInError();
         if (team.sent > 0 && team.served() < worst) {
             worst = team.served();
             worstTeam = text(id);
--- a/src/load/statistics.cpp
+++ b/src/load/statistics.cpp
@@ -47,6 +47,13 @@
     return std::min(1.0, static_cast<double>(answeredSends) / static_cast<double>(sentInsideRate));
 }
 
+std::uint64_t TeamStatistics::refusedInError() const
+{
+    const std::uint64_t admitted = sent - limited;
+    const std::uint64_t missing = sentInsideRate > admitted ? sentInsideRate - admitted : 0;
+    return std::min(refusedInsideRate, missing);
+}
+
 void GapMeter::event(double seconds)
 {
     if (seconds - m_last > m_longest) {
@@ -80,6 +87,7 @@
     team.sentInsideRate += outcome.insideRate ? 1 : 0;
     team.answeredSends += outcome.error.empty() ? 1 : 0;
     const bool limited = outcome.error == "rate_limited" || outcome.error == "queue_full";
+    team.limited += limited ? 1 : 0;
     team.refusedInsideRate += outcome.insideRate && limited ? 1 : 0;
 }
 
--- a/src/load/statistics.h
+++ b/src/load/statistics.h
@@ -47,7 +47,12 @@
     std::uint64_t answeredSends = 0;
     /// Refused for the rate or a full queue although sent inside the rate.
     std::uint64_t refusedInsideRate = 0;
+    /// Refused for the rate or a full queue, whether inside the rate or not.
+    std::uint64_t limited = 0;
 
+    /// Sends refused although fewer than the rate permits were admitted. The system may admit other
+    /// sends of a team over its rate than those that the tool counts as inside.
+    std::uint64_t refusedInError() const;
     /// Share of the demand inside the rate that was answered.
     double served() const;
 };
