Look at the replicas again before a session read goes to the primary

Cause: the status of a replica is polled, so on a node that did not run the write it is older than the session's token. No replica then counts as fresh. expectedCatchUp() never proposes a wait, because nothing sets applyRate of an observation, and the primary was used at once. Conclusion: the acknowledgement already requires a majority, so a replica has the write; only the knowledge of it was missing.

--- a/src/executor/read_run.cpp
+++ b/src/executor/read_run.cpp
@@ -1,5 +1,7 @@
 #include "read_run.h"
 
+#include <algorithm>
+
 #include "answer.h"
 #include "shallotlever/base/clock.h"
 
@@ -10,6 +12,8 @@
 /// A read that got no answer within this time is repeated elsewhere, so that a frozen database
 /// holds no slot until the caller's deadline.
 constexpr Duration kReadAttemptTimeout = 1s;
+/// Pause between two status queries of the replicas while one may still reach the token.
+constexpr Duration kCatchUpPause = 1ms;
 
 std::chrono::milliseconds toMilliseconds(Duration duration)
 {
@@ -32,8 +36,14 @@
     }
     m_choice = choose();
     switch (m_choice.kind) {
-    case ReadChoice::Kind::UseReplica:
     case ReadChoice::Kind::UsePrimary:
+        if (mayCatchUp()) {
+            m_choice.wait = kCatchUpPause;
+            waitForReplica(m_choice);
+            break;
+        }
+        [[fallthrough]];
+    case ReadChoice::Kind::UseReplica:
         connect(m_choice);
         break;
     case ReadChoice::Kind::Wait:
@@ -76,6 +86,18 @@
     return chooseUpstream(situation, need(), now, context.random);
 }
 
+bool ReadRun::mayCatchUp() const
+{
+    const ReadNeed need = this->need();
+    if (!need.token || need.waited + kCatchUpPause > need.catchUpWait)
+        return false;
+    const auto &upstreams = m_run.context.upstreams;
+    return std::any_of(upstreams.begin(), upstreams.end(), [this](const auto &entry) {
+        return entry.first != m_run.context.view.group.primary
+            && entry.second.health.phase != HealthPhase::Ejected;
+    });
+}
+
 void ReadRun::waitForReplica(const ReadChoice &choice)
 {
     m_waited += choice.wait;
--- a/src/executor/read_run.h
+++ b/src/executor/read_run.h
@@ -21,6 +21,9 @@
     const StatementWork &statement() const { return std::get<StatementWork>(m_run.item.body); }
     ReadNeed need() const;
     ReadChoice choose();
+    /// The primary was chosen, but what is known of the replicas may be older than the token: a
+    /// majority has already confirmed the write, so a status query often finds a fresh replica.
+    bool mayCatchUp() const;
     void waitForReplica(const ReadChoice &choice);
     void refuseChoice(const ReadChoice &choice);
     void connect(const ReadChoice &choice);
