--- a/src/executor/failure.cpp
+++ b/src/executor/failure.cpp
@@ -69,6 +69,7 @@
         return retryable(timedOut ? RetryReason::ReadTimedOut : RetryReason::ReadConnectionLost,
                          ErrorKind::OutcomeUnknown, "the database did not answer the read");
     case FailurePoint::Commit:
+    case FailurePoint::AfterCommit:
         break;
     }
     return commitUnknown();
@@ -78,6 +79,8 @@
 
 Failure classifyFailure(const QueryError &error, FailurePoint point)
 {
+    if (point == FailurePoint::AfterCommit)
+        return commitUnknown();
     switch (error.kind) {
     case QueryErrorKind::NotSent:
         return retryable(RetryReason::UpstreamLostBeforeSend, ErrorKind::ConnectFailed,
--- a/src/executor/failure.h
+++ b/src/executor/failure.h
@@ -18,6 +18,8 @@
     Read,
     /// The statement that commits.
     Commit,
+    /// A statement after the commit: whatever happens to it, the write may have taken effect.
+    AfterCommit,
 };
 
 /// What a failed statement means for the request.
--- a/src/executor/write_run.cpp
+++ b/src/executor/write_run.cpp
@@ -197,7 +197,7 @@
 void WriteRun::findCommitPoint()
 {
     const ControlStatements statements;
-    execute(statements.status, {}, FailurePoint::Commit, &WriteRun::onCommitPoint);
+    execute(statements.status, {}, FailurePoint::AfterCommit, &WriteRun::onCommitPoint);
 }
 
 void WriteRun::onCommitPoint(QueryResult result)
