Report a node as ready only once it has shares

Cause: a node was ready as soon as it had a freshness lease. If the controller had changed shortly before, as in a planned stop of the controller, the new controller renews old shares but grants none until the leases of its predecessor have expired. A node that restarts in this window has no share at all, and refused each keyed request as rate_limited although the balancer sent it traffic. Ruled out: the team's rate, which was 250 times the load.

Change: readiness also needs a grant that is not a mere renewal, once since the start of the node.

--- a/src/node/node_publish.cpp
+++ b/src/node/node_publish.cpp
@@ -25,6 +25,10 @@
         m_logger.info("config_applied", { { "version", m_view.freshness.appliedConfig.value() } });
     }
     applyRateShares(result.sharesUntil, now);
+    // A node that started after the election of a controller gets its first shares only when the
+    // leases of the predecessor have expired. Until then it would refuse each request.
+    if (!lease.sharesUnchanged && !lease.sharesRenewed)
+        m_shared.sharesGranted = true;
     publishServiceViews();
     // The controller counts a change as in force once this node confirms it.
     if (result.configChanged || result.fleetChanged)
--- a/src/node/node_start.cpp
+++ b/src/node/node_start.cpp
@@ -169,7 +169,7 @@
         });
     callbacks.ready = [this] {
         const std::int64_t now = monotonicNow().time_since_epoch().count();
-        return !m_shared.draining && now < m_shared.freshUntilUs;
+        return !m_shared.draining && m_shared.sharesGranted && now < m_shared.freshUntilUs;
     };
     auto listener = EdgeListener::create(options, std::move(callbacks), m_metrics, m_logger);
     if (!listener.ok())
--- a/src/node/request_path.h
+++ b/src/node/request_path.h
@@ -19,6 +19,8 @@
     RcuPointer<NodeSnapshot> snapshot;
     /// End of the freshness lease, in microseconds of the monotonic clock.
     std::atomic<std::int64_t> freshUntilUs { 0 };
+    /// The controller has granted shares since this node started.
+    std::atomic<bool> sharesGranted { false };
     std::atomic<bool> draining { false };
     NodeSecrets secrets;
 };
