--- a/testsuite/support/cluster.cpp
+++ b/testsuite/support/cluster.cpp
@@ -130,7 +130,8 @@
                                     "--data-dir=" + file("data" + std::to_string(node)),
                                     "--operator-key-file=" + file("operator"),
                                     "--session-secret-file=" + file("secret") };
-    list.insert(list.end(), m_options.nodeOptions.begin(), m_options.nodeOptions.end());
+    for (const std::string &option : m_options.nodeOptions)
+        list.push_back(qt(option).replace("{node}", qt(nodeName(node))).toStdString());
     const std::string tls = "--peer-tls";
     const bool hasTls = std::any_of(list.begin(), list.end(), [&](const std::string &option) {
         return option.starts_with(tls);
@@ -321,6 +322,16 @@
     return groups.isEmpty() ? "" : groups[0].toObject()["primary"].toString().toStdString();
 }
 
+std::string Cluster::upstreamState(int asked, const std::string &id) const
+{
+    const QJsonObject group = status(asked)["groups"].toArray().at(0).toObject();
+    for (const QJsonValue &upstream : group["upstreams"].toArray()) {
+        if (upstream.toObject()["id"].toString() == qt(id))
+            return upstream.toObject()["state"].toString().toStdString();
+    }
+    return {};
+}
+
 std::vector<QJsonObject> Cluster::logged(const std::string &event) const
 {
     std::vector<QJsonObject> found;
--- a/testsuite/support/cluster.h
+++ b/testsuite/support/cluster.h
@@ -24,6 +24,7 @@
     std::vector<std::string> databases { "a", "b", "c" };
     /// Connections between nodes go through relays.
     bool relays = false;
+    /// `{node}` stands for the node id, n0 to n2.
     std::vector<std::string> nodeOptions { "--drain-notice-ms=200" };
 };
 
@@ -73,6 +74,8 @@
     int awaitController(const std::set<int> &except = {}) const;
     /// Primary of kService as the controller sees it; empty while unknown.
     std::string primary(int asked) const;
+    /// State of an upstream as the controller sees it; empty while unknown.
+    std::string upstreamState(int asked, const std::string &id) const;
     /// The log lines of all nodes with this event.
     std::vector<QJsonObject> logged(const std::string &event) const;
 
