Relay control traffic of a data centre

A relay gathers reports for 75 ms, forwards them in one report, or several if the bound of 768 KiB would be passed, and fans out the leases. Leases still count from the node's own sending. The relay also names the controller to its nodes, which send operators' requests themselves.

--- a/src/fleet/distribution.cpp
+++ b/src/fleet/distribution.cpp
@@ -7,6 +7,10 @@
 
 namespace {
 
+/// Upper bounds of the encoded size, without strings, of a report or lease and of one element.
+constexpr std::size_t kReportBytes = 512;
+constexpr std::size_t kElementBytes = 192;
+
 template <typename Log>
 void trim(Log &log, std::size_t kept)
 {
@@ -286,15 +290,45 @@
     relay.waiting[latest.node].receivedAt = now;
 }
 
-void relayFlush(RelayState &relay, NodeReport &own, TimePoint now)
+std::size_t relayedBytesBound(const NodeReport &report)
+{
+    std::size_t up = kReportBytes + report.node.value().size();
+    for (const HeardAnnouncement &heard : report.announcements) {
+        const Announcement &a = heard.announcement;
+        up += kElementBytes + a.upstream.value().size() + a.service.value().size()
+            + a.dataCentre.value().size() + a.endpoint.host.size();
+    }
+    for (const Observation &observation : report.observations)
+        up += kElementBytes + observation.upstream.value().size();
+    std::size_t down = kReportBytes + report.node.value().size();
+    for (const TeamDemand &demand : report.teams)
+        down += kElementBytes + demand.team.value().size();
+    for (const SlotDemand &demand : report.slots)
+        down += kElementBytes + demand.upstream.value().size();
+    // Teams and slots are in both directions, with about the same size.
+    return up + down;
+}
+
+void relayFlush(RelayState &relay, NodeReport &own, TimePoint now, std::size_t maxBytes)
 {
     own.nodes.clear();
-    own.nodes.reserve(relay.waiting.size());
-    for (auto &[node, waiting] : relay.waiting) {
-        waiting.report.age += now - waiting.receivedAt;
-        own.nodes.push_back(std::move(waiting.report));
+    std::size_t bytes = 0;
+    // Longest waiting first, so that no node is left behind repeatedly.
+    std::vector<std::map<NodeId, RelayState::Waiting>::iterator> order;
+    for (auto item = relay.waiting.begin(); item != relay.waiting.end(); ++item)
+        order.push_back(item);
+    std::ranges::stable_sort(order, [](const auto &a, const auto &b) {
+        return a->second.receivedAt < b->second.receivedAt;
+    });
+    for (const auto &item : order) {
+        bytes += relayedBytesBound(item->second.report);
+        if (bytes > maxBytes && !own.nodes.empty())
+            break;
+        NodeReport &report = item->second.report;
+        report.age += now - item->second.receivedAt;
+        own.nodes.push_back(std::move(report));
+        relay.waiting.erase(item);
     }
-    relay.waiting.clear();
 }
 
 std::vector<NodeLease> relayLeases(RelayState &relay, const NodeLease &answer,
--- a/src/fleet/distribution_test.cpp
+++ b/src/fleet/distribution_test.cpp
@@ -64,7 +64,7 @@
     report.number = 2;
     relayReport(relay, report, TimePoint(10s) + 200ms);
     NodeReport own;
-    relayFlush(relay, own, TimePoint(10s) + 300ms);
+    relayFlush(relay, own, TimePoint(10s) + 300ms, 1'000'000);
     ASSERT_EQ(own.nodes.size(), 1U);
     EXPECT_EQ(own.nodes[0].age, Duration(100ms));
     ASSERT_EQ(own.nodes[0].announcements.size(), 2U);
@@ -83,5 +83,62 @@
     EXPECT_TRUE(relayLeases(relay, NodeLease {}, source).empty());
 }
 
+NodeReport largeReport(int node)
+{
+    NodeReport report;
+    report.node = NodeId("node-" + std::to_string(node));
+    report.incarnation = Incarnation(1);
+    report.number = 1;
+    for (int i = 0; i < 40; ++i) {
+        const std::string name = "name-" + std::to_string(i);
+        HeardAnnouncement heard;
+        heard.announcement.upstream = UpstreamId(name);
+        heard.announcement.service = ServiceId(name);
+        heard.announcement.dataCentre = DataCentreId(name);
+        heard.announcement.endpoint = { "10.20.30.40", 5432 };
+        heard.announcement.point = { Term(1), LogPosition(1'000'000) };
+        report.announcements.push_back(heard);
+        report.observations.push_back({ UpstreamId(name), true, true });
+        report.teams.push_back({ TeamId(name), 1.5, 3, 4.5, 5.5, 6.5, 7.5 });
+        report.slots.push_back({ UpstreamId(name), 1, 2, 3, 4 });
+    }
+    return report;
+}
+
+// A frame above 1 MiB closes the link to the controller, and with it every lease of the relay.
+TEST(Relay, SplitsWhatDoesNotFitIntoOneFrame)
+{
+    constexpr std::size_t kBytes = 300'000;
+    constexpr int kNodes = 60;
+    RelayState relay;
+    for (int i = 0; i < kNodes; ++i)
+        relayReport(relay, largeReport(i), TimePoint(10s) + Duration(i));
+    std::size_t carried = 0;
+    int reports = 0;
+    while (!relay.waiting.empty()) {
+        NodeReport own;
+        relayFlush(relay, own, TimePoint(10s) + 75ms, kBytes);
+        ASSERT_FALSE(own.nodes.empty());
+        EXPECT_LE(encodeNodeReport(own).size(), kBytes);
+        carried += own.nodes.size();
+        ++reports;
+    }
+    EXPECT_EQ(carried, static_cast<std::size_t>(kNodes));
+    EXPECT_GT(reports, 1);
+}
+
+TEST(Relay, BoundCoversTheEncodedReportAndLease)
+{
+    const NodeReport report = largeReport(1);
+    ShareSet shares = makeShareSet(ControlTerm(1));
+    for (const TeamDemand &demand : report.teams)
+        shares.rates.push_back({ demand.team, 1.5, 2.5, 3.5, true, 1ULL << 40U });
+    for (const SlotDemand &demand : report.slots)
+        shares.slots.push_back({ demand.upstream, 5 });
+    EXPECT_GE(relayedBytesBound(report), encodeNodeReport(report).size());
+    EXPECT_GE(relayedBytesBound(report),
+              encodeNodeLease(makeRelayedLease(report, shares, true)).size());
+}
+
 } // namespace
 } // namespace shallotlever
--- a/src/include/shallotlever/fleet/distribution.h
+++ b/src/include/shallotlever/fleet/distribution.h
@@ -104,8 +104,12 @@
 /// Takes a node's report. A report that waits already is merged: announcements and observations
 /// are kept, everything else is replaced.
 void relayReport(RelayState &relay, NodeReport report, TimePoint now);
-/// Moves the waiting reports into the relay's own report.
-void relayFlush(RelayState &relay, NodeReport &own, TimePoint now);
+/// Upper bound of the bytes that a node's report adds to a relay's report, or the answer to it to
+/// the relay's lease, whichever is larger.
+std::size_t relayedBytesBound(const NodeReport &report);
+/// Moves waiting reports into the relay's own report while their bound is within `maxBytes`, at
+/// least one. Those that are left wait for the next call; a report that was left is first then.
+void relayFlush(RelayState &relay, NodeReport &own, TimePoint now, std::size_t maxBytes);
 /// Splits the controller's answer, after the relay has applied it itself, into leases for its
 /// nodes. Only nodes that the controller answered get one.
 std::vector<NodeLease> relayLeases(RelayState &relay, const NodeLease &answer,
--- a/src/include/shallotlever/settings/node_settings.h
+++ b/src/include/shallotlever/settings/node_settings.h
@@ -87,6 +87,8 @@
     std::optional<std::filesystem::path> dataDir;
     /// This node relays control traffic of its data centre.
     bool relay = false;
+    /// Relays that this node reports to, in order of preference; empty for the control members.
+    std::vector<ControlPeer> relays;
     int edgeThreads = 2;
     int executorThreads = 2;
     /// File with the bootstrap operator key.
--- a/src/node/controller_link.cpp
+++ b/src/node/controller_link.cpp
@@ -20,7 +20,12 @@
     // A late hint of a member that was given up says nothing about the current one.
     if (from != currentController(link) || leader == from)
         return;
-    const auto named = std::find(link.members.begin(), link.members.end(), leader);
+    adoptController(link, leader, now);
+}
+
+void adoptController(ControllerLink &link, const NodeId &controller, TimePoint now)
+{
+    const auto named = std::find(link.members.begin(), link.members.end(), controller);
     if (named == link.members.end())
         return;
     link.current = static_cast<std::size_t>(named - link.members.begin());
--- a/src/node/controller_link.h
+++ b/src/node/controller_link.h
@@ -29,6 +29,9 @@
 void applyControllerHint(ControllerLink &link, const NodeId &from, const NodeId &leader,
                          TimePoint now);
 
+/// A relay named the controller that answers it.
+void adoptController(ControllerLink &link, const NodeId &controller, TimePoint now);
+
 /// Moves on to the next member if the current one is silent. Returns true if it changed.
 bool advanceControllerLink(ControllerLink &link, TimePoint now);
 
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -33,7 +33,8 @@
         m_controller->tick(m_view.fleet, now);
     }
     const bool pushed = m_controller && m_controller->takePushDue();
-    if (now >= m_nextReport || pushed || earlyReportDue(now))
+    watchRelay(now);
+    if (now >= m_nextReport || pushed || relayDue(now) || earlyReportDue(now))
         sendReport(now);
     advanceControllerLink(m_controllerLink, now);
     expireForwarded(now);
@@ -61,13 +62,13 @@
 {
     m_nextReport = now + kReportInterval;
     m_lastReportSent = now;
-    const NodeReport report = makeNodeReport(m_view, reportInput(now), now);
-    const NodeId &controller = currentController(m_controllerLink);
-    if (controller == m_settings.nodeId)
-        answerReport(report, controller, 0, now);
+    NodeReport report = makeNodeReport(m_view, reportInput(now), now);
+    addRelayedReports(report, now);
+    const NodeId target = reportTarget();
+    if (target == m_settings.nodeId)
+        answerReport(report, target, 0, now);
     else
-        m_transport->send(controller, MessageType::NodeReport, report.number,
-                          encodeNodeReport(report));
+        m_transport->send(target, MessageType::NodeReport, report.number, encodeNodeReport(report));
     for (const auto &[service, host] : m_hosts)
         host->requestReport();
 }
@@ -101,7 +102,7 @@
         onReport(message, now);
         break;
     case MessageType::NodeLease:
-        onLease(message.payload, now);
+        onLease(message, now);
         break;
     case MessageType::Forward:
         onForward(message, now);
@@ -110,7 +111,10 @@
         onForwardReply(message.requestId, message.payload);
         break;
     case MessageType::ControllerHint:
-        applyControllerHint(m_controllerLink, message.sender, NodeId(message.payload), now);
+        if (currentRelay(m_relayLink) == message.sender)
+            adoptController(m_controllerLink, NodeId(message.payload), now);
+        else
+            applyControllerHint(m_controllerLink, message.sender, NodeId(message.payload), now);
         break;
     case MessageType::Hello:
         break;
@@ -119,9 +123,14 @@
 
 void Node::Impl::onReport(const PeerMessage &message, TimePoint now)
 {
-    const absl::StatusOr<NodeReport> report = decodeNodeReport(message.payload);
-    if (report.ok() && report->node == message.sender
-        && report->incarnation == message.senderIncarnation)
+    absl::StatusOr<NodeReport> report = decodeNodeReport(message.payload);
+    if (!report.ok() || report->node != message.sender
+        || report->incarnation != message.senderIncarnation)
+        return;
+    const bool answers = m_controller && m_controller->inOffice();
+    if (m_settings.relay && !answers)
+        relayNodeReport(*std::move(report), now);
+    else
         answerReport(*report, message.sender, message.requestId, now);
 }
 
@@ -146,11 +155,11 @@
         m_transport->send(to, MessageType::ControllerHint, requestId, named.value());
 }
 
-void Node::Impl::onLease(const std::string &payload, TimePoint now)
+void Node::Impl::onLease(const PeerMessage &message, TimePoint now)
 {
-    const absl::StatusOr<NodeLease> lease = decodeNodeLease(payload);
-    if (lease.ok())
-        applyLease(*lease, now);
+    const absl::StatusOr<NodeLease> lease = decodeNodeLease(message.payload);
+    if (lease.ok() && applyLease(*lease, now))
+        noteRelayAnswer(m_relayLink, message.sender, now);
 }
 
 void Node::Impl::onForward(const PeerMessage &message, TimePoint now)
--- a/src/node/node_impl.h
+++ b/src/node/node_impl.h
@@ -13,6 +13,7 @@
 #include "controller_shell.h"
 #include "forward.h"
 #include "node_view.h"
+#include "relay_link.h"
 #include "request_path.h"
 #include "service_host.h"
 #include "shallotlever/edge/listener.h"
@@ -73,17 +74,25 @@
     void onReport(const PeerMessage &message, TimePoint now);
     void answerReport(const NodeReport &report, const NodeId &to, std::uint64_t requestId,
                       TimePoint now);
-    void onLease(const std::string &payload, TimePoint now);
+    void onLease(const PeerMessage &message, TimePoint now);
     void onForward(const PeerMessage &message, TimePoint now);
     void onForwardReply(std::uint64_t requestId, const std::string &payload);
 
+    // Relays.
+    bool relayDue(TimePoint now) const;
+    void relayNodeReport(NodeReport report, TimePoint now);
+    void addRelayedReports(NodeReport &own, TimePoint now);
+    void fanOutLeases(const NodeLease &answer);
+    NodeId reportTarget() const;
+    void watchRelay(TimePoint now);
+
     // Requests of operators and upstreams.
     void handleControl(EdgeRequest request, EdgeResponder respond);
     void announce(const AnnounceRequest &request, const EdgeResponder &respond);
     void forwardRequest(const OperatorRequest &request, EdgeResponder respond, TimePoint now);
 
     // Publication.
-    void applyLease(const NodeLease &lease, TimePoint now);
+    bool applyLease(const NodeLease &lease, TimePoint now);
     void publishSnapshot();
     void publishServiceViews();
     void applyRateShares(TimePoint sharesUntil, TimePoint now);
@@ -103,6 +112,11 @@
     NodeView m_view;
     NodeShared m_shared;
     ControllerLink m_controllerLink;
+    RelayLink m_relayLink;
+    RelayState m_relay;
+    /// Controller that this relay last named to each of its nodes.
+    std::map<NodeId, NodeId> m_toldController;
+    Counter &m_relayedReports;
     std::map<TeamId, std::shared_ptr<TokenBucket>> m_buckets;
     std::map<ServiceId, std::shared_ptr<ServiceHost>> m_hosts;
     std::vector<std::unique_ptr<QThread>> m_executorThreads;
--- a/src/node/node_publish.cpp
+++ b/src/node/node_publish.cpp
@@ -7,7 +7,7 @@
 
 namespace shallotlever {
 
-void Node::Impl::applyLease(const NodeLease &lease, TimePoint now)
+bool Node::Impl::applyLease(const NodeLease &lease, TimePoint now)
 {
     const LeaseResult result = applyNodeLease(m_view, lease, now);
     if (result.verdict != LeaseVerdict::Applied) {
@@ -15,7 +15,7 @@
             .counter("shallotlever_leases_refused_total", "Leases that could not be applied.",
                      { { "verdict", std::to_string(static_cast<int>(result.verdict)) } })
             .increment();
-        return;
+        return false;
     }
     noteControllerAnswer(m_controllerLink, now);
     m_shared.freshUntilUs.store(m_view.freshness.leaseUntil.time_since_epoch().count(),
@@ -29,6 +29,8 @@
     // The controller counts a change as in force once this node confirms it.
     if (result.configChanged || result.fleetChanged)
         m_nextReport = TimePoint();
+    fanOutLeases(lease);
+    return true;
 }
 
 void Node::Impl::applyRateShares(TimePoint sharesUntil, TimePoint now)
--- a/src/node/node_start.cpp
+++ b/src/node/node_start.cpp
@@ -41,10 +41,18 @@
     , m_incarnation(static_cast<std::uint64_t>(QDateTime::currentMSecsSinceEpoch()))
     , m_view(makeNodeView(settings.nodeId, m_incarnation))
     , m_shared(std::make_unique<NodeSnapshot>())
+    , m_relayedReports(m_registry.counter("shallotlever_relayed_reports_total",
+                                          "Reports of other nodes taken by this relay."))
 {
     for (const ControlPeer &member : settings.controlMembers)
         m_controllerLink.members.push_back(member.id);
     m_controllerLink.heardAt = monotonicNow();
+    std::vector<NodeId> relays;
+    for (const ControlPeer &relay : settings.relays)
+        relays.push_back(relay.id);
+    // A relay itself reports to the control members, so that reports never pass two relays.
+    m_relayLink =
+        makeRelayLink(settings.relay ? std::vector<NodeId>() : std::move(relays), monotonicNow());
 }
 
 Node::Impl::~Impl()
@@ -106,6 +114,8 @@
     options.listen = endpointOf(m_settings.peerListen);
     for (const ControlPeer &member : m_settings.controlMembers)
         options.peers.emplace(member.id, endpointOf(member.address));
+    for (const ControlPeer &relay : m_settings.relays)
+        options.peers.emplace(relay.id, endpointOf(relay.address));
     if (m_settings.peerTls) {
         options.tls = PeerTlsFiles { m_settings.peerTls->certificate, m_settings.peerTls->key,
                                      m_settings.peerTls->authority };
--- a/src/settings/flags.cpp
+++ b/src/settings/flags.cpp
@@ -34,6 +34,7 @@
     FlagSpec { "--control", "", "This node is a control member; needs --data-dir." },
     FlagSpec { "--data-dir", "DIR", "Directory of the durable state." },
     FlagSpec { "--relay", "", "Relay control traffic of the data centre." },
+    FlagSpec { "--relays", "ID=IP:PORT,...", "Relays of the data centre to report to." },
     FlagSpec { "--edge-threads", "N", "HTTP threads, 1 to 64 (2 if not given)." },
     FlagSpec { "--executor-threads", "N", "Executor threads, 1 to 64 (2 if not given)." },
     FlagSpec { "--operator-key-file", "FILE", "Bootstrap operator key." },
--- a/src/settings/node_settings.cpp
+++ b/src/settings/node_settings.cpp
@@ -76,7 +76,7 @@
     std::string required(const std::string &flag);
     std::string name(const std::string &flag);
     SocketAddress address(const std::string &flag);
-    std::vector<ControlPeer> controlMembers();
+    std::vector<ControlPeer> peers(const std::string &flag, const std::string &value);
     std::int64_t number(const std::string &flag, std::int64_t preset, std::int64_t low,
                         std::int64_t high);
     std::chrono::milliseconds duration(const std::string &flag, std::chrono::milliseconds preset,
@@ -126,10 +126,8 @@
     return parsed.value_or(SocketAddress {});
 }
 
-std::vector<ControlPeer> SettingsReader::controlMembers()
+std::vector<ControlPeer> SettingsReader::peers(const std::string &flag, const std::string &value)
 {
-    const std::string flag = "--control-members";
-    const std::string value = required(flag);
     std::vector<ControlPeer> members;
     std::set<std::string> ids;
     std::set<std::pair<std::string, std::uint16_t>> addresses;
@@ -286,10 +284,11 @@
     settings.peerListen = address("--peer-listen");
     if (settings.listen.port != 0 && settings.listen == settings.peerListen)
         fault("--peer-listen", "is the same address as --listen");
-    settings.controlMembers = controlMembers();
+    settings.controlMembers = peers("--control-members", required("--control-members"));
     settings.control = isSet("--control");
     settings.dataDir = dataDir(settings.control);
     settings.relay = isSet("--relay");
+    settings.relays = peers("--relays", optional("--relays").value_or(""));
     readLimits(settings);
     settings.operatorKeyFile = file("--operator-key-file");
     settings.sessionSecretFile = sessionSecretFile();
--- a/src/settings/node_settings_test.cpp
+++ b/src/settings/node_settings_test.cpp
@@ -202,6 +202,8 @@
                     {},
                     { "--allow-insecure-peers" } },
         FaultCase { "LogLevel", { { "--log-level", "loud" } }, {}, {}, { "--log-level" } },
+        FaultCase {
+            "Relays", { { "--relays", "r1=10.0.0.1:7,r1=10.0.0.2:7" } }, {}, {}, { "--relays" } },
         FaultCase { "UnknownFlags",
                     {},
                     { "--nope", "value", "--nada=1", "stray" },
