Advance all groups with one pass over the registry

Cause: each advance searched all announced upstreams once per group. With 4,400 databases in 1,467 groups and 1,900 nodes one advance took 136 ms, while the control thread calls it every 10 ms.

Ruled out: the cost of publication (6.7 ms per changed view in fleet_distribution_bench 1900 4400 8).

Change: the registry is split by service once per advance.

--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -142,8 +142,10 @@
     expireRateLeases(controller.rates, now);
     expireSlotLeases(controller.slots, now);
     actions.upstreamStates = advanceRegistry(controller.registry, now);
+    AnnouncedUpstreams announced = announcedUpstreams(controller.registry);
     for (const auto &[service, config] : replicated.cluster.config.services)
-        advanceGroup(controller, replicated.cluster, service, actions, now);
+        advanceGroup(controller, replicated.cluster, service, std::move(announced[service]),
+                     actions, now);
     actions.fleetChanged = publishFleetIfChanged(controller, replicated, now);
     noteViewsInForce(controller, now);
     return actions;
--- a/src/controller/group_control.cpp
+++ b/src/controller/group_control.cpp
@@ -22,16 +22,6 @@
     return state;
 }
 
-std::map<UpstreamId, RegistryEntry> announcedOf(const Registry &registry, const ServiceId &service)
-{
-    std::map<UpstreamId, RegistryEntry> announced;
-    for (const auto &[id, entry] : registry.entries) {
-        if (entry.announcement.service == service)
-            announced.emplace(id, entry);
-    }
-    return announced;
-}
-
 void addCall(const Registry &registry, const ServiceId &service, const UpstreamId &upstream,
              CallKind kind, Term term, ControllerActions &actions)
 {
@@ -116,13 +106,22 @@
 
 } // namespace
 
+AnnouncedUpstreams announcedUpstreams(const Registry &registry)
+{
+    AnnouncedUpstreams announced;
+    for (const auto &[id, entry] : registry.entries)
+        announced[entry.announcement.service].emplace(id, entry);
+    return announced;
+}
+
 void advanceGroup(ControllerState &controller, const ClusterState &cluster,
-                  const ServiceId &service, ControllerActions &actions, TimePoint now)
+                  const ServiceId &service, std::map<UpstreamId, RegistryEntry> announced,
+                  ControllerActions &actions, TimePoint now)
 {
     GroupControl &group = controller.groups[service];
     VotingSetInput input;
     input.group = groupStateOf(cluster, service);
-    input.announced = announcedOf(controller.registry, service);
+    input.announced = std::move(announced);
     // A group without a primary is founded by the bootstrap decisions; until then a reserved term
     // is not an unfinished change.
     if (input.group.primary)
