Count the detection of a failed primary from its last answer

Cause: the time was counted from the last step that found no reason for a change, 10 ms before the change began, so a failure that went unnoticed for 0.7 s was reported as detected in 10 ms. The controller now passes the time of the last status that the primary answered (asked every 500 ms, so up to that much is counted too much).

--- a/src/controller/group_control.cpp
+++ b/src/controller/group_control.cpp
@@ -64,8 +64,10 @@
         input.states[id] = entry.state;
     if (state.primary) {
         const auto status = group.statuses.find(*state.primary);
-        if (status != group.statuses.end())
+        if (status != group.statuses.end()) {
             input.primaryStatus = status->second.status;
+            input.primarySeenAt = status->second.askedAt;
+        }
     }
     input.ownReservedTerm = group.ownReservedTerm;
     input.registryComplete = now >= controller.since + kAnnouncementLease;
--- a/src/fleet/primary_change.cpp
+++ b/src/fleet/primary_change.cpp
@@ -98,10 +98,10 @@
 {
     PrimaryChange &change = step.change;
     const ChangeReason reason = changeDue(step.input);
-    if (reason == ChangeReason::None) {
-        change.times.lastSeen = step.now;
+    if (step.input.primarySeenAt || reason == ChangeReason::None)
+        change.times.lastSeen = step.input.primarySeenAt.value_or(step.now);
+    if (reason == ChangeReason::None)
         return;
-    }
     if (step.now < change.notBefore)
         return;
     const TimePoint lastSeen = change.times.lastSeen;
--- a/src/fleet/primary_change_test.cpp
+++ b/src/fleet/primary_change_test.cpp
@@ -153,6 +153,16 @@
     }
 };
 
+// Guards against a detection time that starts when the change does, which hid the time that the
+// failure went unnoticed.
+TEST(PrimaryChange, DetectionCountsFromTheLastAnswerOfThePrimary)
+{
+    Driver d;
+    d.input.primarySeenAt = d.now - 700ms;
+    d.step<Propose>();
+    EXPECT_EQ(d.change.times.detected - d.change.times.lastSeen, 750ms);
+}
+
 TEST(PrimaryChange, RunsThroughAllPhases)
 {
     Driver d;
--- a/src/include/shallotlever/fleet/primary_change.h
+++ b/src/include/shallotlever/fleet/primary_change.h
@@ -110,6 +110,8 @@
     std::map<UpstreamId, UpstreamState> states;
     /// Latest status of the primary in office, asked after its SetPrimary was applied.
     std::optional<UpstreamStatus> primaryStatus;
+    /// When the query for the latest status of the primary was sent; for ChangeTimes only.
+    std::optional<TimePoint> primarySeenAt;
     /// Highest term whose ReserveTerm was proposed by this controller in its present control term
     /// and committed at the index it was proposed at. Two controllers may propose the same term;
     /// only the one whose own entry was accepted may use it.
