Report an unknown outcome if an earlier attempt of a request may have run

A refusal of the last attempt was reported as not_run although an earlier, unanswered attempt could have been accepted, and key create then deleted the secret of a key that may be in force.

--- a/src/include/shallotlever/operator/http_client.h
+++ b/src/include/shallotlever/operator/http_client.h
@@ -40,6 +40,8 @@
     int status = 0;
     QList<QPair<QByteArray, QByteArray>> headers;
     QByteArray body;
+    /// An earlier attempt may have run: it was sent and got no answer that tells.
+    bool earlierMayHaveRun = false;
 
     /// Value of a header, empty if absent.
     QByteArray header(const QByteArray &name) const;
--- a/src/operator/commands_test.cpp
+++ b/src/operator/commands_test.cpp
@@ -149,6 +149,28 @@
               std::get<ChangeRequest>(requests[2]).change.id);
 }
 
+// Guards against a refusal of the last attempt that hides an earlier one which may have run: the
+// operator would not look for the change, and the secret of a working key would be deleted.
+TEST(Changes, RefusalAfterAnUnknownOutcomeLeavesItOpen)
+{
+    int changes = 0;
+    FakeNode node([&changes](const EdgeRequest &request) -> EdgeAnswer {
+        if (std::holds_alternative<StatusRequest>(request))
+            return DocumentAnswer { kStatus };
+        const bool first = ++changes == 1;
+        return Error { first ? ErrorKind::OutcomeUnknown : ErrorKind::NoController, "",
+                       std::chrono::milliseconds(1) };
+    });
+    const ProgramRunner runner;
+    const RunResult put = runner.run(node.url(), { "service", "put", "s" });
+    EXPECT_EQ(put.status, kExitRefused);
+    EXPECT_THAT(put.err, HasSubstr("no_controller (unknown)"));
+    EXPECT_THAT(put.err, HasSubstr("send it again with --change-id"));
+    changes = 0;
+    runner.run(node.url(), { "key", "create", "--role=operator", "--out=" + runner.path("k") });
+    EXPECT_TRUE(std::ifstream(runner.path("k")).good());
+}
+
 // Guards against a secret that leaves the machine, or a file that others may read.
 TEST(Keys, OnlyTheHashIsSentAndTheFileIsPrivate)
 {
@@ -272,6 +294,19 @@
 INSTANTIATE_TEST_SUITE_P(Table, LostAnswers, testing::ValuesIn(kLostCases),
                          [](const auto &info) { return std::string(info.param.name); });
 
+// Guards against `not_run` for a write whose lost first attempt may have run.
+TEST(Statements, RefusalAfterALostAnswerLeavesTheOutcomeOpen)
+{
+    SilentNode silent;
+    FakeNode node([](const EdgeRequest &) -> EdgeAnswer {
+        return Error { ErrorKind::RateLimited, "", std::nullopt };
+    });
+    const RunResult result = ProgramRunner().run(
+        silent.url() + "," + node.url(),
+        { "statement", "--service=s", "--sql=x", "--mode=write", "--idempotency-key=k" });
+    EXPECT_THAT(result.err, HasSubstr("rate_limited (unknown)"));
+}
+
 // Guards against a session that does not roam, and against parameters that change on the way.
 TEST(Statements, SendSessionAndParameters)
 {
--- a/src/operator/connection.cpp
+++ b/src/operator/connection.cpp
@@ -105,11 +105,17 @@
 {
     constexpr int kFirstErrorStatus = 300;
     const QJsonObject error = jsonBody(reply).value(QLatin1String("error")).toObject();
-    if (!error.isEmpty())
-        return Refusal { error.value(QLatin1String("kind")).toString(),
-                         error.value(QLatin1String("outcome")).toString(),
-                         error.value(QLatin1String("message")).toString(),
-                         error.value(QLatin1String("retry_after_ms")).toInt() };
+    if (!error.isEmpty()) {
+        Refusal refusal { error.value(QLatin1String("kind")).toString(),
+                          error.value(QLatin1String("outcome")).toString(),
+                          error.value(QLatin1String("message")).toString(),
+                          error.value(QLatin1String("retry_after_ms")).toInt() };
+        // That the last attempt did not run says nothing about an earlier one. Only the decision
+        // on a change, which has an outcome of its own, covers every attempt.
+        if (reply.earlierMayHaveRun && !jsonBody(reply).contains(QLatin1String("outcome")))
+            refusal.outcome = QStringLiteral("unknown");
+        return refusal;
+    }
     if (reply.status < kFirstErrorStatus && !jsonBody(reply).isEmpty())
         return std::nullopt;
     // Drain and rollback are answered with an empty object.
@@ -121,13 +127,16 @@
 
 absl::StatusOr<HttpReply> sendPatiently(HttpClient &client, const HttpRequest &request)
 {
+    bool mayHaveRun = false;
     for (int attempt = 1;; ++attempt) {
         absl::StatusOr<HttpReply> reply = client.send(request);
-        if (!reply.ok() || attempt == kMaxAttempts)
-            return reply;
+        if (!reply.ok())
+            return mayHaveRun ? absl::UnknownError(reply.status().message()) : reply;
+        reply->earlierMayHaveRun = reply->earlierMayHaveRun || mayHaveRun;
         const std::optional<Refusal> refusal = refusalOf(*reply);
-        if (!refusal || !mayRepeat(*refusal, reply->status))
+        if (attempt == kMaxAttempts || !refusal || !mayRepeat(*refusal, reply->status))
             return reply;
+        mayHaveRun = mayHaveRun || refusal->outcome == QLatin1String("unknown");
         QThread::msleep(std::clamp(refusal->retryAfterMs, kMinPauseMs, kMaxPauseMs));
     }
 }
--- a/src/operator/http_client.cpp
+++ b/src/operator/http_client.cpp
@@ -118,8 +118,10 @@
     for (int round = 0; round < kRounds; ++round) {
         for (const QUrl &node : m_options.nodes) {
             absl::StatusOr<HttpReply> reply = sendTo(node, request);
-            if (reply.ok())
+            if (reply.ok()) {
+                reply->earlierMayHaveRun = maybeSent;
                 return reply;
+            }
             fault = reply.status();
             maybeSent = maybeSent || absl::IsUnknown(fault);
             if (maybeSent && !request.repeatable)
