Hand over the control group at the start of a drain

Cause: a draining controller gave up its office in the last moment of its process. The others then had to find the new controller by their silence timers, and some leases of 2 s ended before. Ruled out: a slow election, since the new controller was elected within 50 ms of a transfer.

Change: the transfer happens when the drain starts, so that the former controller answers reports with the name of the new one until it ends. The transfer at the end stays, for a node that was elected meanwhile.

--- a/src/node/node_drain.cpp
+++ b/src/node/node_drain.cpp
@@ -26,6 +26,10 @@
     m_shared.draining = true;
     m_drainPhase = DrainPhase::Notice;
     m_drainStarted = monotonicNow();
+    // Early, so that this node can still tell the others who leads: leases last 2 s, which an
+    // election after the end of the process and the search for its winner can exceed.
+    if (m_controlGroup)
+        m_controlGroup->transferLeadership(m_drainStarted);
 }
 
 void Node::Impl::continueDrain()
