Poll databases of idle services once a second, and advance the controller every 50 ms

Cause: each node asked every database for its status every 50 ms, in use or not, and the controller ran all its decisions on every 10 ms tick. Change: a service without requests for 10 s is polled once a second, and at the short interval again once a database fails to answer. The controller advances every 50 ms, and at once after an answer or a committed entry.

--- a/src/executor/service_executor.cpp
+++ b/src/executor/service_executor.cpp
@@ -16,8 +16,14 @@
 namespace {
 
 constexpr std::chrono::milliseconds kTick { 10 };
-/// Positions of replicas and of the primary are asked this often.
+/// Positions of replicas and of the primary are asked this often while the service is in use.
 constexpr Duration kPollInterval = 50ms;
+/// Interval for a service without requests, whose databases are then watched for failures only. A
+/// database that fails to answer is asked at the short interval, so that two failures in a row are
+/// noticed within two seconds.
+constexpr Duration kIdlePollInterval = 1s;
+/// A service counts as in use for this long after a request.
+constexpr Duration kInUseAfterRequest = 10s;
 
 template <typename... Functions>
 struct Overloaded : Functions...
@@ -42,6 +48,8 @@
 private:
     void tick();
     void poll(TimePoint now);
+    void noteUse(TimePoint now);
+    Duration pollInterval(const UpstreamHandle &handle, TimePoint now) const;
     void updateUpstreams();
     void updatePools();
     void updateQueues();
@@ -54,6 +62,7 @@
     WorkQueue m_reads { FairQueueOptions() };
     WorkQueue m_writes { FairQueueOptions() };
     TransactionTable m_transactions { m_context };
+    TimePoint m_inUseUntil;
     QTimer m_tick;
 };
 
@@ -78,6 +87,7 @@
 void ServiceExecutor::Impl::submit(WorkItem item)
 {
     const TimePoint now = monotonicNow();
+    noteUse(now);
     earnRetryBudget(m_context.retryBudget, m_context.view.policy);
     const auto route = Overloaded {
         [&](const StatementWork &work) {
@@ -137,11 +147,27 @@
     for (auto &[id, handle] : m_context.upstreams) {
         if (now < handle.nextPoll)
             continue;
-        handle.nextPoll = now + kPollInterval;
+        handle.nextPoll = now + pollInterval(handle, now);
         queryStatus(m_context, id);
     }
 }
 
+Duration ServiceExecutor::Impl::pollInterval(const UpstreamHandle &handle, TimePoint now) const
+{
+    return now < m_inUseUntil || handle.statusFailures > 0 ? kPollInterval : kIdlePollInterval;
+}
+
+void ServiceExecutor::Impl::noteUse(TimePoint now)
+{
+    const bool wasIdle = now >= m_inUseUntil;
+    m_inUseUntil = now + kInUseAfterRequest;
+    if (!wasIdle)
+        return;
+    for (auto &[id, handle] : m_context.upstreams)
+        handle.nextPoll = now;
+    poll(now);
+}
+
 void ServiceExecutor::Impl::updateUpstreams()
 {
     const GroupView &group = m_context.view.group;
--- a/src/node/controller_shell.cpp
+++ b/src/node/controller_shell.cpp
@@ -12,6 +12,8 @@
 /// Below the retry interval of a change of primary, so that an unanswered call does not hold up
 /// the next one.
 constexpr Duration kCallTimeout = 400ms;
+/// Decisions that depend on time alone; answers and committed entries are acted on at once.
+constexpr Duration kAdvanceInterval = 50ms;
 /// Longest time an operator waits for a change to be in force.
 constexpr Duration kInForceWait = 10s;
 
@@ -43,7 +45,7 @@
         leaveOffice();
     if (controls && !m_controller)
         takeOffice(ownView, now);
-    if (m_controller)
+    if (m_controller && (m_advanceDue || now >= m_nextAdvance))
         advance(now);
 }
 
@@ -67,6 +69,8 @@
 
 void ControllerShell::advance(TimePoint now)
 {
+    m_nextAdvance = now + kAdvanceInterval;
+    m_advanceDue = false;
     ControllerActions actions = advanceController(*m_controller, m_group.state(), now);
     m_pushDue |= actions.fleetChanged;
     for (const StateChange &change : actions.upstreamStates) {
@@ -109,6 +113,7 @@
             return;
         const auto answer = status.ok() ? std::optional(*status) : std::nullopt;
         onUpstreamAnswer(*m_controller, call, answer, now, monotonicNow());
+        m_advanceDue = true;
     };
     UpstreamControl &control = controlOf(call);
     switch (call.kind) {
@@ -133,6 +138,7 @@
             const bool accepted = result.ok() && result->outcome == ChangeOutcome::Accepted;
             if (accepted && m_controller && m_controller->controlTerm == term)
                 onOwnDecisionAccepted(*m_controller, decision);
+            m_advanceDue = true;
         },
         now);
 }
@@ -170,6 +176,7 @@
         return;
     onCommandApplied(*m_controller, m_group.state(), command, result, index, now);
     m_pushDue = true;
+    m_advanceDue = true;
 }
 
 void ControllerShell::forward(const OperatorRequest &request, ForwardCallback callback,
--- a/src/node/controller_shell.h
+++ b/src/node/controller_shell.h
@@ -69,6 +69,9 @@
     std::map<UpstreamId, ControlLink> m_links;
     std::vector<Waiter> m_waiters;
     bool m_pushDue = false;
+    /// Something happened since the last advance.
+    bool m_advanceDue = true;
+    TimePoint m_nextAdvance;
     /// Cancels answers of upstreams that arrive after this object is gone.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
