--- a/testsuite/failure_control/control_test.cpp
+++ b/testsuite/failure_control/control_test.cpp
@@ -24,18 +24,18 @@
 {
 protected:
     explicit Control(bool relays = false)
-        : cluster({ .relays = relays })
+        : m_cluster({ .relays = relays })
     {
     }
     qint64 version(int node) const
     {
-        return cluster.status(node)["configuration"].toObject()["version"].toInteger();
+        return m_cluster.status(node)["configuration"].toObject()["version"].toInteger();
     }
     std::set<std::string> teams(int node) const
     {
         std::set<std::string> ids;
         for (const QJsonValue &team :
-             cluster.status(node)["configuration"].toObject()["teams"].toArray())
+             m_cluster.status(node)["configuration"].toObject()["teams"].toArray())
             ids.insert(team.toObject()["id"].toString().toStdString());
         return ids;
     }
@@ -45,29 +45,29 @@
         qint64 base = version(node);
         for (int i = 0; i < count; ++i) {
             const std::string id = prefix + std::to_string(i);
-            const HttpReply reply = cluster.sendChange(node, id, base, putTeam(id), false);
+            const HttpReply reply = m_cluster.sendChange(node, id, base, putTeam(id), false);
             ASSERT_TRUE(reply.ok()) << reply.kind();
             base = reply.body["version"].toInteger();
         }
     }
-    int other(int node, int step = 1) const { return (node + step) % cluster.size(); }
+    int other(int node, int step = 1) const { return (node + step) % m_cluster.size(); }
     bool hasVoters(int asked, int count) const
     {
-        return cluster.status(asked)["control"].toObject()["voters"].toArray().size() == count;
+        return m_cluster.status(asked)["control"].toObject()["voters"].toArray().size() == count;
     }
     /// Identity under which the node votes; empty if it does not vote.
     QString identity(int asked, int node) const
     {
-        const QJsonObject control = cluster.status(asked)["control"].toObject();
+        const QJsonObject control = m_cluster.status(asked)["control"].toObject();
         return control["identities"].toObject()["n" + QString::number(node)].toString();
     }
     bool writes(int node) const
     {
         return pollUntil(
-            [&] { return cluster.write(node, "INSERT OR REPLACE INTO t VALUES (1, 'x')").ok(); });
+            [&] { return m_cluster.write(node, "INSERT OR REPLACE INTO t VALUES (1, 'x')").ok(); });
     }
 
-    Cluster cluster;
+    Cluster m_cluster;
 };
 
 /// Nodes that reach each other through relays.
@@ -80,7 +80,7 @@
     }
     bool refusesKeys(int node) const
     {
-        return pollUntil([&] { return cluster.read(node, "SELECT 1").kind() == "config_stale"; });
+        return pollUntil([&] { return m_cluster.read(node, "SELECT 1").kind() == "config_stale"; });
     }
 };
 
@@ -95,7 +95,7 @@
     for (int i = 0; i < kOperators; ++i) {
         operators.emplace_back([&, i] {
             const std::string id = "race-" + std::to_string(i);
-            replies[i] = cluster.sendChange(i % cluster.size(), id, base, putTeam(id));
+            replies[i] = m_cluster.sendChange(i % m_cluster.size(), id, base, putTeam(id));
         });
     }
     for (std::thread &thread : operators)
@@ -109,15 +109,15 @@
     for (const HttpReply &reply : replies)
         EXPECT_TRUE(reply.ok() || reply.text("winner") == winners[0]);
 
-    const int controller = cluster.awaitController();
-    cluster.killNode(controller);
-    const int next = cluster.awaitController({ controller });
+    const int controller = m_cluster.awaitController();
+    m_cluster.killNode(controller);
+    const int next = m_cluster.awaitController({ controller });
     ASSERT_GE(next, 0);
     for (int i = 0; i < kOperators; ++i) {
         const std::string id = "race-" + std::to_string(i);
         HttpReply again;
         EXPECT_TRUE(pollUntil([&] {
-            again = cluster.sendChange(next, id, base, putTeam(id), false);
+            again = m_cluster.sendChange(next, id, base, putTeam(id), false);
             return again.kind() != "no_controller" && again.kind() != "outcome_unknown";
         }));
         EXPECT_EQ(again.text("outcome"), replies[i].text("outcome"));
@@ -130,18 +130,18 @@
 // Guards against a member that loses changes, or cannot load its log, after many changes.
 TEST_F(Control, MemberKilledAfterHundredsOfChanges)
 {
-    const int member = other(cluster.awaitController());
+    const int member = other(m_cluster.awaitController());
     makeChanges(other(member), "before-", 600);
-    cluster.killNode(member);
+    m_cluster.killNode(member);
     makeChanges(other(member), "while-", 100);
-    cluster.startNode(member);
+    m_cluster.startNode(member);
     ASSERT_TRUE(writes(member));
-    const int controller = cluster.awaitController();
+    const int controller = m_cluster.awaitController();
     const std::set<std::string> expected = teams(controller);
     EXPECT_GE(expected.size(), 701U);
     // With the controller gone, a majority needs the member that was restarted.
-    cluster.killNode(controller);
-    const int next = cluster.awaitController({ controller });
+    m_cluster.killNode(controller);
+    const int next = m_cluster.awaitController({ controller });
     ASSERT_GE(next, 0);
     EXPECT_EQ(teams(next), expected);
     EXPECT_TRUE(writes(member));
@@ -152,13 +152,13 @@
 TEST_F(Control, SecondMemberLostRightAfterARepair)
 {
     makeChanges(0, "kept-", 50);
-    const int controller = cluster.awaitController();
+    const int controller = m_cluster.awaitController();
     const int lost = other(controller);
     const int second = other(controller, 2);
     const QString before = identity(controller, lost);
-    cluster.killNode(lost);
-    cluster.loseDisk(lost);
-    cluster.startNode(lost);
+    m_cluster.killNode(lost);
+    m_cluster.loseDisk(lost);
+    m_cluster.startNode(lost);
     const std::set<std::string> expected = teams(controller);
     const auto repaired = [&] {
         const QString now = identity(controller, lost);
@@ -166,11 +166,11 @@
     };
     ASSERT_TRUE(pollUntil(repaired));
     ASSERT_TRUE(writes(lost));
-    cluster.killNode(second);
-    cluster.loseDisk(second);
+    m_cluster.killNode(second);
+    m_cluster.loseDisk(second);
     EXPECT_TRUE(writes(lost));
     makeChanges(lost, "after-", 5);
-    cluster.startNode(second);
+    m_cluster.startNode(second);
     EXPECT_TRUE(writes(second));
     std::set<std::string> now = teams(controller);
     for (const std::string &team : expected)
@@ -181,65 +181,65 @@
 // one that stops serving boards.
 TEST_F(Partition, CutOffNodeRefusesKeysAndServesBoards)
 {
-    const int controller = cluster.awaitController();
+    const int controller = m_cluster.awaitController();
     const int member = other(controller);
-    cluster.network().isolate(member, true);
+    m_cluster.network().isolate(member, true);
     ASSERT_TRUE(refusesKeys(member));
-    EXPECT_EQ(cluster.write(member, "INSERT INTO t VALUES (2, 'x')").outcome(), "not_run");
+    EXPECT_EQ(m_cluster.write(member, "INSERT INTO t VALUES (2, 'x')").outcome(), "not_run");
     for (int i = 0; i < 20; ++i)
-        EXPECT_TRUE(cluster.board(member).ok());
-    EXPECT_TRUE(cluster.read(controller, "SELECT 1").ok());
-    cluster.network().isolate(member, false);
+        EXPECT_TRUE(m_cluster.board(member).ok());
+    EXPECT_TRUE(m_cluster.read(controller, "SELECT 1").ok());
+    m_cluster.network().isolate(member, false);
     EXPECT_TRUE(writes(member));
-    EXPECT_EQ(cluster.awaitController(), controller);
+    EXPECT_EQ(m_cluster.awaitController(), controller);
 }
 
 // Guards against a controller that goes on leading without a quorum, and against a cut-off member
 // that deposes the next one when it returns.
 TEST_F(Partition, CutOffControllerIsReplaced)
 {
-    const int former = cluster.awaitController();
-    cluster.network().isolate(former, true);
-    const int next = cluster.awaitController({ former });
+    const int former = m_cluster.awaitController();
+    m_cluster.network().isolate(former, true);
+    const int next = m_cluster.awaitController({ former });
     ASSERT_GE(next, 0);
     ASSERT_TRUE(refusesKeys(former));
     makeChanges(next, "partition-", 5);
     EXPECT_TRUE(writes(next));
-    cluster.network().isolate(former, false);
+    m_cluster.network().isolate(former, false);
     EXPECT_TRUE(writes(former));
-    EXPECT_EQ(cluster.controller(former), next);
+    EXPECT_EQ(m_cluster.controller(former), next);
     EXPECT_TRUE(teams(former).contains("partition-4"));
 }
 
 // Guards against a controller that cannot hear the others but keeps them from electing another.
 TEST_F(Partition, ControllerThatHearsNobodyIsReplaced)
 {
-    const int former = cluster.awaitController();
+    const int former = m_cluster.awaitController();
     for (const int step : { 1, 2 })
-        cluster.network().setBlocked(other(former, step), former, true);
-    const int next = cluster.awaitController({ former });
+        m_cluster.network().setBlocked(other(former, step), former, true);
+    const int next = m_cluster.awaitController({ former });
     ASSERT_GE(next, 0);
     EXPECT_TRUE(writes(next));
     for (const int step : { 1, 2 })
-        cluster.network().setBlocked(other(former, step), former, false);
+        m_cluster.network().setBlocked(other(former, step), former, false);
     EXPECT_TRUE(writes(former));
 }
 
 // Guards against a member that hears nobody, and disturbs the group with ever higher terms.
 TEST_F(Partition, MemberThatHearsNobodyDisturbsNothing)
 {
-    const int controller = cluster.awaitController();
+    const int controller = m_cluster.awaitController();
     const int deaf = other(controller);
-    const qint64 term = cluster.status(controller)["control"].toObject()["term"].toInteger();
+    const qint64 term = m_cluster.status(controller)["control"].toObject()["term"].toInteger();
     for (const int node : { controller, other(deaf) == controller ? other(deaf, 2) : other(deaf) })
-        cluster.network().setBlocked(node, deaf, true);
+        m_cluster.network().setBlocked(node, deaf, true);
     ASSERT_TRUE(refusesKeys(deaf));
     makeChanges(controller, "deaf-", 20);
     for (const int node : { controller, other(deaf) == controller ? other(deaf, 2) : other(deaf) })
-        cluster.network().setBlocked(node, deaf, false);
+        m_cluster.network().setBlocked(node, deaf, false);
     EXPECT_TRUE(writes(deaf));
-    EXPECT_EQ(cluster.awaitController(), controller);
-    EXPECT_EQ(cluster.status(controller)["control"].toObject()["term"].toInteger(), term);
+    EXPECT_EQ(m_cluster.awaitController(), controller);
+    EXPECT_EQ(m_cluster.status(controller)["control"].toObject()["term"].toInteger(), term);
 }
 
 } // namespace
--- a/testsuite/failure_primary/primary_test.cpp
+++ b/testsuite/failure_primary/primary_test.cpp
@@ -27,7 +27,7 @@
     bool primaryIsNot(const std::string &former)
     {
         return pollUntil([&] {
-            const std::string primary = cluster.primary(0);
+            const std::string primary = m_cluster.primary(0);
             return !primary.empty() && primary != former;
         });
     }
@@ -37,10 +37,10 @@
         HttpRequest request;
         HttpReply last;
         ASSERT_TRUE(pollUntil([&] {
-            last = cluster.write(0, "INSERT OR REPLACE INTO t VALUES (1, 'end')");
+            last = m_cluster.write(0, "INSERT OR REPLACE INTO t VALUES (1, 'end')");
             return last.ok();
         }));
-        const std::vector<int> rows = rowsOf(cluster, 0, last.session);
+        const std::vector<int> rows = rowsOf(m_cluster, 0, last.session);
         for (const int row : counts.acknowledged)
             EXPECT_TRUE(std::binary_search(rows.begin(), rows.end(), row)) << "lost " << row;
         for (const int row : counts.notRun)
@@ -49,8 +49,8 @@
     /// Reads through every node are answered, and by other databases than this one.
     bool servedElsewhere(const std::string &id) const
     {
-        for (int node = 0; node < cluster.size(); ++node) {
-            const HttpReply reply = cluster.read(node, "SELECT 1");
+        for (int node = 0; node < m_cluster.size(); ++node) {
+            const HttpReply reply = m_cluster.read(node, "SELECT 1");
             if (reply.ok() && reply.text("upstream") != id)
                 continue;
             std::cout << "node " << node << ": " << reply.status << " " << reply.kind() << " from "
@@ -68,7 +68,7 @@
         for (const auto &[kind, count] : counts.refusals)
             std::cout << ", " << kind << " " << count;
         std::cout << "\n";
-        for (const QJsonObject &line : cluster.logged("primary_changed"))
+        for (const QJsonObject &line : m_cluster.logged("primary_changed"))
             std::cout << QJsonDocument(line).toJson(QJsonDocument::Compact).toStdString() << "\n";
     }
     static void checkReads(const LoadCounts &counts)
@@ -83,22 +83,22 @@
         for (const int row : counts.unknown) {
             HttpRequest request;
             request.idempotencyKey = "row-" + std::to_string(row);
-            const HttpReply reply = cluster.write(
+            const HttpReply reply = m_cluster.write(
                 1, "INSERT INTO t VALUES (" + std::to_string(row) + ", 'load')", request);
             EXPECT_TRUE(reply.ok()) << reply.kind();
         }
     }
 
-    Cluster cluster;
+    Cluster m_cluster;
 };
 
 // Guards against lost acknowledged writes, blank boards and sessions that miss their own writes
 // when the primary is killed.
 TEST_F(Primary, KilledUnderWrites)
 {
-    Load load(cluster, { .nodes = { 0, 1, 2 }, .readBack = true });
+    Load load(m_cluster, { .nodes = { 0, 1, 2 }, .readBack = true });
     ASSERT_TRUE(reaches(load, kWritesBefore));
-    cluster.group()["a"].kill();
+    m_cluster.group()["a"].kill();
     EXPECT_TRUE(reaches(load, load.acknowledged() + kWritesAfter));
     const LoadCounts counts = load.stop();
     print("primary killed", counts);
@@ -109,9 +109,9 @@
 // Guards against a keyed write that runs twice, or stays unresolved, across a change of primary.
 TEST_F(Primary, KilledUnderIdempotentWrites)
 {
-    Load load(cluster, { .nodes = { 0, 1, 2 }, .idempotent = true, .deadlineMs = 1000 });
+    Load load(m_cluster, { .nodes = { 0, 1, 2 }, .idempotent = true, .deadlineMs = 1000 });
     ASSERT_TRUE(reaches(load, kWritesBefore));
-    cluster.group()["a"].kill();
+    m_cluster.group()["a"].kill();
     EXPECT_TRUE(reaches(load, load.acknowledged() + kWritesAfter));
     const LoadCounts counts = load.stop();
     print("primary killed, idempotent writes", counts);
@@ -126,16 +126,16 @@
 {
     HttpRequest request;
     request.idempotencyKey = "first";
-    ASSERT_TRUE(cluster.write(0, "INSERT INTO t VALUES (10, 'x')", request).ok());
+    ASSERT_TRUE(m_cluster.write(0, "INSERT INTO t VALUES (10, 'x')", request).ok());
     // The first attempt takes three such statements; the deadline falls into the repeat.
-    cluster.group()["a"].command("statement-time 600");
-    cluster.group()["a"].command("drop-before-answer COMMIT");
+    m_cluster.group()["a"].command("statement-time 600");
+    m_cluster.group()["a"].command("drop-before-answer COMMIT");
     request = { .idempotencyKey = "second", .deadlineMs = 2100 };
-    const HttpReply reply = cluster.write(0, "INSERT INTO t VALUES (11, 'x')", request);
-    cluster.group()["a"].command("statement-time 0");
+    const HttpReply reply = m_cluster.write(0, "INSERT INTO t VALUES (11, 'x')", request);
+    m_cluster.group()["a"].command("statement-time 0");
     std::cout << "repeated write: " << reply.status << " " << reply.kind() << "\n";
     request.deadlineMs = 0;
-    const HttpReply again = cluster.write(0, "INSERT INTO t VALUES (11, 'x')", request);
+    const HttpReply again = m_cluster.write(0, "INSERT INTO t VALUES (11, 'x')", request);
     EXPECT_TRUE(again.ok()) << again.kind();
     EXPECT_FALSE(reply.outcome() == "not_run" && again.body["repeated"].toBool());
 }
@@ -143,42 +143,42 @@
 // Guards against a former primary that acknowledges writes or keeps its own after a freeze.
 TEST_F(Primary, FrozenAndThawed)
 {
-    Load load(cluster, { .nodes = { 0, 1, 2 }, .readBack = true });
+    Load load(m_cluster, { .nodes = { 0, 1, 2 }, .readBack = true });
     ASSERT_TRUE(reaches(load, kWritesBefore));
-    cluster.group()["a"].command("freeze");
+    m_cluster.group()["a"].command("freeze");
     EXPECT_TRUE(primaryIsNot("a"));
     EXPECT_TRUE(reaches(load, load.acknowledged() + kWritesAfter));
-    cluster.group()["a"].command("unfreeze");
+    m_cluster.group()["a"].command("unfreeze");
     EXPECT_TRUE(reaches(load, load.acknowledged() + kWritesAfter));
     const LoadCounts counts = load.stop();
     print("primary frozen", counts);
     checkReads(counts);
     checkRows(counts);
-    const auto current = statusOf(cluster.group()[cluster.primary(0)]);
+    const auto current = statusOf(m_cluster.group()[m_cluster.primary(0)]);
     ASSERT_TRUE(current.ok());
-    EXPECT_TRUE(waitForPoint(cluster.group()["a"], current->point));
+    EXPECT_TRUE(waitForPoint(m_cluster.group()["a"], current->point));
 }
 
 // Guards against acknowledgements by a primary that reaches the nodes but none of its replicas.
 TEST_F(Primary, CutFromItsReplicasAcknowledgesNothing)
 {
-    Load load(cluster, { .nodes = { 0, 1, 2 }, .deadlineMs = 500, .readBack = true });
+    Load load(m_cluster, { .nodes = { 0, 1, 2 }, .deadlineMs = 500, .readBack = true });
     ASSERT_TRUE(reaches(load, kWritesBefore));
-    cluster.group()["a"].command("cut b,c both");
-    cluster.group()["b"].command("cut a both");
-    cluster.group()["c"].command("cut a both");
+    m_cluster.group()["a"].command("cut b,c both");
+    m_cluster.group()["b"].command("cut a both");
+    m_cluster.group()["c"].command("cut a both");
     const auto reachesUnknown = [&](int writes) {
         return pollUntil([&] { return load.unknown() >= writes; });
     };
     // Writes that were under way when the links were cut may still be acknowledged.
     ASSERT_TRUE(reachesUnknown(load.unknown() + 4));
     const int acknowledged = load.acknowledged();
-    if (cluster.primary(0) == "a") {
+    if (m_cluster.primary(0) == "a") {
         EXPECT_TRUE(reachesUnknown(load.unknown() + 8));
-        EXPECT_TRUE(cluster.primary(0) != "a" || load.acknowledged() == acknowledged);
+        EXPECT_TRUE(m_cluster.primary(0) != "a" || load.acknowledged() == acknowledged);
     }
     for (const char *id : { "a", "b", "c" })
-        cluster.group()[id].command("heal a,b,c both");
+        m_cluster.group()[id].command("heal a,b,c both");
     EXPECT_TRUE(reaches(load, load.acknowledged() + kWritesAfter));
     const LoadCounts counts = load.stop();
     print("primary cut from its replicas", counts);
@@ -189,13 +189,13 @@
 // Guards against lost writes when the second primary fails before the first has returned.
 TEST_F(Primary, SecondFailsRightAfterTheFirst)
 {
-    Load load(cluster, { .nodes = { 0, 1, 2 }, .readBack = true });
+    Load load(m_cluster, { .nodes = { 0, 1, 2 }, .readBack = true });
     ASSERT_TRUE(reaches(load, kWritesBefore));
-    cluster.group()["a"].kill();
+    m_cluster.group()["a"].kill();
     EXPECT_TRUE(primaryIsNot("a"));
-    const std::string second = cluster.primary(0);
-    cluster.group().restart("a");
-    cluster.group()[second].kill();
+    const std::string second = m_cluster.primary(0);
+    m_cluster.group().restart("a");
+    m_cluster.group()[second].kill();
     EXPECT_TRUE(primaryIsNot(second));
     EXPECT_TRUE(reaches(load, load.acknowledged() + kWritesAfter));
     const LoadCounts counts = load.stop();
@@ -207,19 +207,19 @@
 // Guards against a change of primary that is lost with the controller that started it.
 TEST_F(Primary, ControllerKilledDuringTheChange)
 {
-    const int controller = cluster.awaitController();
-    Load load(cluster, { .nodes = { 0, 1, 2 }, .readBack = true });
+    const int controller = m_cluster.awaitController();
+    Load load(m_cluster, { .nodes = { 0, 1, 2 }, .readBack = true });
     ASSERT_TRUE(reaches(load, kWritesBefore));
     load.avoid(controller);
-    cluster.group()["a"].kill();
-    const int other = (controller + 1) % cluster.size();
+    m_cluster.group()["a"].kill();
+    const int other = (controller + 1) % m_cluster.size();
     EXPECT_TRUE(pollUntil([&] {
-        return !cluster.logged("upstream_state").empty() && cluster.primary(other) != "a";
+        return !m_cluster.logged("upstream_state").empty() && m_cluster.primary(other) != "a";
     }));
-    cluster.killNode(controller);
+    m_cluster.killNode(controller);
     EXPECT_TRUE(reaches(load, load.acknowledged() + kWritesAfter));
     const LoadCounts counts = load.stop();
-    cluster.startNode(controller);
+    m_cluster.startNode(controller);
     print("controller killed during the change", counts);
     EXPECT_EQ(counts.missingOwnWrites, 0);
     checkRows(counts);
@@ -228,10 +228,10 @@
 // Guards against new work on an upstream that has announced that it is leaving.
 TEST_F(Primary, LeavingUpstreamGetsNoNewWork)
 {
-    Load load(cluster, { .nodes = { 0, 1, 2 }, .readBack = true });
+    Load load(m_cluster, { .nodes = { 0, 1, 2 }, .readBack = true });
     ASSERT_TRUE(reaches(load, kWritesBefore));
-    cluster.group()["b"].command("leaving on");
-    EXPECT_TRUE(pollUntil([&] { return cluster.upstreamState(0, "b") == "leaving"; }));
+    m_cluster.group()["b"].command("leaving on");
+    EXPECT_TRUE(pollUntil([&] { return m_cluster.upstreamState(0, "b") == "leaving"; }));
     const auto allServedElsewhere = [&] {
         int rounds = 0;
         while (rounds < kRoundsElsewhere && servedElsewhere("b"))
@@ -241,7 +241,7 @@
     EXPECT_TRUE(pollUntil(allServedElsewhere));
     // What stopped must not start again while the announcements of leaving are renewed.
     EXPECT_TRUE(allServedElsewhere());
-    cluster.group()["a"].command("leaving on");
+    m_cluster.group()["a"].command("leaving on");
     EXPECT_TRUE(primaryIsNot("a"));
     EXPECT_TRUE(reaches(load, load.acknowledged() + kWritesAfter));
     const LoadCounts counts = load.stop();
