--- a/testsuite/failure_primary/primary_test.cpp
+++ b/testsuite/failure_primary/primary_test.cpp
@@ -130,7 +130,8 @@
     // The first attempt takes three such statements; the deadline falls into the repeat.
     m_cluster.group()["a"].command("statement-time 600");
     m_cluster.group()["a"].command("drop-before-answer COMMIT");
-    request = { .idempotencyKey = "second", .deadlineMs = 2100 };
+    request.idempotencyKey = "second";
+    request.deadlineMs = 2100;
     const HttpReply reply = m_cluster.write(0, "INSERT INTO t VALUES (11, 'x')", request);
     m_cluster.group()["a"].command("statement-time 0");
     std::cout << "repeated write: " << reply.status << " " << reply.kind() << "\n";
