Let a drain be taken back, look for a rate token every 5 ms, stay ready without a lease

Three faults found by trials of the command line: a drained upstream could never take work again; a request without a known refill time slept through the whole rate wait although a share arrived within it (51 to 52 ms at a wait of 50 ms, 302 ms at 300); and every VM of a partitioned data centre failed /readyz, so a balancer would have cut its open routes too.

--- a/src/edge/request_codec.cpp
+++ b/src/edge/request_codec.cpp
@@ -220,7 +220,8 @@
         return EdgeRequest(ExplainRequest {});
     if (action == "drain")
         return withOptionalFields(body, [](FieldReader &f) {
-            return DrainRequest { f.optionalId<UpstreamId>("upstream") };
+            return DrainRequest { f.optionalId<UpstreamId>("upstream"),
+                                  f.boolean("cancel", false) };
         });
     return unknownPath();
 }
--- a/src/include/shallotlever/edge/messages.h
+++ b/src/include/shallotlever/edge/messages.h
@@ -88,6 +88,8 @@
 struct DrainRequest
 {
     std::optional<UpstreamId> upstream;
+    /// Takes back the drain of the upstream.
+    bool cancel = false;
 };
 
 using EdgeRequest =
--- a/src/node/controller_shell.cpp
+++ b/src/node/controller_shell.cpp
@@ -189,7 +189,7 @@
     if (const auto *change = std::get_if<ChangeRequest>(&request)) {
         proposeChange(*change, std::move(callback), now);
     } else if (const auto *drain = std::get_if<DrainRequest>(&request)) {
-        setDrained(m_controller->registry, drain->upstream.value_or(UpstreamId()), true);
+        setDrained(m_controller->registry, drain->upstream.value_or(UpstreamId()), !drain->cancel);
         callback(DoneAnswer {});
     } else if (std::holds_alternative<StatusRequest>(request)) {
         callback(DocumentAnswer { statusDocument(m_group, *m_controller, now) });
--- a/src/node/forward.cpp
+++ b/src/node/forward.cpp
@@ -87,8 +87,8 @@
             node::CreateForwardRequest(builder, node::ForwardKind::Change, bytes, change->wait));
     } else if (const auto *drain = std::get_if<DrainRequest>(&request)) {
         const auto upstream = builder.CreateString(drain->upstream.value_or(UpstreamId()).value());
-        builder.Finish(
-            node::CreateForwardRequest(builder, node::ForwardKind::Drain, 0, false, upstream));
+        builder.Finish(node::CreateForwardRequest(builder, node::ForwardKind::Drain, 0, false,
+                                                  upstream, drain->cancel));
     } else {
         const auto kind = std::holds_alternative<StatusRequest>(request)
             ? node::ForwardKind::Status
@@ -112,7 +112,8 @@
     case node::ForwardKind::Explain:
         return OperatorRequest(ExplainRequest {});
     case node::ForwardKind::Drain:
-        return OperatorRequest(DrainRequest { UpstreamId(textOf(request->upstream())) });
+        return OperatorRequest(
+            DrainRequest { UpstreamId(textOf(request->upstream())), request->cancel() });
     }
     return absl::InvalidArgumentError("unknown kind of forward request");
 }
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -218,6 +218,11 @@
             forwardRequest(*drain, std::move(respond), now);
             return;
         }
+        if (drain->cancel) {
+            respond(Error { ErrorKind::MalformedRequest,
+                            "cancel needs an upstream; a node that drains stops", std::nullopt });
+            return;
+        }
         respond(DoneAnswer {});
         shutDown();
     } else if (std::holds_alternative<StatusRequest>(request)) {
--- a/src/node/node_start.cpp
+++ b/src/node/node_start.cpp
@@ -178,8 +178,9 @@
                 Qt::QueuedConnection);
         });
     callbacks.ready = [this] {
-        const std::int64_t now = monotonicNow().time_since_epoch().count();
-        return !m_shared.draining && m_shared.sharesGranted && now < m_shared.freshUntilUs;
+        // A node without a lease stays ready: in a partitioned data centre all nodes lose theirs
+        // together, and the balancer must go on sending requests of open routes.
+        return !m_shared.draining && m_shared.sharesGranted;
     };
     auto listener = EdgeListener::create(options, std::move(callbacks), m_metrics, m_logger);
     if (!listener.ok())
--- a/src/node/request_path.cpp
+++ b/src/node/request_path.cpp
@@ -10,6 +10,10 @@
 
 namespace {
 
+/// A waiting request looks for a token this often: a new share may bring one earlier than the
+/// share in force would.
+constexpr Duration kTokenPoll = 5ms;
+
 /// Receiver of single-shot timers on the calling thread.
 QObject *threadContext()
 {
@@ -112,8 +116,9 @@
         refuseOverRate(*admitted, respond, now);
         return;
     }
-    const Duration pause = std::clamp<Duration>(
-        admitted->bucket->timeUntilToken(now).value_or(giveUpAt - now), 1ms, giveUpAt - now + 1ms);
+    const Duration pause =
+        std::clamp<Duration>(admitted->bucket->timeUntilToken(now).value_or(kTokenPoll), 1ms,
+                             std::min(kTokenPoll, giveUpAt - now + 1ms));
     admitted->bucket->beginWait();
     auto waiting = std::make_shared<WorkItem>(std::move(item));
     QTimer::singleShot(std::chrono::ceil<std::chrono::milliseconds>(pause), Qt::PreciseTimer,
--- a/src/operator/command_table.cpp
+++ b/src/operator/command_table.cpp
@@ -49,8 +49,8 @@
         { { "status" }, "", "Show configuration, nodes and upstreams.", runStatus },
         { { "explain" }, "[--last=N]", "Show the decision log.", runExplain },
         { { "drain" },
-          "[--upstream=UPSTREAM]",
-          "Drain the node in --nodes and stop it, or drain an upstream.",
+          "[--upstream=UPSTREAM [--cancel]]",
+          "Drain the node in --nodes and stop it, or drain an upstream or take that back.",
           runDrain },
         { { "statement" },
           "--service=SERVICE --mode=MODE --sql=SQL [--param=VALUE]... [--session-file=FILE] "
--- a/src/operator/commands_test.cpp
+++ b/src/operator/commands_test.cpp
@@ -355,6 +355,9 @@
     EXPECT_EQ(ProgramRunner().run(node.url(), { "drain" }).status, kExitDone);
     EXPECT_EQ(std::get<DrainRequest>(node.requests()[0]).upstream, UpstreamId("db1"));
     EXPECT_EQ(std::get<DrainRequest>(node.requests()[1]).upstream, std::nullopt);
+    EXPECT_EQ(ProgramRunner().run(node.url(), { "drain", "--upstream=db1", "--cancel" }).status,
+              kExitDone);
+    EXPECT_TRUE(std::get<DrainRequest>(node.requests()[2]).cancel);
 }
 
 } // namespace
--- a/src/operator/query_commands.cpp
+++ b/src/operator/query_commands.cpp
@@ -254,6 +254,9 @@
     if (!node)
         body.insert(QStringLiteral("upstream"),
                     QString::fromStdString(context.arguments.id("--upstream")));
+    const bool cancel = context.arguments.isSet("--cancel");
+    if (cancel)
+        body.insert(QStringLiteral("cancel"), true);
     request.body = QJsonDocument(body).toJson(QJsonDocument::Compact);
     // A second request would stop the node without waiting for its open work.
     request.repeatable = !node;
@@ -263,8 +266,11 @@
     const auto reply = ask(context, request);
     if (const int *exitStatus = std::get_if<int>(&reply))
         return *exitStatus;
-    if (!printRaw(context, std::get<HttpReply>(reply)))
-        context.out << (node ? "the node drains and then stops\n" : "the upstream drains\n");
+    if (!printRaw(context, std::get<HttpReply>(reply))) {
+        context.out << (node         ? "the node drains and then stops\n"
+                            : cancel ? "the upstream takes work again\n"
+                                     : "the upstream drains\n");
+    }
     return kExitDone;
 }
 
