Replace a primary that replicates to no majority

Cause: a primary that was cut from its replicas, but reached by the nodes and the controller, stayed in office, so every write was answered outcome_unknown until the links healed; no reason for a change of primary covered it. Change: the controller watches how far a majority of the voting set holds the primary's log. Without progress for 2 s, while the primary is ahead and the other members answer and are a majority, it changes the primary with the reason 'stalled' and prefers another member. Replicas that are merely slow make progress and cause no change. The test of this cut now expects the replacement; it expected only that the cut primary acknowledges nothing, which it still checks.

--- a/src/controller/group_control.cpp
+++ b/src/controller/group_control.cpp
@@ -69,6 +69,7 @@
             input.primarySeenAt = status->second.askedAt;
         }
     }
+    input.replicationStalled = replicationStalled(group.replication, state, group.statuses, now);
     input.ownReservedTerm = group.ownReservedTerm;
     input.registryComplete = now >= controller.since + kAnnouncementLease;
     group.change.service = state.service;
--- a/src/fleet/primary_change.cpp
+++ b/src/fleet/primary_change.cpp
@@ -89,7 +89,9 @@
         if (state == step.input.states.end() || state->second != UpstreamState::Live)
             avoid.insert(member);
     }
-    if (step.change.reason == ChangeReason::Operator && step.group().primary)
+    const ChangeReason reason = step.change.reason;
+    const bool replaces = reason == ChangeReason::Operator || reason == ChangeReason::Stalled;
+    if (replaces && step.group().primary)
         avoid.insert(*step.group().primary);
     return avoid;
 }
@@ -304,6 +306,8 @@
         return "fenced";
     case ChangeReason::Operator:
         return "operator";
+    case ChangeReason::Stalled:
+        return "stalled";
     case ChangeReason::Unfinished:
         return "unfinished";
     }
@@ -328,7 +332,9 @@
         return ChangeReason::Suspected;
     if (!silent && state->second == UpstreamState::Leaving)
         return ChangeReason::Leaving;
-    return input.operatorRequest ? ChangeReason::Operator : ChangeReason::None;
+    if (input.operatorRequest)
+        return ChangeReason::Operator;
+    return input.replicationStalled ? ChangeReason::Stalled : ChangeReason::None;
 }
 
 void onCallAnswer(PrimaryChange &change, const CallAnswer &answer, TimePoint now)
--- a/src/include/shallotlever/controller/controller.h
+++ b/src/include/shallotlever/controller/controller.h
@@ -13,6 +13,7 @@
 #include "shallotlever/fleet/freshness.h"
 #include "shallotlever/fleet/primary_change.h"
 #include "shallotlever/fleet/registry.h"
+#include "shallotlever/fleet/replication_watch.h"
 #include "shallotlever/fleet/voting_set.h"
 #include "shallotlever/policy/rate_allocator.h"
 #include "shallotlever/policy/slot_allocator.h"
@@ -72,6 +73,7 @@
 {
     PrimaryChange change;
     VotingSetProgress voting;
+    ReplicationWatch replication;
     std::map<UpstreamId, MemberStatus> statuses;
     std::map<UpstreamId, TimePoint> statusAskedAt;
     TimePoint proposedAt;
--- a/src/include/shallotlever/fleet/primary_change.h
+++ b/src/include/shallotlever/fleet/primary_change.h
@@ -50,6 +50,8 @@
     /// The primary reports that it is fenced, or another role or term than it was given.
     Fenced,
     Operator,
+    /// The primary answers but replicates to no majority.
+    Stalled,
     /// A term was reserved but never published, by this or a former controller.
     Unfinished,
 };
@@ -119,6 +121,8 @@
     /// False while a new controller still waits for renewals; silence then proves nothing.
     bool registryComplete = true;
     bool operatorRequest = false;
+    /// See replication_watch.h.
+    bool replicationStalled = false;
 };
 
 struct QueryStatus
--- a/testsuite/failure_primary/primary_test.cpp
+++ b/testsuite/failure_primary/primary_test.cpp
@@ -160,8 +160,9 @@
     EXPECT_TRUE(waitForPoint(m_cluster.group()["a"], current->point));
 }
 
-// Guards against acknowledgements by a primary that reaches the nodes but none of its replicas.
-TEST_F(Primary, CutFromItsReplicasAcknowledgesNothing)
+// Guards against acknowledgements by a primary that reaches the nodes but none of its replicas, and
+// against a group that takes no writes until such a cut ends.
+TEST_F(Primary, CutFromItsReplicasIsReplaced)
 {
     Load load(m_cluster, { .nodes = { 0, 1, 2 }, .deadlineMs = 500, .readBack = true });
     ASSERT_TRUE(reaches(load, kWritesBefore));
@@ -178,6 +179,8 @@
         EXPECT_TRUE(reachesUnknown(load.unknown() + 8));
         EXPECT_TRUE(m_cluster.primary(0) != "a" || load.acknowledged() == acknowledged);
     }
+    EXPECT_TRUE(primaryIsNot("a"));
+    EXPECT_TRUE(reaches(load, load.acknowledged() + kWritesAfter));
     for (const char *id : { "a", "b", "c" })
         m_cluster.group()[id].command("heal a,b,c both");
     EXPECT_TRUE(reaches(load, load.acknowledged() + kWritesAfter));
