Roll back in the load tool, and end idle transactions after 5 s

A statement of a transaction had been refused as rate_limited, the load tool gave the transaction up without a rollback, and its locks were held until the idle limit. Ruled out: the change of controller itself, since the other services went on writing. Change: the tool rolls back, as a caller should, and the idle limit is 5 s instead of 10 s for callers that do not.

--- a/src/executor/transactions.cpp
+++ b/src/executor/transactions.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 /// A caller that has gone away must not hold a scarce connection and its locks.
-constexpr Duration kIdleLimit = 10s;
+constexpr Duration kIdleLimit = 5s;
 constexpr Duration kTransactionLimit = 60s;
 std::shared_ptr<RunState> makeRun(ExecutorContext &context, WorkItem item, RunDone done = {})
 {
--- a/src/load/runner.cpp
+++ b/src/load/runner.cpp
@@ -359,11 +359,27 @@
         transactionStep(call);
         return;
     }
+    // A caller that gave up without a rollback would hold its locks until the idle limit.
+    if (call->step > 0 && call->step < kCommitStep)
+        rollBack(call);
     // Before the commit nothing can have run, however the request ended.
     call->mayHaveRun = call->step == kCommitStep && call->outcome != "not_run";
     settleWrite(call);
 }
 
+void Runner::rollBack(const CallPtr &call)
+{
+    HttpRequest request;
+    request.path = "/v1/services/" + QByteArray::fromStdString(call->service) + "/transactions/"
+        + call->transaction.toUtf8() + "/rollback";
+    request.body = "{}";
+    request.timeout = std::chrono::milliseconds(m_workload.deadlineMs + kAnswerMarginMs);
+    request.headers = { { "Authorization", call->team->authorization },
+                        { "Content-Type", "application/json" },
+                        { "Shallotlever-Session", call->session->token } };
+    m_nodes.send(call->node, request, [](const HttpReply &) {});
+}
+
 void Runner::finishCall(const CallPtr &call)
 {
     --m_open;
--- a/src/load/runner.h
+++ b/src/load/runner.h
@@ -84,6 +84,8 @@
     void afterRead(const CallPtr &call);
     void afterWrite(const CallPtr &call);
     void afterStep(const CallPtr &call);
+    /// Ends a transaction of which a statement was refused; the answer does not matter.
+    void rollBack(const CallPtr &call);
     bool repeatWrite(const CallPtr &call);
     /// Records how the write ended, ends the call and lets the read of the own write follow.
     void settleWrite(const CallPtr &call);
