--- a/src/base/errors.cpp
+++ b/src/base/errors.cpp
@@ -23,6 +23,7 @@
     ErrorRow { ErrorKind::UnknownRoute, "unknown_route", 404, Outcome::NotRun, false, 0ms },
     ErrorRow { ErrorKind::UnknownTransaction, "unknown_transaction", 404, Outcome::NotRun, false,
                0ms },
+    ErrorRow { ErrorKind::UnknownStatement, "unknown_statement", 404, Outcome::NotRun, false, 0ms },
     ErrorRow { ErrorKind::TransactionLost, "transaction_lost", 409, Outcome::NotRun, false, 0ms },
     ErrorRow { ErrorKind::InvalidSession, "invalid_session", 400, Outcome::NotRun, false, 0ms },
     ErrorRow { ErrorKind::IdempotencyMismatch, "idempotency_mismatch", 422, Outcome::NotRun, false,
--- a/src/config/apply.cpp
+++ b/src/config/apply.cpp
@@ -95,6 +95,33 @@
     return { ChangeOutcome::Invalid, version, ChangeId(), message };
 }
 
+bool isCallerKey(const std::pair<const KeyId, KeyConfig> &item)
+{
+    return item.second.role == KeyRole::Caller;
+}
+
+ChangeResult apply(ReplicatedState &state, const InstallConfig &install, std::int64_t wallTimeMs)
+{
+    ClusterConfig &config = state.cluster.config;
+    const ClusterConfig &content = install.content;
+    if (content.installed.number <= config.installed.number) {
+        return { ChangeOutcome::Conflict, config.version, ChangeId(),
+                 absl::StrCat("configuration ", config.installed.number.value(),
+                              " is installed already") };
+    }
+    config.services = content.services;
+    config.teams = content.teams;
+    config.databases = content.databases;
+    config.installed = content.installed;
+    std::erase_if(config.keys, isCallerKey);
+    config.keys.insert(content.keys.begin(), content.keys.end());
+    config.version = config.version.next();
+    recordDecision(state, wallTimeMs,
+                   absl::StrCat("configuration ", content.installed.number.value(),
+                                " installed as version ", config.version.value()));
+    return { ChangeOutcome::Accepted, config.version, ChangeId(), std::string() };
+}
+
 } // namespace
 
 ChangeResult applyCommand(ReplicatedState &state, const Command &command, LogIndex index,
--- a/src/config/command_codec.cpp
+++ b/src/config/command_codec.cpp
@@ -112,7 +112,7 @@
     const std::string id = text(change.id());
     switch (change.operation()) {
     case fbs::Operation::PutService:
-        return Change(PutService { ServiceConfig { ServiceId(id) } });
+        return Change(PutService { ServiceConfig { ServiceId(id), 0, 0, false } });
     case fbs::Operation::RemoveService:
         return Change(RemoveService { ServiceId(id) });
     case fbs::Operation::RemoveTeam:
@@ -162,21 +162,50 @@
     FlatBufferBuilder fbb;
     Offset<fbs::OperatorChange> change;
     Offset<fbs::GroupDecision> decision;
+    Offset<fbs::Config> install;
     if (const auto *c = std::get_if<OperatorChange>(&command.command))
         change = encode(fbb, *c);
     else if (const auto *d = std::get_if<GroupDecision>(&command.command))
         decision = encode(fbb, *d);
-    fbb.Finish(fbs::CreateCommand(fbb, command.wallTimeMs, change, decision));
+    else if (const auto *i = std::get_if<InstallConfig>(&command.command))
+        install = encode(fbb, i->content);
+    fbb.Finish(fbs::CreateCommand(fbb, command.wallTimeMs, change, decision, install));
     return finished(fbb);
 }
 
+namespace {
+
+absl::StatusOr<Command> decodeInstall(const fbs::Config &config)
+{
+    absl::StatusOr<ClusterConfig> content = shallotlever::decode(config);
+    if (!content.ok())
+        return content.status();
+    return Command(InstallConfig { *std::move(content) });
+}
+
+int presentParts(const fbs::Command &command)
+{
+    return (command.change() != nullptr) + (command.group_decision() != nullptr)
+        + (command.install() != nullptr);
+}
+
+absl::StatusOr<Command> decodeParts(const fbs::Command &command)
+{
+    if (command.change() != nullptr)
+        return decode(*command.change());
+    if (command.group_decision() != nullptr)
+        return decode(*command.group_decision());
+    return decodeInstall(*command.install());
+}
+
+} // namespace
+
 absl::StatusOr<LoggedCommand> decodeCommand(std::string_view bytes)
 {
     const auto *root = verifiedRoot<fbs::Command>(bytes);
-    if (root == nullptr || (root->change() == nullptr) == (root->group_decision() == nullptr))
+    if (root == nullptr || presentParts(*root) != 1)
         return absl::InvalidArgumentError("malformed command");
-    absl::StatusOr<Command> command =
-        root->change() != nullptr ? decode(*root->change()) : decode(*root->group_decision());
+    absl::StatusOr<Command> command = decodeParts(*root);
     if (!command.ok())
         return command.status();
     return LoggedCommand { *std::move(command), root->wall_time_ms() };
--- a/src/config/config_codec.cpp
+++ b/src/config/config_codec.cpp
@@ -32,6 +32,30 @@
     return fbs::CreateRoute(fbb, id, service, sql, route.maxStaleness.count());
 }
 
+Offset<fbs::Service> encode(FlatBufferBuilder &fbb, const ServiceConfig &service)
+{
+    const auto id = fbb.CreateString(service.id.value());
+    return fbs::CreateService(fbb, id, service.connectionLimit, service.confirmingReplicas,
+                              service.confirmsCommits);
+}
+
+Offset<fbs::Database> encode(FlatBufferBuilder &fbb, const DatabaseConfig &database)
+{
+    const auto name = fbb.CreateString(database.name.value());
+    const auto service = fbb.CreateString(database.service.value());
+    return fbs::CreateDatabase(fbb, name, service,
+                               static_cast<fbs::Consistency>(database.consistency),
+                               database.statementTimeout.count(), database.latencyObjective.count(),
+                               database.maxStaleness.count(), database.priority, database.open);
+}
+
+Offset<fbs::Installed> encode(FlatBufferBuilder &fbb, const InstalledConfig &installed)
+{
+    const auto document = fbb.CreateString(installed.document);
+    return fbs::CreateInstalled(fbb, installed.number.value(), document,
+                                installed.transactionIdleLimit.count());
+}
+
 Offset<fbs::Preset> encode(FlatBufferBuilder &fbb, const PresetConfig &preset)
 {
     const PresetPolicy &policy = preset.policy;
@@ -53,15 +77,6 @@
     return fbb.CreateVector(offsets);
 }
 
-Offset<flatbuffers::Vector<Offset<flatbuffers::String>>>
-encodeServices(FlatBufferBuilder &fbb, const std::map<ServiceId, ServiceConfig> &services)
-{
-    std::vector<ServiceId> ids;
-    for (const auto &[id, service] : services)
-        ids.push_back(id);
-    return encodeIds(fbb, ids);
-}
-
 template <typename Map, typename Value>
 void insertById(Map &map, Value value)
 {
@@ -86,14 +101,16 @@
 
 Offset<fbs::Config> encode(FlatBufferBuilder &fbb, const ClusterConfig &config)
 {
-    const auto services = encodeServices(fbb, config.services);
+    const auto services = encodeValues<fbs::Service>(fbb, config.services);
     const auto teams = encodeValues<fbs::Team>(fbb, config.teams);
     const auto keys = encodeValues<fbs::Key>(fbb, config.keys);
     const auto routes = encodeValues<fbs::Route>(fbb, config.routes);
     const auto presets = encodeValues<fbs::Preset>(fbb, config.presets);
     const auto active = fbb.CreateString(config.activePreset.value());
+    const auto databases = encodeValues<fbs::Database>(fbb, config.databases);
+    const auto installed = encode(fbb, config.installed);
     return fbs::CreateConfig(fbb, config.version.value(), services, teams, keys, routes, presets,
-                             active);
+                             active, databases, installed);
 }
 
 Offset<fbs::ChangeResult> encode(FlatBufferBuilder &fbb, const ChangeResult &result)
@@ -149,14 +166,59 @@
     return { PresetId(text(preset.id())), policy };
 }
 
+ServiceConfig decode(const fbs::Service &service)
+{
+    return { ServiceId(text(service.id())), service.connection_limit(),
+             service.confirming_replicas(), service.confirms_commits() };
+}
+
+absl::StatusOr<DatabaseConfig> decode(const fbs::Database &database)
+{
+    if (database.consistency() > fbs::Consistency::MAX)
+        return absl::InvalidArgumentError("consistency out of range");
+    DatabaseConfig out;
+    out.name = DatabaseName(text(database.name()));
+    out.service = ServiceId(text(database.service()));
+    out.consistency = static_cast<Consistency>(database.consistency());
+    out.statementTimeout = std::chrono::milliseconds(database.statement_timeout_ms());
+    out.latencyObjective = std::chrono::milliseconds(database.latency_objective_ms());
+    out.maxStaleness = std::chrono::milliseconds(database.max_staleness_ms());
+    out.priority = database.priority();
+    out.open = database.open();
+    return out;
+}
+
+InstalledConfig decode(const fbs::Installed &installed)
+{
+    return { InstallNumber(installed.number()), text(installed.document()),
+             std::chrono::milliseconds(installed.transaction_idle_limit_ms()) };
+}
+
+namespace {
+
+absl::Status decodeDatabases(const fbs::Config &config, std::map<DatabaseName, DatabaseConfig> &out)
+{
+    if (config.databases() == nullptr)
+        return absl::OkStatus();
+    for (const fbs::Database *database : *config.databases()) {
+        absl::StatusOr<DatabaseConfig> decoded = decode(*database);
+        if (!decoded.ok())
+            return decoded.status();
+        out.insert_or_assign(decoded->name, *decoded);
+    }
+    return absl::OkStatus();
+}
+
+} // namespace
+
 absl::StatusOr<ClusterConfig> decode(const fbs::Config &config)
 {
     ClusterConfig out;
     out.version = ConfigVersion(config.version());
     out.activePreset = PresetId(text(config.active_preset()));
     if (config.services() != nullptr) {
-        for (const flatbuffers::String *service : *config.services())
-            insertById(out.services, ServiceConfig { ServiceId(service->str()) });
+        for (const fbs::Service *service : *config.services())
+            insertById(out.services, decode(*service));
     }
     if (config.teams() != nullptr) {
         for (const fbs::Team *team : *config.teams())
@@ -172,6 +234,10 @@
     }
     if (const absl::Status status = decodeKeys(config, out.keys); !status.ok())
         return status;
+    if (config.installed() != nullptr)
+        out.installed = decode(*config.installed());
+    if (const absl::Status status = decodeDatabases(config, out.databases); !status.ok())
+        return status;
     return out;
 }
 
--- a/src/config/decisions.cpp
+++ b/src/config/decisions.cpp
@@ -64,7 +64,8 @@
     }
     if (decision.term == group.term)
         return refuse("term", "already has a primary");
-    if (!group.votingSet.contains(decision.upstream))
+    // Groups whose databases confirm commits themselves have no voting set.
+    if (!group.votingSet.empty() && !group.votingSet.contains(decision.upstream))
         return refuse("upstream", "not in the voting set");
     group.term = decision.term;
     group.primary = decision.upstream;
--- a/src/control/member.cpp
+++ b/src/control/member.cpp
@@ -178,7 +178,7 @@
 ControlMember::create(TimePoint now, ControlOptions options, RecoveredState recovered)
 {
     const std::vector<NodeId> &peers = options.peers;
-    if (std::count(peers.begin(), peers.end(), options.node) != 1)
+    if (std::count(peers.begin(), peers.end(), options.node) != 1 && !options.acceptsStandbys)
         return absl::InvalidArgumentError("the control members must name this node exactly once");
     if (std::set<NodeId>(peers.begin(), peers.end()).size() != peers.size())
         return absl::InvalidArgumentError("a control member is named twice");
--- a/src/control/member_impl.h
+++ b/src/control/member_impl.h
@@ -79,6 +79,8 @@
     void repair(TimePoint now);
     void promoteOrReplaceLearner(TimePoint now, const Membership &membership);
     std::optional<Member> findNewcomer(TimePoint now) const;
+    bool mayBecomeLearner(TimePoint now, const Member &member) const;
+    std::optional<Member> voterToReplace(TimePoint now, const Member &learner) const;
     bool isSilent(TimePoint now, const Member &member, Duration patience) const;
     void proposeMembership(TimePoint now, const Membership &membership);
 
--- a/src/control/repair.cpp
+++ b/src/control/repair.cpp
@@ -14,6 +14,8 @@
 constexpr std::uint64_t kCaughtUpEntries = 64;
 /// A learner that does not answer for this long makes way for another member in need of repair.
 constexpr Duration kLearnerPatience = 10s;
+/// A voter that is silent for this long may be replaced by a standby.
+constexpr Duration kStandbyPatience = 3s;
 
 } // namespace
 
@@ -28,7 +30,10 @@
     if (led || now < m_helloAt)
         return;
     m_helloAt = now + kHelloInterval;
-    for (const NodeId &peer : m_options.peers) {
+    std::set<NodeId> peers(m_options.peers.begin(), m_options.peers.end());
+    for (const Member &voter : m_log.membership().voters)
+        peers.insert(voter.node);
+    for (const NodeId &peer : peers) {
         if (peer == m_self.node)
             continue;
         const auto known = m_newcomers.find(peer);
@@ -41,7 +46,8 @@
 {
     const auto &peers = m_options.peers;
     if (m.to.node != m_self.node || m.from.node == m_self.node
-        || std::find(peers.begin(), peers.end(), m.from.node) == peers.end())
+        || (!m_options.acceptsStandbys
+            && std::find(peers.begin(), peers.end(), m.from.node) == peers.end()))
         return;
     m_newcomers[m.from.node] = { m.from, hello.fresh, m.to == m_self, now };
 }
@@ -51,11 +57,15 @@
 /// before this member lost its disk could come from a time before the group was founded.
 void ControlMember::Impl::tryFound(TimePoint now)
 {
-    if (*std::min_element(m_options.peers.begin(), m_options.peers.end()) != m_self.node)
+    if (!m_options.mayFound
+        || *std::min_element(m_options.peers.begin(), m_options.peers.end()) != m_self.node)
         return;
     Membership membership { { m_self }, std::nullopt };
     for (const auto &[node, newcomer] : m_newcomers) {
-        if (newcomer.fresh && newcomer.answered && now - newcomer.heardAt < kHelloValidity)
+        const bool configured = std::find(m_options.peers.begin(), m_options.peers.end(), node)
+            != m_options.peers.end();
+        if (configured && newcomer.fresh && newcomer.answered
+            && now - newcomer.heardAt < kHelloValidity)
             membership.voters.push_back(newcomer.member);
     }
     if (membership.voters.size() != m_options.peers.size())
@@ -72,6 +82,36 @@
     return progress == m_progress.end() || now - progress->second.lastHeard >= patience;
 }
 
+bool ControlMember::Impl::mayBecomeLearner(TimePoint now, const Member &member) const
+{
+    const std::vector<Member> &voters = m_log.membership().voters;
+    const auto former = std::find_if(voters.begin(), voters.end(),
+                                     [&](const Member &v) { return v.node == member.node; });
+    // Two processes under one node id must not replace each other in turns.
+    if (former != voters.end())
+        return isSilent(now, *former, kMaxElectionTimeout);
+    return voters.size() < m_options.peers.size() || voterToReplace(now, member).has_value();
+}
+
+/// The voter whose place the learner takes: its former identity, or for a standby one that stays
+/// silent.
+std::optional<Member> ControlMember::Impl::voterToReplace(TimePoint now,
+                                                          const Member &learner) const
+{
+    const std::vector<Member> &voters = m_log.membership().voters;
+    for (const Member &voter : voters) {
+        if (voter.node == learner.node)
+            return voter;
+    }
+    if (!m_options.acceptsStandbys || voters.size() < m_options.peers.size())
+        return std::nullopt;
+    for (const Member &voter : voters) {
+        if (voter != m_self && isSilent(now, voter, kStandbyPatience))
+            return voter;
+    }
+    return std::nullopt;
+}
+
 std::optional<Member> ControlMember::Impl::findNewcomer(TimePoint now) const
 {
     const Membership &membership = m_log.membership();
@@ -80,11 +120,7 @@
         if (now - newcomer.heardAt >= kHelloValidity || isVoter(newcomer.member)
             || membership.learner == newcomer.member)
             continue;
-        const auto former =
-            std::find_if(membership.voters.begin(), membership.voters.end(),
-                         [&](const Member &v) { return v.node == newcomer.member.node; });
-        // Two processes under one node id must not replace each other in turns.
-        if (former == membership.voters.end() || isSilent(now, *former, kMaxElectionTimeout))
+        if (mayBecomeLearner(now, newcomer.member))
             return newcomer.member;
     }
     return std::nullopt;
@@ -127,12 +163,12 @@
         || progress->second.match.value() + kCaughtUpEntries < m_log.lastIndex().value())
         return;
     Membership next = membership;
-    const auto former = std::find_if(next.voters.begin(), next.voters.end(),
-                                     [&](const Member &v) { return v.node == learner.node; });
-    if (former != next.voters.end()) {
+    if (const auto former = voterToReplace(now, learner)) {
         if (!isSilent(now, *former, kMaxElectionTimeout))
             return;
-        next.voters.erase(former);
+        std::erase(next.voters, *former);
+    } else if (next.voters.size() >= m_options.peers.size()) {
+        return;
     } else {
         next.voters.push_back(learner);
         next.learner.reset();
--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -14,6 +14,20 @@
 /// an upstream renews within 1 s after that, and the node reports it within 0.5 s.
 constexpr Duration kEmptyViewWait = 4s;
 
+/// Nodes act on the decoded configuration; only control members answer reads of the document.
+ClusterConfig withoutDocument(ClusterConfig config)
+{
+    config.installed.document.clear();
+    return config;
+}
+
+Command withoutDocument(Command command)
+{
+    if (auto *install = std::get_if<InstallConfig>(&command))
+        install->content.installed.document.clear();
+    return command;
+}
+
 void notePrimarySet(ControllerState &controller, const Command &command, const ChangeResult &result,
                     TimePoint now)
 {
@@ -78,7 +92,7 @@
     controller.lastShareVersion = term.value() << 32U;
     controller.logIndex = replicated.cluster.index;
     resetConfigLog(controller.configLog, replicated.cluster.config.version,
-                   encodeConfig(replicated.cluster.config));
+                   encodeConfig(withoutDocument(replicated.cluster.config)));
     applyTeamConfig(controller.rates, replicated.cluster.config.teams, now);
     return controller;
 }
@@ -89,12 +103,11 @@
 {
     controller.logIndex = index;
     notePrimarySet(controller, command, result, now);
-    if (!std::holds_alternative<OperatorChange>(command)
-        || result.outcome != ChangeOutcome::Accepted
+    if (std::holds_alternative<GroupDecision>(command) || result.outcome != ChangeOutcome::Accepted
         || result.version != controller.configLog.version.next())
         return;
-    appendConfigChange(controller.configLog, encodeCommand({ command, 0 }),
-                       encodeConfig(replicated.cluster.config));
+    appendConfigChange(controller.configLog, encodeCommand({ withoutDocument(command), 0 }),
+                       encodeConfig(withoutDocument(replicated.cluster.config)));
     applyTeamConfig(controller.rates, replicated.cluster.config.teams, now);
 }
 
@@ -126,12 +139,17 @@
 }
 
 void onUpstreamAnswer(ControllerState &controller, const UpstreamCall &call,
-                      const std::optional<UpstreamStatus> &status, TimePoint askedAt, TimePoint now)
+                      const UpstreamAnswer &answer, TimePoint askedAt, TimePoint now)
 {
     GroupControl &group = controller.groups[call.service];
-    onCallAnswer(group.change, { call.kind, call.upstream, call.term, status }, now);
-    if (status && askedAt >= group.primarySince)
-        group.statuses[call.upstream] = { *status, askedAt };
+    onCallAnswer(group.change, { call.kind, call.upstream, call.term, answer.status }, now);
+    if (call.kind == CallKind::Promote && (answer.refused || answer.accepted))
+        onPromoteAnswer(group.confirmed, call.upstream, answer.accepted, now);
+    if (!answer.status || askedAt < group.primarySince)
+        return;
+    const auto known = group.statuses.find(call.upstream);
+    if (known == group.statuses.end() || known->second.askedAt <= askedAt)
+        group.statuses[call.upstream] = { *answer.status, askedAt };
 }
 
 ControllerActions advanceController(ControllerState &controller, const ReplicatedState &replicated,
--- a/src/controller/group_control.cpp
+++ b/src/controller/group_control.cpp
@@ -4,6 +4,9 @@
 
 namespace {
 
+/// Where a status query takes one of the few slots of a database.
+constexpr Duration kConfirmedStatusInterval = 1s;
+
 template <typename... Functions>
 struct Overloaded : Functions...
 {
@@ -54,6 +57,50 @@
         action);
 }
 
+void addConfirmedAction(ControllerState &controller, const ServiceId &service,
+                        const ConfirmedAction &action, ControllerActions &actions)
+{
+    const Registry &registry = controller.registry;
+    if (const auto *stepDown = std::get_if<StepDown>(&action)) {
+        addCall(registry, service, stepDown->upstream, CallKind::StepDown, stepDown->term, actions);
+    } else if (const auto *resume = std::get_if<Resume>(&action)) {
+        addCall(registry, service, resume->upstream, CallKind::Resume, {}, actions);
+    } else {
+        std::visit(
+            [&](const auto &common) {
+                using Kind = std::decay_t<decltype(common)>;
+                if constexpr (std::is_constructible_v<ChangeAction, Kind>)
+                    addChangeAction(controller, service, ChangeAction(common), actions);
+            },
+            action);
+    }
+}
+
+ConfirmedInput confirmedInput(const ControllerState &controller, const ServiceConfig &service,
+                              const GroupState &state, const GroupControl &group,
+                              const std::map<UpstreamId, RegistryEntry> &announced, TimePoint now)
+{
+    ConfirmedInput input;
+    input.group = state;
+    for (const auto &[id, entry] : announced) {
+        ConfirmedMember &member = input.members[id];
+        member.state = entry.state;
+        member.leaving = entry.announcement.leaving || entry.state == UpstreamState::Leaving;
+        member.announcedRole = entry.announcement.role;
+        const auto status = group.statuses.find(id);
+        if (status != group.statuses.end()) {
+            member.status = status->second.status;
+            member.statusAskedAt = status->second.askedAt;
+        }
+    }
+    input.ownReservedTerm = group.ownReservedTerm;
+    input.registryComplete = now >= controller.since + kAnnouncementLease;
+    input.primaryReleased = state.reservedTerm > state.term && group.viewInForceAt
+        && group.shownSince != FleetVersion() && !group.shownPrimary;
+    input.confirmingReplicas = service.confirmingReplicas;
+    return input;
+}
+
 void stepChange(ControllerState &controller, const GroupState &state, GroupControl &group,
                 const std::map<UpstreamId, RegistryEntry> &announced, ControllerActions &actions,
                 TimePoint now)
@@ -80,11 +127,12 @@
 
 /// Queries `upstreams` that were not asked within the interval.
 void queryStatuses(ControllerState &controller, const ServiceId &service, GroupControl &group,
-                   const std::set<UpstreamId> &upstreams, ControllerActions &actions, TimePoint now)
+                   const std::set<UpstreamId> &upstreams, Duration interval,
+                   ControllerActions &actions, TimePoint now)
 {
     for (const UpstreamId &upstream : upstreams) {
         const auto [asked, first] = group.statusAskedAt.try_emplace(upstream, now);
-        if (!first && now < asked->second + kPrimaryStatusInterval)
+        if (!first && now < asked->second + interval)
             continue;
         asked->second = now;
         addCall(controller.registry, service, upstream, CallKind::Status, {}, actions);
@@ -107,6 +155,25 @@
     }
 }
 
+void advanceConfirmedGroup(ControllerState &controller, const ServiceConfig &service,
+                           const GroupState &state,
+                           const std::map<UpstreamId, RegistryEntry> &announced,
+                           ControllerActions &actions, TimePoint now)
+{
+    GroupControl &group = controller.groups[service.id];
+    std::erase_if(group.statuses,
+                  [&](const auto &item) { return !announced.contains(item.first); });
+    const ConfirmedInput input = confirmedInput(controller, service, state, group, announced, now);
+    for (const ConfirmedAction &action : stepConfirmedChange(group.confirmed, input, now))
+        addConfirmedAction(controller, service.id, action, actions);
+    if (group.confirmed.phase != ConfirmedPhase::Idle)
+        return;
+    std::set<UpstreamId> queries;
+    for (const auto &[id, entry] : announced)
+        queries.insert(id);
+    queryStatuses(controller, service.id, group, queries, kConfirmedStatusInterval, actions, now);
+}
+
 } // namespace
 
 AnnouncedUpstreams announcedUpstreams(const Registry &registry)
@@ -121,6 +188,12 @@
                   const ServiceId &service, std::map<UpstreamId, RegistryEntry> announced,
                   ControllerActions &actions, TimePoint now)
 {
+    const ServiceConfig &config = cluster.config.services.at(service);
+    if (config.confirmsCommits) {
+        advanceConfirmedGroup(controller, config, groupStateOf(cluster, service), announced,
+                              actions, now);
+        return;
+    }
     GroupControl &group = controller.groups[service];
     VotingSetInput input;
     input.group = groupStateOf(cluster, service);
@@ -136,7 +209,7 @@
     std::set<UpstreamId> queries = votingSetQueries(input);
     if (input.group.primary)
         queries.insert(*input.group.primary);
-    queryStatuses(controller, service, group, queries, actions, now);
+    queryStatuses(controller, service, group, queries, kPrimaryStatusInterval, actions, now);
     proposeMembership(group, input, actions, now);
 }
 
@@ -145,7 +218,8 @@
     for (const auto &[service, view] : controller.fleetLog.state.view.groups) {
         GroupControl &group = controller.groups[service];
         if (group.shownSince == FleetVersion() || group.shownTerm != view.term
-            || group.shownVotingSet != view.votingSet) {
+            || group.shownVotingSet != view.votingSet || group.shownPrimary != view.primary) {
+            group.shownPrimary = view.primary;
             group.shownTerm = view.term;
             group.shownVotingSet = view.votingSet;
             group.shownSince = controller.fleetLog.version;
--- /dev/null
+++ b/src/edge/answer_text.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <QByteArray>
+
+#include "shallotlever/edge/codec.h"
+
+namespace shallotlever {
+
+/// An answer as HTTP/1.1 bytes.
+QByteArray answerText(const HttpAnswer &answer, bool keepAlive, bool withBody);
+
+} // namespace shallotlever
--- /dev/null
+++ b/src/edge/http_endpoint.cpp
@@ -0,0 +1,159 @@
+#include "shallotlever/edge/http_endpoint.h"
+
+#include <utility>
+
+#include <QHostAddress>
+#include <QPointer>
+#include <QTcpServer>
+#include <QTcpSocket>
+
+#include "absl/strings/str_cat.h"
+#include "answer_text.h"
+#include "request_reader.h"
+
+namespace shallotlever {
+
+namespace {
+
+constexpr std::size_t kMaxHeaderBytes = 16U * 1024U;
+/// A whole configuration has to fit into one proposal of the control log.
+constexpr std::size_t kMaxBodyBytes = 768U * 1024U;
+constexpr int kAcceptBacklog = 128;
+
+EdgeLimits endpointLimits()
+{
+    EdgeLimits limits;
+    limits.maxHeaderBytes = kMaxHeaderBytes;
+    limits.maxBodyBytes = kMaxBodyBytes;
+    return limits;
+}
+
+HttpCall callOf(const FramedRequest &request)
+{
+    HttpCall call;
+    call.method = request.head.method.toStdString();
+    call.path = request.head.target.left(request.head.target.indexOf('?')).toStdString();
+    call.body = request.body.toStdString();
+    return call;
+}
+
+/// One connection; deletes itself when the caller has closed it.
+class EndpointConnection : public QObject
+{
+public:
+    EndpointConnection(QTcpSocket *socket, const HttpEndpoint::Handler &handler)
+        : m_socket(socket)
+        , m_handler(handler)
+        , m_reader(endpointLimits())
+    {
+        m_socket->setParent(this);
+        m_socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+        connect(m_socket, &QTcpSocket::readyRead, this, [this] { read(); });
+        connect(m_socket, &QTcpSocket::disconnected, this, [this] { deleteLater(); });
+    }
+
+private:
+    void read()
+    {
+        m_reader.append(m_socket->readAll());
+        serveNext();
+    }
+
+    void serveNext()
+    {
+        if (m_waiting)
+            return;
+        const RequestReader::Status status = m_reader.next();
+        if (status == RequestReader::Status::Failed) {
+            m_socket->write(answerText(encodeError(m_reader.error()), false, true));
+            m_socket->disconnectFromHost();
+            return;
+        }
+        if (status != RequestReader::Status::Complete)
+            return;
+        const FramedRequest request = m_reader.takeRequest();
+        m_waiting = true;
+        const std::uint64_t number = ++m_requestNumber;
+        const bool keepAlive = request.head.keepAlive;
+        const QPointer<EndpointConnection> self(this);
+        m_handler(callOf(request), [self, number, keepAlive](const HttpReply &reply) {
+            if (self)
+                self->respond(number, keepAlive, reply);
+        });
+    }
+
+    void respond(std::uint64_t number, bool keepAlive, const HttpReply &reply)
+    {
+        if (!m_waiting || number != m_requestNumber)
+            return;
+        m_waiting = false;
+        HttpAnswer answer;
+        answer.status = reply.status;
+        answer.headers.append(
+            std::pair<QByteArray, QByteArray>("Content-Type", "application/json"));
+        answer.body = QByteArray::fromStdString(reply.body);
+        m_socket->write(answerText(answer, keepAlive, true));
+        m_socket->flush();
+        if (!keepAlive)
+            m_socket->disconnectFromHost();
+        else
+            QMetaObject::invokeMethod(
+                this, [this] { serveNext(); }, Qt::QueuedConnection);
+    }
+
+    QTcpSocket *m_socket;
+    const HttpEndpoint::Handler &m_handler;
+    RequestReader m_reader;
+    bool m_waiting = false;
+    std::uint64_t m_requestNumber = 0;
+};
+
+} // namespace
+
+class HttpEndpoint::Impl
+{
+public:
+    explicit Impl(Handler handler)
+        : m_handler(std::move(handler))
+    {
+    }
+
+    absl::Status start(const Endpoint &endpoint)
+    {
+        QObject::connect(&m_server, &QTcpServer::newConnection, &m_server, [this] {
+            while (QTcpSocket *socket = m_server.nextPendingConnection())
+                (new EndpointConnection(socket, m_handler))->setParent(&m_connections);
+        });
+        m_server.setListenBacklogSize(kAcceptBacklog);
+        if (m_server.listen(QHostAddress(QString::fromStdString(endpoint.host)), endpoint.port))
+            return absl::OkStatus();
+        return absl::UnavailableError(absl::StrCat("cannot listen on ", endpoint.host, ":",
+                                                   endpoint.port, ": ",
+                                                   m_server.errorString().toStdString()));
+    }
+
+private:
+    Handler m_handler;
+    QTcpServer m_server;
+    /// Parent of the connections.
+    QObject m_connections;
+};
+
+HttpEndpoint::HttpEndpoint(std::unique_ptr<Impl> impl)
+    : m_impl(std::move(impl))
+{
+}
+
+HttpEndpoint::~HttpEndpoint() = default;
+
+absl::StatusOr<std::unique_ptr<HttpEndpoint>> HttpEndpoint::create(const Endpoint &listen,
+                                                                   Handler handler)
+{
+    auto impl = std::make_unique<Impl>(std::move(handler));
+    const absl::Status status = impl->start(listen);
+    if (!status.ok())
+        return status;
+    return std::unique_ptr<HttpEndpoint>(new HttpEndpoint(std::move(impl)));
+}
+
+} // namespace shallotlever
--- /dev/null
+++ b/src/fleet/confirmed_change.cpp
@@ -0,0 +1,394 @@
+#include "shallotlever/fleet/confirmed_change.h"
+
+#include <algorithm>
+
+namespace shallotlever {
+
+namespace {
+
+using Actions = std::vector<ConfirmedAction>;
+
+Term newestTermOf(const UpstreamStatus &status)
+{
+    return std::max(status.newestTerm, status.point.term);
+}
+
+Term newestTerm(const ConfirmedInput &input)
+{
+    Term newest;
+    for (const auto &[id, member] : input.members) {
+        if (member.status)
+            newest = std::max(newest, newestTermOf(*member.status));
+    }
+    return newest;
+}
+
+bool answeredSince(const ConfirmedMember &member, TimePoint since)
+{
+    return member.status && member.statusAskedAt >= since;
+}
+
+bool isFormerPrimary(const ConfirmedInput &input, const UpstreamId &id)
+{
+    return input.group.primary == id;
+}
+
+/// The database follows nobody any more: it takes no commits of the former primary, nor makes any.
+bool isFenced(const ConfirmedChange &change, const ConfirmedInput &input, const UpstreamId &id,
+              const ConfirmedMember &member)
+{
+    if (change.fenceTerm == Term() || !answeredSince(member, change.phaseSince)
+        || member.status->role == UpstreamRole::Primary)
+        return false;
+    return isFormerPrimary(input, id) || member.status->fencedTerm >= change.fenceTerm;
+}
+
+bool canLead(const ConfirmedMember &member)
+{
+    return member.state == UpstreamState::Live && !member.leaving;
+}
+
+void enter(ConfirmedChange &change, ConfirmedPhase phase, TimePoint now)
+{
+    change.phase = phase;
+    change.phaseSince = now;
+    change.sentAt.clear();
+}
+
+bool isDue(ConfirmedChange &change, const UpstreamId &target, Duration interval, TimePoint now)
+{
+    const auto [sent, first] = change.sentAt.try_emplace(target, now);
+    if (!first && now < sent->second + interval)
+        return false;
+    sent->second = now;
+    return true;
+}
+
+void startAttempt(ConfirmedChange &change, const ConfirmedInput &input, TimePoint now)
+{
+    change.epoch = input.group.reservedTerm.next();
+    change.candidate.reset();
+    change.promotedAt.reset();
+    change.quietSince.reset();
+    change.fenceTerm = Term();
+    ++change.attempts;
+    enter(change, ConfirmedPhase::Reserving, now);
+}
+
+void begin(ConfirmedChange &change, const ConfirmedInput &input, ChangeReason reason, TimePoint now)
+{
+    change.reason = reason;
+    change.refused.clear();
+    change.attempts = 0;
+    change.times = ChangeTimes();
+    change.times.detected = now;
+    const auto primary =
+        input.group.primary ? input.members.find(*input.group.primary) : input.members.end();
+    change.times.lastSeen = primary != input.members.end() && primary->second.status
+        ? primary->second.statusAskedAt
+        : now;
+    startAttempt(change, input, now);
+}
+
+/// Ends fences that a change left behind, and demotes databases that lead without being in office.
+void tidy(ConfirmedChange &change, const ConfirmedInput &input, Actions &actions, TimePoint now)
+{
+    for (const auto &[id, member] : input.members) {
+        if (!member.status || isFormerPrimary(input, id))
+            continue;
+        const bool leads = member.status->role == UpstreamRole::Primary;
+        const bool held = member.status->fencedTerm != Term();
+        if ((leads || held) && isDue(change, id, kCallRetry, now)) {
+            if (leads)
+                actions.push_back(StepDown { id, newestTerm(input) });
+            else
+                actions.push_back(Resume { id });
+        }
+    }
+}
+
+void stepReserving(ConfirmedChange &change, const ConfirmedInput &input, Actions &actions,
+                   TimePoint now)
+{
+    if (input.ownReservedTerm == change.epoch && input.group.reservedTerm == change.epoch) {
+        change.times.reserved = now;
+        enter(change, ConfirmedPhase::Fencing, now);
+        return;
+    }
+    if (input.group.reservedTerm >= change.epoch)
+        change.epoch = input.group.reservedTerm.next();
+    if (isDue(change, UpstreamId(), kProposalRetry, now))
+        actions.push_back(Propose { ReserveTerm { input.group.service, change.epoch,
+                                                  std::string(changeReasonName(change.reason)) } });
+}
+
+/// A primary of the newest term that another controller promoted without putting it into office.
+std::optional<UpstreamId> promotedByPredecessor(const ConfirmedChange &change,
+                                                const ConfirmedInput &input)
+{
+    const Term newest = newestTerm(input);
+    for (const auto &[id, member] : input.members) {
+        if (!isFormerPrimary(input, id) && answeredSince(member, change.phaseSince)
+            && member.status->role == UpstreamRole::Primary
+            && newestTermOf(*member.status) == newest && canLead(member))
+            return id;
+    }
+    return std::nullopt;
+}
+
+void fenceMembers(ConfirmedChange &change, const ConfirmedInput &input, Actions &actions,
+                  TimePoint now)
+{
+    change.fenceTerm = std::max(change.fenceTerm, newestTerm(input).next());
+    for (const auto &[id, member] : input.members) {
+        if (isFenced(change, input, id, member) || !isDue(change, id, kCallRetry, now))
+            continue;
+        if (isFormerPrimary(input, id))
+            actions.push_back(StepDown { id, change.fenceTerm });
+        else
+            actions.push_back(Fence { id, change.fenceTerm });
+    }
+}
+
+bool allLiveFenced(const ConfirmedChange &change, const ConfirmedInput &input)
+{
+    return std::all_of(input.members.begin(), input.members.end(), [&](const auto &item) {
+        return item.second.state == UpstreamState::Suspected
+            || isFenced(change, input, item.first, item.second);
+    });
+}
+
+void queryMembers(ConfirmedChange &change, const ConfirmedInput &input, Actions &actions,
+                  TimePoint now)
+{
+    for (const auto &[id, member] : input.members) {
+        if (!answeredSince(member, change.phaseSince) && isDue(change, id, kCallRetry, now))
+            actions.push_back(QueryStatus { id });
+    }
+}
+
+/// Whether fencing may begin. A planned change waits until no node sends commits any more, so that
+/// none is cut; a primary that has failed is fenced at once.
+bool mayFence(ConfirmedChange &change, const ConfirmedInput &input, TimePoint now)
+{
+    if (input.primaryReleased && !change.quietSince)
+        change.quietSince = now;
+    if (change.reason != ChangeReason::Leaving)
+        return true;
+    return change.quietSince && now >= *change.quietSince + kQuiesce;
+}
+
+void stepFencing(ConfirmedChange &change, const ConfirmedInput &input, Actions &actions,
+                 TimePoint now)
+{
+    if (const auto promoted = promotedByPredecessor(change, input)) {
+        change.candidate = promoted;
+        change.times.fenced = change.times.promoted = change.times.confirmed = now;
+        if (input.primaryReleased)
+            enter(change, ConfirmedPhase::Publishing, now);
+        return;
+    }
+    const bool mayStart = mayFence(change, input, now);
+    if (newestTerm(input) == Term() || !mayStart || !input.group.primary) {
+        queryMembers(change, input, actions, now);
+        return;
+    }
+    fenceMembers(change, input, actions, now);
+    change.candidate = chooseConfirmedCandidate(change, input);
+    const bool waited = now >= change.phaseSince + kFenceGrace;
+    if (!change.candidate || !input.primaryReleased || !(waited || allLiveFenced(change, input)))
+        return;
+    change.times.fenced = now;
+    enter(change, ConfirmedPhase::Promoting, now);
+}
+
+void stepPromoting(ConfirmedChange &change, const ConfirmedInput &input, Actions &actions,
+                   TimePoint now)
+{
+    const auto member = input.members.find(*change.candidate);
+    const bool lost = member == input.members.end() || !canLead(member->second);
+    const bool refused = change.refused.contains(*change.candidate);
+    if (refused || now >= change.phaseSince + kPromotionTimeout || (lost && !change.promotedAt)) {
+        startAttempt(change, input, now);
+        return;
+    }
+    if (!change.promotedAt) {
+        if (isDue(change, *change.candidate, kCallRetry, now))
+            actions.push_back(Promote { *change.candidate, change.epoch });
+        return;
+    }
+    const bool answered = !lost && answeredSince(member->second, *change.promotedAt)
+        && member->second.status->role == UpstreamRole::Primary;
+    // A database announces at once that it leads; its status may find no free slot.
+    if (answered || (!lost && member->second.announcedRole == UpstreamRole::Primary)) {
+        change.times.promoted = now;
+        change.times.confirmed = now;
+        enter(change, ConfirmedPhase::Publishing, now);
+        return;
+    }
+    if (isDue(change, UpstreamId(), kPromotionPoll, now))
+        actions.push_back(QueryStatus { *change.candidate });
+}
+
+void stepPublishing(ConfirmedChange &change, const ConfirmedInput &input, Actions &actions,
+                    TimePoint now)
+{
+    if (input.group.term == change.epoch) {
+        change.times.published = now;
+        actions.push_back(ChangeDone { change.epoch, *change.candidate, change.reason, change.times,
+                                       change.attempts });
+        change.notBefore = now + kChangePause;
+        change.demotedSince.reset();
+        change.replicatedSince = now;
+        enter(change, ConfirmedPhase::Idle, now);
+        return;
+    }
+    if (input.group.reservedTerm > change.epoch) {
+        startAttempt(change, input, now);
+        return;
+    }
+    if (isDue(change, UpstreamId(), kProposalRetry, now))
+        actions.push_back(
+            Propose { SetPrimary { input.group.service, change.epoch, *change.candidate } });
+}
+
+bool othersCanLead(const ConfirmedInput &input)
+{
+    return std::any_of(input.members.begin(), input.members.end(), [&](const auto &item) {
+        return !isFormerPrimary(input, item.first) && canLead(item.second);
+    });
+}
+
+/// The primary's replicas have received nothing for a while although it has more.
+bool replicationStalled(ConfirmedChange &change, const ConfirmedInput &input,
+                        const ConfirmedMember &primary, TimePoint now)
+{
+    HistoryPoint received;
+    bool known = primary.status && primary.status->role == UpstreamRole::Primary;
+    for (const auto &[id, member] : input.members) {
+        if (isFormerPrimary(input, id) || member.state == UpstreamState::Suspected)
+            continue;
+        known = known && member.status && now < member.statusAskedAt + kStatusAge;
+        if (member.status)
+            received = std::max(received, member.status->point);
+    }
+    const bool behind = known && received < primary.status->point && received != HistoryPoint();
+    if (received != change.replicated || !behind) {
+        change.replicated = received;
+        change.replicatedSince = now;
+    }
+    return behind && now >= change.replicatedSince + kReplicaSilence;
+}
+
+bool demoted(ConfirmedChange &change, const ConfirmedMember &primary, TimePoint now)
+{
+    const bool says = primary.announcedRole == UpstreamRole::Replica && primary.status
+        && primary.status->role == UpstreamRole::Replica;
+    if (!says)
+        change.demotedSince.reset();
+    else if (!change.demotedSince)
+        change.demotedSince = now;
+    return change.demotedSince && now >= *change.demotedSince + kDemotedFor;
+}
+
+/// Before the first primary of a group: one database announces that it leads.
+bool firstPrimaryKnown(const ConfirmedInput &input)
+{
+    return std::ranges::count_if(input.members,
+                                 [](const auto &item) {
+                                     return canLead(item.second)
+                                         && item.second.announcedRole == UpstreamRole::Primary;
+                                 })
+        == 1;
+}
+
+} // namespace
+
+ChangeReason confirmedChangeDue(ConfirmedChange &change, const ConfirmedInput &input, TimePoint now)
+{
+    const GroupState &group = input.group;
+    if (!input.registryComplete || now < change.notBefore)
+        return ChangeReason::None;
+    if (group.reservedTerm > group.term)
+        return ChangeReason::Unfinished;
+    if (!group.primary)
+        return firstPrimaryKnown(input) ? ChangeReason::Founding : ChangeReason::None;
+    const auto primary = input.members.find(*group.primary);
+    if (!othersCanLead(input))
+        return ChangeReason::None;
+    if (primary == input.members.end() || primary->second.leaving)
+        return ChangeReason::Leaving;
+    if (primary->second.state == UpstreamState::Suspected)
+        return ChangeReason::Suspected;
+    if (demoted(change, primary->second, now))
+        return ChangeReason::Fenced;
+    return replicationStalled(change, input, primary->second, now) ? ChangeReason::Stalled
+                                                                   : ChangeReason::None;
+}
+
+std::optional<UpstreamId> chooseConfirmedCandidate(const ConfirmedChange &change,
+                                                   const ConfirmedInput &input)
+{
+    std::optional<UpstreamId> best;
+    HistoryPoint bestPoint;
+    std::optional<HistoryPoint> primaryEnd;
+    std::uint32_t unfenced = 0;
+    for (const auto &[id, member] : input.members) {
+        const bool former = isFormerPrimary(input, id);
+        const bool fenced = isFenced(change, input, id, member);
+        if (former && fenced)
+            primaryEnd = member.status->point;
+        if (!former && !fenced)
+            ++unfenced;
+        if (!fenced || !canLead(member) || change.refused.contains(id))
+            continue;
+        if (!best || member.status->point > bestPoint) {
+            best = id;
+            bestPoint = member.status->point;
+        }
+    }
+    const bool onFenced = unfenced < std::max<std::uint32_t>(input.confirmingReplicas, 1);
+    const bool reachesEnd = primaryEnd && bestPoint >= *primaryEnd;
+    return best && (onFenced || reachesEnd) ? best : std::nullopt;
+}
+
+void onPromoteAnswer(ConfirmedChange &change, const UpstreamId &upstream, bool accepted,
+                     TimePoint now)
+{
+    if (change.phase != ConfirmedPhase::Promoting || change.candidate != upstream)
+        return;
+    if (!accepted)
+        change.refused.insert(upstream);
+    else if (!change.promotedAt)
+        change.promotedAt = now;
+}
+
+Actions stepConfirmedChange(ConfirmedChange &change, const ConfirmedInput &input, TimePoint now)
+{
+    Actions actions;
+    switch (change.phase) {
+    case ConfirmedPhase::Idle: {
+        const ChangeReason reason = confirmedChangeDue(change, input, now);
+        if (reason != ChangeReason::None)
+            begin(change, input, reason, now);
+        else if (input.group.primary)
+            tidy(change, input, actions, now);
+        break;
+    }
+    case ConfirmedPhase::Reserving:
+        stepReserving(change, input, actions, now);
+        break;
+    case ConfirmedPhase::Fencing:
+        stepFencing(change, input, actions, now);
+        break;
+    case ConfirmedPhase::Promoting:
+        stepPromoting(change, input, actions, now);
+        break;
+    case ConfirmedPhase::Publishing:
+        stepPublishing(change, input, actions, now);
+        break;
+    }
+    return actions;
+}
+
+} // namespace shallotlever
--- a/src/fleet/messages_decode.cpp
+++ b/src/fleet/messages_decode.cpp
@@ -83,6 +83,9 @@
         a.point = { .term = Term(t.point()->term()),
                     .position = LogPosition(t.point()->position()) };
     a.leaving = t.leaving();
+    a.lifetime = Incarnation(t.lifetime());
+    a.sequence = t.sequence();
+    a.gone = t.gone();
     heard.age = age(t.age());
     return heard;
 }
@@ -179,6 +182,7 @@
             .slots = u.slots(),
             .connectionLimit = u.connection_limit(),
             .state = enumeration<UpstreamState>(u.state(), fbs::State::Leaving),
+            .lifetime = Incarnation(u.lifetime()),
         } };
     }
     case fbs::FleetChange::RemoveUpstream: {
--- a/src/fleet/messages_encode.cpp
+++ b/src/fleet/messages_encode.cpp
@@ -47,7 +47,8 @@
     return fbs::CreateHeardAnnouncement(
         b, packId(b, a.upstream), packId(b, a.service), packId(b, a.dataCentre),
         b.CreateSharedString(a.endpoint.host), a.endpoint.port, a.slots, a.connectionLimit,
-        static_cast<fbs::Role>(a.role), &point, a.leaving, h.age.count());
+        static_cast<fbs::Role>(a.role), &point, a.leaving, h.age.count(), a.lifetime.value(),
+        a.sequence, a.gone);
 }
 
 Offset<fbs::Observation> packObservation(FlatBufferBuilder &b, const Observation &o)
@@ -131,7 +132,7 @@
                      fbs::CreatePutUpstream(
                          b, packId(b, i.id), packId(b, i.service), packId(b, i.dataCentre),
                          b.CreateSharedString(i.endpoint.host), i.endpoint.port, i.slots,
-                         i.connectionLimit, static_cast<fbs::State>(i.state))
+                         i.connectionLimit, static_cast<fbs::State>(i.state), i.lifetime.value())
                          .Union());
     }
     Offset<fbs::FleetChangeEntry> operator()(const RemoveUpstream &c) const
--- a/src/fleet/primary_change.cpp
+++ b/src/fleet/primary_change.cpp
@@ -308,6 +308,8 @@
         return "operator";
     case ChangeReason::Stalled:
         return "stalled";
+    case ChangeReason::Founding:
+        return "founding";
     case ChangeReason::Unfinished:
         return "unfinished";
     }
--- a/src/fleet/registry.cpp
+++ b/src/fleet/registry.cpp
@@ -9,7 +9,7 @@
 bool sameForNodes(const Announcement &a, const Announcement &b)
 {
     return a.service == b.service && a.dataCentre == b.dataCentre && a.endpoint == b.endpoint
-        && a.slots == b.slots && a.connectionLimit == b.connectionLimit;
+        && a.slots == b.slots && a.connectionLimit == b.connectionLimit && a.lifetime == b.lifetime;
 }
 
 bool leaseRunning(const RegistryEntry &entry, TimePoint now)
@@ -195,6 +195,7 @@
     entry.announcement.dataCentre = info.dataCentre;
     entry.announcement.endpoint = info.endpoint;
     entry.announcement.slots = info.slots;
+    entry.announcement.lifetime = info.lifetime;
     entry.announcement.connectionLimit = info.connectionLimit;
     entry.heardAt = now;
     entry.stateSince = now;
@@ -203,6 +204,46 @@
     return entry;
 }
 
+/// Whether the announcement belongs to a process that has ended, or was overtaken by a later one
+/// of the same process.
+bool isOvertaken(const Registry &registry, const Announcement &announcement)
+{
+    const auto ended = registry.ended.find(announcement.upstream);
+    if (ended != registry.ended.end() && announcement.lifetime <= ended->second)
+        return true;
+    const auto known = registry.entries.find(announcement.upstream);
+    if (known == registry.entries.end() || announcement.lifetime == Incarnation())
+        return false;
+    const Announcement &last = known->second.announcement;
+    if (announcement.lifetime != last.lifetime)
+        return announcement.lifetime < last.lifetime;
+    return announcement.sequence != 0 && announcement.sequence <= last.sequence;
+}
+
+std::uint32_t limitOf(const ClusterState &cluster, const Announcement &announcement)
+{
+    const auto service = cluster.config.services.find(announcement.service);
+    const bool configured =
+        service != cluster.config.services.end() && service->second.connectionLimit > 0;
+    return configured ? service->second.connectionLimit : announcement.connectionLimit;
+}
+
+/// The database has ended. Its farewell may lack the lifetime; then it is that of the entry.
+AnnouncementVerdict removeUpstream(Registry &registry, const Announcement &farewell)
+{
+    const auto known = registry.entries.find(farewell.upstream);
+    if (known == registry.entries.end())
+        return AnnouncementVerdict::Outdated;
+    const Incarnation lifetime = known->second.announcement.lifetime;
+    const bool unnamed = farewell.lifetime == Incarnation();
+    if (unnamed ? !known->second.announcement.leaving : farewell.lifetime < lifetime)
+        return AnnouncementVerdict::Outdated;
+    registry.ended[farewell.upstream] = std::max(lifetime, farewell.lifetime);
+    registry.entries.erase(known);
+    ++registry.revision;
+    return AnnouncementVerdict::Accepted;
+}
+
 } // namespace
 
 Registry seedRegistry(const FleetState &state, TimePoint now)
@@ -224,12 +265,18 @@
                                       TimePoint receivedAt, TimePoint now)
 {
     const Announcement &announcement = heard.announcement;
+    if (announcement.gone)
+        return removeUpstream(registry, announcement);
+    if (isOvertaken(registry, announcement))
+        return AnnouncementVerdict::Outdated;
     const auto [item, isNew] = registry.entries.try_emplace(announcement.upstream);
     RegistryEntry &entry = item->second;
     if (!isNew && !entry.seeded) {
-        if (receivedAt < entry.heardAt)
+        const bool sameLifetime = announcement.lifetime == entry.announcement.lifetime;
+        if (receivedAt < entry.heardAt && sameLifetime && announcement.sequence == 0)
             return AnnouncementVerdict::Outdated;
-        const bool held = leaseRunning(entry, now) && entry.state == UpstreamState::Live;
+        const bool held =
+            sameLifetime && leaseRunning(entry, now) && entry.state == UpstreamState::Live;
         if (held && entry.announcement.endpoint != announcement.endpoint)
             return AnnouncementVerdict::Conflict;
     }
@@ -238,7 +285,7 @@
     if (isNew)
         entry.stateSince = now;
     entry.announcement = announcement;
-    entry.heardAt = receivedAt;
+    entry.heardAt = std::max(entry.heardAt, receivedAt);
     entry.seeded = false;
     return AnnouncementVerdict::Accepted;
 }
@@ -309,7 +356,10 @@
         if (group == cluster.groups.end())
             continue;
         view.term = group->second.term;
-        view.primary = group->second.primary;
+        // Where databases confirm commits themselves, nothing else stops a former primary that
+        // still answers: nodes have to let go of it before another one is promoted.
+        if (!service.confirmsCommits || group->second.reservedTerm == group->second.term)
+            view.primary = group->second.primary;
         view.votingSet = group->second.votingSet;
     }
     for (const auto &[id, entry] : registry.entries) {
@@ -322,8 +372,9 @@
                                         .dataCentre = a.dataCentre,
                                         .endpoint = a.endpoint,
                                         .slots = a.slots,
-                                        .connectionLimit = a.connectionLimit,
-                                        .state = entry.state };
+                                        .connectionLimit = limitOf(cluster, a),
+                                        .state = entry.state,
+                                        .lifetime = a.lifetime };
     }
     return state;
 }
--- a/src/include/shallotlever/base/errors.h
+++ b/src/include/shallotlever/base/errors.h
@@ -22,6 +22,7 @@
     UnknownService,
     UnknownRoute,
     UnknownTransaction,
+    UnknownStatement,
     TransactionLost,
     InvalidSession,
     IdempotencyMismatch,
--- a/src/include/shallotlever/base/ids.h
+++ b/src/include/shallotlever/base/ids.h
@@ -16,6 +16,8 @@
 /// Public part of a caller's key; the secret part is kept as a hash only.
 using KeyId = Id<struct KeyIdTag>;
 using RouteId = Id<struct RouteIdTag>;
+/// Name of a database that callers connect to; belongs to one service.
+using DatabaseName = Id<struct DatabaseNameTag>;
 using PresetId = Id<struct PresetIdTag>;
 using SessionId = Id<struct SessionIdTag>;
 using TransactionId = Id<struct TransactionIdTag>;
@@ -28,6 +30,8 @@
 using LogPosition = Number<struct LogPositionTag>;
 /// Version of the replicated configuration. Grows by one with each accepted change.
 using ConfigVersion = Number<struct ConfigVersionTag>;
+/// Number that an operator gives to a whole configuration; the highest one takes effect.
+using InstallNumber = Number<struct InstallNumberTag>;
 /// Differs for each start of a process.
 using Incarnation = Number<struct IncarnationTag>;
 /// Term of the control group's own log (elections), unrelated to Term.
--- a/src/include/shallotlever/control/member.h
+++ b/src/include/shallotlever/control/member.h
@@ -42,6 +42,11 @@
     NodeId node;
     /// Configured control members, this one included. Three or five.
     std::vector<NodeId> peers;
+    /// Nodes that are not configured may take the place of a voter that stays silent; this node
+    /// may itself be one of them.
+    bool acceptsStandbys = false;
+    /// False where the group is known to have been founded before.
+    bool mayFound = true;
     std::uint64_t seed = 1;
     /// Entries kept behind a snapshot for members that lag.
     std::uint64_t keptEntries = 1'000;
--- a/src/include/shallotlever/controller/controller.h
+++ b/src/include/shallotlever/controller/controller.h
@@ -9,6 +9,7 @@
 
 #include "shallotlever/base/random.h"
 #include "shallotlever/config/state.h"
+#include "shallotlever/fleet/confirmed_change.h"
 #include "shallotlever/fleet/distribution.h"
 #include "shallotlever/fleet/freshness.h"
 #include "shallotlever/fleet/primary_change.h"
@@ -33,7 +34,7 @@
     ServiceId service;
     UpstreamId upstream;
     Endpoint endpoint;
-    /// For Fence and Promote.
+    /// For Fence, StepDown and Promote.
     Term term;
 };
 
@@ -72,6 +73,8 @@
 struct GroupControl
 {
     PrimaryChange change;
+    /// In place of `change` and `voting` where databases confirm commits themselves.
+    ConfirmedChange confirmed;
     VotingSetProgress voting;
     ReplicationWatch replication;
     std::map<UpstreamId, MemberStatus> statuses;
@@ -80,6 +83,7 @@
     /// Version of the fleet view that shows the current term and voting set.
     Term shownTerm;
     std::set<UpstreamId> shownVotingSet;
+    std::optional<UpstreamId> shownPrimary;
     FleetVersion shownSince;
     std::optional<TimePoint> viewInForceAt;
     /// Highest term that this controller reserved itself, in its present control term.
@@ -129,10 +133,18 @@
 std::optional<NodeLease> onNodeReport(ControllerState &controller, const NodeReport &report,
                                       TimePoint now);
 
-/// `status` is empty if the call failed.
+/// Answer to an UpstreamCall.
+struct UpstreamAnswer
+{
+    /// Empty if the call failed, or was answered without a status.
+    std::optional<UpstreamStatus> status;
+    /// The call was refused for good, in contrast to a failure that may pass.
+    bool refused = false;
+    /// A promotion was accepted.
+    bool accepted = false;
+};
 void onUpstreamAnswer(ControllerState &controller, const UpstreamCall &call,
-                      const std::optional<UpstreamStatus> &status, TimePoint askedAt,
-                      TimePoint now);
+                      const UpstreamAnswer &answer, TimePoint askedAt, TimePoint now);
 
 /// Advances everything that depends on time. Call every 50 ms and after each input.
 ControllerActions advanceController(ControllerState &controller, const ReplicatedState &replicated,
--- a/src/include/shallotlever/edge/messages.h
+++ b/src/include/shallotlever/edge/messages.h
@@ -76,6 +76,15 @@
     /// Answer only when the change is in force everywhere, or after 10 s.
     bool wait = false;
 };
+/// Installs a whole configuration; answered with ChangeAnswer. Comes from a platform only.
+struct InstallRequest
+{
+    InstallConfig install;
+};
+/// Reads the document of the newest installed configuration.
+struct ReadInstalledRequest
+{
+};
 /// GET /v1/operator/status
 struct StatusRequest
 {
--- a/src/include/shallotlever/fleet/primary_change.h
+++ b/src/include/shallotlever/fleet/primary_change.h
@@ -52,6 +52,8 @@
     Operator,
     /// The primary answers but replicates to no majority.
     Stalled,
+    /// The group has had no primary yet.
+    Founding,
     /// A term was reserved but never published, by this or a former controller.
     Unfinished,
 };
@@ -154,7 +156,8 @@
 };
 using ChangeAction = std::variant<QueryStatus, Fence, Promote, Propose, ChangeDone>;
 
-enum class CallKind : std::uint8_t { Status, Fence, Promote };
+/// StepDown and Resume are for groups that confirm commits themselves.
+enum class CallKind : std::uint8_t { Status, Fence, Promote, StepDown, Resume };
 
 /// Answer to a call; `status` is empty if the call failed or was refused.
 struct CallAnswer
--- a/src/include/shallotlever/fleet/registry.h
+++ b/src/include/shallotlever/fleet/registry.h
@@ -63,6 +63,9 @@
     /// Nodes that fail to reach an upstream, kept in step with `observers`.
     std::map<UpstreamId, std::set<NodeId>> failedBy;
     std::set<UpstreamId> drained;
+    /// Last lifetime of upstreams that have ended; announcements of it that arrive late count for
+    /// nothing.
+    std::map<UpstreamId, Incarnation> ended;
     /// Grows with every change that makeFleetState() would show.
     std::uint64_t revision = 0;
 };
--- a/src/include/shallotlever/policy/token_bucket.h
+++ b/src/include/shallotlever/policy/token_bucket.h
@@ -11,7 +11,7 @@
 namespace shallotlever {
 
 /// Shortest interval between early reports of a node.
-inline constexpr Duration kEarlyReportInterval = 20ms;
+inline constexpr Duration kEarlyReportInterval = 100ms;
 
 /// Whether a refused request was inside the team's cluster-wide rate, as far as the last share
 /// tells. Refusals inside the rate are the proxy's own shortcoming.
--- a/src/include/shallotlever/settings/node_settings.h
+++ b/src/include/shallotlever/settings/node_settings.h
@@ -82,6 +82,17 @@
     SocketAddress peerListen;
     /// The control group as the node first knows it; not empty.
     std::vector<ControlPeer> controlMembers;
+    /// Node ids are IP numbers, and peers listen on the port of peerListen: members that are not
+    /// configured can be reached by their id.
+    bool idsAreAddresses = false;
+    /// This member may found the control group.
+    bool mayFound = true;
+    /// Listener for sessions of the platform's protocol.
+    std::optional<SocketAddress> sessionListen;
+    std::optional<SocketAddress> readinessListen;
+    /// Listener for whole configurations and announcements in the platform's format.
+    std::optional<SocketAddress> platformListen;
+    std::optional<SocketAddress> promotionAddress;
     /// This node is a member of the control group; dataDir is set.
     bool control = false;
     std::optional<std::filesystem::path> dataDir;
@@ -93,7 +104,8 @@
     int executorThreads = 2;
     /// File with the bootstrap operator key.
     std::optional<std::filesystem::path> operatorKeyFile;
-    /// File with the secret that authenticates session tokens; the same on all nodes.
+    /// File with the secret that authenticates session tokens; the same on all nodes. Empty only on
+    /// nodes of a platform, which have no session tokens.
     std::filesystem::path sessionSecretFile;
     std::optional<CertificateFiles> httpTls;
     /// Empty only with --allow-insecure-peers.
@@ -108,6 +120,8 @@
     std::chrono::milliseconds drainLimit { 30000 };
     /// Name as accepted by logLevelFromName.
     std::string logLevel = "info";
+    /// Logs go to standard error in place of standard output.
+    bool logToStandardError = false;
     /// Stop after validation (--check-settings).
     bool checkOnly = false;
 
--- a/src/include/shallotlever/telemetry/log.h
+++ b/src/include/shallotlever/telemetry/log.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <concepts>
 #include <cstdint>
 #include <initializer_list>
@@ -79,7 +80,8 @@
 };
 
 /// Writes one JSON object per line, each with a single write call, so lines of several threads
-/// never mix. All functions may be called from any thread.
+/// never mix. A line that the reader of the output has no room for is dropped and counted, so that
+/// logging never waits. All functions may be called from any thread.
 class Logger
 {
 public:
@@ -109,10 +111,14 @@
         log(LogLevel::Error, event, fields);
     }
 
+    /// Lines dropped since the start.
+    std::uint64_t dropped() const { return m_dropped.load(std::memory_order_relaxed); }
+
 private:
     NodeId m_node;
     LogLevel m_level;
     int m_fileDescriptor;
+    mutable std::atomic<std::uint64_t> m_dropped { 0 };
 };
 
 } // namespace shallotlever
--- a/src/include/shallotlever/types/config.h
+++ b/src/include/shallotlever/types/config.h
@@ -20,6 +20,14 @@
 struct ServiceConfig
 {
     ServiceId id;
+    /// Connections that each database of the service accepts from all callers together; 0: what
+    /// the database announces.
+    std::uint32_t connectionLimit = 0;
+    /// Replicas that hold a commit before the database itself acknowledges it; 0: none.
+    std::uint32_t confirmingReplicas = 0;
+    /// The databases themselves decide when a commit is acknowledged, and a primary is replaced
+    /// through the platform (see confirmed_change.h); the group then has no voting set.
+    bool confirmsCommits = false;
     friend bool operator==(const ServiceConfig &, const ServiceConfig &) = default;
 };
 
@@ -63,6 +71,46 @@
     friend bool operator==(const RouteConfig &, const RouteConfig &) = default;
 };
 
+/// Which commits a read on a database name has to see.
+enum class Consistency : std::uint8_t {
+    /// Every commit acknowledged before the read.
+    Primary,
+    /// Commits acknowledged longer than the permitted staleness ago.
+    BoundedStaleness,
+    /// The same, and every commit of the session itself.
+    ReadYourWrites,
+};
+
+/// A database name that callers open sessions on.
+struct DatabaseConfig
+{
+    DatabaseName name;
+    ServiceId service;
+    Consistency consistency = Consistency::Primary;
+    /// Longest time for one statement.
+    std::chrono::milliseconds statementTimeout { 0 };
+    /// Time within which an operation should be answered.
+    std::chrono::milliseconds latencyObjective { 0 };
+    /// For BoundedStaleness and ReadYourWrites.
+    std::chrono::milliseconds maxStaleness { 0 };
+    /// 0 is the most urgent.
+    std::uint32_t priority = 0;
+    /// Sessions need no key.
+    bool open = false;
+    friend bool operator==(const DatabaseConfig &, const DatabaseConfig &) = default;
+};
+
+/// What an operator installed as a whole, under a number of the operator's own.
+struct InstalledConfig
+{
+    InstallNumber number;
+    /// As the operator sent it, for reading back. Empty on nodes other than control members.
+    std::string document;
+    /// A transaction that stays idle for longer may be rolled back; 0: no limit.
+    std::chrono::milliseconds transactionIdleLimit { 0 };
+    friend bool operator==(const InstalledConfig &, const InstalledConfig &) = default;
+};
+
 /// Policies that a preset switches in one step.
 struct PresetPolicy
 {
@@ -100,6 +148,8 @@
     std::map<TeamId, TeamConfig> teams;
     std::map<KeyId, KeyConfig> keys;
     std::map<RouteId, RouteConfig> routes;
+    std::map<DatabaseName, DatabaseConfig> databases;
+    InstalledConfig installed;
     /// Holds "ordinary", "peak" and "maintenance" from the start.
     std::map<PresetId, PresetConfig> presets;
     PresetId activePreset;
@@ -174,6 +224,14 @@
     Change change;
 };
 
+/// Replaces services, teams, callers' keys and database names, if the number of `content.installed`
+/// is higher than that of the configuration installed before. Other parts of `content` are not
+/// used.
+struct InstallConfig
+{
+    ClusterConfig content;
+};
+
 // Decisions of the controller about groups of databases.
 struct JoinVotingSet
 {
@@ -202,7 +260,7 @@
 using GroupDecision = std::variant<JoinVotingSet, LeaveVotingSet, ReserveTerm, SetPrimary>;
 
 /// One entry of the control log.
-using Command = std::variant<OperatorChange, GroupDecision>;
+using Command = std::variant<OperatorChange, GroupDecision, InstallConfig>;
 
 enum class ChangeOutcome : std::uint8_t { Accepted, Conflict, Invalid };
 
--- a/src/include/shallotlever/types/fleet.h
+++ b/src/include/shallotlever/types/fleet.h
@@ -36,6 +36,13 @@
     UpstreamRole role = UpstreamRole::Replica;
     HistoryPoint point;
     bool leaving = false;
+    /// Start of the database process; grows from one process to the next of the same id. 0 if the
+    /// database does not tell.
+    Incarnation lifetime;
+    /// Grows with each announcement of a lifetime; 0 if the database does not count them.
+    std::uint64_t sequence = 0;
+    /// The database has ended; its last announcement.
+    bool gone = false;
     friend bool operator==(const Announcement &, const Announcement &) = default;
 };
 
@@ -47,6 +54,8 @@
     UpstreamRole role = UpstreamRole::Replica;
     /// Commits and replication streams of a lower term are refused.
     Term fencedTerm;
+    /// Newest term that the database knows, which its log may not have reached; 0 if not told.
+    Term newestTerm;
     friend bool operator==(const UpstreamStatus &, const UpstreamStatus &) = default;
 };
 
@@ -68,6 +77,7 @@
     std::uint32_t slots = 0;
     std::uint32_t connectionLimit = 0;
     UpstreamState state = UpstreamState::Live;
+    Incarnation lifetime;
     friend bool operator==(const UpstreamInfo &, const UpstreamInfo &) = default;
 };
 
--- a/src/include/shallotlever/upstream/control.h
+++ b/src/include/shallotlever/upstream/control.h
@@ -36,6 +36,10 @@
     std::function<void(Duration timeout, StatusCallback)> status;
     std::function<void(Term, Duration timeout, StatusCallback)> fence;
     std::function<void(Term, Duration timeout, StatusCallback)> promote;
+    /// For groups that confirm commits themselves; empty otherwise. There, promote takes an epoch,
+    /// and its status says only that the promotion was accepted.
+    std::function<void(Term, Duration timeout, StatusCallback)> stepDown;
+    std::function<void(Duration timeout, StatusCallback)> resume;
 };
 
 /// Calls over a connection of their own, opened on the first call and again after a failure.
--- a/src/include/shallotlever/wire/peer.h
+++ b/src/include/shallotlever/wire/peer.h
@@ -19,6 +19,8 @@
     /// A control member that is not the controller answers a report with the leader's node id, as
     /// plain text; empty if it knows none.
     ControllerHint = 7,
+    /// The controller asks for a report now, because its answer brings something new. No payload.
+    ReportRequest = 8,
 };
 
 /// Largest frame on a peer link, in bytes.
--- a/src/node/controller_shell.cpp
+++ b/src/node/controller_shell.cpp
@@ -17,6 +17,18 @@
 /// Longest time an operator waits for a change to be in force.
 constexpr Duration kInForceWait = 10s;
 
+UpstreamAnswer upstreamAnswer(const UpstreamCall &call,
+                              const absl::StatusOr<UpstreamStatus> &status)
+{
+    UpstreamAnswer answer;
+    answer.refused = status.status().code() == absl::StatusCode::kFailedPrecondition;
+    // Where the platform promotes, the answer holds no status of the database.
+    answer.accepted = call.kind == CallKind::Promote && status.ok();
+    if (status.ok() && !(call.kind == CallKind::Promote && *status == UpstreamStatus()))
+        answer.status = *status;
+    return answer;
+}
+
 std::int64_t millisecondsBetween(TimePoint from, TimePoint to)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(to - from).count();
@@ -25,8 +37,9 @@
 } // namespace
 
 ControllerShell::ControllerShell(ControlGroup &group, const Logger &logger,
-                                 MetricsRegistry &metrics)
+                                 MetricsRegistry &metrics, MakeControl makeControl)
     : m_group(group)
+    , m_makeControl(std::move(makeControl))
     , m_logger(logger)
     , m_primaryChanges(metrics.counter("shallotlever_primary_changes_total",
                                        "Changes of primary completed by this controller."))
@@ -94,11 +107,7 @@
 {
     ControlLink &link = m_links[call.upstream];
     if (!link.control.status || link.endpoint != call.endpoint) {
-        ConnectionParams params;
-        params.endpoint = call.endpoint;
-        params.user = std::string(kControlUser);
-        params.database = call.service.value();
-        link = { call.endpoint, makeUpstreamControl(params) };
+        link = { call.endpoint, m_makeControl(call.service, call.upstream, call.endpoint) };
     }
     return link.control;
 }
@@ -111,8 +120,7 @@
                                      term](absl::StatusOr<UpstreamStatus> status) {
         if (alive.expired() || !m_controller || m_controller->controlTerm != term)
             return;
-        const auto answer = status.ok() ? std::optional(*status) : std::nullopt;
-        onUpstreamAnswer(*m_controller, call, answer, now, monotonicNow());
+        onUpstreamAnswer(*m_controller, call, upstreamAnswer(call, status), now, monotonicNow());
         m_advanceDue = true;
     };
     UpstreamControl &control = controlOf(call);
@@ -124,8 +132,18 @@
         control.fence(call.term, kCallTimeout, callback);
         break;
     case CallKind::Promote:
+        m_logger.info("promotion_ordered",
+                      { { "service", call.service.value() },
+                        { "upstream", call.upstream.value() },
+                        { "epoch", call.term.value() } });
         control.promote(call.term, kCallTimeout, callback);
         break;
+    case CallKind::StepDown:
+        control.stepDown(call.term, kCallTimeout, callback);
+        break;
+    case CallKind::Resume:
+        control.resume(kCallTimeout, callback);
+        break;
     }
 }
 
@@ -166,6 +184,8 @@
 {
     if (!m_controller || !m_group.isController(now))
         return std::nullopt;
+    // A report may confirm what a change of primary waits for.
+    m_advanceDue = true;
     return onNodeReport(*m_controller, report, now);
 }
 
@@ -186,7 +206,15 @@
         callback(Error { ErrorKind::NoController, {}, std::nullopt });
         return;
     }
-    if (const auto *change = std::get_if<ChangeRequest>(&request)) {
+    if (const auto *install = std::get_if<InstallRequest>(&request)) {
+        proposeInstall(*install, std::move(callback), now);
+    } else if (std::holds_alternative<ReadInstalledRequest>(request)) {
+        // Only the holder of the leader lease knows that no newer configuration exists.
+        if (m_group.isController(now))
+            callback(DocumentAnswer { m_group.state().cluster.config.installed.document });
+        else
+            callback(Error { ErrorKind::NoController, {}, std::nullopt });
+    } else if (const auto *change = std::get_if<ChangeRequest>(&request)) {
         proposeChange(*change, std::move(callback), now);
     } else if (const auto *drain = std::get_if<DrainRequest>(&request)) {
         setDrained(m_controller->registry, drain->upstream.value_or(UpstreamId()), !drain->cancel);
@@ -198,6 +226,21 @@
     }
 }
 
+void ControllerShell::proposeInstall(const InstallRequest &request, ForwardCallback callback,
+                                     TimePoint now)
+{
+    m_group.propose(
+        Command(request.install), QDateTime::currentMSecsSinceEpoch(),
+        [callback](const absl::StatusOr<ChangeResult> &result) {
+            if (result.ok())
+                callback(ChangeAnswer { *result, false, {} });
+            else
+                callback(
+                    Error { ErrorKind::OutcomeUnknown, "the controller changed", std::nullopt });
+        },
+        now);
+}
+
 void ControllerShell::proposeChange(const ChangeRequest &request, ForwardCallback callback,
                                     TimePoint now)
 {
@@ -245,6 +288,16 @@
     });
 }
 
+std::vector<NodeId> ControllerShell::leaseHolders() const
+{
+    std::vector<NodeId> nodes;
+    if (m_controller) {
+        for (const auto &[holder, lease] : m_controller->leases.holders)
+            nodes.push_back(holder.first);
+    }
+    return nodes;
+}
+
 bool ControllerShell::takePushDue()
 {
     return std::exchange(m_pushDue, false);
--- a/src/node/controller_shell.h
+++ b/src/node/controller_shell.h
@@ -18,10 +18,14 @@
 class ControllerShell
 {
 public:
+    /// Control calls to one database.
+    using MakeControl =
+        std::function<UpstreamControl(const ServiceId &, const UpstreamId &, const Endpoint &)>;
     using ForwardCallback = std::function<void(OperatorReply)>;
 
     /// `group` and `logger` must outlive the shell.
-    ControllerShell(ControlGroup &group, const Logger &logger, MetricsRegistry &metrics);
+    ControllerShell(ControlGroup &group, const Logger &logger, MetricsRegistry &metrics,
+                    MakeControl makeControl);
     ~ControllerShell();
 
     /// Takes or leaves office as the lease demands, and advances the decisions. `ownView` is the
@@ -34,6 +38,8 @@
     void onApplied(const Command &command, const ChangeResult &result, LogIndex index,
                    TimePoint now);
     void forward(const OperatorRequest &request, ForwardCallback callback, TimePoint now);
+    /// Nodes that may hold a lease of this controller.
+    std::vector<NodeId> leaseHolders() const;
     /// True once after the fleet view or the configuration changed.
     bool takePushDue();
 
@@ -57,11 +63,13 @@
     UpstreamControl &controlOf(const UpstreamCall &call);
     void propose(const GroupDecision &decision, TimePoint now);
     void logChange(const PrimaryChanged &changed) const;
+    void proposeInstall(const InstallRequest &request, ForwardCallback callback, TimePoint now);
     void proposeChange(const ChangeRequest &request, ForwardCallback callback, TimePoint now);
     void answerWaiters(TimePoint now);
     ChangeAnswer answerOf(const ChangeResult &result, TimePoint now) const;
 
     ControlGroup &m_group;
+    MakeControl m_makeControl;
     const Logger &m_logger;
     Counter &m_primaryChanges;
     LatencyHistogram &m_writeGap;
--- a/src/node/forward.cpp
+++ b/src/node/forward.cpp
@@ -51,6 +51,17 @@
     return OperatorRequest(ChangeRequest { *change, request.wait() });
 }
 
+absl::StatusOr<OperatorRequest> decodeInstall(const node::ForwardRequest &request)
+{
+    const auto command = decodeCommand(bytesOf(request.change()));
+    if (!command.ok())
+        return command.status();
+    const auto *install = std::get_if<InstallConfig>(&command->command);
+    if (install == nullptr)
+        return absl::InvalidArgumentError("the forwarded command is not a configuration");
+    return OperatorRequest(InstallRequest { *install });
+}
+
 absl::StatusOr<OperatorReply> decodeChangeAnswer(const node::ForwardReply &reply)
 {
     const auto result = decodeChangeResult(bytesOf(reply.result()));
@@ -89,10 +100,13 @@
         const auto upstream = builder.CreateString(drain->upstream.value_or(UpstreamId()).value());
         builder.Finish(node::CreateForwardRequest(builder, node::ForwardKind::Drain, 0, false,
                                                   upstream, drain->cancel));
+    } else if (const auto *install = std::get_if<InstallRequest>(&request)) {
+        const auto bytes = bytesVector(builder, encodeCommand({ install->install, 0 }));
+        builder.Finish(node::CreateForwardRequest(builder, node::ForwardKind::Install, bytes));
     } else {
-        const auto kind = std::holds_alternative<StatusRequest>(request)
-            ? node::ForwardKind::Status
-            : node::ForwardKind::Explain;
+        const auto kind = std::holds_alternative<StatusRequest>(request) ? node::ForwardKind::Status
+            : std::holds_alternative<ExplainRequest>(request) ? node::ForwardKind::Explain
+                                                              : node::ForwardKind::ReadInstalled;
         builder.Finish(node::CreateForwardRequest(builder, kind));
     }
     return finished(builder);
@@ -111,6 +125,10 @@
         return OperatorRequest(StatusRequest {});
     case node::ForwardKind::Explain:
         return OperatorRequest(ExplainRequest {});
+    case node::ForwardKind::Install:
+        return decodeInstall(*request);
+    case node::ForwardKind::ReadInstalled:
+        return OperatorRequest(ReadInstalledRequest {});
     case node::ForwardKind::Drain:
         return OperatorRequest(
             DrainRequest { UpstreamId(textOf(request->upstream())), request->cancel() });
--- a/src/node/forward.h
+++ b/src/node/forward.h
@@ -10,7 +10,8 @@
 /// Operator requests on their way to the controller.
 namespace shallotlever {
 
-using OperatorRequest = std::variant<ChangeRequest, StatusRequest, ExplainRequest, DrainRequest>;
+using OperatorRequest = std::variant<ChangeRequest, StatusRequest, ExplainRequest, DrainRequest,
+                                     InstallRequest, ReadInstalledRequest>;
 using OperatorReply = std::variant<Error, ChangeAnswer, DocumentAnswer, DoneAnswer>;
 
 std::string encodeOperatorRequest(const OperatorRequest &request);
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr Duration kReportInterval = 500ms;
+/// Interval of the log line that sums up the node's traffic.
+constexpr Duration kSummaryInterval = 10s;
 constexpr Duration kForwardTimeout = 3s;
 /// Longer than the controller waits for a change to be in force.
 constexpr Duration kForwardWaitTimeout = 12s;
@@ -40,8 +42,17 @@
         m_controlGroup->tick(now);
         m_controller->tick(m_view.fleet, now);
     }
+    learnMembership();
+    logSummary(now);
     const bool pushed = m_controller && m_controller->takePushDue();
+    if (pushed)
+        requestReports();
     watchRelay(now);
+    if (m_sessions) {
+        m_sessions->tick(now);
+        if (m_sessions->takeObservationChanged())
+            m_nextReport = std::min(m_nextReport, now);
+    }
     if (now >= m_nextReport || pushed || relayDue(now) || earlyReportDue(now))
         sendReport(now);
     advanceControllerLink(m_controllerLink, now);
@@ -55,6 +66,29 @@
     continueDrain();
 }
 
+void Node::Impl::logSummary(TimePoint now)
+{
+    if (now < m_nextSummary)
+        return;
+    m_nextSummary = now + kSummaryInterval;
+    const PeerTransportCounters &counters = m_transport->counters();
+    m_logger.info("summary",
+                  { { "peer_messages_sent", counters.messagesSent },
+                    { "peer_bytes_sent", counters.bytesSent },
+                    { "peer_messages_dropped", counters.messagesDropped },
+                    { "reports_sent", m_view.freshness.lastReport },
+                    { "sessions", m_sessions ? m_sessions->openSessions() : 0 },
+                    { "log_lines_dropped", m_logger.dropped() } });
+}
+
+void Node::Impl::requestReports()
+{
+    for (const NodeId &node : m_controller->leaseHolders()) {
+        if (node != m_settings.nodeId)
+            m_transport->send(node, MessageType::ReportRequest, 0, {});
+    }
+}
+
 bool Node::Impl::earlyReportDue(TimePoint now)
 {
     if (now < m_lastReportSent + kEarlyReportInterval)
@@ -91,6 +125,11 @@
         input.reachable.insert(report.reachable.begin(), report.reachable.end());
         input.slots.insert(input.slots.end(), report.demand.begin(), report.demand.end());
     }
+    if (m_sessions) {
+        const ProxyReport report = m_sessions->report(now);
+        input.reachable.insert(report.reachable.begin(), report.reachable.end());
+        input.slots.insert(input.slots.end(), report.slots.begin(), report.slots.end());
+    }
     if (isFresh(m_view.freshness, now))
         noteHeldConnections(input.slots, m_view.slots);
     for (const auto &[team, bucket] : m_buckets)
@@ -119,11 +158,15 @@
         onForwardReply(message.requestId, message.payload);
         break;
     case MessageType::ControllerHint:
+        learnMember(NodeId(message.payload));
         if (currentRelay(m_relayLink) == message.sender)
             adoptController(m_controllerLink, NodeId(message.payload), now);
         else
             applyControllerHint(m_controllerLink, message.sender, NodeId(message.payload), now);
         break;
+    case MessageType::ReportRequest:
+        m_nextReport = std::min(m_nextReport, now);
+        break;
     case MessageType::Hello:
         break;
     }
@@ -242,14 +285,57 @@
 
 void Node::Impl::announce(const AnnounceRequest &request, const EdgeResponder &respond)
 {
-    m_announcements.insert_or_assign(request.announcement.upstream,
-                                     std::pair(request.announcement, monotonicNow()));
-    // A leaving upstream must not wait for the next report to lose its work.
-    if (request.announcement.leaving)
-        m_nextReport = TimePoint();
+    takeAnnouncement(request.announcement);
     respond(DoneAnswer {});
 }
 
+bool Node::Impl::takeAnnouncement(const Announcement &announcement)
+{
+    const TimePoint now = monotonicNow();
+    const auto held = m_announcements.find(announcement.upstream);
+    const bool overtaken = held != m_announcements.end()
+        && (announcement.lifetime < held->second.first.lifetime
+            || (announcement.lifetime == held->second.first.lifetime
+                && announcement.sequence < held->second.first.sequence));
+    if (!overtaken)
+        m_announcements.insert_or_assign(announcement.upstream, std::pair(announcement, now));
+    // A leaving upstream must not wait for the next report to lose its work, nor a new one to get
+    // it.
+    if (announcement.leaving || announcement.gone)
+        m_nextReport = TimePoint();
+    return isFresh(m_view.freshness, now);
+}
+
+void Node::Impl::learnMember(const NodeId &member)
+{
+    const bool address = parseSocketAddress(member.value() + ":1").has_value();
+    if (!m_settings.idsAreAddresses || !address || member == m_settings.nodeId)
+        return;
+    std::vector<NodeId> &members = m_controllerLink.members;
+    if (std::find(members.begin(), members.end(), member) != members.end())
+        return;
+    m_logger.info("control_member_learned", { { "member", member.value() } });
+    members.push_back(member);
+    m_transport->setPeer(member, { member.value(), m_settings.peerListen.port });
+}
+
+void Node::Impl::learnMembership()
+{
+    if (!m_controlGroup || !m_settings.idsAreAddresses)
+        return;
+    const Membership &membership = m_controlGroup->member().membership();
+    for (const Member &voter : membership.voters)
+        learnMember(voter.node);
+    if (membership.learner)
+        learnMember(membership.learner->node);
+}
+
+bool Node::Impl::ready() const
+{
+    return !m_shared.draining && m_shared.sharesGranted && isFresh(m_view.freshness, monotonicNow())
+        && m_view.replicated.cluster.config.installed.number != InstallNumber();
+}
+
 void Node::Impl::forwardRequest(const OperatorRequest &request, EdgeResponder respond,
                                 TimePoint now)
 {
@@ -263,6 +349,7 @@
         return;
     }
     const std::uint64_t id = ++m_lastRequest;
+    // Of a control member that does not lead, only its own leader is asked.
     if (!m_transport->send(currentController(m_controllerLink), MessageType::Forward, id,
                            encodeOperatorRequest(request))) {
         respond(Error { ErrorKind::NoController, {}, std::nullopt });
--- a/src/node/node_drain.cpp
+++ b/src/node/node_drain.cpp
@@ -12,6 +12,8 @@
 /// Status if the drain limit ended open work.
 constexpr int kExitDrainLimit = 3;
 constexpr std::chrono::milliseconds kIdleConnectionQuiet { 100 };
+/// Part of the whole drain after which open transactions of sessions are ended.
+constexpr double kTransactionPart = 0.58;
 
 } // namespace
 
@@ -43,11 +45,18 @@
         if (elapsed < m_settings.drainNotice)
             return;
         m_listener->startDrain();
+        if (m_sessions)
+            m_sessions->startDrain();
         for (const auto &[service, host] : m_hosts)
             host->startDrain();
         m_drainPhase = DrainPhase::Transactions;
         return;
     case DrainPhase::Transactions:
+        if (m_sessions && m_sessions->openTransactions() > 0) {
+            if (elapsed < (m_settings.drainNotice + m_settings.drainLimit) * kTransactionPart)
+                return;
+            m_sessions->abortTransactions(monotonicNow());
+        }
         if (openTransactions() > 0 && elapsed < m_settings.drainNotice + m_settings.drainLimit)
             return;
         m_listener->stopAccepting();
@@ -55,7 +64,10 @@
         return;
     case DrainPhase::Requests:
         m_listener->closeIdleConnections(kIdleConnectionQuiet);
-        if (m_listener->requestsInFlight() > 0 || m_listener->openConnections() > 0) {
+        if (m_sessions)
+            m_sessions->abortTransactions(monotonicNow());
+        if (m_listener->requestsInFlight() > 0 || m_listener->openConnections() > 0
+            || (m_sessions && m_sessions->openSessions() > 0)) {
             if (elapsed < m_settings.drainNotice + m_settings.drainLimit)
                 return;
             m_logger.warning("drain_limit_reached",
--- a/src/node/node_impl.h
+++ b/src/node/node_impl.h
@@ -18,6 +18,7 @@
 #include "service_host.h"
 #include "shallotlever/edge/listener.h"
 #include "shallotlever/node/node.h"
+#include "shallotlever/proxy/proxy.h"
 #include "shallotlever/wire/peer_transport.h"
 
 namespace shallotlever {
@@ -27,13 +28,16 @@
 class Node::Impl
 {
 public:
-    explicit Impl(const NodeSettings &settings);
+    Impl(const NodeSettings &settings, PlatformAdapter platform);
     ~Impl();
 
     absl::Status start();
     void shutDown();
     std::uint16_t httpPort() const { return m_listener->port(); }
     std::uint16_t peerPort() const { return m_transport->port(); }
+    bool ready() const;
+    void forwardRequest(const OperatorRequest &request, EdgeResponder respond, TimePoint now);
+    bool takeAnnouncement(const Announcement &announcement);
 
 private:
     enum class DrainPhase {
@@ -61,11 +65,15 @@
     absl::Status startTransport();
     absl::Status startControlGroup();
     absl::Status startListener();
+    absl::Status startSessions();
 
     // Periodic work.
     void tick();
     void sendReport(TimePoint now);
     bool earlyReportDue(TimePoint now);
+    /// What has changed reaches the nodes with their next leases.
+    void requestReports();
+    void logSummary(TimePoint now);
     ReportInput reportInput(TimePoint now);
     void expireForwarded(TimePoint now);
 
@@ -89,7 +97,11 @@
     // Requests of operators and upstreams.
     void handleControl(EdgeRequest request, EdgeResponder respond);
     void announce(const AnnounceRequest &request, const EdgeResponder &respond);
-    void forwardRequest(const OperatorRequest &request, EdgeResponder respond, TimePoint now);
+    // Members that are not configured.
+    void learnMember(const NodeId &member);
+    void learnMembership();
+    UpstreamControl controlOf(const ServiceId &service, const UpstreamId &upstream,
+                              const Endpoint &endpoint) const;
 
     // Publication.
     bool applyLease(const NodeLease &lease, TimePoint now);
@@ -105,6 +117,7 @@
     void finish(int status);
 
     NodeSettings m_settings;
+    PlatformAdapter m_platform;
     Logger m_logger;
     MetricsRegistry m_registry;
     NodeMetrics m_metrics { m_registry };
@@ -125,6 +138,7 @@
     std::map<std::uint64_t, Forwarded> m_forwarded;
     std::uint64_t m_lastRequest = 0;
     TimePoint m_nextReport;
+    TimePoint m_nextSummary;
     TimePoint m_lastReportSent;
     bool m_fresh = false;
     TimePoint m_drainStarted;
@@ -136,6 +150,7 @@
     std::unique_ptr<ControllerShell> m_controller;
     std::unique_ptr<PeerTransport> m_transport;
     std::unique_ptr<EdgeListener> m_listener;
+    std::unique_ptr<SessionProxy> m_sessions;
 };
 
 } // namespace shallotlever
--- a/src/node/node_publish.cpp
+++ b/src/node/node_publish.cpp
@@ -7,6 +7,14 @@
 
 namespace shallotlever {
 
+namespace {
+
+/// Shares shrink and grow a little with each lease, so a report that confirms a smaller one, for
+/// the difference to be granted to others, waits for this time after the last report.
+constexpr Duration kReducedShareReport = 250ms;
+
+} // namespace
+
 bool Node::Impl::applyLease(const NodeLease &lease, TimePoint now)
 {
     const LeaseResult result = applyNodeLease(m_view, lease, now);
@@ -20,6 +28,8 @@
     noteControllerAnswer(m_controllerLink, now);
     m_shared.freshUntilUs.store(m_view.freshness.leaseUntil.time_since_epoch().count(),
                                 std::memory_order_release);
+    if (m_sessions)
+        m_sessions->setFreshUntil(m_view.freshness.leaseUntil);
     if (result.configChanged) {
         publishSnapshot();
         m_logger.info("config_applied", { { "version", m_view.freshness.appliedConfig.value() } });
@@ -46,7 +56,7 @@
         if (m_view.sharesRenewed)
             bucket->second->renewShare(share, sharesUntil, now);
         else if (bucket->second->applyShare(share, sharesUntil, now))
-            m_nextReport = TimePoint();
+            m_nextReport = std::min(m_nextReport, m_lastReportSent + kReducedShareReport);
     }
 }
 
@@ -59,12 +69,16 @@
     snapshot->routes = config.routes;
     for (const auto &[id, team] : config.teams)
         snapshot->teams.emplace(id, teamEntry(team));
-    for (const auto &[id, service] : config.services)
-        snapshot->services.emplace(id, serviceHost(id));
+    for (const auto &[id, service] : config.services) {
+        if (!service.confirmsCommits)
+            snapshot->services.emplace(id, serviceHost(id));
+    }
     const auto preset = config.presets.find(config.activePreset);
     if (preset != config.presets.end())
         snapshot->policy = preset->second.policy;
     m_shared.snapshot.publish(std::move(snapshot));
+    if (m_sessions)
+        m_sessions->applyConfig(config, m_buckets, monotonicNow());
 }
 
 TeamEntry Node::Impl::teamEntry(const TeamConfig &team)
@@ -109,6 +123,8 @@
         view.freshUntil = m_view.freshness.leaseUntil;
         host->applyView(std::move(view));
     }
+    if (m_sessions)
+        m_sessions->applyFleet(m_view.fleet.state.view, m_view.slots, monotonicNow());
 }
 
 } // namespace shallotlever
--- a/src/node/node_start.cpp
+++ b/src/node/node_start.cpp
@@ -3,6 +3,8 @@
 
 #include <QDateTime>
 
+#include <unistd.h>
+
 #include "absl/strings/ascii.h"
 #include "node_impl.h"
 #include "shallotlever/base/clock.h"
@@ -35,9 +37,11 @@
 
 } // namespace
 
-Node::Impl::Impl(const NodeSettings &settings)
+Node::Impl::Impl(const NodeSettings &settings, PlatformAdapter platform)
     : m_settings(settings)
-    , m_logger(settings.nodeId, levelOf(settings))
+    , m_platform(std::move(platform))
+    , m_logger(settings.nodeId, levelOf(settings),
+               settings.logToStandardError ? STDERR_FILENO : STDOUT_FILENO)
     , m_incarnation(static_cast<std::uint64_t>(QDateTime::currentMSecsSinceEpoch()))
     , m_view(makeNodeView(settings.nodeId, m_incarnation))
     , m_shared(std::make_unique<NodeSnapshot>())
@@ -59,6 +63,7 @@
 {
     // The listener goes first, so that no request reaches an executor that is being destroyed.
     m_listener.reset();
+    m_sessions.reset();
     m_hosts.clear();
     m_shared.snapshot.publish(std::make_unique<NodeSnapshot>());
     for (const std::unique_ptr<QThread> &thread : m_executorThreads) {
@@ -74,7 +79,7 @@
         m_executorThreads.back()->start();
     }
     for (const auto step : { &Impl::readSecrets, &Impl::startTransport, &Impl::startControlGroup,
-                             &Impl::startListener }) {
+                             &Impl::startListener, &Impl::startSessions }) {
         const absl::Status status = (this->*step)();
         if (!status.ok())
             return status;
@@ -93,10 +98,14 @@
 
 absl::Status Node::Impl::readSecrets()
 {
-    absl::StatusOr<std::string> session = readText(m_settings.sessionSecretFile);
-    if (!session.ok())
-        return session.status();
-    m_shared.secrets.session = { std::move(*session) };
+    if (m_settings.sessionSecretFile.empty()) {
+        m_shared.secrets.session = { randomId() };
+    } else {
+        absl::StatusOr<std::string> session = readText(m_settings.sessionSecretFile);
+        if (!session.ok())
+            return session.status();
+        m_shared.secrets.session = { std::move(*session) };
+    }
     if (!m_settings.operatorKeyFile)
         return absl::OkStatus();
     const absl::StatusOr<std::string> key = readText(*m_settings.operatorKeyFile);
@@ -137,6 +146,8 @@
     options.member.node = m_settings.nodeId;
     options.member.peers = m_controllerLink.members;
     options.member.seed = m_incarnation.value();
+    options.member.acceptsStandbys = m_settings.idsAreAddresses;
+    options.member.mayFound = m_settings.mayFound;
     ControlGroup::Callbacks callbacks;
     callbacks.send = [this](const NodeId &to, std::string payload) {
         m_transport->send(to, MessageType::Control, 0, std::move(payload));
@@ -153,7 +164,11 @@
     if (!group.ok())
         return group.status();
     m_controlGroup = std::move(*group);
-    m_controller = std::make_unique<ControllerShell>(*m_controlGroup, m_logger, m_registry);
+    m_controller = std::make_unique<ControllerShell>(
+        *m_controlGroup, m_logger, m_registry,
+        [this](const ServiceId &service, const UpstreamId &upstream, const Endpoint &endpoint) {
+            return controlOf(service, upstream, endpoint);
+        });
     return absl::OkStatus();
 }
 
@@ -189,6 +204,31 @@
     return absl::OkStatus();
 }
 
+absl::Status Node::Impl::startSessions()
+{
+    if (!m_settings.sessionListen || m_platform.protocol == nullptr)
+        return absl::OkStatus();
+    auto sessions = SessionProxy::create(endpointOf(*m_settings.sessionListen),
+                                         *m_platform.protocol, m_metrics, m_logger);
+    if (!sessions.ok())
+        return sessions.status();
+    m_sessions = std::move(*sessions);
+    return absl::OkStatus();
+}
+
+UpstreamControl Node::Impl::controlOf(const ServiceId &service, const UpstreamId &upstream,
+                                      const Endpoint &endpoint) const
+{
+    if (m_platform.protocol != nullptr)
+        return makeSessionControl(*m_platform.protocol, service, upstream, endpoint,
+                                  m_settings.nodeId.value(), m_platform.promote);
+    ConnectionParams params;
+    params.endpoint = endpoint;
+    params.user = std::string(kControlUser);
+    params.database = service.value();
+    return makeUpstreamControl(params);
+}
+
 Node::Node(std::unique_ptr<Impl> impl)
     : m_impl(std::move(impl))
 {
@@ -196,9 +236,10 @@
 
 Node::~Node() = default;
 
-absl::StatusOr<std::unique_ptr<Node>> Node::create(const NodeSettings &settings)
+absl::StatusOr<std::unique_ptr<Node>> Node::create(const NodeSettings &settings,
+                                                   const PlatformAdapter &platform)
 {
-    auto impl = std::make_unique<Impl>(settings);
+    auto impl = std::make_unique<Impl>(settings, platform);
     const absl::Status status = impl->start();
     if (!status.ok())
         return status;
@@ -215,6 +256,26 @@
     return m_impl->peerPort();
 }
 
+bool Node::ready() const
+{
+    return m_impl->ready();
+}
+
+void Node::install(const InstallRequest &request, EdgeResponder callback)
+{
+    m_impl->forwardRequest(request, std::move(callback), monotonicNow());
+}
+
+void Node::readInstalled(EdgeResponder callback)
+{
+    m_impl->forwardRequest(ReadInstalledRequest {}, std::move(callback), monotonicNow());
+}
+
+bool Node::announce(const Announcement &announcement)
+{
+    return m_impl->takeAnnouncement(announcement);
+}
+
 void Node::shutDown()
 {
     m_impl->shutDown();
--- /dev/null
+++ b/src/proxy/proxy.cpp
@@ -0,0 +1,286 @@
+#include "shallotlever/proxy/proxy.h"
+
+#include <algorithm>
+#include <list>
+
+#include <QHostAddress>
+#include <QTcpServer>
+
+#include "absl/strings/str_cat.h"
+#include "session.h"
+#include "shallotlever/base/clock.h"
+
+namespace shallotlever {
+
+namespace {
+
+/// Connections that wait to be accepted.
+constexpr int kAcceptBacklog = 512;
+
+std::uint32_t shareOf(const std::vector<SlotShare> &shares, const UpstreamId &upstream)
+{
+    for (const SlotShare &share : shares) {
+        if (share.upstream == upstream)
+            return share.connections;
+    }
+    return 0;
+}
+
+} // namespace
+
+std::vector<UpstreamLoad> ServicePools::loads(const TeamId &team) const
+{
+    std::vector<UpstreamLoad> result;
+    for (const auto &[id, pool] : pools)
+        result.push_back(pool->loadFor(team));
+    return result;
+}
+
+std::shared_ptr<UpstreamPool> ServicePools::pool(const UpstreamId &upstream) const
+{
+    const auto found = pools.find(upstream);
+    return found == pools.end() ? nullptr : found->second;
+}
+
+class SessionProxy::Impl
+{
+public:
+    Impl(const SessionProtocol &protocol, NodeMetrics &metrics, const Logger &logger);
+    ~Impl();
+
+    absl::Status listen(const Endpoint &endpoint);
+    void accept();
+    void applyGroup(const GroupView &group, const std::vector<SlotShare> &shares, TimePoint now);
+    std::shared_ptr<UpstreamPool> makePool(const UpstreamInfo &info);
+    void onPoint(const ServiceId &service, const UpstreamId &upstream, const HistoryPoint &point,
+                 TimePoint askedAt);
+    void onReachable(const UpstreamId &upstream, bool reachable);
+    void tick(TimePoint now);
+
+    ProxyState m_state;
+    Gauge &m_sessionsGauge;
+    std::list<CallerSession> m_sessions;
+    /// Pools of databases that left the view while statements ran there.
+    std::vector<std::shared_ptr<UpstreamPool>> m_leaving;
+    QTcpServer m_server;
+    bool m_observationChanged = false;
+};
+
+SessionProxy::Impl::Impl(const SessionProtocol &protocol, NodeMetrics &metrics,
+                         const Logger &logger)
+    : m_sessionsGauge(
+        metrics.registry().gauge("shallotlever_sessions", "Open sessions of callers."))
+{
+    m_state.protocol = &protocol;
+    m_state.metrics = &metrics;
+    m_state.logger = &logger;
+    m_state.answerTime = &metrics.registry().histogram(
+        "shallotlever_statement_seconds", "Time from a statement's arrival to its answer.");
+}
+
+SessionProxy::Impl::~Impl()
+{
+    m_sessions.clear();
+}
+
+absl::Status SessionProxy::Impl::listen(const Endpoint &endpoint)
+{
+    QObject::connect(&m_server, &QTcpServer::newConnection, &m_server, [this] { accept(); });
+    m_server.setListenBacklogSize(kAcceptBacklog);
+    if (m_server.listen(QHostAddress(QString::fromStdString(endpoint.host)), endpoint.port))
+        return absl::OkStatus();
+    return absl::UnavailableError(absl::StrCat("cannot listen on ", endpoint.host, ":",
+                                               endpoint.port, ": ",
+                                               m_server.errorString().toStdString()));
+}
+
+void SessionProxy::Impl::accept()
+{
+    while (QTcpSocket *socket = m_server.nextPendingConnection()) {
+        socket->setParent(nullptr);
+        m_sessions.emplace_back(m_state, socket, monotonicNow());
+    }
+}
+
+std::shared_ptr<UpstreamPool> SessionProxy::Impl::makePool(const UpstreamInfo &info)
+{
+    UpstreamPool::Callbacks callbacks;
+    callbacks.point = [this, service = info.service, id = info.id](const HistoryPoint &point,
+                                                                   TimePoint askedAt) {
+        onPoint(service, id, point, askedAt);
+    };
+    callbacks.reachable = [this, id = info.id](bool reachable) { onReachable(id, reachable); };
+    return std::make_shared<UpstreamPool>(*m_state.protocol, info, std::move(callbacks));
+}
+
+void SessionProxy::Impl::onPoint(const ServiceId &service, const UpstreamId &upstream,
+                                 const HistoryPoint &point, TimePoint askedAt)
+{
+    const auto pools = m_state.services.find(service);
+    if (pools != m_state.services.end() && pools->second.primary == upstream
+        && m_state.fresh(askedAt))
+        notePosition(pools->second.positions, point, askedAt);
+}
+
+void SessionProxy::Impl::onReachable(const UpstreamId &upstream, bool reachable)
+{
+    m_observationChanged = true;
+    m_state.logger->info(reachable ? "upstream_reachable" : "upstream_unreachable",
+                         { { "upstream", upstream.value() } });
+}
+
+void SessionProxy::Impl::applyGroup(const GroupView &group, const std::vector<SlotShare> &shares,
+                                    TimePoint now)
+{
+    ServicePools &service = m_state.services[group.service];
+    if (service.primary != group.primary) {
+        service.primary = group.primary;
+        m_state.logger->info("primary_known",
+                             { { "service", group.service.value() },
+                               { "primary", group.primary.value_or(UpstreamId()).value() },
+                               { "epoch", group.term.value() } });
+    }
+    std::erase_if(service.pools, [&](const auto &item) {
+        const auto info = group.upstreams.find(item.first);
+        const bool same = info != group.upstreams.end()
+            && info->second.endpoint == item.second->info().endpoint
+            && info->second.lifetime == item.second->info().lifetime;
+        if (!same)
+            m_leaving.push_back(item.second);
+        return !same;
+    });
+    for (const auto &[id, info] : group.upstreams) {
+        std::shared_ptr<UpstreamPool> &pool = service.pools[id];
+        if (!pool)
+            pool = makePool(info);
+        pool->setInfo(info, group.primary == id);
+        pool->setShare(shareOf(shares, id), now);
+    }
+}
+
+void SessionProxy::Impl::tick(TimePoint now)
+{
+    for (auto &[id, service] : m_state.services) {
+        for (const auto &[upstream, pool] : service.pools)
+            pool->tick(now);
+    }
+    std::erase_if(m_leaving, [now](const std::shared_ptr<UpstreamPool> &pool) {
+        pool->tick(now);
+        return !pool->busy() && pool.use_count() == 1;
+    });
+    for (auto session = m_sessions.begin(); session != m_sessions.end();) {
+        session->tick(now);
+        if (m_state.draining && session->idle() && !session->finished())
+            session->close();
+        session = session->finished() ? m_sessions.erase(session) : std::next(session);
+    }
+    m_sessionsGauge.set(static_cast<std::int64_t>(m_sessions.size()));
+}
+
+SessionProxy::SessionProxy(std::unique_ptr<Impl> impl)
+    : m_impl(std::move(impl))
+{
+}
+
+SessionProxy::~SessionProxy() = default;
+
+absl::StatusOr<std::unique_ptr<SessionProxy>> SessionProxy::create(const Endpoint &listen,
+                                                                   const SessionProtocol &protocol,
+                                                                   NodeMetrics &metrics,
+                                                                   const Logger &logger)
+{
+    auto impl = std::make_unique<Impl>(protocol, metrics, logger);
+    const absl::Status status = impl->listen(listen);
+    if (!status.ok())
+        return status;
+    return std::unique_ptr<SessionProxy>(new SessionProxy(std::move(impl)));
+}
+
+void SessionProxy::applyConfig(const ClusterConfig &config,
+                               const std::map<TeamId, std::shared_ptr<TokenBucket>> &buckets,
+                               TimePoint)
+{
+    ProxyState &state = m_impl->m_state;
+    state.config = config;
+    state.teamsByKey.clear();
+    for (const auto &[id, key] : config.keys) {
+        if (key.role == KeyRole::Caller)
+            state.teamsByKey[key.hash] = key.team;
+    }
+    // Sessions of a removed team may still wait for its bucket, so entries are only added.
+    for (const auto &[team, bucket] : buckets) {
+        TeamGate &gate = state.teams[team];
+        if (!gate.bucket)
+            gate = { bucket, state.metrics->team(team) };
+    }
+}
+
+void SessionProxy::applyFleet(const FleetView &fleet, const std::vector<SlotShare> &shares,
+                              TimePoint now)
+{
+    for (const auto &[service, group] : fleet.groups)
+        m_impl->applyGroup(group, shares, now);
+    for (auto &[service, pools] : m_impl->m_state.services) {
+        if (!fleet.groups.contains(service)) {
+            GroupView removed;
+            removed.service = service;
+            m_impl->applyGroup(removed, shares, now);
+        }
+    }
+}
+
+void SessionProxy::setFreshUntil(TimePoint until)
+{
+    m_impl->m_state.freshUntil = until;
+}
+
+void SessionProxy::tick(TimePoint now)
+{
+    m_impl->tick(now);
+}
+
+ProxyReport SessionProxy::report(TimePoint now) const
+{
+    ProxyReport report;
+    for (const auto &[id, service] : m_impl->m_state.services) {
+        for (const auto &[upstream, pool] : service.pools) {
+            if (pool->observed(now))
+                report.reachable[upstream] = pool->load().reachable;
+            report.slots.push_back(pool->demand(now));
+        }
+    }
+    return report;
+}
+
+bool SessionProxy::takeObservationChanged()
+{
+    return std::exchange(m_impl->m_observationChanged, false);
+}
+
+void SessionProxy::startDrain()
+{
+    m_impl->m_state.draining = true;
+    m_impl->m_server.close();
+}
+
+void SessionProxy::abortTransactions(TimePoint now)
+{
+    for (CallerSession &session : m_impl->m_sessions) {
+        if (session.inTransaction())
+            session.abortTransaction(now);
+    }
+}
+
+std::size_t SessionProxy::openTransactions() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_impl->m_sessions.begin(), m_impl->m_sessions.end(),
+                      [](const CallerSession &session) { return session.inTransaction(); }));
+}
+
+std::size_t SessionProxy::openSessions() const
+{
+    return m_impl->m_sessions.size();
+}
+
+} // namespace shallotlever
--- /dev/null
+++ b/src/proxy/proxy_state.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "shallotlever/policy/token_bucket.h"
+#include "shallotlever/proxy/positions.h"
+#include "shallotlever/telemetry/log.h"
+#include "shallotlever/telemetry/node_metrics.h"
+#include "shallotlever/types/config.h"
+#include "upstream_pool.h"
+
+namespace shallotlever {
+
+/// The databases of one service as this node uses them.
+struct ServicePools
+{
+    std::optional<UpstreamId> primary;
+    std::map<UpstreamId, std::shared_ptr<UpstreamPool>> pools;
+    PositionHistory positions;
+
+    std::vector<UpstreamLoad> loads(const TeamId &team) const;
+    std::shared_ptr<UpstreamPool> pool(const UpstreamId &upstream) const;
+};
+
+/// A team's bucket and counters.
+struct TeamGate
+{
+    std::shared_ptr<TokenBucket> bucket;
+    TeamCounters counters;
+};
+
+/// What the sessions of a node share. Owned by the proxy; one thread.
+struct ProxyState
+{
+    const SessionProtocol *protocol = nullptr;
+    NodeMetrics *metrics = nullptr;
+    const Logger *logger = nullptr;
+    LatencyHistogram *answerTime = nullptr;
+    ClusterConfig config;
+    std::map<KeyHash, TeamId> teamsByKey;
+    std::map<TeamId, TeamGate> teams;
+    std::map<ServiceId, ServicePools> services;
+    /// End of the node's freshness lease: past it keys may have been withdrawn and another primary
+    /// may be in office.
+    TimePoint freshUntil;
+    bool draining = false;
+
+    bool fresh(TimePoint now) const { return now < freshUntil; }
+};
+
+} // namespace shallotlever
--- /dev/null
+++ b/src/proxy/session.h
@@ -0,0 +1,160 @@
+#pragma once
+
+#include <deque>
+#include <memory>
+#include <set>
+
+#include "line_socket.h"
+#include "proxy_state.h"
+
+namespace shallotlever {
+
+/// One caller's session: a connection with values, prepared statements and at most one transaction,
+/// independent of the databases that serve it. A session occupies a connection to a database only
+/// while a statement runs or a transaction is open.
+class CallerSession
+{
+public:
+    CallerSession(ProxyState &state, QTcpSocket *socket, TimePoint now);
+    ~CallerSession();
+    CallerSession(const CallerSession &) = delete;
+    CallerSession &operator=(const CallerSession &) = delete;
+
+    /// Acts on what has become due.
+    void tick(TimePoint now);
+    /// Nothing runs and no transaction is open.
+    bool idle() const { return !m_work && !m_transaction; }
+    /// The connection has ended and nothing of the session runs any more.
+    bool finished() const { return m_gone && !m_work; }
+    bool inTransaction() const { return m_transaction.has_value(); }
+    /// Closes an idle session.
+    void close();
+    /// Ends the transaction; the next statement learns of it.
+    void abortTransaction(TimePoint now);
+
+private:
+    enum class Phase : std::uint8_t {
+        /// For a token of the team's rate.
+        AwaitingRate,
+        /// For a database that can serve, or for the pause before a retry.
+        AwaitingUpstream,
+        AwaitingLink,
+        /// The session's values or the transaction are set up on the connection.
+        Preparing,
+        Running,
+    };
+
+    /// The statement being served. A transaction is begun on a database by work of its own.
+    struct Work
+    {
+        Statement statement;
+        Phase phase = Phase::AwaitingUpstream;
+        TimePoint arrivedAt;
+        TimePoint deadline;
+        /// End of the present phase's patience: of the wait for a token, or of an attempt.
+        TimePoint patience;
+        TimePoint retryAt;
+        std::uint32_t attempts = 0;
+        std::set<UpstreamId> excluded;
+        std::optional<HistoryPoint> floor;
+        std::shared_ptr<UpstreamPool> pool;
+        std::uint64_t waiter = 0;
+        std::size_t unansweredSetup = 0;
+        bool setupFailed = false;
+        /// Reason of the last failed attempt.
+        ErrorKind lastFailure = ErrorKind::NoUpstream;
+    };
+
+    struct Transaction
+    {
+        DatabaseConfig database;
+        bool readOnly = false;
+        /// Begun on the database.
+        bool begun = false;
+        /// A statement has run.
+        bool established = false;
+        bool wrote = false;
+        /// The caller has been told of a failure; only its end is accepted.
+        bool failed = false;
+        /// Ended without the caller having been told.
+        bool lost = false;
+        TimePoint activeAt;
+    };
+
+    void onLine(std::string_view line);
+    void onClosed();
+    void onStart(const SessionStart &start, TimePoint now);
+    void onStatement(Statement statement, TimePoint now);
+    void refuseStart(ErrorKind kind);
+
+    // Statements that need no database.
+    bool answerLocally(const Statement &statement, TimePoint now);
+    bool resolvePrepared(const Statement &statement);
+
+    // Operations.
+    void beginOperation(Statement statement, TimePoint now);
+    void takeToken(TimePoint now);
+    void startAdmitted(TimePoint now);
+    void runInTransaction(Statement statement, TimePoint now);
+    void commit(Statement statement, TimePoint now);
+    void rollback(TimePoint now);
+    bool insideRate(TimePoint now) const;
+    std::optional<ErrorKind> unauthorized(TimePoint now) const;
+
+    // Attempts.
+    const DatabaseConfig &database() const;
+    bool writes(const Statement &statement) const;
+    bool needsPrimary() const;
+    std::optional<HistoryPoint> requiredPosition(TimePoint now) const;
+    void place(TimePoint now);
+    void onLink(PooledLink *link, LinkDenial denial);
+    void setUpLink(TimePoint now);
+    void sendValues();
+    void onSetupReply(const UpstreamReply &reply);
+    void beginOnLink(TimePoint now);
+    void run(TimePoint now);
+    std::string statementText();
+    Duration attemptTimeout(TimePoint now) const;
+    void onReply(const UpstreamReply &reply);
+    void onSuccess(const UpstreamReply &reply, TimePoint now);
+    void onError(const UpstreamReply &reply, TimePoint now);
+    void onLost(TimePoint now);
+    void onSilence(TimePoint now);
+    /// The attempt is known not to have run, or may run again.
+    void retry(ErrorKind reason, bool excludeUpstream, TimePoint now);
+    void failUnsent(TimePoint now);
+    void linkLostWhileIdle();
+
+    // Ends.
+    void releaseLink(TimePoint now);
+    void discardLink(TimePoint now);
+    void rollBackLink(TimePoint now);
+    void finishWork();
+    void answer(const std::string &lines);
+    void fail(ErrorKind kind, TimePoint now);
+    TransactionState state() const;
+    void logOutcome(std::string_view event, std::string_view reason, TimePoint now) const;
+
+    ProxyState &m_state;
+    std::unique_ptr<LineSocket> m_socket;
+    bool m_started = false;
+    bool m_gone = false;
+    TimePoint m_openedAt;
+    DatabaseName m_database;
+    KeyHash m_key {};
+    TeamId m_team;
+    SessionValues m_values;
+    std::map<std::string, PreparedStatement> m_prepared;
+    /// The session's last commit.
+    std::optional<HistoryPoint> m_committed;
+    std::optional<Work> m_work;
+    std::optional<Transaction> m_transaction;
+    /// Connection in use, and the pool it belongs to.
+    PooledLink *m_link = nullptr;
+    std::shared_ptr<UpstreamPool> m_linkPool;
+    std::deque<Statement> m_queue;
+    DatabaseConfig m_operation;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace shallotlever
--- /dev/null
+++ b/src/proxy/session_control.cpp
@@ -0,0 +1,159 @@
+#include <memory>
+
+#include <QTimer>
+
+#include "shallotlever/proxy/proxy.h"
+#include "upstream_link.h"
+
+namespace shallotlever {
+
+namespace {
+
+/// Connection for control calls to one database; opened by the first call and after a failure.
+class SessionControl : public std::enable_shared_from_this<SessionControl>
+{
+public:
+    SessionControl(const SessionProtocol &protocol, LinkTarget target)
+        : m_protocol(protocol)
+        , m_target(std::move(target))
+    {
+    }
+
+    void call(std::string text, Duration timeout, StatusCallback callback);
+
+private:
+    struct Call
+    {
+        std::string text;
+        std::shared_ptr<StatusCallback> callback;
+    };
+
+    void open(Duration timeout);
+    void send(const Call &call);
+    void failWaiting(const absl::Status &status);
+    void reset();
+
+    const SessionProtocol &m_protocol;
+    LinkTarget m_target;
+    std::unique_ptr<UpstreamLink> m_link;
+    std::vector<Call> m_waiting;
+};
+
+/// Calls back once; later calls do nothing.
+void finish(const std::shared_ptr<StatusCallback> &callback,
+            const absl::StatusOr<UpstreamStatus> &result)
+{
+    if (const StatusCallback once = std::exchange(*callback, nullptr))
+        once(result);
+}
+
+void SessionControl::call(std::string text, Duration timeout, StatusCallback callback)
+{
+    const Call call { std::move(text), std::make_shared<StatusCallback>(std::move(callback)) };
+    const std::weak_ptr<SessionControl> self = weak_from_this();
+    QTimer::singleShot(std::chrono::duration_cast<std::chrono::milliseconds>(timeout),
+                       [self, pending = call.callback] {
+                           if (!*pending)
+                               return;
+                           // The connection may be dead; the next call opens another.
+                           if (const auto control = self.lock())
+                               control->reset();
+                           finish(pending, absl::DeadlineExceededError("no answer"));
+                       });
+    if (m_link && m_link->isOpen()) {
+        send(call);
+        return;
+    }
+    m_waiting.push_back(call);
+    if (!m_link)
+        open(timeout);
+}
+
+void SessionControl::open(Duration timeout)
+{
+    const std::weak_ptr<SessionControl> self = weak_from_this();
+    UpstreamLink::Callbacks callbacks;
+    callbacks.opened = [self](std::optional<HistoryPoint>, TimePoint) {
+        if (const auto control = self.lock()) {
+            for (const Call &call : std::exchange(control->m_waiting, {}))
+                control->send(call);
+        }
+    };
+    callbacks.failed = [self](LinkFailure, const std::optional<UpstreamError> &) {
+        if (const auto control = self.lock()) {
+            control->failWaiting(absl::UnavailableError("cannot connect"));
+            control->reset();
+        }
+    };
+    callbacks.closed = [self] {
+        if (const auto control = self.lock())
+            control->reset();
+    };
+    m_link = std::make_unique<UpstreamLink>(m_protocol, m_target, timeout, std::move(callbacks));
+}
+
+void SessionControl::send(const Call &call)
+{
+    if (!*call.callback)
+        return;
+    const auto decode = m_protocol.decodeStatus;
+    m_link->send("", call.text, [decode, callback = call.callback](const UpstreamReply &reply) {
+        if (reply.lost) {
+            finish(callback, absl::UnavailableError("connection lost"));
+        } else if (!reply.succeeded()) {
+            finish(callback,
+                   absl::UnavailableError(reply.error ? reply.error->message : "refused"));
+        } else if (const auto status = decode(reply.firstRow)) {
+            finish(callback, *status);
+        } else {
+            finish(callback, absl::InternalError("status not understood"));
+        }
+    });
+}
+
+void SessionControl::failWaiting(const absl::Status &status)
+{
+    for (const Call &call : std::exchange(m_waiting, {}))
+        finish(call.callback, status);
+}
+
+/// Destroys the connection outside of its own callbacks.
+void SessionControl::reset()
+{
+    std::shared_ptr<UpstreamLink> old = std::move(m_link);
+    QTimer::singleShot(0, [old] {});
+}
+
+} // namespace
+
+UpstreamControl makeSessionControl(const SessionProtocol &protocol, const ServiceId &service,
+                                   const UpstreamId &upstream, const Endpoint &endpoint,
+                                   const std::string &user, PromoteFunction promote)
+{
+    const auto control = std::make_shared<SessionControl>(
+        protocol, LinkTarget { service, upstream, endpoint, user });
+    const SessionProtocol *words = &protocol;
+    UpstreamControl calls;
+    calls.status = [control, words](Duration timeout, StatusCallback callback) {
+        control->call(words->systemText(SystemStatement::Status), timeout, std::move(callback));
+    };
+    calls.fence = [control, words](Term term, Duration timeout, StatusCallback callback) {
+        control->call(words->fenceText(term), timeout, std::move(callback));
+    };
+    calls.stepDown = [control, words](Term term, Duration timeout, StatusCallback callback) {
+        control->call(words->stepDownText(term), timeout, std::move(callback));
+    };
+    calls.resume = [control, words](Duration timeout, StatusCallback callback) {
+        control->call(words->systemText(SystemStatement::Resume), timeout, std::move(callback));
+    };
+    calls.promote = [service, upstream, promote = std::move(promote)](Term epoch, Duration,
+                                                                      const StatusCallback &done) {
+        promote(service, upstream, epoch, [done](const absl::Status &status) {
+            done(status.ok() ? absl::StatusOr<UpstreamStatus>(UpstreamStatus {})
+                             : absl::StatusOr<UpstreamStatus>(status));
+        });
+    };
+    return calls;
+}
+
+} // namespace shallotlever
--- /dev/null
+++ b/src/proxy/upstream_link.cpp
@@ -0,0 +1,149 @@
+#include "upstream_link.h"
+
+#include <utility>
+
+#include <QHostAddress>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include "shallotlever/base/clock.h"
+
+namespace shallotlever {
+
+namespace {
+
+/// A peer that acknowledges no bytes for this long is gone, in milliseconds.
+constexpr unsigned kUserTimeoutMs = 3000;
+
+void setUserTimeout(const QTcpSocket &socket)
+{
+    const auto descriptor = static_cast<int>(socket.socketDescriptor());
+    setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMs, sizeof(kUserTimeoutMs));
+}
+
+} // namespace
+
+UpstreamLink::UpstreamLink(const SessionProtocol &protocol, const LinkTarget &target,
+                           Duration openTimeout, Callbacks callbacks)
+    : m_protocol(protocol)
+    , m_target(target)
+    , m_callbacks(std::move(callbacks))
+    , m_startedAt(monotonicNow())
+    , m_socket(new QTcpSocket)
+    , m_lines(std::make_unique<LineSocket>(
+          m_socket,
+          LineSocket::Callbacks { [this](std::string_view line) { onLine(line); },
+                                  [this] { end(); } }))
+{
+    QObject::connect(m_socket, &QTcpSocket::connected, m_socket, [this] { onConnected(); });
+    QObject::connect(&m_openTimer, &QTimer::timeout, &m_openTimer,
+                     [this] { failOpening(LinkFailure::Unreachable, std::nullopt); });
+    m_openTimer.setSingleShot(true);
+    m_openTimer.start(std::chrono::duration_cast<std::chrono::milliseconds>(openTimeout));
+    m_socket->connectToHost(QHostAddress(QString::fromStdString(target.endpoint.host)),
+                            target.endpoint.port);
+}
+
+UpstreamLink::~UpstreamLink() = default;
+
+void UpstreamLink::onConnected()
+{
+    setUserTimeout(*m_socket);
+    m_roundTrip = monotonicNow() - m_startedAt;
+    m_state = State::Starting;
+    m_lines->write(m_protocol.start(m_target.service, m_target.user, m_target.upstream));
+}
+
+void UpstreamLink::send(std::string_view id, std::string_view text, ReplyCallback callback)
+{
+    UpstreamReply reply;
+    reply.sentAt = monotonicNow();
+    if (m_state != State::Open) {
+        reply.lost = true;
+        callback(reply);
+        return;
+    }
+    m_pending.push_back({ std::move(callback), std::move(reply) });
+    m_lines->write(m_protocol.request(id, text));
+}
+
+void UpstreamLink::onLine(std::string_view line)
+{
+    const UpstreamMessage message = m_protocol.decodeUpstream(line);
+    if (m_state == State::Starting)
+        onStartLine(message);
+    else if (m_state == State::Open)
+        onReplyLine(message, line);
+}
+
+void UpstreamLink::onStartLine(const UpstreamMessage &message)
+{
+    if (const auto *ready = std::get_if<UpstreamReady>(&message)) {
+        m_openTimer.stop();
+        m_state = State::Open;
+        m_callbacks.opened(ready->point, m_startedAt);
+    } else if (const auto *error = std::get_if<UpstreamError>(&message)) {
+        failOpening(LinkFailure::Refused, *error);
+    } else {
+        failOpening(LinkFailure::Refused, std::nullopt);
+    }
+}
+
+void UpstreamLink::onReplyLine(const UpstreamMessage &message, std::string_view line)
+{
+    if (m_pending.empty() || std::holds_alternative<UnreadableReply>(message)) {
+        end();
+        return;
+    }
+    UpstreamReply &reply = m_pending.front().reply;
+    if (const auto *ready = std::get_if<UpstreamReady>(&message)) {
+        reply.state = ready->state;
+        reply.point = ready->point;
+        // An answer whose end is missing proves nothing about the request.
+        if (!reply.completed && !reply.error) {
+            end();
+            return;
+        }
+        const Pending answered = std::move(m_pending.front());
+        m_pending.pop_front();
+        answered.callback(answered.reply);
+        return;
+    }
+    if (const auto *error = std::get_if<UpstreamError>(&message))
+        reply.error = *error;
+    reply.completed = reply.completed || std::holds_alternative<UpstreamComplete>(message);
+    const auto *row = std::get_if<UpstreamRow>(&message);
+    if (row != nullptr && reply.firstRow.empty())
+        reply.firstRow = row->fields;
+    reply.lines.append(line).append("\r\n");
+}
+
+void UpstreamLink::failOpening(LinkFailure failure, const std::optional<UpstreamError> &error)
+{
+    m_openTimer.stop();
+    m_state = State::Closed;
+    m_callbacks.failed(failure, error);
+}
+
+void UpstreamLink::end()
+{
+    if (m_state == State::Closed)
+        return;
+    const bool wasOpen = std::exchange(m_state, State::Closed) == State::Open;
+    m_openTimer.stop();
+    const std::weak_ptr<bool> alive = m_alive;
+    for (Pending &pending : std::exchange(m_pending, {})) {
+        pending.reply.lost = true;
+        pending.callback(pending.reply);
+        if (alive.expired())
+            return;
+    }
+    if (wasOpen)
+        m_callbacks.closed();
+    else
+        m_callbacks.failed(LinkFailure::Unreachable, std::nullopt);
+}
+
+} // namespace shallotlever
--- a/src/settings/node_settings.cpp
+++ b/src/settings/node_settings.cpp
@@ -76,6 +76,8 @@
     std::string required(const std::string &flag);
     std::string name(const std::string &flag);
     SocketAddress address(const std::string &flag);
+    std::optional<SocketAddress> optionalAddress(const std::string &flag);
+    std::vector<ControlPeer> seeds(std::uint16_t peerPort);
     std::vector<ControlPeer> peers(const std::string &flag, const std::string &value);
     std::int64_t number(const std::string &flag, std::int64_t preset, std::int64_t low,
                         std::int64_t high);
@@ -126,6 +128,29 @@
     return parsed.value_or(SocketAddress {});
 }
 
+std::optional<SocketAddress> SettingsReader::optionalAddress(const std::string &flag)
+{
+    return isSet(flag) ? std::optional(address(flag)) : std::nullopt;
+}
+
+std::vector<ControlPeer> SettingsReader::seeds(std::uint16_t peerPort)
+{
+    const std::string flag = "--control-seeds";
+    const std::string value = required(flag);
+    std::vector<ControlPeer> members;
+    for (std::size_t start = 0; isSet(flag) && start <= value.size();) {
+        const std::size_t comma = std::min(value.find(',', start), value.size());
+        const std::string entry = value.substr(start, comma - start);
+        start = comma + 1;
+        const auto parsed = parseSocketAddress(entry);
+        if (!parsed)
+            fault(flag, fmt::format("'{}' is not IP:PORT", entry));
+        else
+            members.push_back({ NodeId(parsed->ip), { parsed->ip, peerPort } });
+    }
+    return members;
+}
+
 std::vector<ControlPeer> SettingsReader::peers(const std::string &flag, const std::string &value)
 {
     std::vector<ControlPeer> members;
@@ -284,17 +309,30 @@
     settings.peerListen = address("--peer-listen");
     if (settings.listen.port != 0 && settings.listen == settings.peerListen)
         fault("--peer-listen", "is the same address as --listen");
-    settings.controlMembers = peers("--control-members", required("--control-members"));
+    settings.idsAreAddresses = isSet("--control-seeds");
+    settings.controlMembers = settings.idsAreAddresses
+        ? seeds(settings.peerListen.port)
+        : peers("--control-members", required("--control-members"));
+    settings.mayFound = !settings.idsAreAddresses || isSet("--may-found");
+    settings.sessionListen = optionalAddress("--session-listen");
+    settings.readinessListen = optionalAddress("--readiness-listen");
+    settings.platformListen = optionalAddress("--platform-listen");
+    settings.promotionAddress = optionalAddress("--promotion-address");
     settings.control = isSet("--control");
     settings.dataDir = dataDir(settings.control);
     settings.relay = isSet("--relay");
     settings.relays = peers("--relays", optional("--relays").value_or(""));
     readLimits(settings);
     settings.operatorKeyFile = file("--operator-key-file");
-    settings.sessionSecretFile = sessionSecretFile();
+    if (!settings.idsAreAddresses || isSet("--session-secret-file"))
+        settings.sessionSecretFile = sessionSecretFile();
     settings.httpTls = httpTls();
     settings.peerTls = peerTls();
     settings.logLevel = logLevel();
+    const std::string output = optional("--log-output").value_or("stdout");
+    if (output != "stdout" && output != "stderr")
+        fault("--log-output", fmt::format("'{}' is not stdout or stderr", output));
+    settings.logToStandardError = output == "stderr";
     settings.checkOnly = isSet("--check-settings");
     return settings;
 }
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -1,5 +1,6 @@
 #include "shallotlever/telemetry/log.h"
 
+#include <poll.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -156,6 +157,11 @@
     for (const LogField &field : fields)
         appendField(line, field.key, field.value);
     append(line, "}\n");
+    pollfd output { m_fileDescriptor, POLLOUT, 0 };
+    if (::poll(&output, 1, 0) <= 0) {
+        m_dropped.fetch_add(1, std::memory_order_relaxed);
+        return;
+    }
     // A second call after a partial write could mix lines, so only an interrupted call is repeated.
     while (::write(m_fileDescriptor, line.data(), line.size()) < 0 && errno == EINTR) { }
 }
--- a/testsuite/cluster_fuzz/control_side.cpp
+++ b/testsuite/cluster_fuzz/control_side.cpp
@@ -236,7 +236,7 @@
         if (m_faulty && chance(40))
             return;
         if (at.controller && at.controller->controlTerm == term)
-            onUpstreamAnswer(*at.controller, call, status, askedAt, clockOf(at));
+            onUpstreamAnswer(*at.controller, call, { status, false, false }, askedAt, clockOf(at));
     };
     m_network.emplace(m_now + 1ms + upTo(kStatusTime), std::pair(host.index, run));
 }
--- a/testsuite/experiments/deployment.cpp
+++ b/testsuite/experiments/deployment.cpp
@@ -123,6 +123,8 @@
                            "--operator-key-file=" + path("operator.key"),
                            "--session-secret-file=" + path("session.secret"),
                            "--allow-insecure-peers",
+                           "--log-output",
+                           "stderr",
                            "--drain-notice-ms=1000" };
         if (i < kControlMembers) {
             const QString directory = m_directory.filePath(qt(id));
--- a/testsuite/relay/relay_test.cpp
+++ b/testsuite/relay/relay_test.cpp
@@ -91,6 +91,8 @@
                                              "--operator-key-file",
                                              path("operator"),
                                              "--allow-insecure-peers",
+                                             "--log-output",
+                                             "stderr",
                                              "--edge-threads",
                                              "1",
                                              "--executor-threads",
--- a/testsuite/support/cluster.cpp
+++ b/testsuite/support/cluster.cpp
@@ -138,6 +138,7 @@
     });
     if (!hasTls)
         list.emplace_back("--allow-insecure-peers");
+    list.insert(list.end(), { "--log-output", "stderr" });
     return list;
 }
 
