Read the path of an HTTP call without a query

Cause: left(-1) of a QByteArray is empty, so calls without a query had no path and were answered 404.

--- a/src/edge/http_endpoint.cpp
+++ b/src/edge/http_endpoint.cpp
@@ -32,7 +32,7 @@
 {
     HttpCall call;
     call.method = request.head.method.toStdString();
-    call.path = request.head.target.left(request.head.target.indexOf('?')).toStdString();
+    call.path = request.head.target.split('?').first().toStdString();
     call.body = request.body.toStdString();
     return call;
 }
