Leave out small reductions of the share of a team over its rate

Cause: a team limited to 25 requests a second got 20. Its shares summed to 20.5, since each small reduction counts only once confirmed. What keeps the rest is not found yet. Logs name the teams with refusals every 10 s.

--- a/src/include/shallotlever/proxy/proxy.h
+++ b/src/include/shallotlever/proxy/proxy.h
@@ -48,6 +48,8 @@
     /// Call every 10 ms.
     void tick(TimePoint now);
     ProxyReport report(TimePoint now) const;
+    /// Logs what was admitted and refused, for each team with refusals since the last call.
+    void logTeams();
     /// True once after an upstream became reachable or unreachable.
     bool takeObservationChanged();
 
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -71,6 +71,8 @@
     if (now < m_nextSummary)
         return;
     m_nextSummary = now + kSummaryInterval;
+    if (m_sessions)
+        m_sessions->logTeams();
     const PeerTransportCounters &counters = m_transport->counters();
     m_logger.info("summary",
                   { { "peer_messages_sent", counters.messagesSent },
--- a/src/policy/rate_allocator.cpp
+++ b/src/policy/rate_allocator.cpp
@@ -31,6 +31,8 @@
 constexpr double kDemandAverageSeconds = 2;
 constexpr double kOverRateMargin = 1.25;
 constexpr double kUrgentPart = 0.5;
+/// A share of a team over its rate is not reduced to more than this part of it.
+constexpr double kKeptRatePart = 0.6;
 /// A bucket of less than one token admits nothing.
 constexpr double kLeastUsefulDepth = 1.0;
 
@@ -129,6 +131,17 @@
     return std::min(proportional, needed);
 }
 
+/// The rate to grant. A reduction counts only once the node has confirmed it, so that small ones
+/// would keep a part of the rate from everybody; a team that uses all of its rate would get less.
+double steadyRate(const RateTeam &team, const RateHolding &holding)
+{
+    const double target = rateTarget(team, holding);
+    const double last = holding.entries.empty() ? 0 : holding.entries.back().ratePerSecond;
+    const bool overRate = team.averageDemand > team.ratePerSecond * kOverRateMargin;
+    const bool slightlyLess = target < last && target > last * kKeptRatePart;
+    return overRate && slightlyLess ? last : target;
+}
+
 double floorDepth(const RateTeam &team, std::size_t nodes)
 {
     if (nodes == 0 || nodes > kMaxNodesWithFloor)
@@ -210,7 +223,7 @@
     RateShare share;
     share.team = id;
     share.grant = allocator.nextGrant.value();
-    share.ratePerSecond = std::clamp(available, 0.0, rateTarget(team, holding));
+    share.ratePerSecond = std::clamp(available, 0.0, steadyRate(team, holding));
     const double depth = depthTarget(team, holding, demand, lastDepth, allocator.nodes.size());
     grantDepth(team, holding, demand, depth, lastDepth, share);
     share.teamWithinRate = withinRate(team, now);
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -211,7 +211,7 @@
     for (const auto &[team, bucket] : buckets) {
         TeamGate &gate = state.teams[team];
         if (!gate.bucket)
-            gate = { bucket, state.metrics->team(team) };
+            gate = { bucket, state.metrics->team(team), 0 };
     }
 }
 
@@ -252,6 +252,26 @@
     return report;
 }
 
+void SessionProxy::logTeams()
+{
+    const ProxyState &state = m_impl->m_state;
+    for (auto &[team, gate] : m_impl->m_state.teams) {
+        const std::uint64_t refused = gate.counters.refused->value();
+        const auto config = state.config.teams.find(team);
+        if (refused == std::exchange(gate.refusedLogged, refused)
+            || config == state.config.teams.end())
+            continue;
+        state.logger->info("team_refused",
+                           { { "team", team.value() },
+                             { "rate_per_second", config->second.ratePerSecond },
+                             { "burst", config->second.burst },
+                             { "admitted", gate.counters.admitted->value() },
+                             { "refused", refused },
+                             { "refused_inside_rate",
+                               gate.counters.refusedInsideRate->value() } });
+    }
+}
+
 bool SessionProxy::takeObservationChanged()
 {
     return std::exchange(m_impl->m_observationChanged, false);
--- a/src/proxy/proxy_state.h
+++ b/src/proxy/proxy_state.h
@@ -30,6 +30,7 @@
 {
     std::shared_ptr<TokenBucket> bucket;
     TeamCounters counters;
+    std::uint64_t refusedLogged = 0;
 };
 
 /// What the sessions of a node share. Owned by the proxy; one thread.
