Record node processes, so that a new controller need not wait for unknown leases

Cause: after a restart of everything, callers were refused for 9 s. A new controller waits 4 s for a complete fleet view and 4 s before it grants rates, since it cannot know who holds leases of its predecessor; meanwhile nodes without a lease refused every session at once, and callers spent their retries there. Change: processes are recorded in the control log before their first lease; a new controller ends the wait once each recorded process has reported or been replaced. The first view comes at once if no node has one. Sessions and operations wait for a lease that is expected soon.

--- a/src/config/apply.cpp
+++ b/src/config/apply.cpp
@@ -122,6 +122,15 @@
     return { ChangeOutcome::Accepted, config.version, ChangeId(), std::string() };
 }
 
+ChangeResult apply(ReplicatedState &state, const RecordNode &record, std::int64_t)
+{
+    if (record.incarnation == Incarnation())
+        state.cluster.nodes.erase(record.node);
+    else
+        state.cluster.nodes[record.node] = record.incarnation;
+    return { ChangeOutcome::Accepted, state.cluster.config.version, ChangeId(), std::string() };
+}
+
 } // namespace
 
 ChangeResult applyCommand(ReplicatedState &state, const Command &command, LogIndex index,
--- a/src/config/command_codec.cpp
+++ b/src/config/command_codec.cpp
@@ -163,13 +163,17 @@
     Offset<fbs::OperatorChange> change;
     Offset<fbs::GroupDecision> decision;
     Offset<fbs::Config> install;
+    Offset<fbs::NodeRecord> node;
     if (const auto *c = std::get_if<OperatorChange>(&command.command))
         change = encode(fbb, *c);
     else if (const auto *d = std::get_if<GroupDecision>(&command.command))
         decision = encode(fbb, *d);
     else if (const auto *i = std::get_if<InstallConfig>(&command.command))
         install = encode(fbb, i->content);
-    fbb.Finish(fbs::CreateCommand(fbb, command.wallTimeMs, change, decision, install));
+    else if (const auto *n = std::get_if<RecordNode>(&command.command))
+        node =
+            fbs::CreateNodeRecord(fbb, fbb.CreateString(n->node.value()), n->incarnation.value());
+    fbb.Finish(fbs::CreateCommand(fbb, command.wallTimeMs, change, decision, install, node));
     return finished(fbb);
 }
 
@@ -186,7 +190,7 @@
 int presentParts(const fbs::Command &command)
 {
     return (command.change() != nullptr) + (command.group_decision() != nullptr)
-        + (command.install() != nullptr);
+        + (command.install() != nullptr) + (command.node() != nullptr);
 }
 
 absl::StatusOr<Command> decodeParts(const fbs::Command &command)
@@ -195,6 +199,9 @@
         return decode(*command.change());
     if (command.group_decision() != nullptr)
         return decode(*command.group_decision());
+    if (command.node() != nullptr)
+        return Command(RecordNode { NodeId(text(command.node()->node())),
+                                    Incarnation(command.node()->incarnation()) });
     return decodeInstall(*command.install());
 }
 
--- a/src/config/initial_state.cpp
+++ b/src/config/initial_state.cpp
@@ -31,8 +31,8 @@
 bool operator==(const ReplicatedState &a, const ReplicatedState &b)
 {
     return a.cluster.index == b.cluster.index && a.cluster.config == b.cluster.config
-        && a.cluster.groups == b.cluster.groups && a.history == b.history
-        && a.decisions == b.decisions;
+        && a.cluster.groups == b.cluster.groups && a.cluster.nodes == b.cluster.nodes
+        && a.history == b.history && a.decisions == b.decisions;
 }
 
 ReplicatedState initialState()
--- a/src/config/state_codec.cpp
+++ b/src/config/state_codec.cpp
@@ -96,8 +96,13 @@
     const auto groupsOffset = fbb.CreateVector(groups);
     const auto changes = encode(fbb, state.history);
     const auto decisions = encode(fbb, state.decisions);
+    std::vector<Offset<fbs::NodeRecord>> nodes;
+    for (const auto &[node, incarnation] : state.cluster.nodes)
+        nodes.push_back(
+            fbs::CreateNodeRecord(fbb, fbb.CreateString(node.value()), incarnation.value()));
+    const auto nodesOffset = fbb.CreateVector(nodes);
     fbb.Finish(fbs::CreateState(fbb, state.cluster.index.value(), config, groupsOffset, changes,
-                                decisions));
+                                decisions, nodesOffset));
     return finished(fbb);
 }
 
@@ -118,6 +123,11 @@
             state.cluster.groups.emplace(decoded.service, std::move(decoded));
         }
     }
+    if (root->nodes() != nullptr) {
+        for (const fbs::NodeRecord *node : *root->nodes())
+            state.cluster.nodes.emplace(NodeId(text(node->node())),
+                                        Incarnation(node->incarnation()));
+    }
     if (const absl::Status status = decodeHistory(*root, state.history); !status.ok())
         return status;
     decodeDecisions(*root, state.decisions);
--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -13,6 +13,10 @@
 /// Nodes need up to 1.8 s to find a new controller (kControllerSilence for each of three members);
 /// an upstream renews within 1 s after that, and the node reports it within 0.5 s.
 constexpr Duration kEmptyViewWait = 4s;
+/// The same while no node has reported a view that could be lost.
+constexpr Duration kNoViewWait = 400ms;
+/// A recorded process that holds no lease for this long is forgotten.
+constexpr Duration kForgetNodeAfter = 10s;
 
 /// Nodes act on the decoded configuration; only control members answer reads of the document.
 ClusterConfig withoutDocument(ClusterConfig config)
@@ -47,7 +51,8 @@
     // Before every upstream had time to renew its announcement, the view may lack upstreams that
     // nodes know from the predecessor.
     const bool startedEmpty = controller.takenOver == FleetVersion();
-    if (now < controller.since + (startedEmpty ? kEmptyViewWait : kAnnouncementLease))
+    const Duration emptyWait = controller.viewsReported ? kEmptyViewWait : kNoViewWait;
+    if (now < controller.since + (startedEmpty ? emptyWait : kAnnouncementLease))
         return false;
     if (controller.shownIndex == replicated.cluster.index
         && controller.shownRevision == controller.registry.revision)
@@ -70,10 +75,65 @@
         && report.appliedFleet.controlTerm < controller.controlTerm;
 }
 
+/// Nothing of the predecessor's time is unknown any more.
+void endPredecessorWait(ControllerState &controller, TimePoint now)
+{
+    controller.leases.predecessorUntil = std::min(controller.leases.predecessorUntil, now);
+    controller.rates.grantsFrom = std::min(controller.rates.grantsFrom, now);
+    controller.slots.grantsFrom = std::min(controller.slots.grantsFrom, now);
+}
+
+/// A report of the recorded process tells what it holds; one of a later process tells that the
+/// recorded one has ended.
+void accountForNode(ControllerState &controller, const NodeReport &report, TimePoint now)
+{
+    std::map<NodeId, Incarnation> &unaccounted = controller.records.unaccounted;
+    if (unaccounted.erase(report.node) > 0 && unaccounted.empty())
+        endPredecessorWait(controller, now);
+}
+
+/// Whether the process may get a lease. If not, its record becomes due.
+bool isRecorded(NodeRecords &records, const NodeReport &report, TimePoint now)
+{
+    const auto known = records.known.find(report.node);
+    if (!records.enabled || (known != records.known.end() && known->second == report.incarnation))
+        return true;
+    const auto proposed = records.proposedAt.find(report.node);
+    if (proposed == records.proposedAt.end() || now >= proposed->second + kProposalRetry)
+        records.due[report.node] = { report.node, report.incarnation };
+    return false;
+}
+
+/// A process without a lease for long is forgotten, so that no later controller waits for it.
+void forgetSilentNodes(ControllerState &controller, TimePoint now)
+{
+    NodeRecords &records = controller.records;
+    if (!records.enabled || now < controller.since + kForgetNodeAfter)
+        return;
+    for (const auto &[node, incarnation] : records.known) {
+        const bool holds = controller.leases.holders.contains({ node, incarnation });
+        const auto proposed = records.proposedAt.find(node);
+        if (!holds
+            && (proposed == records.proposedAt.end() || now >= proposed->second + kForgetNodeAfter))
+            records.due[node] = { node, Incarnation() };
+    }
+}
+
+void proposeRecords(ControllerState &controller, ControllerActions &actions, TimePoint now)
+{
+    forgetSilentNodes(controller, now);
+    for (const auto &[node, record] : controller.records.due) {
+        controller.records.proposedAt[node] = now;
+        actions.records.push_back(record);
+    }
+    controller.records.due.clear();
+}
+
 } // namespace
 
 ControllerState makeController(ControlTerm term, const ReplicatedState &replicated,
-                               const FleetLog &ownView, std::uint64_t seed, TimePoint now)
+                               const FleetLog &ownView, std::uint64_t seed, TimePoint now,
+                               bool recordNodes)
 {
     ControllerState controller;
     controller.controlTerm = term;
@@ -94,6 +154,9 @@
     resetConfigLog(controller.configLog, replicated.cluster.config.version,
                    encodeConfig(withoutDocument(replicated.cluster.config)));
     applyTeamConfig(controller.rates, replicated.cluster.config.teams, now);
+    controller.records.enabled = recordNodes;
+    controller.records.known = replicated.cluster.nodes;
+    controller.records.unaccounted = replicated.cluster.nodes;
     return controller;
 }
 
@@ -103,7 +166,10 @@
 {
     controller.logIndex = index;
     notePrimarySet(controller, command, result, now);
-    if (std::holds_alternative<GroupDecision>(command) || result.outcome != ChangeOutcome::Accepted
+    if (std::holds_alternative<RecordNode>(command))
+        controller.records.known = replicated.cluster.nodes;
+    if (std::holds_alternative<GroupDecision>(command)
+        || std::holds_alternative<RecordNode>(command) || result.outcome != ChangeOutcome::Accepted
         || result.version != controller.configLog.version.next())
         return;
     appendConfigChange(controller.configLog, encodeCommand({ withoutDocument(command), 0 }),
@@ -124,6 +190,10 @@
     const LeaseSource source { controller.controlTerm, controller.logIndex, &controller.configLog,
                                &controller.fleetLog };
     for (const NodeReport *single : flattenReport(report)) {
+        controller.viewsReported |= single->appliedFleet != FleetVersion();
+        accountForNode(controller, *single, now);
+        if (!isRecorded(controller.records, *single, now))
+            continue;
         const ReportResult result = applyReport(controller.registry, *single, now);
         if (!grantLease(controller.leases, *single, now))
             continue;
@@ -159,6 +229,7 @@
     expireLeases(controller.leases, now);
     expireRateLeases(controller.rates, now);
     expireSlotLeases(controller.slots, now);
+    proposeRecords(controller, actions, now);
     actions.upstreamStates = advanceRegistry(controller.registry, now);
     AnnouncedUpstreams announced = announcedUpstreams(controller.registry);
     for (const auto &[service, config] : replicated.cluster.config.services)
--- a/src/include/shallotlever/controller/controller.h
+++ b/src/include/shallotlever/controller/controller.h
@@ -47,6 +47,8 @@
 
 struct ControllerActions
 {
+    /// To be proposed; the nodes get leases once they are applied.
+    std::vector<RecordNode> records;
     std::vector<UpstreamCall> calls;
     std::vector<GroupDecision> proposals;
     std::vector<PrimaryChanged> changes;
@@ -93,6 +95,20 @@
     TimePoint primarySince;
 };
 
+/// Records of the processes that may hold leases. A new controller so knows when it has heard from
+/// each process that may hold a lease of its predecessor, and need not wait for leases to run out.
+struct NodeRecords
+{
+    bool enabled = false;
+    /// As committed.
+    std::map<NodeId, Incarnation> known;
+    /// Processes of the predecessor's time that have neither reported nor been replaced.
+    std::map<NodeId, Incarnation> unaccounted;
+    /// Waiting to be proposed, and when the last proposal for a node was made.
+    std::map<NodeId, RecordNode> due;
+    std::map<NodeId, TimePoint> proposedAt;
+};
+
 struct ControllerState
 {
     ControlTerm controlTerm;
@@ -111,6 +127,9 @@
     std::map<NodeId, NodeShares> shares;
     std::uint64_t lastShareVersion = 0;
     LogIndex logIndex;
+    NodeRecords records;
+    /// A node has reported a fleet view of a predecessor.
+    bool viewsReported = false;
     /// State that the published fleet view shows.
     std::uint64_t shownRevision = 0;
     std::optional<LogIndex> shownIndex;
@@ -118,8 +137,10 @@
 
 /// Takes office. `ownView` is the fleet log of the controller's own node, so that the fleet view
 /// continues. Call only once the member holds the leader lease.
+/// With `recordNodes`, nodes get leases only once they are recorded in the log.
 ControllerState makeController(ControlTerm term, const ReplicatedState &replicated,
-                               const FleetLog &ownView, std::uint64_t seed, TimePoint now);
+                               const FleetLog &ownView, std::uint64_t seed, TimePoint now,
+                               bool recordNodes = false);
 
 /// A command was applied to `replicated`.
 void onCommandApplied(ControllerState &controller, const ReplicatedState &replicated,
--- a/src/include/shallotlever/types/config.h
+++ b/src/include/shallotlever/types/config.h
@@ -259,8 +259,17 @@
 
 using GroupDecision = std::variant<JoinVotingSet, LeaveVotingSet, ReserveTerm, SetPrimary>;
 
+/// A node process is about to get leases, or, with incarnation 0, has had none for long. A new
+/// controller so knows every process that may hold a lease of its predecessor.
+struct RecordNode
+{
+    NodeId node;
+    Incarnation incarnation;
+    friend bool operator==(const RecordNode &, const RecordNode &) = default;
+};
+
 /// One entry of the control log.
-using Command = std::variant<OperatorChange, GroupDecision, InstallConfig>;
+using Command = std::variant<OperatorChange, GroupDecision, InstallConfig, RecordNode>;
 
 enum class ChangeOutcome : std::uint8_t { Accepted, Conflict, Invalid };
 
@@ -292,6 +301,8 @@
     LogIndex index;
     ClusterConfig config;
     std::map<ServiceId, GroupState> groups;
+    /// Processes that may hold leases, where they are recorded (see RecordNode).
+    std::map<NodeId, Incarnation> nodes;
 };
 
 } // namespace shallotlever
--- a/src/node/controller_shell.cpp
+++ b/src/node/controller_shell.cpp
@@ -37,9 +37,11 @@
 } // namespace
 
 ControllerShell::ControllerShell(ControlGroup &group, const Logger &logger,
-                                 MetricsRegistry &metrics, MakeControl makeControl)
+                                 MetricsRegistry &metrics, MakeControl makeControl,
+                                 bool recordNodes)
     : m_group(group)
     , m_makeControl(std::move(makeControl))
+    , m_recordNodes(recordNodes)
     , m_logger(logger)
     , m_primaryChanges(metrics.counter("shallotlever_primary_changes_total",
                                        "Changes of primary completed by this controller."))
@@ -65,8 +67,8 @@
 void ControllerShell::takeOffice(const FleetLog &ownView, TimePoint now)
 {
     const ControlTerm term = m_group.member().term();
-    m_controller =
-        makeController(term, m_group.state(), ownView, QDateTime::currentMSecsSinceEpoch(), now);
+    m_controller = makeController(term, m_group.state(), ownView,
+                                  QDateTime::currentMSecsSinceEpoch(), now, m_recordNodes);
     m_logger.info("controller_elected", { { "control_term", term.value() } });
 }
 
@@ -98,6 +100,10 @@
         logChange(changed);
     for (const UpstreamCall &upstreamCall : actions.calls)
         call(upstreamCall, now);
+    for (const RecordNode &record : actions.records)
+        m_group.propose(
+            Command(record), QDateTime::currentMSecsSinceEpoch(),
+            [](const absl::StatusOr<ChangeResult> &) {}, now);
     for (const GroupDecision &decision : actions.proposals)
         propose(decision, now);
     answerWaiters(now);
@@ -195,6 +201,8 @@
     if (!m_controller)
         return;
     onCommandApplied(*m_controller, m_group.state(), command, result, index, now);
+    if (const auto *record = std::get_if<RecordNode>(&command))
+        m_recorded.push_back(record->node);
     m_pushDue = true;
     m_advanceDue = true;
 }
@@ -288,9 +296,9 @@
     });
 }
 
-std::vector<NodeId> ControllerShell::leaseHolders() const
+std::vector<NodeId> ControllerShell::leaseHolders()
 {
-    std::vector<NodeId> nodes;
+    std::vector<NodeId> nodes = std::exchange(m_recorded, {});
     if (m_controller) {
         for (const auto &[holder, lease] : m_controller->leases.holders)
             nodes.push_back(holder.first);
--- a/src/node/controller_shell.h
+++ b/src/node/controller_shell.h
@@ -25,7 +25,7 @@
 
     /// `group` and `logger` must outlive the shell.
     ControllerShell(ControlGroup &group, const Logger &logger, MetricsRegistry &metrics,
-                    MakeControl makeControl);
+                    MakeControl makeControl, bool recordNodes);
     ~ControllerShell();
 
     /// Takes or leaves office as the lease demands, and advances the decisions. `ownView` is the
@@ -38,8 +38,8 @@
     void onApplied(const Command &command, const ChangeResult &result, LogIndex index,
                    TimePoint now);
     void forward(const OperatorRequest &request, ForwardCallback callback, TimePoint now);
-    /// Nodes that may hold a lease of this controller.
-    std::vector<NodeId> leaseHolders() const;
+    /// Nodes that hold a lease of this controller or could get their first one.
+    std::vector<NodeId> leaseHolders();
     /// True once after the fleet view or the configuration changed.
     bool takePushDue();
 
@@ -70,6 +70,9 @@
 
     ControlGroup &m_group;
     MakeControl m_makeControl;
+    bool m_recordNodes;
+    /// Nodes that can get leases since the last leaseHolders().
+    std::vector<NodeId> m_recorded;
     const Logger &m_logger;
     Counter &m_primaryChanges;
     LatencyHistogram &m_writeGap;
--- a/src/node/node_start.cpp
+++ b/src/node/node_start.cpp
@@ -168,7 +168,8 @@
         *m_controlGroup, m_logger, m_registry,
         [this](const ServiceId &service, const UpstreamId &upstream, const Endpoint &endpoint) {
             return controlOf(service, upstream, endpoint);
-        });
+        },
+        m_settings.idsAreAddresses);
     return absl::OkStatus();
 }
 
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -74,6 +74,7 @@
     m_state.protocol = &protocol;
     m_state.metrics = &metrics;
     m_state.logger = &logger;
+    m_state.startedAt = monotonicNow();
     m_state.answerTime = &metrics.registry().histogram(
         "shallotlever_statement_seconds", "Time from a statement's arrival to its answer.");
 }
@@ -267,8 +268,7 @@
                              { "burst", config->second.burst },
                              { "admitted", gate.counters.admitted->value() },
                              { "refused", refused },
-                             { "refused_inside_rate",
-                               gate.counters.refusedInsideRate->value() } });
+                             { "refused_inside_rate", gate.counters.refusedInsideRate->value() } });
     }
 }
 
--- a/src/proxy/proxy_state.h
+++ b/src/proxy/proxy_state.h
@@ -33,6 +33,9 @@
     std::uint64_t refusedLogged = 0;
 };
 
+constexpr Duration kFirstLeaseWait = 6s;
+constexpr Duration kLeaseGapWait = 1500ms;
+
 /// What the sessions of a node share. Owned by the proxy; one thread.
 struct ProxyState
 {
@@ -48,7 +51,15 @@
     /// may be in office.
     TimePoint freshUntil;
     bool draining = false;
+    TimePoint startedAt;
 
+    /// A node without a lease that has just started, or lost its lease a moment ago, expects one
+    /// soon: a change of controller takes about that long. Callers are served sooner if they wait
+    /// than if they spend their retries on nodes in the same state.
+    bool expectsLease(TimePoint now) const
+    {
+        return now < startedAt + kFirstLeaseWait || now < freshUntil + kLeaseGapWait;
+    }
     bool fresh(TimePoint now) const { return now < freshUntil; }
 };
 
--- a/src/proxy/session.cpp
+++ b/src/proxy/session.cpp
@@ -13,9 +13,11 @@
 
 /// Longest wait for a rate token while the team is over its rate, and while it is not.
 constexpr Duration kOverRateWait = 150ms;
-constexpr Duration kInsideRateWait = 800ms;
+constexpr Duration kInsideRateWait = 1500ms;
 /// Time to send the first message.
 constexpr Duration kStartTimeout = 5s;
+/// Callers give up a session that is not ready 2 s after its first message.
+constexpr Duration kStartPatience = 1800ms;
 
 } // namespace
 
@@ -52,7 +54,7 @@
         else
             onStatement(std::move(*statement), now);
     } else if (const auto *start = std::get_if<SessionStart>(&message)) {
-        if (m_started)
+        if (m_started || m_starting)
             refuseStart(ErrorKind::MalformedRequest);
         else
             onStart(*start, now);
@@ -101,6 +103,15 @@
 {
     m_database = start.database;
     m_key = hashSecret(start.key);
+    answerStart(now);
+}
+
+void CallerSession::answerStart(TimePoint now)
+{
+    m_starting =
+        !m_state.fresh(now) && m_state.expectsLease(now) && now < m_openedAt + kStartPatience;
+    if (m_starting)
+        return;
     const auto database = m_state.config.databases.find(m_database);
     if (!m_state.fresh(now)) {
         refuseStart(ErrorKind::ConfigStale);
@@ -210,6 +221,20 @@
     m_work->statement = std::move(statement);
     m_work->arrivedAt = now;
     m_work->deadline = now;
+    const auto database = m_state.config.databases.find(m_database);
+    if (!m_state.fresh(now) && m_state.expectsLease(now)) {
+        const bool known = database != m_state.config.databases.end();
+        m_work->deadline = now + (known ? database->second.statementTimeout : kStartPatience);
+        m_work->phase = Phase::AwaitingLease;
+        return;
+    }
+    admit(now);
+}
+
+/// The operation is permitted; it still needs a token.
+void CallerSession::admit(TimePoint now)
+{
+    m_work->phase = Phase::AwaitingUpstream;
     if (const auto refused = unauthorized(now)) {
         fail(*refused, now);
         return;
@@ -220,7 +245,7 @@
         return;
     }
     m_operation = database->second;
-    m_work->deadline = now + m_operation.statementTimeout;
+    m_work->deadline = m_work->arrivedAt + m_operation.statementTimeout;
     const auto gate = m_state.teams.find(m_team);
     if (gate == m_state.teams.end()) {
         startAdmitted(now);
@@ -404,10 +429,16 @@
 
 void CallerSession::tick(TimePoint now)
 {
+    if (m_starting && !m_gone)
+        answerStart(now);
     if (!m_started && !m_gone && now >= m_openedAt + kStartTimeout)
         close();
     if (m_work) {
         switch (m_work->phase) {
+        case Phase::AwaitingLease:
+            if (m_state.fresh(now) || now >= m_work->deadline || !m_state.expectsLease(now))
+                admit(now);
+            return;
         case Phase::AwaitingRate:
             takeToken(now);
             return;
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -34,6 +34,8 @@
 
 private:
     enum class Phase : std::uint8_t {
+        /// For the node's lease.
+        AwaitingLease,
         /// For a token of the team's rate.
         AwaitingRate,
         /// For a database that can serve, or for the pause before a retry.
@@ -86,6 +88,7 @@
     void onStart(const SessionStart &start, TimePoint now);
     void onStatement(Statement statement, TimePoint now);
     void refuseStart(ErrorKind kind);
+    void answerStart(TimePoint now);
 
     // Statements that need no database.
     bool answerLocally(const Statement &statement, TimePoint now);
@@ -93,6 +96,7 @@
 
     // Operations.
     void beginOperation(Statement statement, TimePoint now);
+    void admit(TimePoint now);
     void takeToken(TimePoint now);
     void startAdmitted(TimePoint now);
     void runInTransaction(Statement statement, TimePoint now);
@@ -138,6 +142,8 @@
     ProxyState &m_state;
     std::unique_ptr<LineSocket> m_socket;
     bool m_started = false;
+    /// The session has been asked for and waits for the node's lease.
+    bool m_starting = false;
     bool m_gone = false;
     TimePoint m_openedAt;
     DatabaseName m_database;
