--- a/src/config/apply_test.cpp
+++ b/src/config/apply_test.cpp
@@ -146,5 +146,69 @@
     EXPECT_EQ(decide(ReserveTerm { s, Term(7), "test" }), ChangeOutcome::Invalid);
 }
 
+InstallConfig install(std::uint64_t number, const std::string &service)
+{
+    InstallConfig command;
+    command.content.installed.number = InstallNumber(number);
+    command.content.installed.document = "document " + std::to_string(number);
+    command.content.services[ServiceId(service)] = { ServiceId(service), 30, 1, true };
+    const KeyConfig key { KeyId("caller"), KeyRole::Caller, TeamId("t"), {}, { 1 } };
+    command.content.keys[key.id] = key;
+    return command;
+}
+
+struct InstallCase
+{
+    const char *name;
+    std::uint64_t number;
+    ChangeOutcome outcome;
+    const char *service;
+};
+
+class Install : public testing::TestWithParam<InstallCase>
+{
+};
+
+// Guards against a configuration that takes effect under a number that is held already or lower.
+TEST_P(Install, OnlyAHigherNumberTakesEffect)
+{
+    ReplicatedState state = initialState();
+    applyCommand(state, install(5, "first"), LogIndex(1), 0);
+    const InstallCase &c = GetParam();
+    EXPECT_EQ(applyCommand(state, install(c.number, "second"), LogIndex(2), 0).outcome, c.outcome);
+    EXPECT_TRUE(state.cluster.config.services.contains(ServiceId(c.service)));
+    EXPECT_EQ(state.cluster.config.services.size(), 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Numbers, Install,
+    testing::Values(InstallCase { "Higher", 6, ChangeOutcome::Accepted, "second" },
+                    InstallCase { "Same", 5, ChangeOutcome::Conflict, "first" },
+                    InstallCase { "Lower", 4, ChangeOutcome::Conflict, "first" }),
+    [](const auto &info) { return info.param.name; });
+
+// Guards against callers' keys that outlive the configuration that held them, and against
+// operators who lose theirs by it.
+TEST_F(ApplyTest, InstallingReplacesCallersKeysOnly)
+{
+    m_state.cluster.config.keys[KeyId("old")] = { KeyId("old"), KeyRole::Caller, {}, {}, {} };
+    m_state.cluster.config.keys[KeyId("op")] = { KeyId("op"), KeyRole::Operator, {}, {}, {} };
+    apply(install(1, "s"));
+    const auto &keys = m_state.cluster.config.keys;
+    EXPECT_FALSE(keys.contains(KeyId("old")));
+    EXPECT_TRUE(keys.contains(KeyId("op")));
+    EXPECT_TRUE(keys.contains(KeyId("caller")));
+}
+
+// Guards against a new controller that waits for a process which has been replaced or forgotten.
+TEST_F(ApplyTest, RecordsTheLastProcessOfANode)
+{
+    apply(RecordNode { NodeId("n"), Incarnation(4) });
+    apply(RecordNode { NodeId("n"), Incarnation(5) });
+    EXPECT_EQ(m_state.cluster.nodes.at(NodeId("n")), Incarnation(5));
+    apply(RecordNode { NodeId("n"), Incarnation() });
+    EXPECT_TRUE(m_state.cluster.nodes.empty());
+}
+
 } // namespace
 } // namespace shallotlever
--- a/src/config/codec_test.cpp
+++ b/src/config/codec_test.cpp
@@ -27,6 +27,20 @@
     for (std::size_t i = 0; i < changes.size(); ++i)
         out.emplace_back(
             OperatorChange { ChangeId(std::to_string(i)), ConfigVersion(i), changes[i] });
+    ClusterConfig content;
+    content.installed = { InstallNumber(8), "{}", std::chrono::milliseconds(3000) };
+    content.services[s] = { s, 30, 1, true };
+    content.teams[TeamId("v")] = { TeamId("v"), 5, 5, {} };
+    content.databases[DatabaseName("d")] = { .name = DatabaseName("d"),
+                                             .service = s,
+                                             .consistency = Consistency::ReadYourWrites,
+                                             .statementTimeout = std::chrono::milliseconds(800),
+                                             .latencyObjective = std::chrono::milliseconds(600),
+                                             .maxStaleness = std::chrono::milliseconds(2500),
+                                             .priority = 2,
+                                             .open = true };
+    out.emplace_back(InstallConfig { content });
+    out.emplace_back(RecordNode { NodeId("n"), Incarnation(3) });
     out.emplace_back(GroupDecision(JoinVotingSet { s, u }));
     out.emplace_back(GroupDecision(ReserveTerm { s, Term(4), "why" }));
     out.emplace_back(GroupDecision(SetPrimary { s, Term(4), u }));
--- a/src/control/member_test.cpp
+++ b/src/control/member_test.cpp
@@ -25,6 +25,7 @@
         options.node = NodeId(name);
         options.peers = { NodeId("a"), NodeId("b"), NodeId("c") };
         options.seed = identity;
+        options.acceptsStandbys = m_acceptsStandbys;
         RecoveredState recovered;
         recovered.identity = MemberIdentity(identity);
         m_members[name] = *ControlMember::create(m_now, options, recovered);
@@ -70,6 +71,7 @@
         return "";
     }
 
+    bool m_acceptsStandbys = false;
     TimePoint m_now { 1h };
     std::map<std::string, std::unique_ptr<ControlMember>> m_members;
     std::map<std::string, std::size_t> m_applied;
@@ -145,5 +147,44 @@
     EXPECT_FALSE(m_members.at(leader())->membership().learner);
 }
 
+std::set<std::string> voters(const ControlMember &member)
+{
+    std::set<std::string> names;
+    for (const Member &voter : member.membership().voters)
+        names.insert(voter.node.value());
+    return names;
+}
+
+// Guards against a group that stays without a member whose machine is gone for good.
+TEST_F(Trio, StandbyTakesThePlaceOfAMemberThatIsGone)
+{
+    m_acceptsStandbys = true;
+    m_members.clear();
+    for (const char *name : { "a", "b", "c" })
+        start(name, m_members.size() + 11);
+    runFor(5s);
+    const std::string lost = leader() == "a" ? "b" : "a";
+    m_members.erase(lost);
+    start("d", 20);
+    runFor(15s);
+    std::set<std::string> expected { "a", "b", "c", "d" };
+    expected.erase(lost);
+    ASSERT_NE(leader(), "");
+    EXPECT_EQ(voters(*m_members.at(leader())), expected);
+}
+
+// Guards against a standby that pushes out a member which only restarts.
+TEST_F(Trio, StandbyDoesNotReplaceALiveMember)
+{
+    m_acceptsStandbys = true;
+    m_members.clear();
+    for (const char *name : { "a", "b", "c" })
+        start(name, m_members.size() + 11);
+    start("d", 20);
+    runFor(15s);
+    ASSERT_NE(leader(), "");
+    EXPECT_EQ(voters(*m_members.at(leader())), (std::set<std::string> { "a", "b", "c" }));
+}
+
 } // namespace
 } // namespace shallotlever
--- /dev/null
+++ b/src/controller/controller_test.cpp
@@ -0,0 +1,86 @@
+#include <gtest/gtest.h>
+
+#include "shallotlever/controller/controller.h"
+
+namespace shallotlever {
+namespace {
+
+const TimePoint kStart(100s);
+
+NodeReport report(const char *node, std::uint64_t incarnation, std::uint64_t number)
+{
+    NodeReport r;
+    r.node = NodeId(node);
+    r.incarnation = Incarnation(incarnation);
+    r.number = number;
+    return r;
+}
+
+/// A controller whose predecessor gave leases to processes of the nodes a and b.
+class Records : public testing::Test
+{
+protected:
+    Records()
+    {
+        m_state = initialState();
+        m_state.cluster.nodes = { { NodeId("a"), Incarnation(1) },
+                                  { NodeId("b"), Incarnation(1) } };
+        m_controller = makeController(ControlTerm(2), m_state, FleetLog(), 1, kStart, true);
+    }
+
+    bool leased(const NodeReport &r) { return onNodeReport(m_controller, r, m_now).has_value(); }
+
+    bool waitsForPredecessor() const
+    {
+        return configInForce(m_controller.leases, ConfigVersion(), m_now).waitsForPredecessor;
+    }
+
+    void commitRecords()
+    {
+        const ControllerActions actions = advanceController(m_controller, m_state, m_now);
+        for (const RecordNode &record : actions.records) {
+            const LogIndex index = m_state.cluster.index.next();
+            const ChangeResult result = applyCommand(m_state, record, index, 0);
+            onCommandApplied(m_controller, m_state, record, result, index, m_now);
+        }
+    }
+
+    ReplicatedState m_state;
+    ControllerState m_controller;
+    TimePoint m_now = kStart + 10ms;
+};
+
+// Guards against a lease that a later controller does not know of.
+TEST_F(Records, AProcessGetsALeaseOnlyOnceItIsRecorded)
+{
+    EXPECT_FALSE(leased(report("a", 2, 1)));
+    commitRecords();
+    EXPECT_TRUE(leased(report("a", 2, 2)));
+    EXPECT_EQ(m_state.cluster.nodes.at(NodeId("a")), Incarnation(2));
+}
+
+// Guards against shares granted twice while a process of the predecessor's time is not heard from,
+// and against waiting any longer once all have reported or been replaced.
+TEST_F(Records, TheWaitEndsWhenEveryRecordedProcessIsAccountedFor)
+{
+    EXPECT_TRUE(leased(report("a", 1, 7)));
+    EXPECT_TRUE(waitsForPredecessor());
+    EXPECT_GT(m_controller.rates.grantsFrom, m_now);
+    leased(report("b", 2, 1));
+    EXPECT_FALSE(waitsForPredecessor());
+    EXPECT_LE(m_controller.rates.grantsFrom, m_now);
+    EXPECT_LE(m_controller.slots.grantsFrom, m_now);
+}
+
+// Guards against a wait, at each change of controller, for a node that was removed long ago.
+TEST_F(Records, ANodeWithoutALeaseIsForgotten)
+{
+    m_now = kStart + 11s;
+    leased(report("a", 1, 7));
+    commitRecords();
+    EXPECT_TRUE(m_state.cluster.nodes.contains(NodeId("a")));
+    EXPECT_FALSE(m_state.cluster.nodes.contains(NodeId("b")));
+}
+
+} // namespace
+} // namespace shallotlever
--- a/src/fleet/confirmed_change.cpp
+++ b/src/fleet/confirmed_change.cpp
@@ -139,6 +139,9 @@
 void fenceMembers(ConfirmedChange &change, const ConfirmedInput &input, Actions &actions,
                   TimePoint now)
 {
+    // Status queries that were sent before must not hold up the fences.
+    if (change.fenceTerm == Term())
+        change.sentAt.clear();
     change.fenceTerm = std::max(change.fenceTerm, newestTerm(input).next());
     for (const auto &[id, member] : input.members) {
         if (isFenced(change, input, id, member) || !isDue(change, id, kCallRetry, now))
--- /dev/null
+++ b/src/fleet/confirmed_change_test.cpp
@@ -0,0 +1,267 @@
+#include <gtest/gtest.h>
+
+#include "shallotlever/fleet/confirmed_change.h"
+
+namespace shallotlever {
+namespace {
+
+const ServiceId kService("s");
+const UpstreamId kPrimary("p");
+const TimePoint kStart(100s);
+
+UpstreamStatus status(UpstreamRole role, std::uint64_t position, std::uint64_t fenced = 0)
+{
+    UpstreamStatus s;
+    s.role = role;
+    s.point = { Term(3), LogPosition(position) };
+    s.fencedTerm = Term(fenced);
+    s.newestTerm = Term(3);
+    return s;
+}
+
+ConfirmedInput input()
+{
+    ConfirmedInput in;
+    in.group.service = kService;
+    in.group.primary = kPrimary;
+    in.group.term = in.group.reservedTerm = Term(1);
+    in.confirmingReplicas = 1;
+    return in;
+}
+
+ConfirmedMember member(std::optional<UpstreamStatus> answered,
+                       UpstreamState state = UpstreamState::Live, bool leaving = false)
+{
+    ConfirmedMember m;
+    m.state = state;
+    m.leaving = leaving;
+    m.status = answered;
+    m.statusAskedAt = kStart;
+    return m;
+}
+
+constexpr std::uint64_t kFence = 4;
+const auto kDown = UpstreamState::Suspected;
+
+struct CandidateCase
+{
+    const char *name;
+    std::map<UpstreamId, ConfirmedMember> members;
+    std::uint32_t confirming;
+    std::optional<UpstreamId> expected;
+};
+
+class ConfirmedCandidate : public testing::TestWithParam<CandidateCase>
+{
+};
+
+// Guards against the promotion of a database that may lack an acknowledged commit.
+TEST_P(ConfirmedCandidate, HoldsEveryAcknowledgedCommit)
+{
+    ConfirmedInput in = input();
+    in.members = GetParam().members;
+    in.confirmingReplicas = GetParam().confirming;
+    ConfirmedChange change;
+    change.fenceTerm = Term(kFence);
+    change.phaseSince = kStart;
+    EXPECT_EQ(chooseConfirmedCandidate(change, in), GetParam().expected);
+}
+
+const UpstreamId kA("a");
+const UpstreamId kB("b");
+const auto kReplica = UpstreamRole::Replica;
+
+INSTANTIATE_TEST_SUITE_P(
+    Groups, ConfirmedCandidate,
+    testing::Values(
+        CandidateCase { "LongestOfAllReplicas",
+                        { { kPrimary, member(std::nullopt, kDown) },
+                          { kA, member(status(kReplica, 7, kFence)) },
+                          { kB, member(status(kReplica, 9, kFence)) } },
+                        1,
+                        kB },
+        CandidateCase { "OneReplicaUnknownAndPrimaryUnknown",
+                        { { kPrimary, member(std::nullopt, kDown) },
+                          { kA, member(status(kReplica, 7, kFence)) },
+                          { kB, member(std::nullopt, kDown) } },
+                        1,
+                        std::nullopt },
+        CandidateCase { "OneReplicaUnknownButPrimaryFencedAndReached",
+                        { { kPrimary, member(status(kReplica, 7)) },
+                          { kA, member(status(kReplica, 7, kFence)) },
+                          { kB, member(std::nullopt, kDown) } },
+                        1,
+                        kA },
+        CandidateCase { "OneReplicaUnknownAndPrimaryIsAhead",
+                        { { kPrimary, member(status(kReplica, 8), UpstreamState::Live, true) },
+                          { kA, member(status(kReplica, 7, kFence)) },
+                          { kB, member(std::nullopt, kDown) } },
+                        1,
+                        std::nullopt },
+        CandidateCase { "FenceOfALowerTermDoesNotCount",
+                        { { kPrimary, member(std::nullopt, kDown) },
+                          { kA, member(status(kReplica, 7, kFence - 1)) },
+                          { kB, member(status(kReplica, 6, kFence)) } },
+                        1,
+                        std::nullopt },
+        CandidateCase { "TwoConfirmingReplicasAllowOneUnknown",
+                        { { kPrimary, member(std::nullopt, kDown) },
+                          { kA, member(status(kReplica, 7, kFence)) },
+                          { kB, member(std::nullopt, kDown) } },
+                        2,
+                        kA },
+        CandidateCase { "LeavingReplicaIsNotPromoted",
+                        { { kPrimary, member(std::nullopt, kDown) },
+                          { kA, member(status(kReplica, 7, kFence)) },
+                          { kB, member(status(kReplica, 7, kFence), UpstreamState::Live, true) } },
+                        1,
+                        kA }),
+    [](const auto &info) { return info.param.name; });
+
+template <typename Action>
+const Action *find(const std::vector<ConfirmedAction> &actions)
+{
+    for (const ConfirmedAction &action : actions) {
+        if (const auto *found = std::get_if<Action>(&action))
+            return found;
+    }
+    return nullptr;
+}
+
+/// A group whose primary has failed, with a controller that has reserved epoch 2.
+class ConfirmedFlow : public testing::Test
+{
+protected:
+    ConfirmedFlow()
+    {
+        m_in = input();
+        m_in.members = { { kPrimary, member(status(UpstreamRole::Primary, 9), kDown) },
+                         { kA, member(status(kReplica, 9)) },
+                         { kB, member(status(kReplica, 8)) } };
+    }
+
+    std::vector<ConfirmedAction> step()
+    {
+        m_now += 50ms;
+        return stepConfirmedChange(m_change, m_in, m_now);
+    }
+
+    void reserve()
+    {
+        step();
+        const auto actions = step();
+        ASSERT_NE(find<Propose>(actions), nullptr);
+        m_in.group.reservedTerm = m_in.ownReservedTerm = Term(2);
+        step();
+    }
+
+    void fenceReplicas()
+    {
+        step();
+        for (const auto &[id, position] : { std::pair(kA, 9), std::pair(kB, 8) }) {
+            m_in.members[id].status = status(kReplica, position, kFence);
+            m_in.members[id].statusAskedAt = m_now;
+        }
+    }
+
+    ConfirmedInput m_in;
+    ConfirmedChange m_change;
+    TimePoint m_now = kStart;
+};
+
+// Guards against a second primary while a node may still read from the first.
+TEST_F(ConfirmedFlow, PromotesOnlyOnceEveryNodeHasLetGo)
+{
+    reserve();
+    fenceReplicas();
+    for (int i = 0; i < 20; ++i)
+        EXPECT_EQ(find<Promote>(step()), nullptr);
+    m_in.primaryReleased = true;
+    step();
+    const auto actions = step();
+    const auto *promote = find<Promote>(actions);
+    ASSERT_NE(promote, nullptr);
+    EXPECT_EQ(promote->upstream, kA);
+    EXPECT_EQ(promote->term, Term(2));
+}
+
+// Guards against a primary that is published before it leads, and against a change that hangs if
+// the promoted database has no free slot for a status.
+TEST_F(ConfirmedFlow, PublishesWhenThePromotedDatabaseAnnouncesThatItLeads)
+{
+    reserve();
+    fenceReplicas();
+    m_in.primaryReleased = true;
+    step();
+    step();
+    onPromoteAnswer(m_change, kA, true, m_now);
+    EXPECT_EQ(find<Propose>(step()), nullptr);
+    m_in.members[kA].announcedRole = UpstreamRole::Primary;
+    step();
+    const auto actions = step();
+    const auto *propose = find<Propose>(actions);
+    ASSERT_NE(propose, nullptr);
+    const auto &set = std::get<SetPrimary>(propose->decision);
+    EXPECT_EQ(set.upstream, kA);
+    EXPECT_EQ(set.term, Term(2));
+}
+
+// Guards against repeating a promotion that the platform refuses.
+TEST_F(ConfirmedFlow, TriesAnotherDatabaseUnderANewEpochAfterARefusal)
+{
+    reserve();
+    fenceReplicas();
+    m_in.primaryReleased = true;
+    step();
+    step();
+    onPromoteAnswer(m_change, kA, false, m_now);
+    step();
+    const auto actions = step();
+    const auto *propose = find<Propose>(actions);
+    ASSERT_NE(propose, nullptr);
+    EXPECT_EQ(std::get<ReserveTerm>(propose->decision).term, Term(3));
+}
+
+// Guards against a change of primary for want of statuses: a busy database answers none, which
+// made a healthy primary count as cut off from its replicas.
+TEST_F(ConfirmedFlow, MissingStatusesAreNoSignOfStalledReplication)
+{
+    m_in.members[kPrimary].state = UpstreamState::Live;
+    for (int i = 0; i < 100; ++i) {
+        m_in.members[kPrimary].status->point.position = LogPosition(static_cast<unsigned>(10 + i));
+        m_in.members[kPrimary].statusAskedAt = m_now;
+        step();
+        ASSERT_EQ(m_change.phase, ConfirmedPhase::Idle);
+    }
+}
+
+// Guards against a primary that keeps its office although nothing it writes can be confirmed.
+TEST_F(ConfirmedFlow, ReplacesAPrimaryWhoseReplicasReceiveNothing)
+{
+    m_in.members[kPrimary].state = UpstreamState::Live;
+    for (int i = 0; i < 60; ++i) {
+        m_in.members[kPrimary].status->point.position = LogPosition(20);
+        for (auto &[id, m] : m_in.members)
+            m.statusAskedAt = m_now;
+        step();
+    }
+    EXPECT_NE(m_change.phase, ConfirmedPhase::Idle);
+    EXPECT_EQ(m_change.reason, ChangeReason::Stalled);
+}
+
+// Guards against commits that are cut by a planned change.
+TEST_F(ConfirmedFlow, PlannedChangeFencesOnlyAfterNodesHaveLetGo)
+{
+    m_in.members[kPrimary] = member(status(UpstreamRole::Primary, 9), UpstreamState::Live, true);
+    reserve();
+    for (int i = 0; i < 10; ++i)
+        EXPECT_EQ(find<StepDown>(step()), nullptr);
+    m_in.primaryReleased = true;
+    bool fenced = false;
+    for (int i = 0; i < 5; ++i)
+        fenced = fenced || find<StepDown>(step()) != nullptr;
+    EXPECT_TRUE(fenced);
+}
+
+} // namespace
+} // namespace shallotlever
--- a/src/fleet/registry_test.cpp
+++ b/src/fleet/registry_test.cpp
@@ -142,5 +142,92 @@
     EXPECT_FALSE(observedDown(registry, kDb, TimePoint(100s)));
 }
 
+HeardAnnouncement process(std::uint64_t lifetime, std::uint64_t sequence, bool leaving = false)
+{
+    HeardAnnouncement h = heard("10.0.0.1", leaving);
+    h.announcement.lifetime = Incarnation(lifetime);
+    h.announcement.sequence = sequence;
+    return h;
+}
+
+struct LifetimeCase
+{
+    const char *name;
+    HeardAnnouncement later;
+    AnnouncementVerdict verdict;
+};
+
+class Lifetimes : public testing::TestWithParam<LifetimeCase>
+{
+};
+
+// Guards against a heartbeat that was held up by a partition and takes effect after a later one.
+TEST_P(Lifetimes, OvertakenAnnouncementsCountForNothing)
+{
+    Registry registry;
+    applyAnnouncement(registry, process(7, 5), TimePoint(1s), TimePoint(1s));
+    EXPECT_EQ(applyAnnouncement(registry, GetParam().later, TimePoint(2s), TimePoint(2s)),
+              GetParam().verdict);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Orders, Lifetimes,
+    testing::Values(LifetimeCase { "Next", process(7, 6), AnnouncementVerdict::Accepted },
+                    LifetimeCase { "Repeated", process(7, 5), AnnouncementVerdict::Outdated },
+                    LifetimeCase { "Earlier", process(7, 4), AnnouncementVerdict::Outdated },
+                    LifetimeCase { "NewProcess", process(8, 1), AnnouncementVerdict::Accepted },
+                    LifetimeCase { "OldProcess", process(6, 9), AnnouncementVerdict::Outdated }),
+    [](const auto &info) { return info.param.name; });
+
+// Guards against a database that has ended and is made known again by a late heartbeat, and
+// against a new process of the same id that is kept out by the end of the old one.
+TEST(Farewell, EndsItsLifetimeOnly)
+{
+    Registry registry;
+    applyAnnouncement(registry, process(7, 5, true), TimePoint(1s), TimePoint(1s));
+    HeardAnnouncement farewell = process(7, 0);
+    farewell.announcement.gone = true;
+    EXPECT_EQ(applyAnnouncement(registry, farewell, TimePoint(2s), TimePoint(2s)),
+              AnnouncementVerdict::Accepted);
+    EXPECT_TRUE(registry.entries.empty());
+    EXPECT_EQ(applyAnnouncement(registry, process(7, 6), TimePoint(3s), TimePoint(3s)),
+              AnnouncementVerdict::Outdated);
+    EXPECT_EQ(applyAnnouncement(registry, process(8, 1), TimePoint(4s), TimePoint(4s)),
+              AnnouncementVerdict::Accepted);
+    EXPECT_EQ(registry.entries.size(), 1U);
+}
+
+// Guards against a farewell without a lifetime, which may be late, that removes a live database.
+TEST(Farewell, WithoutALifetimeRemovesOnlyALeavingDatabase)
+{
+    Registry registry;
+    applyAnnouncement(registry, process(7, 5), TimePoint(1s), TimePoint(1s));
+    HeardAnnouncement farewell = process(0, 0);
+    farewell.announcement.gone = true;
+    EXPECT_EQ(applyAnnouncement(registry, farewell, TimePoint(2s), TimePoint(2s)),
+              AnnouncementVerdict::Outdated);
+    applyAnnouncement(registry, process(7, 6, true), TimePoint(3s), TimePoint(3s));
+    EXPECT_EQ(applyAnnouncement(registry, farewell, TimePoint(4s), TimePoint(4s)),
+              AnnouncementVerdict::Accepted);
+}
+
+// Guards against nodes that go on reading from a former primary which still answers: where
+// databases confirm commits themselves, the view names no primary while it is being replaced.
+TEST(FleetState, HidesThePrimaryOfAConfirmingGroupDuringAChange)
+{
+    ClusterState cluster;
+    for (const bool confirms : { false, true }) {
+        ServiceConfig &service = cluster.config.services[ServiceId("s")];
+        service.id = ServiceId("s");
+        service.confirmsCommits = confirms;
+        GroupState &group = cluster.groups[ServiceId("s")];
+        group.primary = kDb;
+        group.term = Term(1);
+        group.reservedTerm = Term(2);
+        const FleetState state = makeFleetState(Registry(), cluster);
+        EXPECT_EQ(state.view.groups.at(ServiceId("s")).primary.has_value(), !confirms);
+    }
+}
+
 } // namespace
 } // namespace shallotlever
--- a/src/include/shallotlever/proxy/placement.h
+++ b/src/include/shallotlever/proxy/placement.h
@@ -31,6 +31,8 @@
 constexpr double kInitialWindow = 8;
 constexpr double kSmallestWindow = 1;
 constexpr double kLargestWindow = 64;
+/// Growth by as many answers as the window is large.
+constexpr double kWindowGrowth = 0.25;
 /// Factor by which a refusal shrinks the window, at most once per interval: refusals of statements
 /// that were sent together are one event.
 constexpr double kWindowShrink = 0.6;
--- a/src/proxy/placement.cpp
+++ b/src/proxy/placement.cpp
@@ -25,7 +25,7 @@
 
 void noteWindowAnswer(SendWindow &window)
 {
-    window.size = std::min(window.size + 1 / window.size, kLargestWindow);
+    window.size = std::min(window.size + kWindowGrowth / window.size, kLargestWindow);
 }
 
 void noteWindowRefusal(SendWindow &window, TimePoint now)
--- a/src/proxy/positions.cpp
+++ b/src/proxy/positions.cpp
@@ -11,7 +11,7 @@
     if (!observations.empty() && askedAt < observations.back().askedAt)
         return;
     // The last one makes way if the one before it is close to the new one.
-    if (observations.size() > 1 && askedAt < (observations.end() - 2)->askedAt + kPositionSpacing)
+    if (observations.size() > 1 && askedAt <= (observations.end() - 2)->askedAt + kPositionSpacing)
         observations.pop_back();
     observations.push_back({ askedAt, point });
     while (observations.front().askedAt + kPositionAge < askedAt)
--- a/src/storage/segmented_log.cpp
+++ b/src/storage/segmented_log.cpp
@@ -92,8 +92,10 @@
         return file.status();
     m_current = *std::move(file);
     m_currentBytes = offset;
+    // The process may have ended between a write and its sync: what was replayed has to be durable
+    // before anything is built on it.
     if (offset == content->size())
-        return absl::OkStatus();
+        return m_current.sync();
     if (absl::Status truncated = m_current.truncate(offset); !truncated.ok())
         return truncated;
     return m_current.sync();
--- /dev/null
+++ b/testsuite/sessions/line_database.cpp
@@ -0,0 +1,112 @@
+#include "line_database.h"
+
+#include <algorithm>
+
+#include <QHostAddress>
+
+namespace shallotlever::support {
+
+LineDatabase::LineDatabase()
+{
+    QObject::connect(&m_server, &QTcpServer::newConnection, &m_server, [this] { accept(); });
+    m_server.listen(QHostAddress::LocalHost);
+}
+
+void LineDatabase::accept()
+{
+    while (QTcpSocket *socket = m_server.nextPendingConnection()) {
+        m_clients[socket].number = ++m_lastConnection;
+        QObject::connect(socket, &QTcpSocket::readyRead, &m_server,
+                         [this, socket] { read(socket); });
+        QObject::connect(socket, &QTcpSocket::disconnected, &m_server,
+                         [this, socket] { m_clients.erase(socket); });
+    }
+}
+
+void LineDatabase::read(QTcpSocket *socket)
+{
+    m_clients[socket].buffer += socket->readAll().toStdString();
+    while (m_clients.contains(socket)) {
+        Client &client = m_clients[socket];
+        const std::size_t end = client.buffer.find("\r\n");
+        if (end == std::string::npos)
+            return;
+        const std::string line = client.buffer.substr(0, end);
+        client.buffer.erase(0, end + 2);
+        handle(socket, client, line);
+    }
+}
+
+void LineDatabase::handle(QTcpSocket *socket, Client &client, const std::string &line)
+{
+    if (line.starts_with("STARTUP ")) {
+        socket->write("READY I 1.100\r\n");
+        return;
+    }
+    const std::size_t id = line.find(' ') + 1;
+    const std::size_t text = line.find(' ', id) + 1;
+    const ReceivedStatement statement { client.number, line.substr(id, text - id - 1),
+                                        line.substr(text) };
+    m_received.push_back(statement);
+    answer(socket, client, statement);
+}
+
+void LineDatabase::answer(QTcpSocket *socket, Client &client, const ReceivedStatement &statement)
+{
+    const Answer instead = m_hook ? m_hook(statement) : Answer {};
+    if (instead.silent)
+        return;
+    if (instead.hangUp) {
+        socket->abort();
+        return;
+    }
+    std::string text = statement.text;
+    if (text.starts_with("WAITLSN "))
+        text = text.substr(text.find(' ', text.find(' ') + 1) + 1);
+    std::string reply;
+    if (!instead.error.empty()) {
+        if (client.state == 'T')
+            client.state = 'E';
+        reply = "ERROR " + instead.error + "\r\n";
+    } else {
+        if (text.starts_with("BEGIN"))
+            client.state = 'T';
+        if (text == "COMMIT" || text == "ROLLBACK")
+            client.state = 'I';
+        if (text == "COMMIT" || text.starts_with("WRITE"))
+            ++m_position;
+        if (text.starts_with("READ"))
+            reply = "DATAROW row-of-" + text.substr(5) + "\r\n";
+        reply += "COMPLETE signature\r\n";
+    }
+    reply += std::string("READY ") + client.state + " 1." + std::to_string(m_position) + "\r\n";
+    socket->write(reply.data(), static_cast<qint64>(reply.size()));
+}
+
+void LineDatabase::hangUpAll()
+{
+    std::vector<QTcpSocket *> sockets;
+    for (const auto &[socket, client] : m_clients)
+        sockets.push_back(socket);
+    for (QTcpSocket *socket : sockets)
+        socket->abort();
+}
+
+std::vector<std::string> LineDatabase::texts() const
+{
+    std::vector<std::string> texts;
+    for (const ReceivedStatement &statement : m_received) {
+        if (statement.id != "-")
+            texts.push_back(statement.text);
+    }
+    return texts;
+}
+
+std::size_t LineDatabase::count(const std::string &text) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_received.begin(), m_received.end(),
+                      [&](const ReceivedStatement &s) { return s.text == text; }));
+}
+
+} // namespace shallotlever::support
