Do not hold back a new controller's views because nodes report its first one

Cause: after a restart of everything, service resumed 4 s after the election. A node that reported the controller's own first view counted as one that knows a predecessor's view, so the next view, with the databases and their connection limits, waited for 4 s. Ruled out: nodes that are not accounted for (all 10 had reported within 1 s), and the wait for the predecessor's leases. The log now tells when a node gains or loses its shares. The test fails without the change.

--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -190,7 +190,8 @@
     const LeaseSource source { controller.controlTerm, controller.logIndex, &controller.configLog,
                                &controller.fleetLog };
     for (const NodeReport *single : flattenReport(report)) {
-        controller.viewsReported |= single->appliedFleet != FleetVersion();
+        controller.viewsReported |= single->appliedFleet != FleetVersion()
+            && single->appliedFleet.controlTerm != controller.controlTerm;
         accountForNode(controller, *single, now);
         if (!isRecorded(controller.records, *single, now))
             continue;
--- a/src/controller/controller_test.cpp
+++ b/src/controller/controller_test.cpp
@@ -72,6 +72,25 @@
     EXPECT_LE(m_controller.slots.grantsFrom, m_now);
 }
 
+// Guards against databases that nodes learn of only seconds after a restart of everything: the
+// first view of a controller is no reason to hold back the next one.
+TEST_F(Records, OwnViewsDoNotDelayTheNextOne)
+{
+    m_state.cluster.config.services[ServiceId("s")].id = ServiceId("s");
+    m_now = kStart + 1s;
+    leased(report("a", 1, 7));
+    EXPECT_TRUE(advanceController(m_controller, m_state, m_now).fleetChanged);
+    NodeReport next = report("a", 1, 8);
+    next.appliedFleet = m_controller.fleetLog.version;
+    HeardAnnouncement heard;
+    heard.announcement.upstream = UpstreamId("db");
+    heard.announcement.service = ServiceId("s");
+    heard.announcement.endpoint = { "10.0.0.1", 5432 };
+    next.announcements.push_back(heard);
+    leased(next);
+    EXPECT_TRUE(advanceController(m_controller, m_state, m_now).fleetChanged);
+}
+
 // Guards against a wait, at each change of controller, for a node that was removed long ago.
 TEST_F(Records, ANodeWithoutALeaseIsForgotten)
 {
--- a/src/node/controller_shell.cpp
+++ b/src/node/controller_shell.cpp
@@ -69,7 +69,9 @@
     const ControlTerm term = m_group.member().term();
     m_controller = makeController(term, m_group.state(), ownView,
                                   QDateTime::currentMSecsSinceEpoch(), now, m_recordNodes);
-    m_logger.info("controller_elected", { { "control_term", term.value() } });
+    m_logger.info("controller_elected",
+                  { { "control_term", term.value() },
+                    { "nodes_unaccounted", m_controller->records.unaccounted.size() } });
 }
 
 void ControllerShell::leaveOffice()
--- a/src/node/node_impl.h
+++ b/src/node/node_impl.h
@@ -107,6 +107,7 @@
     bool applyLease(const NodeLease &lease, TimePoint now);
     void publishSnapshot();
     void publishServiceViews();
+    void logSharesChange(const NodeLease &lease);
     void applyRateShares(TimePoint sharesUntil, TimePoint now);
     std::shared_ptr<ServiceHost> serviceHost(const ServiceId &service);
     TeamEntry teamEntry(const TeamConfig &team);
@@ -141,6 +142,7 @@
     TimePoint m_nextSummary;
     TimePoint m_lastReportSent;
     bool m_fresh = false;
+    bool m_sharesHeld = false;
     TimePoint m_drainStarted;
     DrainPhase m_drainPhase = DrainPhase::None;
     /// Receiver of timers and queued calls from other threads.
--- a/src/node/node_publish.cpp
+++ b/src/node/node_publish.cpp
@@ -34,6 +34,7 @@
         publishSnapshot();
         m_logger.info("config_applied", { { "version", m_view.freshness.appliedConfig.value() } });
     }
+    logSharesChange(lease);
     applyRateShares(result.sharesUntil, now);
     // A node that started after the election of a controller gets its first shares only when the
     // leases of the predecessor have expired. Until then it would refuse each request.
@@ -47,6 +48,26 @@
     return true;
 }
 
+/// A node without shares refuses all work, so gaining and losing them is logged.
+void Node::Impl::logSharesChange(const NodeLease &lease)
+{
+    std::uint64_t connections = 0;
+    for (const SlotShare &share : m_view.slots)
+        connections += share.connections;
+    double rate = 0;
+    for (const RateShare &share : m_view.rates)
+        rate += share.ratePerSecond;
+    const bool held = connections > 0 && rate > 0;
+    if (held == m_sharesHeld)
+        return;
+    m_sharesHeld = held;
+    m_logger.info(held ? "shares_gained" : "shares_lost",
+                  { { "connections", connections },
+                    { "rate_per_second", rate },
+                    { "renewed_only", lease.sharesRenewed },
+                    { "control_term", lease.controlTerm.value() } });
+}
+
 void Node::Impl::applyRateShares(TimePoint sharesUntil, TimePoint now)
 {
     for (const RateShare &share : m_view.rates) {
