Fill a new controller's pools from the time since which nothing was spent

Cause: in the second after a restart of everything up to 1,900 attempts were refused as rate_limited.

--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -76,10 +76,12 @@
 }
 
 /// Nothing of the predecessor's time is unknown any more.
-void endPredecessorWait(ControllerState &controller, TimePoint now)
+void endControllerWait(ControllerState &controller, TimePoint now)
 {
     controller.leases.predecessorUntil = std::min(controller.leases.predecessorUntil, now);
-    controller.rates.grantsFrom = std::min(controller.rates.grantsFrom, now);
+    // Processes that were replaced by later ones have spent nothing in this controller's time.
+    const TimePoint unspentSince = controller.records.survivors ? now : controller.since;
+    endPredecessorWait(controller.rates, unspentSince, now);
     controller.slots.grantsFrom = std::min(controller.slots.grantsFrom, now);
 }
 
@@ -88,8 +90,11 @@
 void accountForNode(ControllerState &controller, const NodeReport &report, TimePoint now)
 {
     std::map<NodeId, Incarnation> &unaccounted = controller.records.unaccounted;
+    const auto recorded = unaccounted.find(report.node);
+    controller.records.survivors |=
+        recorded != unaccounted.end() && recorded->second == report.incarnation;
     if (unaccounted.erase(report.node) > 0 && unaccounted.empty())
-        endPredecessorWait(controller, now);
+        endControllerWait(controller, now);
 }
 
 /// Whether the process may get a lease. If not, its record becomes due.
--- a/src/controller/controller_test.cpp
+++ b/src/controller/controller_test.cpp
@@ -72,6 +72,39 @@
     EXPECT_LE(m_controller.slots.grantsFrom, m_now);
 }
 
+struct PoolCase
+{
+    const char *name;
+    std::uint64_t incarnation;
+    double least;
+    double most;
+};
+
+class Pool : public Records, public testing::WithParamInterface<PoolCase>
+{
+};
+
+// Guards against callers refused after a restart of everything, when no token has been spent for
+// long, and against tokens granted twice if a process survived.
+TEST_P(Pool, FillsFromTheTimeSinceWhichNothingWasSpent)
+{
+    m_state.cluster.config.teams[TeamId("t")] = { TeamId("t"), 100, 100, {} };
+    m_controller = makeController(ControlTerm(2), m_state, FleetLog(), 1, kStart, true);
+    m_now = kStart + 500ms;
+    leased(report("a", GetParam().incarnation, 1));
+    leased(report("b", 2, 1));
+    commitRecords();
+    leased(report("a", GetParam().incarnation, 2));
+    const double pool = m_controller.rates.teams.at(TeamId("t")).pool;
+    EXPECT_GE(pool, GetParam().least);
+    EXPECT_LE(pool, GetParam().most);
+}
+
+INSTANTIATE_TEST_SUITE_P(Processes, Pool,
+                         testing::Values(PoolCase { "AllReplaced", 2, 25, 50 },
+                                         PoolCase { "OneSurvived", 1, 0, 0 }),
+                         [](const auto &info) { return info.param.name; });
+
 // Guards against databases that nodes learn of only seconds after a restart of everything: the
 // first view of a controller is no reason to hold back the next one.
 TEST_F(Records, OwnViewsDoNotDelayTheNextOne)
--- a/src/include/shallotlever/controller/controller.h
+++ b/src/include/shallotlever/controller/controller.h
@@ -104,6 +104,8 @@
     std::map<NodeId, Incarnation> known;
     /// Processes of the predecessor's time that have neither reported nor been replaced.
     std::map<NodeId, Incarnation> unaccounted;
+    /// One of them has reported itself, so that it may have spent tokens until then.
+    bool survivors = false;
     /// Waiting to be proposed, and when the last proposal for a node was made.
     std::map<NodeId, RecordNode> due;
     std::map<NodeId, TimePoint> proposedAt;
--- a/src/include/shallotlever/policy/rate_allocator.h
+++ b/src/include/shallotlever/policy/rate_allocator.h
@@ -111,6 +111,10 @@
 RateAllocator makeRateAllocator(ControlTerm term, TimePoint predecessorGone,
                                 RateAllocatorFaults faults = {});
 
+/// Shares can be granted from `now`, earlier than planned: nothing granted by the predecessor is
+/// unknown any more. No token has been spent since `unspentSince`, so the pools fill from then on.
+void endPredecessorWait(RateAllocator &allocator, TimePoint unspentSince, TimePoint now);
+
 /// Takes over teams and limits of a new configuration. Lowered limits bind at the latest when the
 /// leases in force have expired.
 void applyTeamConfig(RateAllocator &allocator, const std::map<TeamId, TeamConfig> &teams,
--- a/src/policy/rate_allocator.cpp
+++ b/src/policy/rate_allocator.cpp
@@ -329,6 +329,13 @@
     return allocator;
 }
 
+void endPredecessorWait(RateAllocator &allocator, TimePoint unspentSince, TimePoint now)
+{
+    allocator.grantsFrom = std::min(allocator.grantsFrom, now);
+    for (auto &[id, team] : allocator.teams)
+        team.poolAt = std::min(team.poolAt, unspentSince);
+}
+
 void applyTeamConfig(RateAllocator &allocator, const std::map<TeamId, TeamConfig> &teams,
                      TimePoint now)
 {
