Publish a new controller's first view early only if nobody can have another

Cause: a controller that started without a view published its own after 400 ms unless a node had reported one by then. A node that reported later lost every database of a service, until they were announced again.

--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -13,7 +13,7 @@
 /// Nodes need up to 1.8 s to find a new controller (kControllerSilence for each of three members);
 /// an upstream renews within 1 s after that, and the node reports it within 0.5 s.
 constexpr Duration kEmptyViewWait = 4s;
-/// The same while no node has reported a view that could be lost.
+/// The same once every process that may have a view has reported that it has none.
 constexpr Duration kNoViewWait = 400ms;
 /// A recorded process that holds no lease for this long is forgotten.
 constexpr Duration kForgetNodeAfter = 10s;
@@ -51,7 +51,9 @@
     // Before every upstream had time to renew its announcement, the view may lack upstreams that
     // nodes know from the predecessor.
     const bool startedEmpty = controller.takenOver == FleetVersion();
-    const Duration emptyWait = controller.viewsReported ? kEmptyViewWait : kNoViewWait;
+    const bool nobodyHasView = controller.records.enabled && controller.records.unaccounted.empty()
+        && !controller.viewsReported;
+    const Duration emptyWait = nobodyHasView ? kNoViewWait : kEmptyViewWait;
     if (now < controller.since + (startedEmpty ? emptyWait : kAnnouncementLease))
         return false;
     if (controller.shownIndex == replicated.cluster.index
--- a/src/controller/controller_test.cpp
+++ b/src/controller/controller_test.cpp
@@ -105,13 +105,17 @@
                                          PoolCase { "OneSurvived", 1, 0, 0 }),
                          [](const auto &info) { return info.param.name; });
 
-// Guards against databases that nodes learn of only seconds after a restart of everything: the
+// Guards against databases that a node loses to the view of a controller which knows none yet, and
+// against databases that nodes learn of only seconds after a restart of everything: the
 // first view of a controller is no reason to hold back the next one.
 TEST_F(Records, OwnViewsDoNotDelayTheNextOne)
 {
     m_state.cluster.config.services[ServiceId("s")].id = ServiceId("s");
     m_now = kStart + 1s;
     leased(report("a", 1, 7));
+    // The process on b may have a view that must not be lost.
+    EXPECT_FALSE(advanceController(m_controller, m_state, m_now).fleetChanged);
+    leased(report("b", 1, 7));
     EXPECT_TRUE(advanceController(m_controller, m_state, m_now).fleetChanged);
     NodeReport next = report("a", 1, 8);
     next.appliedFleet = m_controller.fleetLog.version;
