Tell the truth about reads that may have run, and count every refusal and retry

Found by reading the change as a newcomer. - A read that was lost after it was sent, and for which no time was left, was answered BUSY, a promise that nothing ran. It is now in doubt (sessions_test: ReadThatMayHaveRunIsInDoubt). - All retries of sessions were counted as connect_failed; they have reasons of their own now, four of them new. Refusals by the session's state were not counted, refused configurations and registrations and failed fences and promotions left no line. - A rollback that a suspended database does not answer kept its connection for good. Tries of an unreachable database could overlap. A late timeout of a control call closed a newer connection. - A caller that sends without reading answers could fill the memory. - Lines about single requests are bounded per second. - The test of a repeated read could not fail: the read went to the database that does not hang up.

--- a/src/base/retry_reason.cpp
+++ b/src/base/retry_reason.cpp
@@ -20,6 +20,10 @@
     // Conflicts are with other transactions on the same primary.
     RetryReasonRow { RetryReason::SerializationConflict, "serialization_conflict", true, false },
     RetryReasonRow { RetryReason::Deadlock, "deadlock", true, false },
+    RetryReasonRow { RetryReason::NoSlot, "no_slot", true, true },
+    RetryReasonRow { RetryReason::ConnectionWait, "connection_wait", true, true },
+    RetryReasonRow { RetryReason::ReadFailed, "read_failed", false, true },
+    RetryReasonRow { RetryReason::PreparedUnknown, "prepared_unknown", true, false },
     RetryReasonRow { RetryReason::IdempotentRepeat, "idempotent_repeat", false, false },
 };
 
--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -78,7 +78,7 @@
 }
 
 /// Nothing of the predecessor's time is unknown any more.
-void endControllerWait(ControllerState &controller, TimePoint now)
+void endPredecessorWaits(ControllerState &controller, TimePoint now)
 {
     controller.leases.predecessorUntil = std::min(controller.leases.predecessorUntil, now);
     // Processes that were replaced by later ones have spent nothing in this controller's time.
@@ -96,7 +96,7 @@
     controller.records.survivors |=
         recorded != unaccounted.end() && recorded->second == report.incarnation;
     if (unaccounted.erase(report.node) > 0 && unaccounted.empty())
-        endControllerWait(controller, now);
+        endPredecessorWaits(controller, now);
 }
 
 /// Whether the process may get a lease. If not, its record becomes due.
--- a/src/fleet/confirmed_change.cpp
+++ b/src/fleet/confirmed_change.cpp
@@ -350,6 +350,7 @@
             bestPoint = member.status->point;
         }
     }
+    // Without confirming replicas no commit is certain to be elsewhere; then every replica counts.
     const bool onFenced = unfenced < std::max<std::uint32_t>(input.confirmingReplicas, 1);
     const bool reachesEnd = primaryEnd && bestPoint >= *primaryEnd;
     return best && (onFenced || reachesEnd) ? best : std::nullopt;
--- a/src/fleet/primary_change.cpp
+++ b/src/fleet/primary_change.cpp
@@ -316,6 +316,23 @@
     return "none";
 }
 
+std::string_view callKindName(CallKind kind)
+{
+    switch (kind) {
+    case CallKind::Status:
+        return "status";
+    case CallKind::Fence:
+        return "fence";
+    case CallKind::Promote:
+        return "promote";
+    case CallKind::StepDown:
+        return "step_down";
+    case CallKind::Resume:
+        return "resume";
+    }
+    return "status";
+}
+
 ChangeReason changeDue(const ChangeInput &input)
 {
     const GroupState &group = input.group;
--- a/src/include/shallotlever/base/retry_reason.h
+++ b/src/include/shallotlever/base/retry_reason.h
@@ -31,6 +31,14 @@
     /// The database rolled back the transaction because of a conflict.
     SerializationConflict,
     Deadlock,
+    /// The database had no free slot.
+    NoSlot,
+    /// No connection to the database became free in time.
+    ConnectionWait,
+    /// The database answered that the read ran and failed.
+    ReadFailed,
+    /// The connection did not know the prepared statement.
+    PreparedUnknown,
     /// The outcome of a write with an idempotency key was unknown, so the record is looked up.
     IdempotentRepeat,
 };
--- a/src/include/shallotlever/fleet/primary_change.h
+++ b/src/include/shallotlever/fleet/primary_change.h
@@ -158,6 +158,7 @@
 
 /// StepDown and Resume are for groups that confirm commits themselves.
 enum class CallKind : std::uint8_t { Status, Fence, Promote, StepDown, Resume };
+std::string_view callKindName(CallKind kind);
 
 /// Answer to a call; `status` is empty if the call failed or was refused.
 struct CallAnswer
--- a/src/include/shallotlever/node/node.h
+++ b/src/include/shallotlever/node/node.h
@@ -33,6 +33,9 @@
     /// Takes an announcement; false if this node cannot pass it on to the controller at present.
     bool announce(const Announcement &announcement);
 
+    /// Counts and logs a call of the platform that was refused before it reached the node.
+    void noteRefusal(ErrorKind kind, std::string_view subject, const std::string &reason);
+
     /// Starts the graceful stop; the application's event loop ends with status 0 when it is done,
     /// and with status 3 if the drain limit cut requests short. A second call ends it at once.
     void shutDown();
--- a/src/include/shallotlever/proxy/proxy.h
+++ b/src/include/shallotlever/proxy/proxy.h
@@ -40,7 +40,7 @@
     SessionProxy &operator=(const SessionProxy &) = delete;
 
     void applyConfig(const ClusterConfig &config,
-                     const std::map<TeamId, std::shared_ptr<TokenBucket>> &buckets, TimePoint now);
+                     const std::map<TeamId, std::shared_ptr<TokenBucket>> &buckets);
     /// `shares` are the connections leased to this node.
     void applyFleet(const FleetView &fleet, const std::vector<SlotShare> &shares, TimePoint now);
     /// End of the node's freshness lease.
@@ -50,6 +50,8 @@
     ProxyReport report(TimePoint now) const;
     /// Logs what was admitted and refused, for each team with refusals since the last call.
     void logTeams();
+    /// Lines about single requests that were left out to bound the log.
+    std::uint64_t suppressedLines() const;
     /// True once after an upstream became reachable or unreachable.
     bool takeObservationChanged();
 
--- a/src/node/controller_shell.cpp
+++ b/src/node/controller_shell.cpp
@@ -102,6 +102,7 @@
         logChange(changed);
     for (const UpstreamCall &upstreamCall : actions.calls)
         call(upstreamCall, now);
+    // A proposal that is lost is due again with a later report of the node.
     for (const RecordNode &record : actions.records)
         m_group.propose(
             Command(record), QDateTime::currentMSecsSinceEpoch(),
@@ -128,6 +129,8 @@
                                      term](absl::StatusOr<UpstreamStatus> status) {
         if (alive.expired() || !m_controller || m_controller->controlTerm != term)
             return;
+        if (!status.ok() && call.kind != CallKind::Status)
+            logFailedCall(call, status.status());
         onUpstreamAnswer(*m_controller, call, upstreamAnswer(call, status), now, monotonicNow());
         m_advanceDue = true;
     };
@@ -155,6 +158,17 @@
     }
 }
 
+/// Status queries fail often, without a consequence of their own; other calls decide a change.
+void ControllerShell::logFailedCall(const UpstreamCall &call, const absl::Status &status) const
+{
+    m_logger.warning("upstream_call_failed",
+                     { { "service", call.service.value() },
+                       { "upstream", call.upstream.value() },
+                       { "call", callKindName(call.kind) },
+                       { "term", call.term.value() },
+                       { "error", std::string(status.message()) } });
+}
+
 void ControllerShell::propose(const GroupDecision &decision, TimePoint now)
 {
     const ControlTerm term = m_controller->controlTerm;
@@ -298,7 +312,7 @@
     });
 }
 
-std::vector<NodeId> ControllerShell::leaseHolders()
+std::vector<NodeId> ControllerShell::takeReportTargets()
 {
     std::vector<NodeId> nodes = std::exchange(m_recorded, {});
     if (m_controller) {
--- a/src/node/controller_shell.h
+++ b/src/node/controller_shell.h
@@ -38,8 +38,9 @@
     void onApplied(const Command &command, const ChangeResult &result, LogIndex index,
                    TimePoint now);
     void forward(const OperatorRequest &request, ForwardCallback callback, TimePoint now);
-    /// Nodes that hold a lease of this controller or could get their first one.
-    std::vector<NodeId> leaseHolders();
+    /// Nodes to ask for a report: holders of a lease, and those that can get their first one since
+    /// the last call.
+    std::vector<NodeId> takeReportTargets();
     /// True once after the fleet view or the configuration changed.
     bool takePushDue();
 
@@ -62,6 +63,7 @@
     void call(const UpstreamCall &call, TimePoint now);
     UpstreamControl &controlOf(const UpstreamCall &call);
     void propose(const GroupDecision &decision, TimePoint now);
+    void logFailedCall(const UpstreamCall &call, const absl::Status &status) const;
     void logChange(const PrimaryChanged &changed) const;
     void proposeInstall(const InstallRequest &request, ForwardCallback callback, TimePoint now);
     void proposeChange(const ChangeRequest &request, ForwardCallback callback, TimePoint now);
@@ -71,7 +73,7 @@
     ControlGroup &m_group;
     MakeControl m_makeControl;
     bool m_recordNodes;
-    /// Nodes that can get leases since the last leaseHolders().
+    /// Nodes that can get leases since the last takeReportTargets().
     std::vector<NodeId> m_recorded;
     const Logger &m_logger;
     Counter &m_primaryChanges;
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -80,12 +80,13 @@
                     { "peer_messages_dropped", counters.messagesDropped },
                     { "reports_sent", m_view.freshness.lastReport },
                     { "sessions", m_sessions ? m_sessions->openSessions() : 0 },
+                    { "request_lines_left_out", m_sessions ? m_sessions->suppressedLines() : 0 },
                     { "log_lines_dropped", m_logger.dropped() } });
 }
 
 void Node::Impl::requestReports()
 {
-    for (const NodeId &node : m_controller->leaseHolders()) {
+    for (const NodeId &node : m_controller->takeReportTargets()) {
         if (node != m_settings.nodeId)
             m_transport->send(node, MessageType::ReportRequest, 0, {});
     }
@@ -308,6 +309,14 @@
     return isFresh(m_view.freshness, now);
 }
 
+void Node::Impl::noteRefusal(ErrorKind kind, std::string_view subject, const std::string &reason)
+{
+    m_metrics.refusal(kind).increment();
+    m_logger.warning(
+        "call_refused",
+        { { "subject", subject }, { "reason", errorRow(kind).name }, { "error", reason } });
+}
+
 void Node::Impl::learnMember(const NodeId &member)
 {
     const bool address = parseSocketAddress(member.value() + ":1").has_value();
@@ -351,7 +360,6 @@
         return;
     }
     const std::uint64_t id = ++m_lastRequest;
-    // Of a control member that does not lead, only its own leader is asked.
     if (!m_transport->send(currentController(m_controllerLink), MessageType::Forward, id,
                            encodeOperatorRequest(request))) {
         respond(Error { ErrorKind::NoController, {}, std::nullopt });
--- a/src/node/node_impl.h
+++ b/src/node/node_impl.h
@@ -38,6 +38,7 @@
     bool ready() const;
     void forwardRequest(const OperatorRequest &request, EdgeResponder respond, TimePoint now);
     bool takeAnnouncement(const Announcement &announcement);
+    void noteRefusal(ErrorKind kind, std::string_view subject, const std::string &reason);
 
 private:
     enum class DrainPhase {
--- a/src/node/node_publish.cpp
+++ b/src/node/node_publish.cpp
@@ -99,7 +99,7 @@
         snapshot->policy = preset->second.policy;
     m_shared.snapshot.publish(std::move(snapshot));
     if (m_sessions)
-        m_sessions->applyConfig(config, m_buckets, monotonicNow());
+        m_sessions->applyConfig(config, m_buckets);
 }
 
 TeamEntry Node::Impl::teamEntry(const TeamConfig &team)
--- a/src/node/node_start.cpp
+++ b/src/node/node_start.cpp
@@ -277,6 +277,11 @@
     return m_impl->takeAnnouncement(announcement);
 }
 
+void Node::noteRefusal(ErrorKind kind, std::string_view subject, const std::string &reason)
+{
+    m_impl->noteRefusal(kind, subject, reason);
+}
+
 void Node::shutDown()
 {
     m_impl->shutDown();
--- a/src/policy/read_fuzz_test.cpp
+++ b/src/policy/read_fuzz_test.cpp
@@ -211,7 +211,8 @@
         const RetryDecision decision = decideRetry(q, budget, policy, now, random);
         retries += decision.retry ? 1 : 0;
         const bool mayHaveRun = q.reason == RetryReason::ReadConnectionLost
-            || q.reason == RetryReason::ReadTimedOut || q.reason == RetryReason::IdempotentRepeat;
+            || q.reason == RetryReason::ReadTimedOut || q.reason == RetryReason::ReadFailed
+            || q.reason == RetryReason::IdempotentRepeat;
         if (decision.retry && (q.insideTransaction || (mayHaveRun && !q.read && !q.idempotent)))
             return "repeated a request that may have run";
         if (decision.retry && now + decision.delay + q.expectedServiceTime > q.deadline)
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -42,6 +42,14 @@
     return found == pools.end() ? nullptr : found->second;
 }
 
+void ProxyState::notePoint(const ServiceId &service, const UpstreamId &upstream,
+                           const HistoryPoint &point, TimePoint askedAt)
+{
+    const auto pools = services.find(service);
+    if (pools != services.end() && pools->second.primary == upstream && fresh(askedAt))
+        notePosition(pools->second.positions, point, askedAt);
+}
+
 class SessionProxy::Impl
 {
 public:
@@ -52,8 +60,6 @@
     void accept();
     void applyGroup(const GroupView &group, const std::vector<SlotShare> &shares, TimePoint now);
     std::shared_ptr<UpstreamPool> makePool(const UpstreamInfo &info);
-    void onPoint(const ServiceId &service, const UpstreamId &upstream, const HistoryPoint &point,
-                 TimePoint askedAt);
     void onReachable(const UpstreamId &upstream, bool reachable);
     void tick(TimePoint now);
 
@@ -75,6 +81,8 @@
     m_state.metrics = &metrics;
     m_state.logger = &logger;
     m_state.startedAt = monotonicNow();
+    m_state.refusedByDatabase = &metrics.registry().counter(
+        "shallotlever_database_refusals_total", "Refusals of databases passed on to callers.");
     m_state.answerTime = &metrics.registry().histogram(
         "shallotlever_statement_seconds", "Time from a statement's arrival to its answer.");
 }
@@ -108,21 +116,12 @@
     UpstreamPool::Callbacks callbacks;
     callbacks.point = [this, service = info.service, id = info.id](const HistoryPoint &point,
                                                                    TimePoint askedAt) {
-        onPoint(service, id, point, askedAt);
+        m_state.notePoint(service, id, point, askedAt);
     };
     callbacks.reachable = [this, id = info.id](bool reachable) { onReachable(id, reachable); };
     return std::make_shared<UpstreamPool>(*m_state.protocol, info, std::move(callbacks));
 }
 
-void SessionProxy::Impl::onPoint(const ServiceId &service, const UpstreamId &upstream,
-                                 const HistoryPoint &point, TimePoint askedAt)
-{
-    const auto pools = m_state.services.find(service);
-    if (pools != m_state.services.end() && pools->second.primary == upstream
-        && m_state.fresh(askedAt))
-        notePosition(pools->second.positions, point, askedAt);
-}
-
 void SessionProxy::Impl::onReachable(const UpstreamId &upstream, bool reachable)
 {
     m_observationChanged = true;
@@ -198,8 +197,7 @@
 }
 
 void SessionProxy::applyConfig(const ClusterConfig &config,
-                               const std::map<TeamId, std::shared_ptr<TokenBucket>> &buckets,
-                               TimePoint)
+                               const std::map<TeamId, std::shared_ptr<TokenBucket>> &buckets)
 {
     ProxyState &state = m_impl->m_state;
     state.config = config;
@@ -298,6 +296,11 @@
                       [](const CallerSession &session) { return session.inTransaction(); }));
 }
 
+std::uint64_t SessionProxy::suppressedLines() const
+{
+    return m_impl->m_state.lines.suppressed;
+}
+
 std::size_t SessionProxy::openSessions() const
 {
     return m_impl->m_sessions.size();
--- a/src/proxy/proxy_state.h
+++ b/src/proxy/proxy_state.h
@@ -7,6 +7,7 @@
 
 #include "shallotlever/policy/token_bucket.h"
 #include "shallotlever/proxy/positions.h"
+#include "shallotlever/telemetry/line_budget.h"
 #include "shallotlever/telemetry/log.h"
 #include "shallotlever/telemetry/node_metrics.h"
 #include "shallotlever/types/config.h"
@@ -43,6 +44,7 @@
     NodeMetrics *metrics = nullptr;
     const Logger *logger = nullptr;
     LatencyHistogram *answerTime = nullptr;
+    Counter *refusedByDatabase = nullptr;
     ClusterConfig config;
     std::map<KeyHash, TeamId> teamsByKey;
     std::map<TeamId, TeamGate> teams;
@@ -50,6 +52,7 @@
     /// End of the node's freshness lease: past it keys may have been withdrawn and another primary
     /// may be in office.
     TimePoint freshUntil;
+    LineBudget lines;
     bool draining = false;
     TimePoint startedAt;
 
@@ -61,6 +64,10 @@
         return now < startedAt + kFirstLeaseWait || now < freshUntil + kLeaseGapWait;
     }
     bool fresh(TimePoint now) const { return now < freshUntil; }
+    /// Takes the end of a database's log into account if the database was primary when it was
+    /// asked.
+    void notePoint(const ServiceId &service, const UpstreamId &upstream, const HistoryPoint &point,
+                   TimePoint askedAt);
 };
 
 } // namespace shallotlever
--- a/src/proxy/session.cpp
+++ b/src/proxy/session.cpp
@@ -18,6 +18,9 @@
 constexpr Duration kStartTimeout = 5s;
 /// Callers give up a session that is not ready 2 s after its first message.
 constexpr Duration kStartPatience = 1800ms;
+/// Statements that a caller may send ahead of answers, and bytes of answers it may leave unread.
+constexpr std::size_t kMaxQueuedStatements = 64;
+constexpr std::size_t kMaxUnsentBytes = 1U << 20U;
 
 } // namespace
 
@@ -33,13 +36,25 @@
 
 CallerSession::~CallerSession()
 {
-    const TimePoint now = monotonicNow();
+    endWait();
+    if (m_link != nullptr)
+        discardLink(monotonicNow());
+}
+
+void CallerSession::endWait()
+{
     if (m_work && m_work->phase == Phase::AwaitingLink)
         m_work->pool->cancel(m_work->waiter);
     if (m_work && m_work->phase == Phase::AwaitingRate)
         m_state.teams.at(m_team).bucket->endWait();
-    if (m_link != nullptr)
-        discardLink(now);
+}
+
+void CallerSession::startWork(Statement statement, TimePoint now)
+{
+    m_work.emplace();
+    m_work->statement = std::move(statement);
+    m_work->arrivedAt = now;
+    m_work->deadline = now;
 }
 
 void CallerSession::onLine(std::string_view line)
@@ -50,7 +65,7 @@
         if (!m_started)
             refuseStart(ErrorKind::MalformedRequest);
         else if (m_work)
-            m_queue.push_back(std::move(*statement));
+            enqueue(std::move(*statement));
         else
             onStatement(std::move(*statement), now);
     } else if (const auto *start = std::get_if<SessionStart>(&message)) {
@@ -58,9 +73,8 @@
             refuseStart(ErrorKind::MalformedRequest);
         else
             onStart(*start, now);
-    } else if (std::holds_alternative<UnreadableMessage>(message)) {
-        answer(m_state.protocol->error({ ErrorKind::MalformedRequest, {}, std::nullopt })
-               + m_state.protocol->ready(state()));
+    } else if (const auto *unreadable = std::get_if<UnreadableMessage>(&message)) {
+        refuse(ErrorKind::MalformedRequest, unreadable->id);
     } else {
         m_socket->closeGracefully();
         onClosed();
@@ -79,10 +93,7 @@
     }
     // What has not reached a database yet is dropped; what runs there is left to end.
     if (m_work->phase != Phase::Running && m_work->phase != Phase::Preparing) {
-        if (m_work->phase == Phase::AwaitingLink)
-            m_work->pool->cancel(m_work->waiter);
-        if (m_work->phase == Phase::AwaitingRate)
-            m_state.teams.at(m_team).bucket->endWait();
+        endWait();
         m_work.reset();
         abortTransaction(now);
         m_transaction.reset();
@@ -121,7 +132,7 @@
         refuseStart(*refused);
     } else {
         const auto team = m_state.teamsByKey.find(m_key);
-        m_team = team == m_state.teamsByKey.end() ? TeamId("-") : team->second;
+        m_team = team == m_state.teamsByKey.end() ? anonymousTeam() : team->second;
         m_started = true;
         m_socket->write(m_state.protocol->ready(TransactionState::None));
     }
@@ -176,8 +187,7 @@
         statement.kind == StatementKind::Begin || statement.kind == StatementKind::BeginReadOnly;
     const bool failed = m_transaction && m_transaction->failed;
     if ((failed && !ends) || (m_transaction && begins) || (!m_transaction && ends)) {
-        answer(protocol.error({ ErrorKind::MalformedRequest, {}, std::nullopt })
-               + protocol.ready(state()));
+        refuse(ErrorKind::MalformedRequest, statement.id);
         return true;
     }
     switch (statement.kind) {
@@ -208,8 +218,7 @@
         return true;
     if (m_transaction)
         m_transaction->failed = true;
-    answer(m_state.protocol->error({ ErrorKind::UnknownStatement, {}, std::nullopt })
-           + m_state.protocol->ready(state()));
+    refuse(ErrorKind::UnknownStatement, statement.id);
     if (m_link != nullptr)
         rollBackLink(monotonicNow());
     return false;
@@ -217,10 +226,7 @@
 
 void CallerSession::beginOperation(Statement statement, TimePoint now)
 {
-    m_work.emplace();
-    m_work->statement = std::move(statement);
-    m_work->arrivedAt = now;
-    m_work->deadline = now;
+    startWork(std::move(statement), now);
     const auto database = m_state.config.databases.find(m_database);
     if (!m_state.fresh(now) && m_state.expectsLease(now)) {
         const bool known = database != m_state.config.databases.end();
@@ -307,9 +313,7 @@
 
 void CallerSession::runInTransaction(Statement statement, TimePoint now)
 {
-    m_work.emplace();
-    m_work->statement = std::move(statement);
-    m_work->arrivedAt = now;
+    startWork(std::move(statement), now);
     m_work->deadline = now + m_transaction->database.statementTimeout;
     m_transaction->activeAt = now;
     if (m_transaction->lost) {
@@ -334,8 +338,37 @@
         return;
     }
     m_transaction.reset();
-    answer(m_state.protocol->error({ ErrorKind::TransactionLost, {}, std::nullopt })
-           + m_state.protocol->ready(state()));
+    refuse(ErrorKind::TransactionLost, statement.id);
+}
+
+void CallerSession::refuse(ErrorKind kind, const std::string &request)
+{
+    m_state.metrics->refusal(kind).increment();
+    if (takeLine(m_state.lines, LineTopic::Failure, monotonicNow()))
+        m_state.logger->info("statement_rejected",
+                             { { "request", request },
+                               { "database", m_database.value() },
+                               { "team", m_team.value() },
+                               { "reason", errorRow(kind).name },
+                               { "transaction", m_transaction.has_value() } });
+    answer(m_state.protocol->error({ kind, {}, std::nullopt }) + m_state.protocol->ready(state()));
+}
+
+/// A caller that sends on without waiting for answers must not fill the memory.
+void CallerSession::enqueue(Statement statement)
+{
+    if (m_queue.size() < kMaxQueuedStatements && m_socket->unsentBytes() < kMaxUnsentBytes) {
+        m_queue.push_back(std::move(statement));
+        return;
+    }
+    m_state.metrics->refusal(ErrorKind::RequestTooLarge).increment();
+    m_state.logger->warning("session_closed",
+                            { { "database", m_database.value() },
+                              { "team", m_team.value() },
+                              { "reason", errorRow(ErrorKind::RequestTooLarge).name },
+                              { "queued", m_queue.size() } });
+    m_socket->closeGracefully();
+    onClosed();
 }
 
 void CallerSession::rollback(TimePoint now)
@@ -388,7 +421,7 @@
 void CallerSession::fail(ErrorKind kind, TimePoint now)
 {
     m_state.metrics->refusal(kind).increment();
-    logOutcome("statement_failed", errorRow(kind).name, now);
+    logOutcome("statement_failed", errorRow(kind).name, LineTopic::Failure, now);
     if (m_link != nullptr)
         rollBackLink(now);
     if (m_transaction && m_work->statement.kind == StatementKind::Commit)
@@ -406,8 +439,11 @@
         || gate->second.bucket->refusalClass(now) == RateRefusal::InsideRate;
 }
 
-void CallerSession::logOutcome(std::string_view event, std::string_view reason, TimePoint now) const
+void CallerSession::logOutcome(std::string_view event, std::string_view reason, LineTopic topic,
+                               TimePoint now)
 {
+    if (!takeLine(m_state.lines, topic, now))
+        return;
     const auto ms = [](Duration d) {
         return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
     };
@@ -444,14 +480,14 @@
             return;
         case Phase::AwaitingUpstream:
             if (now >= m_work->deadline)
-                failUnsent(now);
+                giveUp(now);
             else if (now >= m_work->retryAt)
                 place(now);
             return;
         case Phase::AwaitingLink:
             if (now >= m_work->deadline || now >= m_work->patience) {
-                m_work->pool->cancel(m_work->waiter);
-                retry(ErrorKind::QueueFull, true, now);
+                endWait();
+                retry(RetryReason::ConnectionWait, now);
             }
             return;
         case Phase::Preparing:
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -40,6 +40,7 @@
     void onClosed();
     void onStart(const SessionStart &start, TimePoint now);
     void onStatement(Statement statement, TimePoint now);
+    void enqueue(Statement statement);
     void refuseStart(ErrorKind kind);
     void answerStart(TimePoint now);
 
@@ -48,6 +49,9 @@
     bool resolvePrepared(const Statement &statement);
 
     // Operations.
+    void startWork(Statement statement, TimePoint now);
+    /// Ends a wait for a token or a connection, if there is one.
+    void endWait();
     void beginOperation(Statement statement, TimePoint now);
     void admit(TimePoint now);
     void takeToken(TimePoint now);
@@ -64,7 +68,7 @@
     bool needsPrimary() const;
     std::optional<HistoryPoint> requiredPosition(TimePoint now) const;
     void place(TimePoint now);
-    void onLink(PooledLink *link, LinkDenial denial);
+    void onLink(const LinkResult &result);
     void setUpLink(TimePoint now);
     void sendValues();
     void onSetupReply(const UpstreamReply &reply);
@@ -75,11 +79,13 @@
     void onReply(const UpstreamReply &reply);
     void onSuccess(const UpstreamReply &reply, TimePoint now);
     void onError(const UpstreamReply &reply, TimePoint now);
-    void onLost(TimePoint now);
+    /// `readReason` tells how a read that was sent was lost.
+    void onLost(RetryReason readReason, TimePoint now);
     void onSilence(TimePoint now);
-    /// The attempt is known not to have run, or may run again.
-    void retry(ErrorKind reason, bool excludeUpstream, TimePoint now);
-    void failUnsent(TimePoint now);
+    /// The attempt has not run, or may run again.
+    void retry(RetryReason reason, TimePoint now);
+    /// No attempt is left to be made in time.
+    void giveUp(TimePoint now);
     void linkLostWhileIdle();
 
     // Ends.
@@ -90,7 +96,10 @@
     void answer(const std::string &lines);
     void fail(ErrorKind kind, TimePoint now);
     TransactionState state() const;
-    void logOutcome(std::string_view event, std::string_view reason, TimePoint now) const;
+    /// Refuses a statement that the session's state does not permit.
+    void refuse(ErrorKind kind, const std::string &request);
+    void logOutcome(std::string_view event, std::string_view reason, LineTopic topic,
+                    TimePoint now);
 
     ProxyState &m_state;
     std::unique_ptr<LineSocket> m_socket;
--- a/src/proxy/session_attempt.cpp
+++ b/src/proxy/session_attempt.cpp
@@ -13,6 +13,8 @@
 /// Pause before a statement that no database could take is placed again.
 constexpr Duration kPlacementPause = 20ms;
 constexpr std::uint32_t kMaxPauseDoublings = 5;
+/// Attempts at a read that databases run and fail before the caller gets the error.
+constexpr std::uint32_t kMaxFailedReads = 3;
 /// An attempt gets at least this long before its connection counts as dead, and this many times
 /// the usual time.
 constexpr Duration kMinAttempt = 400ms;
@@ -21,23 +23,48 @@
 /// looked at again after this time.
 constexpr Duration kLongestAttempt = 1500ms;
 constexpr Duration kPatienceExtension = 100ms;
-/// Expected times are rough: only a wait of several times the time left is refused at once.
+/// Expected times are rough: a statement is refused at once only if its answer is expected after
+/// this many times its timeout.
 constexpr int kPatienceFactor = 2;
 /// Longest wait for a connection before another database is tried.
 constexpr Duration kLinkPatience = 300ms;
 
-ErrorKind failureOf(UpstreamErrorKind kind)
+RetryReason reasonOf(UpstreamErrorKind kind)
 {
     switch (kind) {
+    case UpstreamErrorKind::Busy:
+        return RetryReason::NoSlot;
     case UpstreamErrorKind::Lagging:
-        return ErrorKind::NoFreshReplica;
+        return RetryReason::ReplicaStale;
     case UpstreamErrorKind::NotPrimary:
-        return ErrorKind::NoPrimary;
+        return RetryReason::NotPrimary;
     case UpstreamErrorKind::WrongUpstream:
     case UpstreamErrorKind::ConnectionLimit:
-        return ErrorKind::ConnectFailed;
-    default:
+        return RetryReason::ConnectFailed;
+    case UpstreamErrorKind::UnknownPrepared:
+        return RetryReason::PreparedUnknown;
+    case UpstreamErrorKind::Failed:
+    case UpstreamErrorKind::Other:
+        return RetryReason::ReadFailed;
+    }
+    return RetryReason::ReadFailed;
+}
+
+/// What a caller is told if there is no time for another attempt.
+ErrorKind failureOf(RetryReason reason)
+{
+    switch (reason) {
+    case RetryReason::NoSlot:
+    case RetryReason::ConnectionWait:
         return ErrorKind::QueueFull;
+    case RetryReason::ReplicaStale:
+        return ErrorKind::NoFreshReplica;
+    case RetryReason::NotPrimary:
+        return ErrorKind::NoPrimary;
+    case RetryReason::UpstreamLeaving:
+        return ErrorKind::NoUpstream;
+    default:
+        return ErrorKind::ConnectFailed;
     }
 }
 
@@ -116,7 +143,7 @@
     const Duration expected = expectedAnswer(work.pool->load(), now);
     if (now + expected > work.arrivedAt + kPatienceFactor * (work.deadline - work.arrivedAt)) {
         work.lastFailure = ErrorKind::QueueFull;
-        failUnsent(now);
+        giveUp(now);
         return;
     }
     work.phase = Phase::AwaitingLink;
@@ -125,9 +152,9 @@
     ++work.attempts;
     const std::uint64_t waiter = work.pool->acquire(
         m_team, m_values, database().priority,
-        [this, alive](PooledLink *link, LinkDenial denial) {
+        [this, alive](const LinkResult &result) {
             if (!alive.expired())
-                onLink(link, denial);
+                onLink(result);
         },
         now);
     // The callback may have ended the work already.
@@ -135,19 +162,19 @@
         m_work->waiter = waiter;
 }
 
-void CallerSession::onLink(PooledLink *link, LinkDenial denial)
+void CallerSession::onLink(const LinkResult &result)
 {
     const TimePoint now = monotonicNow();
     if (!m_work)
         return;
-    if (link == nullptr) {
-        const bool excluded = denial != LinkDenial::Cancelled;
-        retry(ErrorKind::ConnectFailed, excluded, now);
+    if (const auto *denial = std::get_if<LinkDenial>(&result)) {
+        const bool leaving = *denial == LinkDenial::Cancelled;
+        retry(leaving ? RetryReason::UpstreamLeaving : RetryReason::ConnectFailed, now);
         return;
     }
-    m_link = link;
+    m_link = std::get<PooledLink *>(result);
     m_linkPool = m_work->pool;
-    link->lost = [this] { linkLostWhileIdle(); };
+    m_link->lost = [this] { linkLostWhileIdle(); };
     setUpLink(now);
 }
 
@@ -200,7 +227,7 @@
         return;
     const TimePoint now = monotonicNow();
     if (reply.lost) {
-        onLost(now);
+        onLost(RetryReason::ReadConnectionLost, now);
         return;
     }
     m_work->setupFailed = m_work->setupFailed || !reply.succeeded();
@@ -212,7 +239,7 @@
     }
     // The values on the connection are not known.
     discardLink(now);
-    retry(ErrorKind::ConnectFailed, true, now);
+    retry(RetryReason::UpstreamLostBeforeSend, now);
 }
 
 void CallerSession::beginOnLink(TimePoint now)
@@ -232,7 +259,7 @@
             return;
         const TimePoint then = monotonicNow();
         if (reply.lost) {
-            onLost(then);
+            onLost(RetryReason::ReadConnectionLost, then);
         } else if (!reply.succeeded()) {
             onError(reply, then);
         } else {
@@ -259,7 +286,7 @@
     }
     if (deposed && !established) {
         rollBackLink(now);
-        retry(ErrorKind::NoPrimary, false, now);
+        retry(RetryReason::NotPrimary, now);
         return;
     }
     work.phase = Phase::Running;
@@ -282,6 +309,8 @@
         const PreparedStatement &prepared = m_prepared.at(statement.name);
         const std::string name = sharedName(prepared);
         if (m_link->prepared.emplace(name, prepared).second)
+            // If this fails, the database does not know the statement that follows, which is then
+            // prepared again.
             m_link->link->send("", protocol.prepareText(name, prepared),
                                [](const UpstreamReply &) {});
         text = protocol.executeText(name, statement.arguments);
@@ -304,13 +333,11 @@
         return;
     const TimePoint now = monotonicNow();
     if (reply.lost) {
-        onLost(now);
+        onLost(RetryReason::ReadConnectionLost, now);
         return;
     }
-    const auto service = m_state.services.find(database().service);
-    if (service != m_state.services.end() && reply.point
-        && service->second.primary == m_linkPool->info().id && m_state.fresh(reply.sentAt))
-        notePosition(service->second.positions, *reply.point, reply.sentAt);
+    if (reply.point)
+        m_state.notePoint(database().service, m_linkPool->info().id, *reply.point, reply.sentAt);
     if (reply.succeeded())
         onSuccess(reply, now);
     else
@@ -346,14 +373,16 @@
     if (kind == UpstreamErrorKind::UnknownPrepared)
         m_link->prepared.clear();
     const bool repeatable = provesNotRun(kind)
-        || (!m_transaction && !writes(m_work->statement) && m_work->attempts < 3);
-    if (first && repeatable && m_work->phase != Phase::AwaitingUpstream) {
+        || (!m_transaction && !writes(m_work->statement) && m_work->attempts < kMaxFailedReads);
+    if (first && repeatable) {
         m_linkPool->noteRefusal(kind == UpstreamErrorKind::Busy, now);
         rollBackLink(now);
-        retry(failureOf(kind), kind != UpstreamErrorKind::UnknownPrepared, now);
+        retry(reasonOf(kind), now);
         return;
     }
-    logOutcome("statement_refused", reply.error ? reply.error->message : "unreadable", now);
+    m_state.refusedByDatabase->increment();
+    logOutcome("statement_refused", reply.error ? reply.error->message : "unreadable",
+               LineTopic::Failure, now);
     rollBackLink(now);
     if (m_transaction && commits)
         m_transaction.reset();
@@ -363,28 +392,27 @@
     finishWork();
 }
 
-void CallerSession::onLost(TimePoint now)
+void CallerSession::onLost(RetryReason readReason, TimePoint now)
 {
     const bool sent = m_work->phase == Phase::Running;
     const bool commits = m_work->statement.kind == StatementKind::Commit;
-    discardLink(now);
     const bool write = writes(m_work->statement);
+    discardLink(now);
     if (m_transaction) {
-        const bool wrote = m_transaction->wrote;
-        const bool again = !m_transaction->established && !commits;
-        m_transaction->begun = false;
         // Nothing of a transaction is kept unless its commit was sent.
-        if (again || (commits && !sent && !m_transaction->established))
-            retry(ErrorKind::ConnectFailed, true, now);
+        const bool repeatable = !m_transaction->established && !(commits && sent);
+        const bool unknown = commits && sent && m_transaction->wrote;
+        m_transaction->begun = false;
+        if (repeatable)
+            retry(RetryReason::UpstreamLostBeforeSend, now);
         else
-            fail(commits && sent && wrote ? ErrorKind::OutcomeUnknown : ErrorKind::TransactionLost,
-                 now);
+            fail(unknown ? ErrorKind::OutcomeUnknown : ErrorKind::TransactionLost, now);
         return;
     }
     if (sent && write)
         fail(ErrorKind::OutcomeUnknown, now);
     else
-        retry(ErrorKind::ConnectFailed, true, now);
+        retry(sent ? readReason : RetryReason::UpstreamLostBeforeSend, now);
 }
 
 void CallerSession::onSilence(TimePoint now)
@@ -396,29 +424,18 @@
         return;
     }
     m_linkPool->noteSilence(now);
-    if (now < m_work->deadline) {
-        onLost(now);
-        return;
-    }
-    const bool sent = m_work->phase == Phase::Running;
-    const bool commits = m_work->statement.kind == StatementKind::Commit;
-    const bool write = writes(m_work->statement);
-    discardLink(now);
-    if (m_transaction && !(commits && sent && m_transaction->wrote))
-        fail(ErrorKind::TransactionLost, now);
-    else if (sent && (write || commits))
-        fail(ErrorKind::OutcomeUnknown, now);
-    else
-        fail(sent ? ErrorKind::OutcomeUnknown : ErrorKind::NoUpstream, now);
+    onLost(RetryReason::ReadTimedOut, now);
 }
 
-void CallerSession::retry(ErrorKind reason, bool excludeUpstream, TimePoint now)
+void CallerSession::retry(RetryReason reason, TimePoint now)
 {
     Work &work = *m_work;
-    work.lastFailure = reason;
+    const RetryReasonRow &row = retryReasonRow(reason);
+    work.lastFailure = failureOf(reason);
+    work.mayHaveRun = work.mayHaveRun || !row.notRun;
     if (m_transaction)
         m_transaction->begun = false;
-    if (excludeUpstream && work.pool)
+    if (row.avoidUpstream && work.pool)
         work.excluded.insert(work.pool->info().id);
     work.phase = Phase::AwaitingUpstream;
     if (m_gone) {
@@ -427,19 +444,22 @@
         return;
     }
     if (now >= work.deadline) {
-        failUnsent(now);
+        giveUp(now);
         return;
     }
-    m_state.metrics->retry(RetryReason::ConnectFailed).increment();
+    m_state.metrics->retry(reason).increment();
+    logOutcome("statement_retried", row.name, LineTopic::Retry, now);
     // Elsewhere at once after the first failure; later with growing pauses.
     const std::uint32_t doublings = std::min(work.attempts, kMaxPauseDoublings);
     work.retryAt = work.attempts < 2 ? now : now + kPlacementPause * (1U << doublings) / 4;
 }
 
-void CallerSession::failUnsent(TimePoint now)
+void CallerSession::giveUp(TimePoint now)
 {
-    const ErrorKind kind = m_work->lastFailure;
-    fail(m_transaction ? ErrorKind::TransactionLost : kind, now);
+    if (m_transaction)
+        fail(ErrorKind::TransactionLost, now);
+    else
+        fail(m_work->mayHaveRun ? ErrorKind::OutcomeUnknown : m_work->lastFailure, now);
 }
 
 void CallerSession::releaseLink(TimePoint now)
@@ -465,17 +485,8 @@
         return;
     }
     m_transaction->begun = false;
-    PooledLink *link = std::exchange(m_link, nullptr);
-    const std::shared_ptr<UpstreamPool> pool = std::exchange(m_linkPool, nullptr);
-    link->lost = nullptr;
-    link->link->send("", m_state.protocol->systemText(SystemStatement::Rollback),
-                     [link, pool](const UpstreamReply &reply) {
-                         const TimePoint then = monotonicNow();
-                         if (reply.succeeded() && reply.state == TransactionState::None)
-                             pool->release(link, then);
-                         else
-                             pool->discard(link, then);
-                     });
+    m_linkPool->rollBack(std::exchange(m_link, nullptr), now);
+    m_linkPool.reset();
 }
 
 } // namespace shallotlever
--- a/src/proxy/session_control.cpp
+++ b/src/proxy/session_control.cpp
@@ -32,10 +32,14 @@
     void send(const Call &call);
     void failWaiting(const absl::Status &status);
     void reset();
+    /// Closes the connection unless it is a later one than `generation`.
+    void resetGeneration(std::uint64_t generation);
 
     const SessionProtocol &m_protocol;
     LinkTarget m_target;
     std::unique_ptr<UpstreamLink> m_link;
+    /// Number of the connection; grows with each one.
+    std::uint64_t m_generation = 0;
     std::vector<Call> m_waiting;
 };
 
@@ -51,13 +55,15 @@
 {
     const Call call { std::move(text), std::make_shared<StatusCallback>(std::move(callback)) };
     const std::weak_ptr<SessionControl> self = weak_from_this();
+    if (!m_link)
+        ++m_generation;
     QTimer::singleShot(std::chrono::duration_cast<std::chrono::milliseconds>(timeout),
-                       [self, pending = call.callback] {
+                       [self, pending = call.callback, generation = m_generation] {
                            if (!*pending)
                                return;
                            // The connection may be dead; the next call opens another.
                            if (const auto control = self.lock())
-                               control->reset();
+                               control->resetGeneration(generation);
                            finish(pending, absl::DeadlineExceededError("no answer"));
                        });
     if (m_link && m_link->isOpen()) {
@@ -117,6 +123,12 @@
         finish(call.callback, status);
 }
 
+void SessionControl::resetGeneration(std::uint64_t generation)
+{
+    if (generation == m_generation)
+        reset();
+}
+
 /// Destroys the connection outside of its own callbacks.
 void SessionControl::reset()
 {
--- a/src/proxy/session_work.h
+++ b/src/proxy/session_work.h
@@ -39,6 +39,9 @@
     std::uint64_t waiter = 0;
     std::size_t unansweredSetup = 0;
     bool setupFailed = false;
+    /// A read was sent and its outcome is not known; it may be sent again, but not be said not to
+    /// have run.
+    bool mayHaveRun = false;
     /// Reason of the last failed attempt.
     ErrorKind lastFailure = ErrorKind::NoUpstream;
 };
--- a/src/proxy/upstream_pool.cpp
+++ b/src/proxy/upstream_pool.cpp
@@ -18,8 +18,10 @@
 constexpr Duration kObservationAge = 5s;
 /// Unanswered statements in a row after which a database counts as unreachable.
 constexpr std::uint32_t kSilencesUntilUnreachable = 2;
-/// Idle connections beyond the first are closed after this time.
+/// Idle connections are closed after this time.
 constexpr Duration kIdleTime = 20s;
+/// Longest time for the answer to a rollback.
+constexpr Duration kRollbackTime = 2s;
 /// A database that answered within this time is slow rather than dead.
 constexpr Duration kAliveAfterAnswer = 300ms;
 /// A connection may be taken from a team that has not used it for this long.
@@ -43,7 +45,7 @@
 UpstreamPool::~UpstreamPool()
 {
     for (Waiter &waiter : std::exchange(m_waiters, {}))
-        waiter.callback(nullptr, LinkDenial::Cancelled);
+        waiter.callback(LinkDenial::Cancelled);
 }
 
 void UpstreamPool::setInfo(const UpstreamInfo &info, bool primary)
@@ -66,7 +68,7 @@
         link->busy = true;
         link->usedAt = now;
         updateOutstanding();
-        callback(link, LinkDenial::Cancelled);
+        callback(link);
         return number;
     }
     const auto place = std::find_if(m_waiters.begin(), m_waiters.end(), [&](const Waiter &waiter) {
@@ -153,7 +155,6 @@
     const std::uint64_t number = ++m_lastLink;
     link->number = number;
     link->team = team;
-    link->openedAt = now;
     link->usedAt = now;
     UpstreamLink::Callbacks callbacks;
     callbacks.opened = [this, number](std::optional<HistoryPoint> point, TimePoint askedAt) {
@@ -244,7 +245,7 @@
     });
     updateOutstanding();
     for (const LinkCallback &callback : denied)
-        callback(nullptr, denial);
+        callback(denial);
 }
 
 void UpstreamPool::setReachable(bool reachable)
@@ -271,6 +272,23 @@
     serveWaiters(now);
 }
 
+void UpstreamPool::rollBack(PooledLink *link, TimePoint now)
+{
+    link->lost = nullptr;
+    link->rollbackUntil = now + kRollbackTime;
+    link->link->send("", m_protocol.systemText(SystemStatement::Rollback),
+                     [this, number = link->number](const UpstreamReply &reply) {
+                         PooledLink *answered = find(number);
+                         if (answered == nullptr)
+                             return;
+                         answered->rollbackUntil.reset();
+                         if (reply.succeeded() && reply.state == TransactionState::None)
+                             release(answered, monotonicNow());
+                         else
+                             discard(answered, monotonicNow());
+                     });
+}
+
 void UpstreamPool::discard(PooledLink *link, TimePoint now)
 {
     remove(link);
@@ -299,7 +317,7 @@
         link->busy = true;
         link->usedAt = now;
         updateOutstanding();
-        callback(link, LinkDenial::Cancelled);
+        callback(link);
         // The callback may have changed the queue.
         i = 0;
     }
@@ -360,20 +378,41 @@
 void UpstreamPool::tick(TimePoint now)
 {
     m_retired.clear();
-    if (!m_load.reachable && now >= m_triedAt + kProbeInterval
-        && m_load.state != UpstreamState::Leaving) {
-        open(TeamId("-"), now);
-    }
-    for (PooledLink &link : m_links) {
-        if (link.open && !link.busy && now >= link.usedAt + kIdleTime) {
-            remove(&link);
-            break;
-        }
-    }
+    if (!m_load.reachable && now >= m_triedAt + kProbeInterval && !opening()
+        && m_load.state != UpstreamState::Leaving)
+        open(anonymousTeam(), now);
+    closeOverdue(now);
     if (!m_waiters.empty())
         openForWaiters(now);
 }
 
+bool UpstreamPool::opening() const
+{
+    return std::any_of(m_links.begin(), m_links.end(),
+                       [](const PooledLink &link) { return !link.open; });
+}
+
+/// Connections that nobody uses, and those whose rollback is not answered: a database that is
+/// suspended would otherwise keep them busy for good.
+void UpstreamPool::closeOverdue(TimePoint now)
+{
+    std::vector<PooledLink *> overdue;
+    for (PooledLink &link : m_links) {
+        const bool idle = link.open && !link.busy && now >= link.usedAt + kIdleTime;
+        const bool unanswered = link.rollbackUntil && now >= *link.rollbackUntil;
+        if (idle || unanswered)
+            overdue.push_back(&link);
+    }
+    for (PooledLink *link : overdue)
+        remove(link);
+}
+
+const TeamId &anonymousTeam()
+{
+    static const TeamId anonymous("-");
+    return anonymous;
+}
+
 UpstreamLoad UpstreamPool::loadFor(const TeamId &team) const
 {
     UpstreamLoad load = m_load;
--- a/src/proxy/upstream_pool.h
+++ b/src/proxy/upstream_pool.h
@@ -5,7 +5,9 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "shallotlever/proxy/placement.h"
@@ -16,6 +18,9 @@
 
 using SessionValues = std::map<std::string, std::string>;
 
+/// Stands for sessions without a key, and for connections that only try a database.
+const TeamId &anonymousTeam();
+
 /// A connection of the pool with the state that statements left on it.
 struct PooledLink
 {
@@ -29,8 +34,10 @@
     SessionValues values;
     /// Prepared statements by the name that the pool gave them.
     std::map<std::string, PreparedStatement> prepared;
-    TimePoint openedAt;
     TimePoint usedAt;
+    /// A rollback that nobody waits for has been sent; the connection is closed if it is not
+    /// answered by then.
+    std::optional<TimePoint> rollbackUntil;
 };
 
 /// Why a statement got no connection.
@@ -42,14 +49,17 @@
     Cancelled,
 };
 
+/// A connection, or why there is none.
+using LinkResult = std::variant<PooledLink *, LinkDenial>;
+
 /// Connections of this node to one database. Connections belong to a team, because the database
 /// is told whose statements it runs. They are scarce: a statement of a team without an idle
 /// connection takes the place of another team's idle one.
 class UpstreamPool
 {
 public:
-    /// The link, or the denial. The link is busy until release() or discard().
-    using LinkCallback = std::function<void(PooledLink *link, LinkDenial denial)>;
+    /// The link is busy until release(), rollBack() or discard().
+    using LinkCallback = std::function<void(const LinkResult &result)>;
     struct Callbacks
     {
         std::function<void(const HistoryPoint &point, TimePoint askedAt)> point;
@@ -68,6 +78,8 @@
                           LinkCallback callback, TimePoint now);
     void cancel(std::uint64_t waiter);
     void release(PooledLink *link, TimePoint now);
+    /// Ends the transaction on the connection and releases it.
+    void rollBack(PooledLink *link, TimePoint now);
     /// Closes the connection; whatever runs on it is lost.
     void discard(PooledLink *link, TimePoint now);
     /// An answer did not come: connections that were idle meanwhile may be dead as well.
@@ -115,6 +127,8 @@
     void setReachable(bool reachable);
     std::uint32_t openingFor(const TeamId &team) const;
     void updateOutstanding();
+    bool opening() const;
+    void closeOverdue(TimePoint now);
     std::uint32_t running() const;
 
     const SessionProtocol &m_protocol;
--- a/src/upstream/connection.cpp
+++ b/src/upstream/connection.cpp
@@ -1,7 +1,5 @@
 #include "shallotlever/upstream/connection.h"
 
-#include <libpq-fe.h>
-
 #include <QSocketNotifier>
 #include <QTimer>
 #include <absl/strings/match.h>
@@ -11,6 +9,7 @@
 #include <utility>
 
 #include "environment.h"
+#include "libpq_result.h"
 #include "timer.h"
 
 namespace shallotlever {
@@ -22,17 +21,11 @@
 constexpr const char *kNoPassword = "none";
 /// SQLSTATE as it stands in a verbose message.
 constexpr const char *kTooManyConnections = "53300:";
-/// Severity of an error after which the session goes on; FATAL and PANIC end it.
-constexpr std::string_view kErrorSeverity = "ERROR";
 
 struct ConnectionDeleter
 {
     void operator()(PGconn *connection) const { PQfinish(connection); }
 };
-struct ResultDeleter
-{
-    void operator()(PGresult *result) const { PQclear(result); }
-};
 struct LaterDeleter
 {
     // A notifier may be closed from a slot of its own signal.
@@ -42,74 +35,8 @@
         notifier->deleteLater();
     }
 };
-using ResultPtr = std::unique_ptr<PGresult, ResultDeleter>;
 using NotifierPtr = std::unique_ptr<QSocketNotifier, LaterDeleter>;
 
-QueryError makeError(QueryErrorKind kind, std::string message, std::string sqlState = {})
-{
-    return { kind, std::move(sqlState), std::move(message) };
-}
-
-std::string errorField(const PGresult *result, int field)
-{
-    const char *text = PQresultErrorField(result, field);
-    return text == nullptr ? std::string() : std::string(text);
-}
-
-SqlValue fieldOf(const PGresult *result, int row, int column)
-{
-    if (PQgetisnull(result, row, column) != 0)
-        return std::nullopt;
-    return std::string(PQgetvalue(result, row, column),
-                       static_cast<std::size_t>(PQgetlength(result, row, column)));
-}
-
-QueryResult toQueryResult(PGresult *result)
-{
-    QueryResult answer;
-    const int columns = PQnfields(result);
-    for (int column = 0; column < columns; ++column)
-        answer.columns.emplace_back(PQfname(result, column));
-    answer.rows.resize(static_cast<std::size_t>(PQntuples(result)));
-    for (std::size_t row = 0; row < answer.rows.size(); ++row) {
-        for (int column = 0; column < columns; ++column)
-            answer.rows[row].push_back(fieldOf(result, static_cast<int>(row), column));
-    }
-    answer.commandTag = PQcmdStatus(result);
-    // The number in the tag of a SELECT counts the rows of the answer.
-    if (!absl::StartsWith(answer.commandTag, "SELECT")
-        && !absl::SimpleAtoi(PQcmdTuples(result), &answer.affectedRows))
-        answer.affectedRows = 0;
-    return answer;
-}
-
-/// Anything but a whole answer or a plain error leaves the fate of the statement open.
-QueryReply toReply(PGresult *result)
-{
-    switch (PQresultStatus(result)) {
-    case PGRES_COMMAND_OK:
-    case PGRES_TUPLES_OK:
-    case PGRES_EMPTY_QUERY:
-        return toQueryResult(result);
-    default:
-        break;
-    }
-    const std::string state = errorField(result, PG_DIAG_SQLSTATE);
-    const bool plain = errorField(result, PG_DIAG_SEVERITY_NONLOCALIZED) == kErrorSeverity;
-    const auto kind = plain ? QueryErrorKind::Refused : QueryErrorKind::LostAfterSend;
-    std::string message = errorField(result, PG_DIAG_MESSAGE_PRIMARY);
-    if (message.empty())
-        message = PQresultErrorMessage(result);
-    return makeError(kind, std::move(message), state);
-}
-
-/// In a COPY state libpq gives the same result again and again.
-bool isCopy(const PGresult *result)
-{
-    const ExecStatusType status = PQresultStatus(result);
-    return status == PGRES_COPY_IN || status == PGRES_COPY_OUT || status == PGRES_COPY_BOTH;
-}
-
 } // namespace
 
 class UpstreamConnection::State : public std::enable_shared_from_this<State>
