Average the demand of a team over its rate, so that its shares add up

Cause: the shares of a team that asks for more than its rate followed the noise of each report. A reduction counts only once the node has confirmed it, so with shares that change on each report part of the rate was always held by nobody: 21.4 of 25 requests a second in force while the shares counted added up to 24.1. Shallow buckets also overflowed in the gaps between arrivals.

Change: while a team is over its rate, demand is averaged over 4 s, and the whole burst is divided.

--- a/src/include/shallotlever/policy/rate_allocator.h
+++ b/src/include/shallotlever/policy/rate_allocator.h
@@ -46,6 +46,8 @@
     double burstHeld = 0;
     /// Requests per second last reported, waiting requests included.
     double demand = 0;
+    /// When it was last reported.
+    TimePoint demandAt;
     double returnedSeen = 0;
     bool returnedKnown = false;
 };
--- a/src/policy/rate_allocator.cpp
+++ b/src/policy/rate_allocator.cpp
@@ -30,9 +30,10 @@
 /// moves is counted at its old and new node for a moment, and small teams' demand is noisy.
 constexpr double kDemandAverageSeconds = 2;
 constexpr double kOverRateMargin = 1.25;
+/// Demand at a node is averaged over this time while the team is over its rate: its shares sum to
+/// the whole rate, and a share that shrinks counts until the node has confirmed it.
+constexpr double kOverRateAverageSeconds = 4;
 constexpr double kUrgentPart = 0.5;
-/// A share of a team over its rate is not reduced to more than this part of it.
-constexpr double kKeptRatePart = 0.6;
 /// A bucket of less than one token admits nothing.
 constexpr double kLeastUsefulDepth = 1.0;
 
@@ -101,6 +102,19 @@
     holding.returnedKnown = true;
 }
 
+bool isOverRate(const RateTeam &team)
+{
+    return team.averageDemand > team.ratePerSecond * kOverRateMargin;
+}
+
+/// Demand of a node averaged over a time in which its share should not change.
+double smoothed(const RateHolding &holding, double wanted, TimePoint now)
+{
+    const double elapsed = seconds(now - holding.demandAt);
+    const double weight = 1 - std::exp(-elapsed / kOverRateAverageSeconds);
+    return holding.demand + (wanted - holding.demand) * weight;
+}
+
 void accountForReport(RateAllocator &allocator, RateTeam &team, RateHolding &holding,
                       const TeamDemand *demand, GrantNumber applied, TimePoint now)
 {
@@ -115,7 +129,8 @@
     const double wanted = demand == nullptr
         ? 0.0
         : std::max(demand->arrivalsPerSecond, demand->waiting * kDemandPerWaiting);
-    setDemand(team, holding, wanted);
+    setDemand(team, holding, isOverRate(team) ? smoothed(holding, wanted, now) : wanted);
+    holding.demandAt = now;
 }
 
 double rateTarget(const RateTeam &team, const RateHolding &holding)
@@ -131,17 +146,6 @@
     return std::min(proportional, needed);
 }
 
-/// The rate to grant. A reduction counts only once the node has confirmed it, so that small ones
-/// would keep a part of the rate from everybody; a team that uses all of its rate would get less.
-double steadyRate(const RateTeam &team, const RateHolding &holding)
-{
-    const double target = rateTarget(team, holding);
-    const double last = holding.entries.empty() ? 0 : holding.entries.back().ratePerSecond;
-    const bool overRate = team.averageDemand > team.ratePerSecond * kOverRateMargin;
-    const bool slightlyLess = target < last && target > last * kKeptRatePart;
-    return overRate && slightlyLess ? last : target;
-}
-
 double floorDepth(const RateTeam &team, std::size_t nodes)
 {
     if (nodes == 0 || nodes > kMaxNodesWithFloor)
@@ -177,7 +181,10 @@
     const double part = holding.demand / team.demand;
     const double wanted =
         std::max(holding.demand * kDepthSeconds, kDepthDeviations * std::sqrt(holding.demand));
-    const double steady = std::min(team.burst * part / 2, wanted);
+    // Of a team over its rate nothing is kept for traffic that moves; a shallow bucket overflows in
+    // the gaps between arrivals.
+    const double steady =
+        isOverRate(team) ? team.burst * part : std::min(team.burst * part / 2, wanted);
     target = std::max({ target, steady, std::min(kLeastUsefulDepth, team.burst) });
     // Random excess over the rate is no reason to take tokens from the pool; waiting requests are.
     if (isPressed(demand))
@@ -211,7 +218,7 @@
     const double weight = 1 - std::exp(-elapsed / kDemandAverageSeconds);
     team.averageDemand += (team.demand - team.averageDemand) * weight;
     team.averageAt = now;
-    return team.averageDemand <= team.ratePerSecond * kOverRateMargin;
+    return !isOverRate(team);
 }
 
 /// Computes and records the next share of one team on one node.
@@ -223,7 +230,7 @@
     RateShare share;
     share.team = id;
     share.grant = allocator.nextGrant.value();
-    share.ratePerSecond = std::clamp(available, 0.0, steadyRate(team, holding));
+    share.ratePerSecond = std::clamp(available, 0.0, rateTarget(team, holding));
     const double depth = depthTarget(team, holding, demand, lastDepth, allocator.nodes.size());
     grantDepth(team, holding, demand, depth, lastDepth, share);
     share.teamWithinRate = withinRate(team, now);
--- a/src/policy/token_bucket.cpp
+++ b/src/policy/token_bucket.cpp
@@ -218,11 +218,7 @@
     TeamDemand demand;
     demand.team = team;
     demand.arrivalsPerSecond = rate;
-    // Requests of a team over its rate are refused rather than made to wait. Without a sign of them
-    // the tokens that no share covers would stay with the controller.
-    const bool refused = m_refused.load(std::memory_order_relaxed) != m_refusedReported;
-    const std::uint32_t waiting = m_waiting.load(std::memory_order_relaxed);
-    demand.waiting = std::max(waiting, refused ? 1U : 0U);
+    demand.waiting = m_waiting.load(std::memory_order_relaxed);
     demand.unspentTokens = live ? tokensFrom(tokensOf(word)) : 0;
     demand.returnedTokens = m_returnedTokens;
     demand.heldRate = live ? tokensFrom(held.microTokensPerSecond.load()) : 0;
