Ask all linked nodes for reports as soon as a controller is elected

Cause: after a restart of everything, nodes found the new controller only by waiting 600 ms for each member that was silent or knew no leader, and the controller granted nothing until every recorded node had reported or 2 s had passed.

Ruled out: that a refused pre-vote costs the time.

Change: a controller asks every linked node for a report when it is elected and when a link comes up; a node takes the member that asks for the controller. The controller's own node follows itself at once. When the wait for the predecessor ends, reports are asked for again, so that shares do not wait for the next regular report. New log lines: reports_to and predecessor_wait_ended, with the nodes that had not reported.

--- a/src/control/member_test.cpp
+++ b/src/control/member_test.cpp
@@ -1,5 +1,6 @@
 #include "shallotlever/control/member.h"
 
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -26,9 +27,25 @@
         options.peers = { NodeId("a"), NodeId("b"), NodeId("c") };
         options.seed = identity;
         options.acceptsStandbys = m_acceptsStandbys;
-        RecoveredState recovered;
-        recovered.identity = MemberIdentity(identity);
-        m_members[name] = *ControlMember::create(m_now, options, recovered);
+        RecoveredState &disk = m_disks[name];
+        if (disk.identity != MemberIdentity(identity))
+            disk = { MemberIdentity(identity), {}, {}, {} };
+        m_members[name] = *ControlMember::create(m_now, options, disk);
+    }
+
+    /// Starts a member again with what its disk holds.
+    void restart(const std::string &name) { start(name, m_disks.at(name).identity.value()); }
+
+    void store(const std::string &name, const DurableWrite &write)
+    {
+        RecoveredState &disk = m_disks.at(name);
+        if (write.hardState)
+            disk.hardState = *write.hardState;
+        if (!write.entries.empty())
+            std::erase_if(disk.entries, [&](const LogEntry &entry) {
+                return entry.index >= write.entries.front().index;
+            });
+        disk.entries.insert(disk.entries.end(), write.entries.begin(), write.entries.end());
     }
 
     void drain(const std::string &name)
@@ -36,8 +53,10 @@
         ControlMember &member = *m_members.at(name);
         for (ControlReady r = member.takeReady(m_now); !r.empty(); r = member.takeReady(m_now)) {
             m_applied[name] += r.committed.size();
-            if (!r.write.empty())
+            if (!r.write.empty()) {
+                store(name, r.write);
                 member.persisted(m_now, r.write.sequence);
+            }
             for (const ControlMessage &message : r.messages) {
                 if (!m_cut.contains({ name, message.to.node.value() }))
                     m_network.push_back(message);
@@ -74,6 +93,7 @@
     bool m_acceptsStandbys = false;
     TimePoint m_now { 1h };
     std::map<std::string, std::unique_ptr<ControlMember>> m_members;
+    std::map<std::string, RecoveredState> m_disks;
     std::map<std::string, std::size_t> m_applied;
     std::set<std::pair<std::string, std::string>> m_cut;
     std::vector<ControlMessage> m_network;
@@ -186,5 +206,56 @@
     EXPECT_EQ(voters(*m_members.at(leader())), (std::set<std::string> { "a", "b", "c" }));
 }
 
+struct RestartCase
+{
+    const char *name;
+    /// When a, b and c start again; nothing for a member that stays down.
+    std::vector<Duration> starts;
+};
+
+class RestartedTrio : public Trio,
+                      public testing::WithParamInterface<std::tuple<RestartCase, std::uint64_t>>
+{
+};
+
+// Guards against an election that takes more than one timeout after a majority may vote, because a
+// candidate asked members that had just started.
+TEST_P(RestartedTrio, ElectsALeaderSoonAfterAMajorityMayVote)
+{
+    const auto &[restart, seed] = GetParam();
+    m_members.clear();
+    for (const char *name : { "a", "b", "c" })
+        start(name, seed * 10 + m_members.size());
+    runFor(5s);
+    ASSERT_NE(leader(), "");
+
+    m_members.clear();
+    m_network.clear();
+    const TimePoint begin = m_now;
+    std::vector<Duration> starts = restart.starts;
+    std::sort(starts.begin(), starts.end());
+    for (const Duration at : starts) {
+        runFor(begin + at - m_now);
+        const char *const names[] = { "a", "b", "c" };
+        for (std::size_t i = 0; i < restart.starts.size(); ++i) {
+            if (restart.starts[i] == at)
+                this->restart(names[i]);
+        }
+    }
+    const TimePoint majorityMayVote = begin + starts[1] + kMinElectionTimeout;
+    runFor(majorityMayVote + kMinElectionTimeout - m_now);
+    EXPECT_NE(leader(), "");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Starts, RestartedTrio,
+    testing::Combine(testing::Values(RestartCase { "AllAtOnce", { 0ms, 0ms, 0ms } },
+                                     RestartCase { "InTurn", { 0ms, 300ms, 600ms } },
+                                     RestartCase { "OneStaysDown", { 0ms, 450ms } }),
+                     testing::Range<std::uint64_t>(11, 31)),
+    [](const auto &info) {
+        return std::string(std::get<0>(info.param).name) + std::to_string(std::get<1>(info.param));
+    });
+
 } // namespace
 } // namespace shallotlever
--- a/src/include/shallotlever/wire/peer_transport.h
+++ b/src/include/shallotlever/wire/peer_transport.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <QObject>
 
@@ -77,9 +78,15 @@
     bool send(const NodeId &peer, MessageType type, std::uint64_t requestId, std::string payload);
 
     bool isConnected(const NodeId &peer) const;
+    /// Peers with a link, whichever side opened it.
+    std::vector<NodeId> connectedPeers() const;
 
     const PeerTransportCounters &counters() const;
 
+Q_SIGNALS:
+    /// A link to the peer is up and identified.
+    void connected(const NodeId &peer);
+
 private:
     class Impl;
     explicit PeerTransport(std::unique_ptr<Impl> impl);
--- a/src/node/controller_link.cpp
+++ b/src/node/controller_link.cpp
@@ -32,6 +32,12 @@
     link.heardAt = now;
 }
 
+void onReportRequest(ControllerLink &link, const NodeId &from, TimePoint now)
+{
+    if (from != currentController(link))
+        adoptController(link, from, now);
+}
+
 bool advanceControllerLink(ControllerLink &link, TimePoint now)
 {
     if (now < link.heardAt + kControllerSilence)
--- a/src/node/controller_link.h
+++ b/src/node/controller_link.h
@@ -32,6 +32,9 @@
 /// A relay named the controller that answers it.
 void adoptController(ControllerLink &link, const NodeId &controller, TimePoint now);
 
+/// A member that is in office asked for a report. Members that are not known are ignored.
+void onReportRequest(ControllerLink &link, const NodeId &from, TimePoint now);
+
 /// Moves on to the next member if the current one is silent. Returns true if it changed.
 bool advanceControllerLink(ControllerLink &link, TimePoint now);
 
--- a/src/node/controller_shell.cpp
+++ b/src/node/controller_shell.cpp
@@ -69,6 +69,8 @@
     const ControlTerm term = m_group.member().term();
     m_controller = makeController(term, m_group.state(), ownView,
                                   QDateTime::currentMSecsSinceEpoch(), now, m_recordNodes);
+    m_elected = true;
+    m_predecessorWaitEnded = false;
     m_logger.info("controller_elected",
                   { { "control_term", term.value() },
                     { "nodes_unaccounted", m_controller->records.unaccounted.size() } });
@@ -84,10 +86,28 @@
         waiter.callback(ChangeAnswer { waiter.result, false, {} });
 }
 
+/// Nodes can get shares from now on and are asked for reports at once. Until the wait ends they
+/// refuse work, so its end is logged.
+void ControllerShell::watchPredecessorWait(TimePoint now)
+{
+    if (m_predecessorWaitEnded || now < m_controller->leases.predecessorUntil)
+        return;
+    m_predecessorWaitEnded = true;
+    m_pushDue = true;
+    std::string unaccounted;
+    for (const auto &[node, incarnation] : m_controller->records.unaccounted)
+        unaccounted += (unaccounted.empty() ? "" : " ") + node.value();
+    m_logger.info("predecessor_wait_ended",
+                  { { "control_term", m_controller->controlTerm.value() },
+                    { "waited_ms", millisecondsBetween(m_controller->since, now) },
+                    { "nodes_unaccounted", unaccounted } });
+}
+
 void ControllerShell::advance(TimePoint now)
 {
     m_nextAdvance = now + kAdvanceInterval;
     m_advanceDue = false;
+    watchPredecessorWait(now);
     ControllerActions actions = advanceController(*m_controller, m_group.state(), now);
     m_pushDue |= actions.fleetChanged;
     for (const StateChange &change : actions.upstreamStates) {
@@ -327,4 +347,9 @@
     return std::exchange(m_pushDue, false);
 }
 
+bool ControllerShell::takeElected()
+{
+    return std::exchange(m_elected, false);
+}
+
 } // namespace shallotlever
--- a/src/node/controller_shell.h
+++ b/src/node/controller_shell.h
@@ -43,6 +43,8 @@
     std::vector<NodeId> takeReportTargets();
     /// True once after the fleet view or the configuration changed.
     bool takePushDue();
+    /// True once after this node became the controller.
+    bool takeElected();
 
 private:
     struct Waiter
@@ -60,6 +62,7 @@
     void takeOffice(const FleetLog &ownView, TimePoint now);
     void leaveOffice();
     void advance(TimePoint now);
+    void watchPredecessorWait(TimePoint now);
     void call(const UpstreamCall &call, TimePoint now);
     UpstreamControl &controlOf(const UpstreamCall &call);
     void propose(const GroupDecision &decision, TimePoint now);
@@ -82,6 +85,8 @@
     std::map<UpstreamId, ControlLink> m_links;
     std::vector<Waiter> m_waiters;
     bool m_pushDue = false;
+    bool m_elected = false;
+    bool m_predecessorWaitEnded = false;
     /// Something happened since the last advance.
     bool m_advanceDue = true;
     TimePoint m_nextAdvance;
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -44,9 +44,14 @@
     }
     learnMembership();
     logSummary(now);
+    if (m_controller && m_controller->takeElected()) {
+        onReportRequest(m_controllerLink, m_settings.nodeId, now);
+        m_nextReport = std::min(m_nextReport, now);
+        requestReports(m_transport->connectedPeers());
+    }
     const bool pushed = m_controller && m_controller->takePushDue();
     if (pushed)
-        requestReports();
+        requestReports(m_controller->takeReportTargets());
     watchRelay(now);
     if (m_sessions) {
         m_sessions->tick(now);
@@ -56,6 +61,7 @@
     if (now >= m_nextReport || pushed || relayDue(now) || earlyReportDue(now))
         sendReport(now);
     advanceControllerLink(m_controllerLink, now);
+    logController();
     expireForwarded(now);
     const bool fresh = isFresh(m_view.freshness, now);
     if (fresh != m_fresh) {
@@ -84,9 +90,25 @@
                     { "log_lines_dropped", m_logger.dropped() } });
 }
 
-void Node::Impl::requestReports()
+/// A node that starts, or was cut off, need not search for the controller.
+void Node::Impl::onPeerConnected(const NodeId &peer)
+{
+    if (m_controller && m_controller->inOffice())
+        requestReports({ peer });
+}
+
+void Node::Impl::logController()
+{
+    const NodeId &controller = currentController(m_controllerLink);
+    if (controller == m_loggedController)
+        return;
+    m_loggedController = controller;
+    m_logger.info("reports_to", { { "controller", controller.value() } });
+}
+
+void Node::Impl::requestReports(const std::vector<NodeId> &nodes)
 {
-    for (const NodeId &node : m_controller->takeReportTargets()) {
+    for (const NodeId &node : nodes) {
         if (node != m_settings.nodeId)
             m_transport->send(node, MessageType::ReportRequest, 0, {});
     }
@@ -168,6 +190,8 @@
             applyControllerHint(m_controllerLink, message.sender, NodeId(message.payload), now);
         break;
     case MessageType::ReportRequest:
+        learnMember(message.sender);
+        onReportRequest(m_controllerLink, message.sender, now);
         m_nextReport = std::min(m_nextReport, now);
         break;
     case MessageType::Hello:
--- a/src/node/node_impl.h
+++ b/src/node/node_impl.h
@@ -73,7 +73,9 @@
     void sendReport(TimePoint now);
     bool earlyReportDue(TimePoint now);
     /// What has changed reaches the nodes with their next leases.
-    void requestReports();
+    void requestReports(const std::vector<NodeId> &nodes);
+    void onPeerConnected(const NodeId &peer);
+    void logController();
     void logSummary(TimePoint now);
     ReportInput reportInput(TimePoint now);
     void expireForwarded(TimePoint now);
@@ -127,6 +129,7 @@
     NodeView m_view;
     NodeShared m_shared;
     ControllerLink m_controllerLink;
+    NodeId m_loggedController;
     RelayLink m_relayLink;
     RelayState m_relay;
     /// Controller that this relay last named to each of its nodes.
--- a/src/node/node_start.cpp
+++ b/src/node/node_start.cpp
@@ -134,6 +134,8 @@
     if (!transport.ok())
         return transport.status();
     m_transport = std::move(*transport);
+    QObject::connect(m_transport.get(), &PeerTransport::connected, m_context.get(),
+                     [this](const NodeId &peer) { onPeerConnected(peer); });
     return absl::OkStatus();
 }
 
--- a/src/wire/peer_transport.cpp
+++ b/src/wire/peer_transport.cpp
@@ -34,9 +34,12 @@
     absl::Status start();
     void setPeer(const NodeId &peer, const Endpoint &endpoint);
     PeerLink *linkTo(const NodeId &peer) const;
+    std::vector<NodeId> connectedPeers() const;
 
     PeerServer m_server;
     PeerTransportCounters m_counters;
+    /// Called with the peer once a link is identified.
+    std::function<void(const NodeId &)> m_connected;
 
 private:
     /// A peer that this node keeps a link to.
@@ -100,6 +103,16 @@
     return links == m_links.end() || links->second.empty() ? nullptr : links->second.back();
 }
 
+std::vector<NodeId> PeerTransport::Impl::connectedPeers() const
+{
+    std::vector<NodeId> peers;
+    for (const auto &[peer, links] : m_links) {
+        if (!links.empty())
+            peers.push_back(peer);
+    }
+    return peers;
+}
+
 void PeerTransport::Impl::openLink(const NodeId &peer)
 {
     const Endpoint endpoint = m_outbound[peer].endpoint;
@@ -151,6 +164,8 @@
         if (expected)
             m_outbound[*expected].backoff = kReconnectMin;
         m_links[link->peer()].push_back(link);
+        if (m_connected)
+            m_connected(link->peer());
     });
     QObject::connect(link, &PeerLink::received, &m_context,
                      [this](const PeerMessage &message) { m_receiver(message); });
@@ -172,6 +187,7 @@
 PeerTransport::PeerTransport(std::unique_ptr<Impl> impl)
     : m_impl(std::move(impl))
 {
+    m_impl->m_connected = [this](const NodeId &peer) { Q_EMIT connected(peer); };
 }
 
 PeerTransport::~PeerTransport() = default;
@@ -212,6 +228,11 @@
     return m_impl->linkTo(peer) != nullptr;
 }
 
+std::vector<NodeId> PeerTransport::connectedPeers() const
+{
+    return m_impl->connectedPeers();
+}
+
 const PeerTransportCounters &PeerTransport::counters() const
 {
     return m_impl->m_counters;
--- a/src/wire/peer_transport_test.cpp
+++ b/src/wire/peer_transport_test.cpp
@@ -53,6 +53,22 @@
     EXPECT_EQ(client->received[0].payload, "lease");
 }
 
+// Guards against a controller that cannot ask the nodes linked to it for reports.
+TEST(PeerTransport, NamesTheConnectedPeersAtBothEnds)
+{
+    auto server = makePeer("a", 1, {});
+    std::vector<NodeId> connected;
+    QObject::connect(server->transport.get(), &PeerTransport::connected,
+                     [&](const NodeId &peer) { connected.push_back(peer); });
+    EXPECT_TRUE(server->transport->connectedPeers().empty());
+    auto client = makePeer("b", 2, { { NodeId("a"), { "127.0.0.1", server->transport->port() } } });
+    ASSERT_TRUE(runUntil(
+        [&] { return !connected.empty() && client->transport->isConnected(NodeId("a")); }));
+    EXPECT_EQ(connected, std::vector<NodeId> { NodeId("b") });
+    EXPECT_EQ(server->transport->connectedPeers(), std::vector<NodeId> { NodeId("b") });
+    EXPECT_EQ(client->transport->connectedPeers(), std::vector<NodeId> { NodeId("a") });
+}
+
 // Guards against a link that is not opened again after the peer restarts.
 TEST(PeerTransport, ReconnectsAfterThePeerRestarts)
 {
