--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -70,7 +70,7 @@
 
 /// Whether the node has a newer view than the one the controller started with and has not replaced
 /// yet: that node may know upstreams that the controller does not.
-bool keepsItsView(const ControllerState &controller, const NodeReport &report, TimePoint now)
+bool keepsItsView(const ControllerState &controller, const NodeReport &report)
 {
     return report.appliedFleet > controller.takenOver
         && controller.fleetLog.version == controller.takenOver
@@ -211,7 +211,7 @@
         else if (answer)
             answer->nodes.push_back(makeRelayedLease(*single, shares, result.wantsAllObservations));
     }
-    if (answer && keepsItsView(controller, report, now))
+    if (answer && keepsItsView(controller, report))
         answer->fleet = { report.appliedFleet, report.appliedFleet, false, {} };
     return answer;
 }
--- /dev/null
+++ b/src/policy/team_simulation_test.h
@@ -0,0 +1,191 @@
+#pragma once
+
+#include <algorithm>
+#include <deque>
+#include <string>
+#include <vector>
+
+#include "shallotlever/base/random.h"
+#include "shallotlever/policy/rate_allocator.h"
+#include "shallotlever/policy/token_bucket.h"
+
+namespace shallotlever {
+
+/// Traffic of one team at one node.
+struct TeamTraffic
+{
+    /// Groups of requests that arrive per second, at random times.
+    double groupsPerSecond = 0;
+    /// Requests of a group, one after the other.
+    int requestsPerGroup = 1;
+};
+
+/// One team at nodes with real token buckets that report to a real allocator, as src/node does.
+/// Steps of 1 ms, 20 ms one way.
+class TeamSimulation
+{
+public:
+    TeamSimulation(std::uint64_t seed, double rate, double burst,
+                   const std::vector<TeamTraffic> &traffic, bool waits)
+        : m_allocator(makeRateAllocator(ControlTerm(1), m_now - 10s))
+        , m_nodes(traffic.size())
+        , m_waits(waits)
+    {
+        m_random.seed(seed);
+        applyTeamConfig(m_allocator, { { m_team, { m_team, rate, burst, {} } } }, m_now);
+        for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+            m_nodes[i].id = NodeId("n" + std::to_string(i));
+            m_nodes[i].traffic = traffic[i];
+        }
+    }
+
+    void runFor(Duration duration)
+    {
+        for (const TimePoint end = m_now + duration; m_now < end; m_now += kStep) {
+            for (Node &node : m_nodes) {
+                arrive(node);
+                report(node);
+                deliver(node);
+            }
+        }
+    }
+
+    void clearCounts()
+    {
+        admitted.clear();
+        arrivals = 0;
+        waited = Duration(0);
+        for (Node &node : m_nodes)
+            node.reportsBefore = node.sequence;
+    }
+
+    /// Reports since clearCounts().
+    std::vector<std::uint64_t> reports() const
+    {
+        std::vector<std::uint64_t> counts;
+        for (const Node &node : m_nodes)
+            counts.push_back(node.sequence - node.reportsBefore);
+        return counts;
+    }
+
+    static constexpr Duration kReportInterval = 500ms;
+    static constexpr Duration kRoundTrip = 40ms;
+
+    std::vector<TimePoint> admitted;
+    std::uint64_t arrivals = 0;
+    /// Sum over all requests of the time from arrival to admission.
+    Duration waited { 0 };
+
+private:
+    static constexpr Duration kStep = 1ms;
+    static constexpr Duration kOneWay = kRoundTrip / 2;
+    static constexpr Duration kReducedShareReport = 250ms;
+    /// Time between the requests of a group.
+    static constexpr Duration kGroupGap = 40ms;
+
+    template <typename Message>
+    struct InTransit
+    {
+        TimePoint arrives;
+        Message message;
+    };
+
+    struct Grant
+    {
+        RateGrant grant;
+        TimePoint reportSentAt;
+    };
+
+    struct Node
+    {
+        NodeId id;
+        TeamTraffic traffic;
+        TokenBucket bucket;
+        /// Times of requests of groups that have begun.
+        std::deque<TimePoint> coming;
+        /// Arrival times of requests without a token.
+        std::deque<TimePoint> waiting;
+        TimePoint nextReport;
+        TimePoint lastReport;
+        std::uint64_t sequence = 0;
+        std::uint64_t reportsBefore = 0;
+        GrantNumber applied;
+        std::deque<InTransit<RateReport>> reports;
+        std::deque<InTransit<Grant>> grants;
+    };
+
+    void arrive(Node &node)
+    {
+        constexpr double kPerMillion = 1e6;
+        const double chance =
+            node.traffic.groupsPerSecond * std::chrono::duration<double>(kStep).count();
+        if (static_cast<double>(uniformBelow(m_random, 1'000'000)) < chance * kPerMillion) {
+            for (int i = 0; i < node.traffic.requestsPerGroup; ++i)
+                node.coming.push_back(m_now + i * kGroupGap);
+            std::sort(node.coming.begin(), node.coming.end());
+        }
+        while (!node.waiting.empty() && node.bucket.tryTake(m_now)) {
+            admitted.push_back(m_now);
+            waited += m_now - node.waiting.front();
+            node.waiting.pop_front();
+            node.bucket.endWait();
+        }
+        for (; !node.coming.empty() && node.coming.front() <= m_now; node.coming.pop_front())
+            ask(node);
+    }
+
+    void ask(Node &node)
+    {
+        ++arrivals;
+        node.bucket.countArrival();
+        if (node.bucket.tryTake(m_now)) {
+            admitted.push_back(m_now);
+        } else if (m_waits) {
+            node.waiting.push_back(m_now);
+            node.bucket.beginWait();
+        }
+    }
+
+    void report(Node &node)
+    {
+        const bool early =
+            m_now >= node.lastReport + kEarlyReportInterval && node.bucket.wantsEarlyReport(m_now);
+        if (m_now < node.nextReport && !early)
+            return;
+        node.nextReport = m_now + kReportInterval;
+        node.lastReport = m_now;
+        RateReport report;
+        report.stamp = { node.id, Incarnation(1), ++node.sequence, node.applied };
+        report.demands.push_back(node.bucket.takeDemand(m_team, m_now));
+        node.reports.push_back({ m_now + kOneWay, std::move(report) });
+    }
+
+    void deliver(Node &node)
+    {
+        if (!node.reports.empty() && m_now >= node.reports.front().arrives) {
+            const TimePoint sentAt = node.reports.front().arrives - kOneWay;
+            RateGrant grant = onRateReport(m_allocator, node.reports.front().message, m_now);
+            node.grants.push_back({ m_now + kOneWay, { std::move(grant), sentAt } });
+            node.reports.pop_front();
+        }
+        if (node.grants.empty() || m_now < node.grants.front().arrives)
+            return;
+        const Grant grant = std::move(node.grants.front().message);
+        node.grants.pop_front();
+        node.applied = grant.grant.number;
+        for (const RateShare &share : grant.grant.shares) {
+            if (node.bucket.applyShare(share, grant.reportSentAt + kShareLease, m_now)
+                && share.teamWithinRate)
+                node.nextReport = std::min(node.nextReport, node.lastReport + kReducedShareReport);
+        }
+    }
+
+    const TeamId m_team { "t" };
+    Random m_random;
+    TimePoint m_now { 100s };
+    RateAllocator m_allocator;
+    std::vector<Node> m_nodes;
+    bool m_waits;
+};
+
+} // namespace shallotlever
--- /dev/null
+++ b/src/policy/unlimited_team_test.cpp
@@ -0,0 +1,36 @@
+#include <gtest/gtest.h>
+
+#include "team_simulation_test.h"
+
+namespace shallotlever {
+namespace {
+
+/// One team at six nodes that asks for half of its rate, in transactions of four statements.
+class UnlimitedTeam : public testing::TestWithParam<std::uint64_t>
+{
+protected:
+    TeamSimulation m_team {
+        GetParam(),
+        26,
+        26,
+        { { 0.4, 4 }, { 0.4, 4 }, { 0.5, 4 }, { 0.5, 4 }, { 0.6, 4 }, { 0.8, 4 } },
+        true
+    };
+};
+
+// Guards against requests inside the rate that wait for longer than an early report and its answer
+// take, although half of the rate is unused.
+TEST_P(UnlimitedTeam, WaitsForNoMoreThanOneEarlyReport)
+{
+    m_team.runFor(10s);
+    m_team.clearCounts();
+    m_team.runFor(60s);
+    ASSERT_GT(m_team.arrivals, 0U);
+    const Duration mean = m_team.waited / static_cast<std::int64_t>(m_team.arrivals);
+    EXPECT_LE(mean, kEarlyReportInterval + TeamSimulation::kRoundTrip);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, UnlimitedTeam, testing::Range<std::uint64_t>(1, 6));
+
+} // namespace
+} // namespace shallotlever
