Give control members different election timers when their seeds are equal

Cause: after a loss of power all machines start together. The start time in milliseconds was the seed of a member's election timers, so two members that started within one millisecond stood for election at the same instants, and split the vote in term after term while the third, which had lost its disk, could not break the tie.

Change: the seed is hashed with the node id.

--- a/src/control/member.cpp
+++ b/src/control/member.cpp
@@ -1,5 +1,7 @@
 #include <algorithm>
 
+#include <xxhash.h>
+
 #include "member_impl.h"
 
 namespace shallotlever {
@@ -28,11 +30,19 @@
     return reply != nullptr && reply->preVote && reply->granted;
 }
 
+/// Members may be given equal seeds, as when these are start times. With equal election timers they
+/// would split the vote in term after term.
+std::uint64_t memberSeed(const ControlOptions &options)
+{
+    const std::string &node = options.node.value();
+    return XXH3_64bits_withSeed(node.data(), node.size(), options.seed);
+}
+
 } // namespace
 
 ControlMember::Impl::Impl(TimePoint now, ControlOptions options, RecoveredState recovered)
     : m_options(std::move(options))
-    , m_random(m_options.seed)
+    , m_random(memberSeed(m_options))
     , m_self { m_options.node, recovered.identity }
     , m_hard(std::move(recovered.hardState))
     , m_log(std::move(recovered.snapshot), std::move(recovered.entries))
--- a/src/include/shallotlever/control/member.h
+++ b/src/include/shallotlever/control/member.h
@@ -47,6 +47,7 @@
     bool acceptsStandbys = false;
     /// False where the group is known to have been founded before.
     bool mayFound = true;
+    /// Of election timers. Members with equal seeds still have different timers.
     std::uint64_t seed = 1;
     /// Entries kept behind a snapshot for members that lag.
     std::uint64_t keptEntries = 1'000;
