Do not tell a read as not run after an attempt that may have run

Cause: a read that was sent and not answered is repeated; where the repeat found no database, or no time was left, the error of the last attempt was given (connect_failed, no_upstream, deadline_exceeded), which says not_run.

Change: such a read is answered outcome_unknown, as writes are. Errors of the statement, and a read that writes, stay as they are.

A table over all kinds of error is in executor_test.

--- a/src/executor/failure.cpp
+++ b/src/executor/failure.cpp
@@ -100,4 +100,13 @@
                      "no connection to the database");
 }
 
+Error afterReadThatMayHaveRun(const Error &error)
+{
+    if (errorRow(error.kind).outcome != Outcome::NotRun
+        || error.kind == ErrorKind::ReadOnlyViolation)
+        return error;
+    return { ErrorKind::OutcomeUnknown, "an earlier attempt of the read may have run",
+             std::nullopt };
+}
+
 } // namespace shallotlever
--- a/src/executor/failure.h
+++ b/src/executor/failure.h
@@ -38,4 +38,8 @@
 /// A connection could not be had; nothing was sent.
 Failure connectFailure();
 
+/// Error for the caller of a read of which an earlier attempt may have run: one that says that
+/// nothing ran becomes OutcomeUnknown. A read that writes is refused by every attempt.
+Error afterReadThatMayHaveRun(const Error &error);
+
 } // namespace shallotlever
--- a/src/executor/failure_test.cpp
+++ b/src/executor/failure_test.cpp
@@ -65,5 +65,16 @@
                      false }),
     [](const auto &row) { return row.param.name; });
 
+// Guards against a read that is told as not run, or whose own error is hidden, after an attempt
+// that may have run.
+TEST(FailureAfterLostRead, IsNeverToldAsNotRun)
+{
+    for (const ErrorRow &row : errorTable()) {
+        const ErrorKind told = afterReadThatMayHaveRun({ row.kind, "message", std::nullopt }).kind;
+        const bool certain = row.kind == E::ReadOnlyViolation || row.outcome != Outcome::NotRun;
+        EXPECT_EQ(told, certain ? row.kind : E::OutcomeUnknown) << row.name;
+    }
+}
+
 } // namespace
 } // namespace shallotlever
--- a/src/executor/read_run.cpp
+++ b/src/executor/read_run.cpp
@@ -36,7 +36,7 @@
 {
     const TimePoint now = monotonicNow();
     if (now >= m_run.item.deadline) {
-        finishRun(m_run, Error { ErrorKind::DeadlineExceeded, {}, std::nullopt });
+        finishWith({ ErrorKind::DeadlineExceeded, {}, std::nullopt });
         return;
     }
     m_choice = choose();
@@ -117,7 +117,7 @@
     const TimePoint giveUpAt = std::min(m_run.startedAt + kFreshnessWait, m_run.item.deadline);
     if (now + kFreshnessPause >= giveUpAt) {
         const ErrorKind kind = choice.anyUsable ? ErrorKind::NoFreshReplica : ErrorKind::NoUpstream;
-        finishRun(m_run, Error { kind, {}, std::nullopt });
+        finishWith({ kind, {}, std::nullopt });
         return;
     }
     m_tried.clear();
@@ -160,6 +160,7 @@
     }
     const auto &error = std::get<QueryError>(reply);
     const bool answered = error.kind == QueryErrorKind::Refused;
+    m_mayHaveRun |= !answered && error.kind != QueryErrorKind::NotSent;
     releaseUpstream(answered);
     fail(classifyFailure(error, FailurePoint::Read));
 }
@@ -185,7 +186,19 @@
     m_tried.push_back(m_choice.upstream);
     if (m_tried.size() >= m_run.context.upstreams.size())
         m_tried.clear();
-    retryOrFail(m_run, failure, true, true, [self = shared_from_this()] { self->start(); });
+    Failure last = failure;
+    last.error = reported(failure.error);
+    retryOrFail(m_run, last, true, true, [self = shared_from_this()] { self->start(); });
+}
+
+Error ReadRun::reported(const Error &error) const
+{
+    return m_mayHaveRun ? afterReadThatMayHaveRun(error) : error;
+}
+
+void ReadRun::finishWith(const Error &error)
+{
+    finishRun(m_run, reported(error));
 }
 
 void ReadRun::releaseUpstream(bool succeeded)
--- a/src/executor/read_run.h
+++ b/src/executor/read_run.h
@@ -31,6 +31,9 @@
     void onResult(QueryReply reply);
     void succeed(QueryResult result);
     void fail(const Failure &failure);
+    /// What the caller is told, in view of earlier attempts.
+    Error reported(const Error &error) const;
+    void finishWith(const Error &error);
     void releaseUpstream(bool succeeded);
     Duration attemptTimeout() const;
 
@@ -40,6 +43,8 @@
     std::vector<UpstreamId> m_tried;
     Duration m_waited { 0 };
     TimePoint m_attemptedAt;
+    /// An attempt was sent and not answered.
+    bool m_mayHaveRun = false;
 };
 
 } // namespace shallotlever
--- a/testsuite/failure_primary/primary_test.cpp
+++ b/testsuite/failure_primary/primary_test.cpp
@@ -141,6 +141,28 @@
     EXPECT_FALSE(reply.outcome() == "not_run" && again.body["repeated"].toBool());
 }
 
+// Guards against a read that is told as not run after a lost answer, because the repeat found no
+// database.
+TEST_F(Primary, RepeatedReadOfUnknownOutcomeIsNotToldAsNotRun)
+{
+    // Each request earns a part of a retry.
+    constexpr int kReadsThatEarnRetries = 100;
+    for (const char *replica : { "b", "c" })
+        m_cluster.group()[replica].kill();
+    ASSERT_TRUE(pollUntil([&] { return m_cluster.read(0, "SELECT 1").text("upstream") == "a"; }));
+    for (int i = 0; i < kReadsThatEarnRetries; ++i)
+        ASSERT_TRUE(m_cluster.read(0, "SELECT 1").ok());
+    m_cluster.group()["a"].command("refuse on");
+    HttpReply reply;
+    // Each round loses a connection; the last one leaves none for the repeat.
+    ASSERT_TRUE(pollUntil([&] {
+        m_cluster.group()["a"].command("drop-before-answer SELECT");
+        reply = m_cluster.read(0, "SELECT 2");
+        return !reply.ok();
+    }));
+    EXPECT_EQ(reply.kind(), "outcome_unknown");
+}
+
 // Guards against a former primary that acknowledges writes or keeps its own after a freeze.
 TEST_F(Primary, FrozenAndThawed)
 {
