Log what the controller believes of the teams that are closest to their limits

On the grown deployments two of three operations are refused as over the rate although few are. No line told whether demand is overestimated or the rate is held by nodes that do not use it.

--- a/src/include/shallotlever/policy/rate_allocator.h
+++ b/src/include/shallotlever/policy/rate_allocator.h
@@ -125,6 +125,11 @@
 /// Accounts for a report and computes the node's new shares. O(teams of this node).
 RateGrant onRateReport(RateAllocator &allocator, const RateReport &report, TimePoint now);
 
+/// Teams with the highest demand for their rate, the highest first. The pointers are valid until
+/// the allocator changes.
+std::vector<std::pair<TeamId, const RateTeam *>> busiestTeams(const RateAllocator &allocator,
+                                                              std::size_t most);
+
 /// Drops expired leases; their tokens count as spent. Called by onRateReport every 100 ms.
 void expireRateLeases(RateAllocator &allocator, TimePoint now);
 
--- a/src/include/shallotlever/policy/token_bucket.h
+++ b/src/include/shallotlever/policy/token_bucket.h
@@ -38,6 +38,8 @@
 
     /// Counts a request that arrived, admitted or not. Once per request, before tryTake.
     void countArrival() { m_arrivals.fetch_add(1, std::memory_order_relaxed); }
+    /// Requests counted since the process started.
+    std::uint64_t arrivals() const { return m_arrivals.load(std::memory_order_relaxed); }
     void beginWait() { m_waiting.fetch_add(1, std::memory_order_relaxed); }
     void endWait() { m_waiting.fetch_sub(1, std::memory_order_relaxed); }
 
--- a/src/node/controller_shell.cpp
+++ b/src/node/controller_shell.cpp
@@ -16,6 +16,9 @@
 constexpr Duration kAdvanceInterval = 50ms;
 /// Longest time an operator waits for a change to be in force.
 constexpr Duration kInForceWait = 10s;
+/// Interval of the lines about teams, and how many teams they name at most.
+constexpr Duration kTeamLogInterval = 5s;
+constexpr std::size_t kMaxTeamsLogged = 20;
 
 UpstreamAnswer upstreamAnswer(const UpstreamCall &call,
                               const absl::StatusOr<UpstreamStatus> &status)
@@ -90,6 +93,26 @@
                     { "nodes_unaccounted", m_controller->records.unaccounted.size() } });
 }
 
+/// What the controller believes of the teams that are closest to their limits: requests inside the
+/// rate are refused if demand is overestimated, or if the rate is held by nodes that do not use it.
+void ControllerShell::logTeams(TimePoint now)
+{
+    if (now < m_nextTeamLog)
+        return;
+    m_nextTeamLog = now + kTeamLogInterval;
+    for (const auto &[id, team] : busiestTeams(m_controller->rates, kMaxTeamsLogged)) {
+        m_logger.info("team_shares",
+                      { { "team", id.value() },
+                        { "rate_per_second", team->ratePerSecond },
+                        { "burst", team->burst },
+                        { "demand_per_second", team->demand },
+                        { "average_demand", team->averageDemand },
+                        { "rate_held", team->rateHeld },
+                        { "burst_held", team->burstHeld },
+                        { "pool", team->pool } });
+    }
+}
+
 void ControllerShell::leaveOffice()
 {
     m_logger.info("controller_stepped_down",
@@ -122,6 +145,7 @@
     m_nextAdvance = now + kAdvanceInterval;
     m_advanceDue = false;
     watchPredecessorWait(now);
+    logTeams(now);
     ControllerActions actions = advanceController(*m_controller, m_group.state(), now);
     m_pushDue |= actions.fleetChanged;
     for (const StateChange &change : actions.upstreamStates) {
--- a/src/node/controller_shell.h
+++ b/src/node/controller_shell.h
@@ -64,6 +64,7 @@
     void advance(TimePoint now);
     void watchPredecessorWait(TimePoint now);
     void logTerm();
+    void logTeams(TimePoint now);
     void call(const UpstreamCall &call, TimePoint now);
     UpstreamControl &controlOf(const UpstreamCall &call);
     void propose(const GroupDecision &decision, TimePoint now);
@@ -92,6 +93,7 @@
     /// Something happened since the last advance.
     bool m_advanceDue = true;
     TimePoint m_nextAdvance;
+    TimePoint m_nextTeamLog;
     /// Cancels answers of upstreams that arrive after this object is gone.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/src/policy/rate_allocator.cpp
+++ b/src/policy/rate_allocator.cpp
@@ -383,6 +383,23 @@
     allocator.nextExpiryScan = now + kExpiryScanInterval;
 }
 
+std::vector<std::pair<TeamId, const RateTeam *>> busiestTeams(const RateAllocator &allocator,
+                                                              std::size_t most)
+{
+    std::vector<std::pair<TeamId, const RateTeam *>> teams;
+    for (const auto &[id, team] : allocator.teams) {
+        if (team.demand > 0)
+            teams.emplace_back(id, &team);
+    }
+    const auto last = teams.begin() + static_cast<std::ptrdiff_t>(std::min(most, teams.size()));
+    std::partial_sort(teams.begin(), last, teams.end(), [](const auto &a, const auto &b) {
+        return a.second->demand * b.second->ratePerSecond
+            > b.second->demand * a.second->ratePerSecond;
+    });
+    teams.erase(last, teams.end());
+    return teams;
+}
+
 RateGrant onRateReport(RateAllocator &allocator, const RateReport &report, TimePoint now)
 {
     if (now >= allocator.nextExpiryScan)
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -264,6 +264,7 @@
                            { { "team", team.value() },
                              { "rate_per_second", config->second.ratePerSecond },
                              { "burst", config->second.burst },
+                             { "arrived", gate.bucket->arrivals() },
                              { "admitted", gate.counters.admitted->value() },
                              { "refused", refused },
                              { "refused_inside_rate", gate.counters.refusedInsideRate->value() } });
