--- a/src/policy/team_simulation_test.h
+++ b/src/policy/team_simulation_test.h
@@ -55,6 +55,7 @@
         admitted.clear();
         m_arrivals = 0;
         m_waited = Duration(0);
+        m_completedWaits.clear();
         for (Node &node : m_nodes) {
             node.reportsBefore = node.sequence;
             m_waited -= waitingTime(node);
@@ -71,6 +72,18 @@
         return waited / std::max<std::int64_t>(1, m_arrivals);
     }
 
+    /// Part of the requests since clearCounts() that waited for longer than `limit`.
+    double partWaitingLonger(Duration limit) const
+    {
+        auto longer = std::count_if(m_completedWaits.begin(), m_completedWaits.end(),
+                                    [limit](Duration wait) { return wait > limit; });
+        for (const Node &node : m_nodes)
+            longer += std::count_if(node.waiting.begin(), node.waiting.end(),
+                                    [&](TimePoint arrived) { return m_now - arrived > limit; });
+        return static_cast<double>(longer)
+            / static_cast<double>(std::max<std::int64_t>(1, m_arrivals));
+    }
+
     /// Reports since clearCounts().
     std::vector<std::uint64_t> reports() const
     {
@@ -142,6 +155,7 @@
         while (!node.waiting.empty() && node.bucket.tryTake(m_now)) {
             admitted.push_back(m_now);
             m_waited += m_now - node.waiting.front();
+            m_completedWaits.push_back(m_now - node.waiting.front());
             node.waiting.pop_front();
             node.bucket.endWait();
         }
@@ -204,6 +218,7 @@
     std::int64_t m_arrivals = 0;
     /// By requests that were admitted.
     Duration m_waited { 0 };
+    std::vector<Duration> m_completedWaits;
 };
 
 } // namespace shallotlever
