--- a/src/controller/controller_test.cpp
+++ b/src/controller/controller_test.cpp
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include "shallotlever/controller/controller.h"
+#include "shallotlever/policy/token_grants.h"
 
 namespace shallotlever {
 namespace {
@@ -76,12 +77,24 @@
 {
     const char *name;
     std::uint64_t incarnation;
-    double least;
-    double most;
+    int least;
+    int most;
 };
 
 class Pool : public Records, public testing::WithParamInterface<PoolCase>
 {
+protected:
+    /// Single tokens that a node gets at once, taken from the pool.
+    int tokensAtOnce()
+    {
+        const TokenRequest one { TeamId("t"), 1 };
+        int tokens = 0;
+        while (!requestTokens(m_controller.rates, { NodeId("a"), Incarnation(2), 1 }, { &one, 1 },
+                              m_now)
+                    .empty())
+            ++tokens;
+        return tokens;
+    }
 };
 
 // Guards against callers refused after a restart of everything, when no token has been spent for
@@ -95,9 +108,9 @@
     leased(report("b", 2, 1));
     commitRecords();
     leased(report("a", GetParam().incarnation, 2));
-    const double pool = m_controller.rates.teams.at(TeamId("t")).pool;
-    EXPECT_GE(pool, GetParam().least);
-    EXPECT_LE(pool, GetParam().most);
+    const int tokens = tokensAtOnce();
+    EXPECT_GE(tokens, GetParam().least);
+    EXPECT_LE(tokens, GetParam().most);
 }
 
 INSTANTIATE_TEST_SUITE_P(Processes, Pool,
--- a/src/fleet/distribution_test.cpp
+++ b/src/fleet/distribution_test.cpp
@@ -99,7 +99,7 @@
         heard.announcement.point = { Term(1), LogPosition(1'000'000) };
         report.announcements.push_back(heard);
         report.observations.push_back({ UpstreamId(name), true, true });
-        report.teams.push_back({ TeamId(name), 1.5, 3, 4.5, 5.5, 6.5, 7.5 });
+        report.teams.push_back({ TeamId(name), 1.5, 5.5, 6.5, 7.5 });
         report.slots.push_back({ UpstreamId(name), 1, 2, 3, 4 });
     }
     return report;
--- a/src/fleet/messages_decode.cpp
+++ b/src/fleet/messages_decode.cpp
@@ -101,8 +101,6 @@
 {
     return { .team = TeamId(t.team()->str()),
              .arrivalsPerSecond = t.arrivals_per_second(),
-             .waiting = t.waiting(),
-             .unspentTokens = t.unspent_tokens(),
              .returnedTokens = t.returned_tokens(),
              .heldRate = t.held_rate(),
              .heldBurst = t.held_burst() };
--- a/src/fleet/messages_encode.cpp
+++ b/src/fleet/messages_encode.cpp
@@ -58,8 +58,8 @@
 
 Offset<fbs::TeamDemand> packTeamDemand(FlatBufferBuilder &b, const TeamDemand &d)
 {
-    return fbs::CreateTeamDemand(b, packId(b, d.team), d.arrivalsPerSecond, d.waiting,
-                                 d.unspentTokens, d.returnedTokens, d.heldRate, d.heldBurst);
+    return fbs::CreateTeamDemand(b, packId(b, d.team), d.arrivalsPerSecond, d.returnedTokens,
+                                 d.heldRate, d.heldBurst);
 }
 
 Offset<fbs::SlotDemand> packSlotDemand(FlatBufferBuilder &b, const SlotDemand &d)
--- a/src/fleet/messages_test.cpp
+++ b/src/fleet/messages_test.cpp
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include "shallotlever/fleet/messages.h"
+#include "shallotlever/fleet/token_messages.h"
 
 namespace shallotlever {
 namespace {
@@ -32,7 +33,7 @@
     report.observations = { { .upstream = UpstreamId("db1"), .reachable = false },
                             { .upstream = UpstreamId("db2"), .withdrawn = true } };
     report.observationsBase = 11;
-    report.teams = { { TeamId("t"), 12.5, 3, 0.5 } };
+    report.teams = { { TeamId("t"), 12.5, 0.5 } };
     report.slots = { { UpstreamId("db1"), 1, 2, 3 } };
     return report;
 }
@@ -111,5 +112,17 @@
     }
 }
 
+// Guards against a denial that is read as a grant, and a team or time lost on the way.
+TEST(TokenMessages, KeepGrantsAndDenials)
+{
+    const std::vector<TokenRequest> requests { { TeamId("a"), 1 }, { TeamId("b"), 7 } };
+    EXPECT_EQ(decodeTokenRequests(encodeTokenRequests(requests)).value(), requests);
+    const std::vector<TokenGrant> grants { { TeamId("a"), 2, 35ms, std::nullopt },
+                                           { TeamId("b"), 0, Duration(0), 250ms } };
+    EXPECT_EQ(decodeTokenGrants(encodeTokenGrants(grants)).value(), grants);
+    EXPECT_FALSE(decodeTokenGrants("garbage that is no buffer").ok());
+    EXPECT_FALSE(decodeTokenRequests("").ok());
+}
+
 } // namespace
 } // namespace shallotlever
--- a/src/include/shallotlever/policy/rate_allocator.h
+++ b/src/include/shallotlever/policy/rate_allocator.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <map>
 #include <utility>
 #include <vector>
@@ -8,10 +9,11 @@
 #include "shallotlever/types/config.h"
 #include "shallotlever/types/shares.h"
 
-/// Leases shares of each team's rate and burst to nodes, at the controller. Tokens are conserved:
-/// the controller's pool, the buckets of the nodes and grants on their way never exceed the burst
-/// together, and refill at no more than the rate together. Hence, in every window of length w,
-/// admitted <= burst + rate * w over all nodes.
+/// Leases shares of each team's rate and burst to nodes, at the controller. A node with few
+/// requests of a team gets no share of it; it asks for single tokens (token_grants.h). Tokens are
+/// conserved: the controller's pool, the buckets of the nodes and grants on their way never exceed
+/// the burst together, and refill at no more than the rate together. Hence, in every window of
+/// length w, admitted <= burst + rate * w over all nodes.
 namespace shallotlever {
 
 /// Faults that tests switch on to prove that the oracles detect them. None is set in production.
@@ -25,6 +27,8 @@
     bool skipPredecessorWait = false;
     /// Renews shares while the predecessor may still grant them to others.
     bool renewTooEarly = false;
+    /// Single tokens that were granted stay in the pool.
+    bool lendTwice = false;
 };
 
 /// A grant that the node may be using.
@@ -52,6 +56,29 @@
     bool returnedKnown = false;
 };
 
+/// Who asked for single tokens, and with which of its requests.
+struct TokenAsker
+{
+    NodeId node;
+    Incarnation incarnation;
+    std::uint64_t request = 0;
+};
+
+/// Single tokens that a node may still spend.
+struct TokenLoan
+{
+    TimePoint expires;
+    double tokens = 0;
+};
+
+/// A request for single tokens that the pool does not hold yet.
+struct QueuedTokens
+{
+    TokenAsker asker;
+    std::uint32_t tokens = 0;
+    TimePoint since;
+};
+
 struct RateTeam
 {
     double ratePerSecond = 0;
@@ -61,7 +88,17 @@
     TimePoint poolAt;
     double rateHeld = 0;
     double burstHeld = 0;
+    /// Demand of the nodes that hold or get a lease.
     double demand = 0;
+    /// Single tokens asked for per second, as of requestedAt.
+    double requestedPerSecond = 0;
+    TimePoint requestedAt;
+    /// Oldest first; `lent` is their sum.
+    std::deque<TokenLoan> loans;
+    double lent = 0;
+    /// In the order of arrival; `queuedTokens` is their sum.
+    std::deque<QueuedTokens> queue;
+    double queuedTokens = 0;
     /// Demand averaged over two seconds, as of averageAt; tells a team over its rate.
     double averageDemand = 0;
     TimePoint averageAt;
@@ -125,6 +162,9 @@
 /// Accounts for a report and computes the node's new shares. O(teams of this node).
 RateGrant onRateReport(RateAllocator &allocator, const RateReport &report, TimePoint now);
 
+/// Whether a report has to name the team: the node has a share of it, or enough requests for one.
+bool concernsLease(const TeamDemand &demand);
+
 /// Teams with the highest demand for their rate, the highest first. The pointers are valid until
 /// the allocator changes.
 std::vector<std::pair<TeamId, const RateTeam *>> busiestTeams(const RateAllocator &allocator,
--- a/src/include/shallotlever/policy/share_lease.h
+++ b/src/include/shallotlever/policy/share_lease.h
@@ -13,6 +13,14 @@
 /// the controller from the time it received that report, so the node's view ends first.
 inline constexpr Duration kShareLease = 2s;
 
+/// Time for which a node may spend a token that was granted by itself. Counted like kShareLease;
+/// short, because the controller counts the token as unspent for so long.
+inline constexpr Duration kTokenLife = 500ms;
+
+/// Requests per second at a node from which it gets a share of a team's rate. Below it most of a
+/// share would lie unused, and the requests ask for single tokens instead.
+inline constexpr double kLeastLeasedDemand = 8;
+
 /// Grants are numbered per controller; grants of a later controller have higher numbers. A node
 /// ignores a grant whose number is not higher than that of the last grant it applied.
 using GrantNumber = Number<struct GrantNumberTag>;
--- a/src/include/shallotlever/policy/token_bucket.h
+++ b/src/include/shallotlever/policy/token_bucket.h
@@ -28,12 +28,21 @@
 class TokenBucket
 {
 public:
-    /// Takes one token; false without a share, after its expiry or when the bucket is empty.
+    /// Takes one token, of the share or one that was granted by itself; false if there is none.
     bool tryTake(TimePoint now);
 
-    /// Time until the bucket may hold a token again; other threads may take that token. nullopt if
-    /// only a new share can bring one: the caller still waits for PresetPolicy::rateWait, as an
-    /// early report asks for that share.
+    /// Adds tokens that were granted by themselves and may be spent until `expires`. Control thread
+    /// only.
+    void addTokens(std::uint32_t tokens, TimePoint expires, TimePoint now);
+    /// The controller has no token for this node before then. Control thread only.
+    void noteDenied(TimePoint until);
+    /// Set while the controller is known to have no token; requests need not wait then.
+    std::optional<Duration> deniedFor(TimePoint now) const;
+    /// Whether the controller may have single tokens: not of a team whose whole rate is leased.
+    bool mayAskForTokens(TimePoint now) const;
+
+    /// Time until the share may bring a token; other threads may take that token. nullopt if only
+    /// the controller can: the caller waits, as the node asks for a token.
     std::optional<Duration> timeUntilToken(TimePoint now) const;
 
     /// Counts a request that arrived, admitted or not. Once per request, before tryTake.
@@ -41,6 +50,7 @@
     /// Requests counted since the process started.
     std::uint64_t arrivals() const { return m_arrivals.load(std::memory_order_relaxed); }
     void beginWait() { m_waiting.fetch_add(1, std::memory_order_relaxed); }
+    std::uint32_t waiting() const { return m_waiting.load(std::memory_order_relaxed); }
     void endWait() { m_waiting.fetch_sub(1, std::memory_order_relaxed); }
 
     RateRefusal refusalClass(TimePoint now) const;
@@ -57,8 +67,7 @@
     /// Demand since the last call, for the next report.
     TeamDemand takeDemand(const TeamId &team, TimePoint now);
 
-    /// The node should report before the period ends: requests wait or were refused since the last
-    /// report although the team is within its rate, or the traffic has stopped and others may need
+    /// The node should report before the period ends: the traffic has stopped and others may need
     /// the share. Control thread only; polled every kEarlyReportInterval or more often.
     bool wantsEarlyReport(TimePoint now);
 
@@ -73,6 +82,8 @@
         std::atomic<bool> teamWithinRate { true };
     };
 
+    bool takeFromShare(TimePoint now);
+    bool takeGranted(TimePoint now);
     void noteQuiet(TimePoint now);
     const Parameters &parametersOf(std::uint64_t word) const;
     Parameters &parametersOf(std::uint64_t word);
@@ -83,7 +94,9 @@
     std::atomic<std::uint64_t> m_word { 0 };
     std::array<Parameters, 2> m_parameters;
     std::atomic<std::uint64_t> m_arrivals { 0 };
-    std::atomic<std::uint64_t> m_refused { 0 };
+    /// Tokens granted by themselves in the upper 16 bits, microseconds of their expiry below.
+    std::atomic<std::uint64_t> m_granted { 0 };
+    std::atomic<std::int64_t> m_deniedUntil { 0 };
     std::atomic<std::uint32_t> m_waiting { 0 };
     // Control thread only.
     std::uint64_t m_lastGrant = 0;
@@ -91,13 +104,10 @@
     TimePoint m_windowStart;
     std::uint64_t m_windowArrivals = 0;
     double m_lastRate = 0;
-    std::uint64_t m_refusedReported = 0;
     /// No request has arrived since.
     TimePoint m_quietSince;
-    TimePoint m_lastPoll;
     std::uint64_t m_quietArrivals = 0;
     bool m_stopped = false;
-    TimePoint m_lastReport;
 };
 
 } // namespace shallotlever
--- a/src/include/shallotlever/types/shares.h
+++ b/src/include/shallotlever/types/shares.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "shallotlever/base/ids.h"
@@ -15,10 +16,6 @@
     TeamId team;
     /// Requests that arrived per second, admitted or not.
     double arrivalsPerSecond = 0;
-    /// Requests that wait for a token at the moment.
-    std::uint32_t waiting = 0;
-    /// Burst tokens the node holds and has not spent.
-    double unspentTokens = 0;
     /// Unspent tokens given up when a share's bucket depth shrank, counted since the process
     /// started. The controller may grant them again.
     double returnedTokens = 0;
@@ -28,6 +25,27 @@
     friend bool operator==(const TeamDemand &, const TeamDemand &) = default;
 };
 
+/// Tokens for requests of a team that wait at a node.
+struct TokenRequest
+{
+    TeamId team;
+    std::uint32_t tokens = 0;
+    friend bool operator==(const TokenRequest &, const TokenRequest &) = default;
+};
+
+/// Answers a TokenRequest, or a part of it.
+struct TokenGrant
+{
+    TeamId team;
+    std::uint32_t tokens = 0;
+    /// Time from the receipt of the request to this grant. The node may spend the tokens until
+    /// kTokenLife after it asked plus this time.
+    Duration queued { 0 };
+    /// Set if no token will come: time until it makes sense to ask again.
+    std::optional<Duration> retryAfter;
+    friend bool operator==(const TokenGrant &, const TokenGrant &) = default;
+};
+
 /// What a node reports about one upstream.
 struct SlotDemand
 {
--- a/src/include/shallotlever/wire/peer.h
+++ b/src/include/shallotlever/wire/peer.h
@@ -21,9 +21,12 @@
     ControllerHint = 7,
     /// The controller asks for a report now, because its answer brings something new. No payload.
     ReportRequest = 8,
+    /// A node asks the controller for single tokens of teams.
+    TokenRequest = 9,
+    TokenGrant = 10,
 };
 /// One more than the largest MessageType.
-inline constexpr auto kMessageTypes = static_cast<std::size_t>(MessageType::ReportRequest) + 1;
+inline constexpr auto kMessageTypes = static_cast<std::size_t>(MessageType::TokenGrant) + 1;
 
 /// Largest frame on a peer link, in bytes.
 constexpr std::uint32_t kMaxFrameBytes = 1U << 20U;
--- a/src/node/controller_shell.cpp
+++ b/src/node/controller_shell.cpp
@@ -105,7 +105,8 @@
                       { { "team", id.value() },
                         { "rate_per_second", team->ratePerSecond },
                         { "burst", team->burst },
-                        { "demand_per_second", team->demand },
+                        { "leased_demand", team->demand },
+                        { "requested_tokens", team->requestedPerSecond },
                         { "average_demand", team->averageDemand },
                         { "rate_held", team->rateHeld },
                         { "burst_held", team->burstHeld },
@@ -269,6 +270,22 @@
     return onNodeReport(*m_controller, report, now);
 }
 
+std::vector<TokenDelivery> ControllerShell::requestTokens(const TokenAsker &asker,
+                                                          const std::vector<TokenRequest> &requests,
+                                                          TimePoint now)
+{
+    if (!m_controller || !m_group.isController(now))
+        return {};
+    return shallotlever::requestTokens(m_controller->rates, asker, requests, now);
+}
+
+std::vector<TokenDelivery> ControllerShell::serveTokenQueues(TimePoint now)
+{
+    if (!m_controller || !m_group.isController(now))
+        return {};
+    return shallotlever::serveTokenQueues(m_controller->rates, now);
+}
+
 void ControllerShell::onApplied(const Command &command, const ChangeResult &result, LogIndex index,
                                 TimePoint now)
 {
--- a/src/node/controller_shell.h
+++ b/src/node/controller_shell.h
@@ -7,6 +7,7 @@
 #include "control_group.h"
 #include "forward.h"
 #include "shallotlever/controller/controller.h"
+#include "shallotlever/policy/token_grants.h"
 #include "shallotlever/telemetry/log.h"
 #include "shallotlever/telemetry/metrics.h"
 #include "shallotlever/upstream/control.h"
@@ -35,6 +36,12 @@
     bool inOffice() const { return m_controller.has_value(); }
     /// nullopt if the report must not be answered.
     std::optional<NodeLease> answerReport(const NodeReport &report, TimePoint now);
+    /// Grants of single tokens, to be sent. Empty if this node is not in office.
+    std::vector<TokenDelivery> requestTokens(const TokenAsker &asker,
+                                             const std::vector<TokenRequest> &requests,
+                                             TimePoint now);
+    /// Call every 10 ms.
+    std::vector<TokenDelivery> serveTokenQueues(TimePoint now);
     void onApplied(const Command &command, const ChangeResult &result, LogIndex index,
                    TimePoint now);
     void forward(const OperatorRequest &request, ForwardCallback callback, TimePoint now);
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -57,6 +57,9 @@
         if (m_sessions->takeObservationChanged())
             scheduleReport(m_reports, now, ReportReason::Observed);
     }
+    if (m_controller)
+        deliverTokens(m_controller->serveTokenQueues(now), now);
+    askForTokens(now);
     if (relayDue(now))
         scheduleReport(m_reports, now, ReportReason::Relayed);
     if (earlyReportDue(now))
@@ -97,6 +100,9 @@
                     { "peer_bytes_sent", counters.bytesSent() },
                     { "report_bytes_sent", counters.bytesSentOf(MessageType::NodeReport) },
                     { "lease_bytes_sent", counters.bytesSentOf(MessageType::NodeLease) },
+                    { "token_bytes_sent",
+                      counters.bytesSentOf(MessageType::TokenRequest)
+                          + counters.bytesSentOf(MessageType::TokenGrant) },
                     { "log_bytes_sent", counters.bytesSentOf(MessageType::Control) },
                     { "peer_messages_dropped", counters.messagesDropped },
                     { "reports_sent", m_view.freshness.lastReport },
@@ -171,8 +177,11 @@
     }
     if (isFresh(m_view.freshness, now))
         noteHeldConnections(input.slots, m_view.slots);
-    for (const auto &[team, bucket] : m_buckets)
-        input.teams.push_back(bucket->takeDemand(team, now));
+    for (const auto &[team, bucket] : m_buckets) {
+        TeamDemand demand = bucket->takeDemand(team, now);
+        if (concernsLease(demand))
+            input.teams.push_back(std::move(demand));
+    }
     return input;
 }
 
@@ -208,6 +217,12 @@
         onReportRequest(m_controllerLink, message.sender, now);
         scheduleReport(m_reports, now, ReportReason::Requested);
         break;
+    case MessageType::TokenRequest:
+        onTokenRequests(message, now);
+        break;
+    case MessageType::TokenGrant:
+        onTokenGrants(message, now);
+        break;
     case MessageType::Hello:
         break;
     }
--- a/src/node/node_impl.h
+++ b/src/node/node_impl.h
@@ -19,6 +19,8 @@
 #include "service_host.h"
 #include "shallotlever/edge/listener.h"
 #include "shallotlever/node/node.h"
+#include "shallotlever/policy/token_asks.h"
+#include "shallotlever/policy/token_grants.h"
 #include "shallotlever/proxy/proxy.h"
 #include "shallotlever/wire/peer_transport.h"
 
@@ -90,6 +92,16 @@
     void onForward(const PeerMessage &message, TimePoint now);
     void onForwardReply(std::uint64_t requestId, const std::string &payload);
 
+    // Single tokens.
+    void askForTokens(TimePoint now);
+    void onTokenRequests(const PeerMessage &message, TimePoint now);
+    void answerTokenRequests(const TokenAsker &asker, const std::vector<TokenRequest> &requests,
+                             TimePoint now);
+    void deliverTokens(const std::vector<TokenDelivery> &deliveries, TimePoint now);
+    void onTokenGrants(const PeerMessage &message, TimePoint now);
+    void applyTokenGrants(const std::vector<TokenGrant> &grants, std::uint64_t request,
+                          TimePoint now);
+
     // Relays.
     bool relayDue(TimePoint now) const;
     void relayNodeReport(NodeReport report, TimePoint now);
@@ -143,6 +155,9 @@
     std::map<UpstreamId, std::pair<Announcement, TimePoint>> m_announcements;
     std::map<std::uint64_t, Forwarded> m_forwarded;
     std::uint64_t m_lastRequest = 0;
+    TokenAsks m_tokenAsks;
+    /// Controller that was asked last.
+    NodeId m_tokenSource;
     ReportSchedule m_reports;
     std::array<Counter *, static_cast<std::size_t>(ReportReason::Count)> m_reportsSent {};
     TimePoint m_nextSummary;
--- a/src/node/request_path.cpp
+++ b/src/node/request_path.cpp
@@ -96,7 +96,10 @@
         && admitted.counters.refusedInsideRate != nullptr)
         admitted.counters.refusedInsideRate->increment();
     Error error { ErrorKind::RateLimited, {}, std::nullopt };
-    if (const auto pause = admitted.bucket->timeUntilToken(now))
+    auto pause = admitted.bucket->timeUntilToken(now);
+    if (!pause)
+        pause = admitted.bucket->deniedFor(now);
+    if (pause)
         error.retryAfter = std::chrono::ceil<std::chrono::milliseconds>(*pause);
     respond(std::move(error));
 }
@@ -112,7 +115,8 @@
         admitted->service->submit(std::move(item));
         return;
     }
-    if (now >= giveUpAt) {
+    const bool denied = !admitted->bucket->timeUntilToken(now) && admitted->bucket->deniedFor(now);
+    if (now >= giveUpAt || denied) {
         refuseOverRate(*admitted, respond, now);
         return;
     }
--- a/src/policy/experiment/team_scenarios.cpp
+++ b/src/policy/experiment/team_scenarios.cpp
@@ -6,7 +6,9 @@
 #include "scenarios.h"
 #include "shallotlever/policy/fair_queue.h"
 #include "shallotlever/policy/rate_allocator.h"
+#include "shallotlever/policy/token_asks.h"
 #include "shallotlever/policy/token_bucket.h"
+#include "shallotlever/policy/token_grants.h"
 #include "simulation.h"
 
 namespace shallotlever::experiment {
@@ -109,6 +111,7 @@
             report(i);
             checkEarly(i);
         }
+        serveQueue();
         m_loop.after(kWarmUp, [this] { arrive(); });
         m_loop.after(kWarmUp, [this] { move(); });
     }
@@ -129,10 +132,12 @@
     static constexpr Duration kWarmUp = 10s;
     static constexpr Duration kPeriod = 500ms;
     static constexpr Duration kPoll = 2ms;
+    static constexpr Duration kQueueInterval = 10ms;
 
     struct Node
     {
         TokenBucket bucket;
+        TokenAsks asks;
         std::uint64_t sequence = 0;
         GrantNumber applied;
         TimePoint lastReport;
@@ -199,6 +204,8 @@
     void checkEarly(std::size_t index)
     {
         Node &node = m_nodes[index];
+        if (m_sharing == Sharing::EarlyReports)
+            askForTokens(index);
         const bool due = m_loop.now() - node.lastReport >= kEarlyReportInterval;
         if (m_sharing == Sharing::EarlyReports && due
             && (node.reportSoon || node.bucket.wantsEarlyReport(m_loop.now()))) {
@@ -208,6 +215,40 @@
         m_loop.after(kPoll, [this, index] { checkEarly(index); });
     }
 
+    void askForTokens(std::size_t index)
+    {
+        Node &node = m_nodes[index];
+        const TokenAsker asker { NodeId(std::to_string(index)), Incarnation(1),
+                                 node.asks.lastRequest + 1 };
+        const TokenRequest request { kTeam,
+                                     shallotlever::askForTokens(node.asks, kTeam, node.bucket,
+                                                                asker.request, m_loop.now()) };
+        if (request.tokens == 0)
+            return;
+        node.asks.lastRequest = asker.request;
+        m_loop.after(oneWay(m_deployment, index, 0), [=, this] {
+            deliverTokens(requestTokens(m_allocator, asker, { &request, 1 }, m_loop.now()));
+        });
+    }
+
+    void serveQueue()
+    {
+        deliverTokens(serveTokenQueues(m_allocator, m_loop.now()));
+        m_loop.after(kQueueInterval, [this] { serveQueue(); });
+    }
+
+    void deliverTokens(const std::vector<TokenDelivery> &deliveries)
+    {
+        for (const TokenDelivery &delivery : deliveries) {
+            const auto index = static_cast<std::size_t>(std::stoul(delivery.to.node.value()));
+            m_loop.after(oneWay(m_deployment, index, 0), [=, this] {
+                Node &node = m_nodes[index];
+                applyTokenGrant(node.asks, node.bucket, delivery.to.request, delivery.grant,
+                                m_loop.now());
+            });
+        }
+    }
+
     void sendReport(std::size_t index)
     {
         Node &node = m_nodes[index];
--- a/src/policy/fuzz_main_test.h
+++ b/src/policy/fuzz_main_test.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -20,12 +21,17 @@
 };
 inline FuzzOptions fuzzOptions;
 
-/// Runs `run(seed, steps, faults)` over the seeds until one finds a violation.
+/// Runs `run(seed, steps, faults)` over the seeds, and over later ones up to `atLeastTo` unless one
+/// seed was asked for, until one finds a violation.
 template <typename Run, typename Faults>
-Violation fuzzSeeds(Run run, std::uint64_t defaultSteps, const Faults &faults)
+Violation fuzzSeeds(Run run, std::uint64_t defaultSteps, const Faults &faults,
+                    std::uint64_t atLeastTo = 0)
 {
     const std::uint64_t steps = fuzzOptions.steps == 0 ? defaultSteps : fuzzOptions.steps;
-    for (std::uint64_t seed = fuzzOptions.firstSeed; seed <= fuzzOptions.lastSeed; ++seed) {
+    const bool one = fuzzOptions.firstSeed == fuzzOptions.lastSeed;
+    const std::uint64_t last =
+        one ? fuzzOptions.lastSeed : std::max(fuzzOptions.lastSeed, atLeastTo);
+    for (std::uint64_t seed = fuzzOptions.firstSeed; seed <= last; ++seed) {
         if (const Violation found = run(seed, steps, faults))
             return "seed " + std::to_string(seed) + ": " + *found;
     }
--- a/src/policy/policy_test.cpp
+++ b/src/policy/policy_test.cpp
@@ -33,9 +33,7 @@
     {
         ReportStamp &stamp = stamps[node];
         stamp = { NodeId(node), Incarnation(1), stamp.sequence + 1, stamp.appliedGrant };
-        const std::uint32_t waiting = arrivals > 0 ? 1 : 0;
-        const RateGrant grant =
-            onRateReport(allocator, { stamp, { { kTeam, arrivals, waiting } } }, now);
+        const RateGrant grant = onRateReport(allocator, { stamp, { { kTeam, arrivals } } }, now);
         stamp.appliedGrant = grant.number;
         return grant.shares.empty() ? RateShare {} : grant.shares.front();
     }
--- a/src/policy/rate_allocator.cpp
+++ b/src/policy/rate_allocator.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "rate_team.h"
+
 namespace shallotlever {
 namespace {
 
@@ -19,22 +21,11 @@
 /// for nodes that need it.
 constexpr double kDepthSeconds = 0.15;
 constexpr double kDepthDeviations = 2;
-/// Part of the burst spread over all nodes, so that the first requests at a node need no round
-/// trip to the controller.
-constexpr double kFloorShare = 0.25;
-/// Above this number of nodes no floors are kept: they would cost a record per node and team.
-constexpr std::size_t kMaxNodesWithFloor = 64;
-/// Least demand per second that a waiting request stands for.
-constexpr double kDemandPerWaiting = 4;
-/// A team is over its rate by its demand averaged over this time, and by this margin: traffic that
-/// moves is counted at its old and new node for a moment, and small teams' demand is noisy.
-constexpr double kDemandAverageSeconds = 2;
-constexpr double kOverRateMargin = 1.25;
+/// A node keeps its share down to this demand, so that shares do not come and go.
+constexpr double kLeastKeptDemand = 4;
 /// Demand at a node is averaged over this time while the team is over its rate: its shares sum to
 /// the whole rate, and a share that shrinks counts until the node has confirmed it.
 constexpr double kOverRateAverageSeconds = 4;
-/// Part of the burst, and of the pool, that a node with waiting requests may take at least.
-constexpr double kUrgentPart = 0.5;
 /// A bucket of less than one token admits nothing.
 constexpr double kLeastUsefulDepth = 1.0;
 
@@ -43,17 +34,6 @@
     return std::chrono::duration<double>(d).count();
 }
 
-/// Brings the pool up to date. Must precede every change of the team's sums or limits.
-void accrue(RateTeam &team, TimePoint now)
-{
-    if (now <= team.poolAt)
-        return;
-    const double free = std::max(0.0, team.ratePerSecond - team.rateHeld);
-    const double room = std::max(0.0, team.burst - team.burstHeld);
-    team.pool = std::min(team.pool + free * seconds(now - team.poolAt), room);
-    team.poolAt = now;
-}
-
 /// Recomputes what the holding may use and updates the team's sums.
 void updateSums(RateTeam &team, RateHolding &holding)
 {
@@ -96,16 +76,19 @@
         return;
     const double returned = demand->returnedTokens - holding.returnedSeen;
     if (holding.returnedKnown && returned > 0) {
-        const double room = std::max(0.0, team.burst - team.burstHeld);
-        team.pool = std::min(team.pool + std::min(returned, depthDropped), room);
+        team.pool = std::min(team.pool + std::min(returned, depthDropped), poolRoom(team));
     }
     holding.returnedSeen = demand->returnedTokens;
     holding.returnedKnown = true;
 }
 
-bool isOverRate(const RateTeam &team)
+/// Requests per second that a share should cover; 0 for a node that sees too few.
+double leasedDemand(const RateHolding &holding, const TeamDemand *demand)
 {
-    return team.averageDemand > team.ratePerSecond * kOverRateMargin;
+    const double least = holding.rateHeld > 0 ? kLeastKeptDemand : kLeastLeasedDemand;
+    if (demand == nullptr || demand->arrivalsPerSecond < least)
+        return 0;
+    return demand->arrivalsPerSecond;
 }
 
 /// Demand of a node averaged over a time in which its share should not change.
@@ -126,10 +109,8 @@
     const double dropped = std::max(0.0, depthBefore - holding.burstHeld);
     creditReturned(team, holding, demand, dropped);
     if (allocator.faults.forgetSpentBurst)
-        team.pool = std::min(team.pool + dropped, std::max(0.0, team.burst - team.burstHeld));
-    const double wanted = demand == nullptr
-        ? 0.0
-        : std::max(demand->arrivalsPerSecond, demand->waiting * kDemandPerWaiting);
+        team.pool = std::min(team.pool + dropped, poolRoom(team));
+    const double wanted = leasedDemand(holding, demand);
     setDemand(team, holding, isOverRate(team) ? smoothed(holding, wanted, now) : wanted);
     holding.demandAt = now;
 }
@@ -138,8 +119,8 @@
 {
     if (holding.demand <= 0 || team.demand <= 0)
         return 0;
-    const double proportional = team.ratePerSecond * holding.demand / team.demand;
-    const double room = std::max(1.0, team.burst - team.burstHeld);
+    const double proportional = team.ratePerSecond * holding.demand / totalDemand(team);
+    const double room = std::max(1.0, poolRoom(team));
     const double fill = std::min(1.0, team.pool / room);
     const double headroom = kLeastHeadroom + (kMostHeadroom - kLeastHeadroom) * fill;
     const double needed =
@@ -147,68 +128,33 @@
     return std::min(proportional, needed);
 }
 
-double floorDepth(const RateTeam &team, std::size_t nodes)
-{
-    if (nodes == 0 || nodes > kMaxNodesWithFloor)
-        return 0;
-    const double floor = team.burst * kFloorShare / static_cast<double>(nodes);
-    return floor >= kLeastUsefulDepth ? floor : 0;
-}
-
-bool isPressed(const TeamDemand *demand)
-{
-    return demand != nullptr && demand->waiting > 0;
-}
-
-/// Part of the burst that a node may take at once when its requests wait: its part of the demand,
-/// and more than that while its demand is only beginning to show.
-double urgentPart(const RateTeam &team, const RateHolding &holding)
+double depthTarget(const RateTeam &team, const RateHolding &holding)
 {
-    return team.demand <= 0 ? 0 : std::max(kUrgentPart, holding.demand / team.demand);
-}
-
-/// Tokens of the pool for a node whose requests wait, at least one.
-double poolPart(const RateTeam &team, const RateHolding &holding)
-{
-    return std::min(team.pool, std::max(1.0, team.pool * urgentPart(team, holding)));
-}
-
-double depthTarget(const RateTeam &team, const RateHolding &holding, const TeamDemand *demand,
-                   double lastDepth, std::size_t nodes)
-{
-    double target = floorDepth(team, nodes);
     if (holding.demand <= 0 || team.demand <= 0)
-        return target;
-    const double part = holding.demand / team.demand;
+        return 0;
+    const double part = holding.demand / totalDemand(team);
     const double wanted =
         std::max(holding.demand * kDepthSeconds, kDepthDeviations * std::sqrt(holding.demand));
     // Of a team over its rate nothing is kept for traffic that moves; a shallow bucket overflows in
     // the gaps between arrivals.
     const double steady =
         isOverRate(team) ? team.burst * part : std::min(team.burst * part / 2, wanted);
-    target = std::max({ target, steady, std::min(kLeastUsefulDepth, team.burst) });
-    // Random excess over the rate is no reason to take tokens from the pool; waiting requests are.
-    if (isPressed(demand))
-        target = std::max(
-            target,
-            std::min(lastDepth + poolPart(team, holding), team.burst * urgentPart(team, holding)));
-    return target;
+    return std::max(steady, std::min(kLeastUsefulDepth, team.burst));
 }
 
 /// Sets the depth and tokens that can be granted now. While a reduction is unacknowledged the
 /// depth is not raised, so that returned tokens are never counted twice. Tokens come with at most
 /// an equal increase of depth: the bucket and tokens on their way never exceed the depth counted.
-void grantDepth(RateTeam &team, const RateHolding &holding, const TeamDemand *demand, double target,
-                double lastDepth, RateShare &share)
+void grantDepth(RateTeam &team, const RateHolding &holding, double target, double lastDepth,
+                RateShare &share)
 {
     share.burst = std::min(target, lastDepth);
     if (target <= lastDepth || holding.burstHeld > lastDepth)
         return;
     // Room that is neither granted as depth nor filled by the pool is granted without tokens.
-    const double room = std::max(0.0, team.burst - team.burstHeld - team.pool);
+    const double room = std::max(0.0, poolRoom(team) - team.pool);
     const double raise = std::min(target - lastDepth, room + team.pool);
-    const double wanted = isPressed(demand) ? poolPart(team, holding) : 0;
-    share.tokens = std::clamp(wanted, std::max(0.0, raise - room), std::min(raise, team.pool));
+    share.tokens = std::max(0.0, raise - room);
     share.burst = lastDepth + raise;
     team.pool -= share.tokens;
 }
@@ -217,14 +163,15 @@
 {
     const double elapsed = seconds(std::max(Duration(0), now - team.averageAt));
     const double weight = 1 - std::exp(-elapsed / kDemandAverageSeconds);
-    team.averageDemand += (team.demand - team.averageDemand) * weight;
+    noteRequestedTokens(team, 0, now);
+    team.averageDemand += (totalDemand(team) - team.averageDemand) * weight;
     team.averageAt = now;
     return !isOverRate(team);
 }
 
 /// Computes and records the next share of one team on one node.
 RateShare grantShare(RateAllocator &allocator, RateTeam &team, RateHolding &holding,
-                     const TeamDemand *demand, const TeamId &id, TimePoint now)
+                     const TeamId &id, TimePoint now)
 {
     const double lastDepth = holding.entries.empty() ? 0 : holding.entries.back().burst;
     const double available = team.ratePerSecond - (team.rateHeld - holding.rateHeld);
@@ -232,8 +179,7 @@
     share.team = id;
     share.grant = allocator.nextGrant.value();
     share.ratePerSecond = std::clamp(available, 0.0, rateTarget(team, holding));
-    const double depth = depthTarget(team, holding, demand, lastDepth, allocator.nodes.size());
-    grantDepth(team, holding, demand, depth, lastDepth, share);
+    grantDepth(team, holding, depthTarget(team, holding), lastDepth, share);
     share.teamWithinRate = withinRate(team, now);
     if (allocator.faults.grantBeforeLeaseExpiry)
         holding.entries.clear();
@@ -277,7 +223,7 @@
         updateSums(team, holding);
         setDemand(team, holding, 0);
         if (allocator.faults.forgetSpentBurst)
-            team.pool = std::min(team.pool + held, std::max(0.0, team.burst - team.burstHeld));
+            team.pool = std::min(team.pool + held, poolRoom(team));
     }
 }
 
@@ -308,19 +254,13 @@
     return &it->second;
 }
 
-/// Adds a holding for each team the report names, and for each team with a floor.
+/// Adds a holding for each team the report names.
 void addHoldings(RateAllocator &allocator, RateNode &node, const RateReport &report)
 {
     for (const TeamDemand &demand : report.demands) {
         if (allocator.teams.contains(demand.team))
             node.holdings.try_emplace(demand.team);
     }
-    if (allocator.nodes.size() > kMaxNodesWithFloor)
-        return;
-    for (const auto &[id, team] : allocator.teams) {
-        if (floorDepth(team, allocator.nodes.size()) > 0)
-            node.holdings.try_emplace(id);
-    }
 }
 
 } // namespace
@@ -361,7 +301,7 @@
             team.poolAt = std::max(now, allocator.grantsFrom);
         team.ratePerSecond = config.ratePerSecond;
         team.burst = config.burst;
-        team.pool = std::min(team.pool, std::max(0.0, team.burst - team.burstHeld));
+        team.pool = std::min(team.pool, poolRoom(team));
     }
 }
 
@@ -378,7 +318,7 @@
     std::erase_if(allocator.teams, [](const auto &item) {
         const RateTeam &team = item.second;
         return team.ratePerSecond <= 0 && team.burst <= 0 && team.burstHeld <= 0
-            && team.rateHeld <= 0 && team.demand <= 0;
+            && team.rateHeld <= 0 && team.demand <= 0 && team.queue.empty();
     });
     allocator.nextExpiryScan = now + kExpiryScanInterval;
 }
@@ -388,18 +328,24 @@
 {
     std::vector<std::pair<TeamId, const RateTeam *>> teams;
     for (const auto &[id, team] : allocator.teams) {
-        if (team.demand > 0)
+        if (totalDemand(team) > 0)
             teams.emplace_back(id, &team);
     }
     const auto last = teams.begin() + static_cast<std::ptrdiff_t>(std::min(most, teams.size()));
     std::partial_sort(teams.begin(), last, teams.end(), [](const auto &a, const auto &b) {
-        return a.second->demand * b.second->ratePerSecond
-            > b.second->demand * a.second->ratePerSecond;
+        return totalDemand(*a.second) * b.second->ratePerSecond
+            > totalDemand(*b.second) * a.second->ratePerSecond;
     });
     teams.erase(last, teams.end());
     return teams;
 }
 
+bool concernsLease(const TeamDemand &demand)
+{
+    return demand.heldRate > 0 || demand.heldBurst > 0
+        || demand.arrivalsPerSecond >= kLeastLeasedDemand;
+}
+
 RateGrant onRateReport(RateAllocator &allocator, const RateReport &report, TimePoint now)
 {
     if (now >= allocator.nextExpiryScan)
@@ -423,7 +369,7 @@
         const TeamDemand *demand = found == demands.end() ? nullptr : found->second;
         accountForReport(allocator, team, holding, demand, report.stamp.appliedGrant, now);
         if (now >= allocator.grantsFrom)
-            grant.shares.push_back(grantShare(allocator, team, holding, demand, id, now));
+            grant.shares.push_back(grantShare(allocator, team, holding, id, now));
         else if (grant.renewal && demand != nullptr && demand->heldBurst > 0)
             grant.shares.push_back(renewShare(allocator, team, holding, *demand, now));
         it = isIdle(holding) ? node->holdings.erase(it) : std::next(it);
--- a/src/policy/rate_fuzz_test.cpp
+++ b/src/policy/rate_fuzz_test.cpp
@@ -6,7 +6,9 @@
 #include "fuzz_main_test.h"
 #include "shallotlever/base/random.h"
 #include "shallotlever/policy/rate_allocator.h"
+#include "shallotlever/policy/token_asks.h"
 #include "shallotlever/policy/token_bucket.h"
+#include "shallotlever/policy/token_grants.h"
 
 namespace shallotlever {
 namespace {
@@ -51,6 +53,7 @@
     std::size_t controller = 0;
     GrantNumber applied;
     std::map<TeamId, std::unique_ptr<TokenBucket>> buckets;
+    TokenAsks asks;
     /// Requests wait until the next tick.
     std::map<TeamId, bool> waits;
     TimePoint nextReport;
@@ -70,6 +73,12 @@
     Incarnation incarnation;
     std::optional<RateReport> report;
     RateGrant grant;
+    /// Single tokens: a question, or the answer to the question `request`.
+    std::vector<TokenRequest> questions;
+    std::optional<TokenGrant> tokens;
+    std::uint64_t request = 0;
+
+    bool toController() const { return report || !questions.empty(); }
 };
 
 struct Controller
@@ -104,7 +113,9 @@
             if (const Violation found = serve(i))
                 return found;
             maybeReport(i);
+            askForTokens(i);
         }
+        serveQueues();
         return std::nullopt;
     }
 
@@ -203,25 +214,82 @@
         RateReport report;
         report.stamp = { NodeId("n" + std::to_string(index)), node.incarnation, ++node.sequence,
                          node.applied };
-        for (const auto &[id, bucket] : node.buckets)
-            report.demands.push_back(bucket->takeDemand(id, m_now));
+        for (const auto &[id, bucket] : node.buckets) {
+            TeamDemand demand = bucket->takeDemand(id, m_now);
+            if (concernsLease(demand))
+                report.demands.push_back(std::move(demand));
+        }
         // Nodes learn of a new controller at different times, and may return to an earlier one.
         if (chance(60))
             node.controller = m_controllers.size()
                 - (chance(4) ? std::min<std::size_t>(m_controllers.size(), 2) : 1);
-        send({ m_now + delay(),
-               index,
-               node.controller,
-               m_now,
-               node.incarnation,
-               std::move(report),
-               {} });
+        Message message = messageOf(index, node.controller);
+        message.report = std::move(report);
+        send(std::move(message));
+    }
+
+    Message messageOf(std::size_t index, std::size_t controller)
+    {
+        Message message;
+        message.due = m_now + delay();
+        message.node = index;
+        message.controller = controller;
+        message.sent = m_now;
+        message.incarnation = m_nodes[index].incarnation;
+        return message;
+    }
+
+    void askForTokens(std::size_t index)
+    {
+        Node &node = m_nodes[index];
+        const std::uint64_t request = node.asks.lastRequest + 1;
+        Message message = messageOf(index, node.controller);
+        message.request = request;
+        for (const auto &[id, bucket] : node.buckets) {
+            const std::uint32_t tokens =
+                shallotlever::askForTokens(node.asks, id, *bucket, request, m_now);
+            if (tokens > 0)
+                message.questions.push_back({ id, tokens });
+        }
+        if (message.questions.empty())
+            return;
+        node.asks.lastRequest = request;
+        send(std::move(message));
+    }
+
+    void answerQuestion(const Message &message)
+    {
+        RateAllocator &allocator = m_controllers[message.controller].allocator;
+        const TokenAsker asker { NodeId("n" + std::to_string(message.node)), message.incarnation,
+                                 message.request };
+        deliverTokens(requestTokens(allocator, asker, message.questions, m_now),
+                      message.controller);
+    }
+
+    void serveQueues()
+    {
+        for (std::size_t i = 0; i < m_controllers.size(); ++i) {
+            if (m_now < m_controllers[i].gone)
+                deliverTokens(serveTokenQueues(m_controllers[i].allocator, m_now), i);
+        }
+    }
+
+    void deliverTokens(const std::vector<TokenDelivery> &deliveries, std::size_t controller)
+    {
+        for (const TokenDelivery &delivery : deliveries) {
+            const std::size_t index = std::stoul(delivery.to.node.value().substr(1));
+            Message message = messageOf(index, controller);
+            message.incarnation = delivery.to.incarnation;
+            message.request = delivery.to.request;
+            message.tokens = delivery.grant;
+            send(std::move(message));
+        }
     }
 
     void send(Message message)
     {
         const Node &node = m_nodes[message.node];
-        const TimePoint cut = message.report ? node.reportsCutUntil : node.repliesCutUntil;
+        const TimePoint cut = message.toController() ? node.reportsCutUntil : node.repliesCutUntil;
         if (!chance(20) && cut <= m_now)
             m_messages.push_back(std::move(message));
     }
@@ -236,7 +304,7 @@
             return true;
         });
         for (Message &message : due)
-            message.report ? answer(message) : apply(message);
+            message.toController() ? answer(message) : apply(message);
     }
 
     void answer(Message &message)
@@ -244,6 +312,10 @@
         Controller &controller = m_controllers[message.controller];
         if (m_now >= controller.gone)
             return;
+        if (!message.report) {
+            answerQuestion(message);
+            return;
+        }
         Message reply = message;
         reply.grant = onRateReport(controller.allocator, *message.report, m_now);
         reply.report.reset();
@@ -254,6 +326,13 @@
     void apply(const Message &message)
     {
         Node &node = m_nodes[message.node];
+        if (message.tokens) {
+            const auto bucket = node.buckets.find(message.tokens->team);
+            if (message.incarnation == node.incarnation && bucket != node.buckets.end())
+                applyTokenGrant(node.asks, *bucket->second, message.request, *message.tokens,
+                                m_now);
+            return;
+        }
         const TimePoint expires = message.sent + kShareLease;
         if (message.incarnation != node.incarnation || message.grant.number <= node.applied
             || expires <= m_now)
@@ -291,6 +370,7 @@
 }
 
 constexpr std::uint64_t kSteps = 20000;
+constexpr std::uint64_t kSeedsSearchedForFaults = 400;
 
 // Guards against more than burst + rate * w in any window, under cuts, restarts, controller
 // changes, lost, late and reordered messages, and changed limits.
@@ -304,17 +384,19 @@
 {
 };
 
-// Guards against an oracle that would not notice the fault.
+// Guards against an oracle that would not notice the fault. Renewing too early does harm on few
+// schedules, so more of them are searched than for the rules themselves.
 TEST_P(RateFault, IsDetected)
 {
-    EXPECT_TRUE(fuzzSeeds(run, kSteps, GetParam()));
+    EXPECT_TRUE(fuzzSeeds(run, kSteps, GetParam(), kSeedsSearchedForFaults));
 }
 
 INSTANTIATE_TEST_SUITE_P(Faults, RateFault,
                          testing::Values(RateAllocatorFaults { .grantBeforeLeaseExpiry = true },
                                          RateAllocatorFaults { .forgetSpentBurst = true },
                                          RateAllocatorFaults { .skipPredecessorWait = true },
-                                         RateAllocatorFaults { .renewTooEarly = true }));
+                                         RateAllocatorFaults { .renewTooEarly = true },
+                                         RateAllocatorFaults { .lendTwice = true }));
 
 } // namespace
 } // namespace shallotlever
--- a/src/policy/team_simulation_test.h
+++ b/src/policy/team_simulation_test.h
@@ -7,7 +7,9 @@
 
 #include "shallotlever/base/random.h"
 #include "shallotlever/policy/rate_allocator.h"
+#include "shallotlever/policy/token_asks.h"
 #include "shallotlever/policy/token_bucket.h"
+#include "shallotlever/policy/token_grants.h"
 
 namespace shallotlever {
 
@@ -45,8 +47,10 @@
             for (Node &node : m_nodes) {
                 arrive(node);
                 report(node);
+                askForTokens(node);
                 deliver(node);
             }
+            deliverTokens();
         }
     }
 
@@ -110,6 +114,12 @@
         Message message;
     };
 
+    struct TokenQuestion
+    {
+        TokenAsker asker;
+        TokenRequest request;
+    };
+
     struct Grant
     {
         RateGrant grant;
@@ -121,6 +131,7 @@
         NodeId id;
         TeamTraffic traffic;
         TokenBucket bucket;
+        TokenAsks asks;
         /// Times of requests of groups that have begun.
         std::deque<TimePoint> coming;
         /// Arrival times of requests without a token.
@@ -209,11 +220,48 @@
         }
     }
 
+    void askForTokens(Node &node)
+    {
+        const std::uint64_t request = node.asks.lastRequest + 1;
+        const std::uint32_t tokens =
+            shallotlever::askForTokens(node.asks, m_team, node.bucket, request, m_now);
+        if (tokens == 0)
+            return;
+        node.asks.lastRequest = request;
+        m_questions.push_back(
+            { m_now + kOneWay, { { node.id, Incarnation(1), request }, { m_team, tokens } } });
+    }
+
+    void deliverTokens()
+    {
+        for (; !m_questions.empty() && m_questions.front().arrives <= m_now;
+             m_questions.pop_front()) {
+            const TokenQuestion &question = m_questions.front().message;
+            send(requestTokens(m_allocator, question.asker, { &question.request, 1 }, m_now));
+        }
+        send(serveTokenQueues(m_allocator, m_now));
+        for (; !m_deliveries.empty() && m_deliveries.front().arrives <= m_now;
+             m_deliveries.pop_front()) {
+            const TokenDelivery &delivery = m_deliveries.front().message;
+            Node &node = *std::find_if(m_nodes.begin(), m_nodes.end(),
+                                       [&](const Node &n) { return n.id == delivery.to.node; });
+            applyTokenGrant(node.asks, node.bucket, delivery.to.request, delivery.grant, m_now);
+        }
+    }
+
+    void send(const std::vector<TokenDelivery> &deliveries)
+    {
+        for (const TokenDelivery &delivery : deliveries)
+            m_deliveries.push_back({ m_now + kOneWay, delivery });
+    }
+
     const TeamId m_team { "t" };
     Random m_random;
     TimePoint m_now { 100s };
     RateAllocator m_allocator;
     std::vector<Node> m_nodes;
+    std::deque<InTransit<TokenQuestion>> m_questions;
+    std::deque<InTransit<TokenDelivery>> m_deliveries;
     bool m_waits;
     std::int64_t m_arrivals = 0;
     /// By requests that were admitted.
--- a/src/policy/token_bucket.cpp
+++ b/src/policy/token_bucket.cpp
@@ -13,10 +13,11 @@
 /// or over the longer time.
 constexpr Duration kDemandWindow = 250ms;
 constexpr double kDemandWindowArrivals = 16;
-constexpr Duration kMaxDemandWindow = 1s;
-constexpr double kFewArrivals = 2;
+constexpr Duration kMaxDemandWindow = 2s;
 /// Shortest time over which a few first arrivals are taken for a rate.
 constexpr Duration kMinDemandWindow = 50ms;
+/// Largest number of tokens held outside a share.
+constexpr std::uint64_t kMostGranted = 0xffff;
 /// Traffic has stopped when this many requests fewer than usual came: random gaps of that size
 /// are rare (3 in 10,000), and a needless report does no harm.
 constexpr double kMissedArrivals = 8;
@@ -89,6 +90,55 @@
 }
 
 bool TokenBucket::tryTake(TimePoint now)
+{
+    return takeGranted(now) || takeFromShare(now);
+}
+
+void TokenBucket::addTokens(std::uint32_t tokens, TimePoint expires, TimePoint now)
+{
+    if (expires <= now || tokens == 0)
+        return;
+    std::uint64_t word = m_granted.load();
+    std::uint64_t next = 0;
+    do {
+        const bool held = generationOf(word) > 0 && tokensOf(word) > micros(now);
+        // All of them expire with the first.
+        const std::int64_t until =
+            held ? std::min(tokensOf(word), micros(expires)) : micros(expires);
+        const std::uint64_t count = (held ? generationOf(word) : 0) + tokens;
+        next = makeWord(std::min(count, kMostGranted), until);
+    } while (!m_granted.compare_exchange_weak(word, next));
+}
+
+bool TokenBucket::takeGranted(TimePoint now)
+{
+    std::uint64_t word = m_granted.load();
+    while (generationOf(word) > 0 && tokensOf(word) > micros(now)) {
+        if (m_granted.compare_exchange_weak(word, word - (std::uint64_t { 1 } << kGenerationShift)))
+            return true;
+    }
+    return false;
+}
+
+void TokenBucket::noteDenied(TimePoint until)
+{
+    m_deniedUntil.store(micros(until));
+}
+
+std::optional<Duration> TokenBucket::deniedFor(TimePoint now) const
+{
+    const std::int64_t left = m_deniedUntil.load() - micros(now);
+    return left > 0 ? std::optional(Duration(left)) : std::nullopt;
+}
+
+bool TokenBucket::mayAskForTokens(TimePoint now) const
+{
+    const Parameters &p = parametersOf(m_word.load());
+    const bool leased = micros(now) < p.expires.load() && p.microTokensPerSecond.load() > 0;
+    return !deniedFor(now) && (!leased || p.teamWithinRate.load());
+}
+
+bool TokenBucket::takeFromShare(TimePoint now)
 {
     refill(now);
     std::uint64_t word = m_word.load();
@@ -96,7 +146,6 @@
         if (m_word.compare_exchange_weak(word, word - kMicro))
             return true;
     }
-    m_refused.fetch_add(1, std::memory_order_relaxed);
     return false;
 }
 
@@ -124,8 +173,9 @@
 RateRefusal TokenBucket::refusalClass(TimePoint now) const
 {
     const Parameters &p = parametersOf(m_word.load());
-    const bool known = micros(now) < p.expires.load();
-    return known && !p.teamWithinRate.load() ? RateRefusal::OverRate : RateRefusal::InsideRate;
+    const bool leased = micros(now) < p.expires.load() && p.microTokensPerSecond.load() > 0;
+    const bool over = leased ? !p.teamWithinRate.load() : deniedFor(now).has_value();
+    return over ? RateRefusal::OverRate : RateRefusal::InsideRate;
 }
 
 bool TokenBucket::applyShare(const RateShare &share, TimePoint leaseExpiry, TimePoint now)
@@ -173,15 +223,9 @@
 {
     const std::uint64_t arrivals = m_arrivals.load(std::memory_order_relaxed);
     if (arrivals != m_quietArrivals) {
-        // Traffic that starts again is measured from its start, not from the last report.
-        if (m_lastRate <= 0 && now - m_quietSince >= kMinQuiet) {
-            m_windowStart = m_lastPoll;
-            m_windowArrivals = m_quietArrivals;
-        }
         m_quietArrivals = arrivals;
         m_quietSince = now;
     }
-    m_lastPoll = now;
     const Duration quiet = now - m_quietSince;
     m_stopped = m_lastRate > 0 && quiet >= kMinQuiet
         && m_lastRate * std::chrono::duration<double>(quiet).count() >= kMissedArrivals;
@@ -207,35 +251,25 @@
         m_lastRate = rate;
         m_stopped = false;
     } else {
-        // A few arrivals in a short time do not make a rate yet.
-        rate = std::max(m_lastRate, rate * count / (count + kFewArrivals));
+        // A few arrivals in a short time do not make a rate yet. Until they do, requests that find
+        // no token ask for single ones.
+        rate = m_lastRate;
     }
     const Parameters &held = parametersOf(word);
     const bool live = micros(now) < held.expires.load();
     TeamDemand demand;
     demand.team = team;
     demand.arrivalsPerSecond = rate;
-    demand.waiting = m_waiting.load(std::memory_order_relaxed);
-    demand.unspentTokens = live ? tokensFrom(tokensOf(word)) : 0;
     demand.returnedTokens = m_returnedTokens;
     demand.heldRate = live ? tokensFrom(held.microTokensPerSecond.load()) : 0;
     demand.heldBurst = live ? tokensFrom(held.depthMicroTokens.load()) : 0;
-    m_lastReport = now;
-    m_refusedReported = m_refused.load(std::memory_order_relaxed);
     return demand;
 }
 
 bool TokenBucket::wantsEarlyReport(TimePoint now)
 {
     noteQuiet(now);
-    if (m_stopped)
-        return true;
-    // Of a team over its rate there is nothing to grant.
-    if (!parametersOf(m_word.load()).teamWithinRate.load()
-        || now - m_lastReport < kEarlyReportInterval)
-        return false;
-    return m_waiting.load(std::memory_order_relaxed) > 0
-        || m_refused.load(std::memory_order_relaxed) != m_refusedReported;
+    return m_stopped && micros(now) < parametersOf(m_word.load()).expires.load();
 }
 
 } // namespace shallotlever
--- a/src/proxy/session.cpp
+++ b/src/proxy/session.cpp
@@ -232,15 +232,16 @@
         return;
     }
     const auto next = bucket.timeUntilToken(now);
+    const auto denied = bucket.deniedFor(now);
     const TimePoint limit = std::min(m_work->patience, m_work->deadline);
-    if (now >= limit || (next && now + *next > limit)) {
+    if (now >= limit || (next && now + *next > limit) || (!next && denied)) {
         if (waited)
             bucket.endWait();
         m_work->phase = Phase::AwaitingUpstream;
         gate->second.counters.refused->increment();
         if (bucket.refusalClass(now) == RateRefusal::InsideRate)
             gate->second.counters.refusedInsideRate->increment();
-        fail(ErrorKind::RateLimited, now);
+        fail(ErrorKind::RateLimited, now, next ? next : denied);
         return;
     }
     if (!waited)
@@ -370,7 +371,7 @@
     onStatement(std::move(next), monotonicNow());
 }
 
-void CallerSession::fail(ErrorKind kind, TimePoint now)
+void CallerSession::fail(ErrorKind kind, TimePoint now, std::optional<Duration> retryAfter)
 {
     m_state.metrics->refusal(kind).increment();
     logOutcome("statement_failed", errorRow(kind).name, LineTopic::Failure, now);
@@ -380,7 +381,10 @@
         m_transaction.reset();
     else if (m_transaction)
         m_transaction->failed = true;
-    answer(m_state.protocol->error({ kind, {}, std::nullopt }) + m_state.protocol->ready(state()));
+    Error error { kind, {}, std::nullopt };
+    if (retryAfter)
+        error.retryAfter = std::chrono::ceil<std::chrono::milliseconds>(*retryAfter);
+    answer(m_state.protocol->error(error) + m_state.protocol->ready(state()));
     finishWork();
 }
 
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -94,7 +94,8 @@
     void rollBackLink(TimePoint now);
     void finishWork();
     void answer(const std::string &lines);
-    void fail(ErrorKind kind, TimePoint now);
+    /// `retryAfter` replaces the usual pause of the kind.
+    void fail(ErrorKind kind, TimePoint now, std::optional<Duration> retryAfter = std::nullopt);
     TransactionState state() const;
     /// Refuses a statement that the session's state does not permit.
     void refuse(ErrorKind kind, const std::string &request);
