Let the control group grow to as many voters as the tolerated losses need

On the grown deployments two control machines may be lost at once.

Cause: the three seeds were the only voters; the other three core machines became voters only in place of a silent one.

A member now also introduces itself to members that it has learned of, since the leader need not be a seed any more.

Test: SixMembers in member_test; with one tolerated loss, which is what the group did before, 9 of its 12 cases fail.

--- a/src/control/member.cpp
+++ b/src/control/member.cpp
@@ -227,6 +227,11 @@
     m_impl->tick(now);
 }
 
+void ControlMember::learnPeer(const NodeId &peer)
+{
+    m_impl->m_learnedPeers.insert(peer);
+}
+
 void ControlMember::receive(TimePoint now, const ControlMessage &message)
 {
     m_impl->receive(now, message);
--- a/src/control/member_impl.h
+++ b/src/control/member_impl.h
@@ -75,6 +75,7 @@
     void handle(TimePoint now, const ControlMessage &m, const HelloMessage &hello);
     void sayHello(TimePoint now);
     bool isFresh() const;
+    std::size_t wantedVoters() const;
     void tryFound(TimePoint now);
     void repair(TimePoint now);
     void promoteOrReplaceLearner(TimePoint now, const Membership &membership);
@@ -119,6 +120,8 @@
         TimePoint heardAt;
     };
     std::map<NodeId, Newcomer> m_newcomers;
+    /// Members that are not configured: the leader may be one of them.
+    std::set<NodeId> m_learnedPeers;
     TimePoint m_helloAt;
 
     /// Snapshot being received.
--- a/src/control/member_test.cpp
+++ b/src/control/member_test.cpp
@@ -28,6 +28,7 @@
         options.peers = { NodeId("a"), NodeId("b"), NodeId("c") };
         options.seed = m_sharedSeed.value_or(identity);
         options.acceptsStandbys = m_acceptsStandbys;
+        options.toleratedLosses = m_toleratedLosses;
         RecoveredState &disk = m_disks[name];
         if (disk.identity != MemberIdentity(identity))
             disk = { MemberIdentity(identity), {}, {}, {} };
@@ -92,6 +93,7 @@
     }
 
     bool m_acceptsStandbys = false;
+    std::size_t m_toleratedLosses = 1;
     /// Seed of all members; by default each has its own.
     std::optional<std::uint64_t> m_sharedSeed;
     TimePoint m_now { 1h };
@@ -209,6 +211,72 @@
     EXPECT_EQ(voters(*m_members.at(leader())), (std::set<std::string> { "a", "b", "c" }));
 }
 
+/// Three configured members and three standbys, of which two may be lost at once.
+class SixMembers : public Trio, public testing::WithParamInterface<std::pair<char, char>>
+{
+protected:
+    SixMembers()
+    {
+        m_acceptsStandbys = true;
+        m_toleratedLosses = 2;
+        m_members.clear();
+        m_network.clear();
+        for (const char *name : { "a", "b", "c", "d", "e", "f" })
+            start(name, m_members.size() + 11);
+        runFor(10s);
+    }
+
+    std::set<std::string> lost() const
+    {
+        return { std::string(1, GetParam().first), std::string(1, GetParam().second) };
+    }
+};
+
+// Guards against a group whose configured members alone vote, so that it is without a leader once
+// two of them are down.
+TEST_P(SixMembers, HaveALeaderWithoutAnyTwo)
+{
+    for (const std::string &name : lost())
+        m_members.erase(name);
+    runFor(3s);
+    ASSERT_NE(leader(), "");
+    EXPECT_TRUE(m_members.at(leader())->propose(m_now, "command").ok());
+    const LogIndex proposed = m_members.at(leader())->lastIndex();
+    runFor(1s);
+    EXPECT_GE(m_members.at(leader())->commitIndex(), proposed);
+}
+
+// Guards against what was committed being lost when two members lose their disks and all others
+// restart, and against a group that does not take members with empty disks back.
+TEST_P(SixMembers, KeepWhatIsCommittedWithoutTwoDisks)
+{
+    ASSERT_NE(leader(), "");
+    EXPECT_TRUE(m_members.at(leader())->propose(m_now, "command").ok());
+    runFor(40ms);
+    const LogIndex committed = m_members.at(leader())->commitIndex();
+    EXPECT_EQ(committed, m_members.at(leader())->lastIndex());
+    m_members.clear();
+    m_network.clear();
+    std::uint64_t identity = 50;
+    for (const char *name : { "a", "b", "c", "d", "e", "f" })
+        lost().contains(name) ? start(name, ++identity) : restart(name);
+    runFor(3s);
+    ASSERT_NE(leader(), "");
+    EXPECT_GT(m_members.at(leader())->commitIndex(), committed);
+    runFor(10s);
+    EXPECT_EQ(m_members.at(leader())->membership().voters.size(), 5U);
+    EXPECT_FALSE(m_members.at(leader())->membership().learner);
+}
+
+INSTANTIATE_TEST_SUITE_P(Losses, SixMembers,
+                         testing::Values(std::pair('a', 'b'), std::pair('a', 'c'),
+                                         std::pair('b', 'c'), std::pair('c', 'd'),
+                                         std::pair('d', 'e'), std::pair('e', 'f')),
+                         [](const auto &info) {
+                             return std::string(1, info.param.first)
+                                 + std::string(1, info.param.second);
+                         });
+
 class EqualSeeds : public Trio, public testing::WithParamInterface<std::uint64_t>
 {
 };
--- a/src/control/repair.cpp
+++ b/src/control/repair.cpp
@@ -24,6 +24,14 @@
     return m_hard == HardState {} && m_log.lastIndex() == LogIndex();
 }
 
+/// A majority of 2n + 1 voters is left after the loss of n.
+std::size_t ControlMember::Impl::wantedVoters() const
+{
+    const std::size_t configured = m_options.peers.size();
+    return m_options.acceptsStandbys ? std::max(configured, 2 * m_options.toleratedLosses + 1)
+                                     : configured;
+}
+
 void ControlMember::Impl::sayHello(TimePoint now)
 {
     const bool led = m_leader && now - m_leaderHeardAt < kHelloPatience;
@@ -31,6 +39,7 @@
         return;
     m_helloAt = now + kHelloInterval;
     std::set<NodeId> peers(m_options.peers.begin(), m_options.peers.end());
+    peers.insert(m_learnedPeers.begin(), m_learnedPeers.end());
     for (const Member &voter : m_log.membership().voters)
         peers.insert(voter.node);
     for (const NodeId &peer : peers) {
@@ -90,7 +99,7 @@
     // Two processes under one node id must not replace each other in turns.
     if (former != voters.end())
         return isSilent(now, *former, kMaxElectionTimeout);
-    return voters.size() < m_options.peers.size() || voterToReplace(now, member).has_value();
+    return voters.size() < wantedVoters() || voterToReplace(now, member).has_value();
 }
 
 /// The voter whose place the learner takes: its former identity, or for a standby one that stays
@@ -103,7 +112,7 @@
         if (voter.node == learner.node)
             return voter;
     }
-    if (!m_options.acceptsStandbys || voters.size() < m_options.peers.size())
+    if (!m_options.acceptsStandbys || voters.size() < wantedVoters())
         return std::nullopt;
     for (const Member &voter : voters) {
         if (voter != m_self && isSilent(now, voter, kStandbyPatience))
@@ -167,7 +176,7 @@
         if (!isSilent(now, *former, kMaxElectionTimeout))
             return;
         std::erase(next.voters, *former);
-    } else if (next.voters.size() >= m_options.peers.size()) {
+    } else if (next.voters.size() >= wantedVoters()) {
         return;
     } else {
         next.voters.push_back(learner);
--- a/src/include/shallotlever/control/member.h
+++ b/src/include/shallotlever/control/member.h
@@ -45,6 +45,9 @@
     NodeId node;
     /// Configured control members, this one included. Three or five.
     std::vector<NodeId> peers;
+    /// Lost machines that the group bears at the same time. A group that has standbys grows to twice
+    /// as many voters and one, but never shrinks below the configured members.
+    std::size_t toleratedLosses = 1;
     /// Nodes that are not configured may take the place of a voter that stays silent; this node
     /// may itself be one of them.
     bool acceptsStandbys = false;
@@ -100,6 +103,8 @@
 
     /// Call at least every 20 ms.
     void tick(TimePoint now);
+    /// Another control member, which is told of this one while no leader is heard.
+    void learnPeer(const NodeId &peer);
     /// Drops messages that are not addressed to this member's identity.
     void receive(TimePoint now, const ControlMessage &message);
     /// FailedPrecondition unless leader, InvalidArgument if too large, ResourceExhausted if too
--- a/src/include/shallotlever/settings/node_settings.h
+++ b/src/include/shallotlever/settings/node_settings.h
@@ -85,6 +85,8 @@
     /// Node ids are IP numbers, and peers listen on the port of peerListen: members that are not
     /// configured can be reached by their id.
     bool idsAreAddresses = false;
+    /// Control members that may be lost at the same time; a group that has seeds grows to bear it.
+    std::uint32_t toleratedLosses = 1;
     /// This member may found the control group.
     bool mayFound = true;
     /// Listener for sessions of the platform's protocol.
--- a/src/node/control_group.h
+++ b/src/node/control_group.h
@@ -39,6 +39,8 @@
                                                               Callbacks callbacks, TimePoint now);
 
     void tick(TimePoint now);
+    /// Another member of the group, or one that may lead it.
+    void learnPeer(const NodeId &peer) { m_member->learnPeer(peer); }
     void receive(const std::string &payload, TimePoint now);
     void propose(const Command &command, std::int64_t wallTimeMs, ProposalCallback callback,
                  TimePoint now);
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -380,6 +380,8 @@
         return;
     m_logger.info("control_member_learned", { { "member", member.value() } });
     members.push_back(member);
+    if (m_controlGroup)
+        m_controlGroup->learnPeer(member);
     m_transport->setPeer(member, { member.value(), m_settings.peerListen.port });
 }
 
--- a/src/node/node_start.cpp
+++ b/src/node/node_start.cpp
@@ -154,6 +154,7 @@
     options.member.peers = m_controllerLink.members;
     options.member.seed = m_incarnation.value();
     options.member.acceptsStandbys = m_settings.idsAreAddresses;
+    options.member.toleratedLosses = m_settings.toleratedLosses;
     options.member.mayFound = m_settings.mayFound;
     ControlGroup::Callbacks callbacks;
     callbacks.send = [this](const NodeId &to, std::string payload) {
--- a/src/settings/flags.cpp
+++ b/src/settings/flags.cpp
@@ -34,6 +34,10 @@
     FlagSpec { "--control-seeds", "IP:PORT,...",
                "Some control members by address, in place of --control-members; ids of nodes are "
                "IP numbers, and all listen for peers on the same port." },
+    FlagSpec {
+        "--tolerated-losses", "N",
+        "Control members that may be lost at once, 0 to 3 (1); with seeds, others join until "
+        "the group bears it." },
     FlagSpec { "--may-found", "", "This control member may found the group (with seeds)." },
     FlagSpec { "--session-listen", "IP:PORT", "Listener for sessions of the platform's protocol." },
     FlagSpec { "--readiness-listen", "IP:PORT", "Listener for the platform's readiness checks." },
--- a/src/settings/node_settings.cpp
+++ b/src/settings/node_settings.cpp
@@ -21,6 +21,7 @@
 constexpr std::size_t kMaxNameLength = 64;
 constexpr std::uintmax_t kMinSessionSecretBytes = 32;
 constexpr std::int64_t kMaxThreads = 64;
+constexpr std::int64_t kMaxToleratedLosses = 3;
 constexpr std::int64_t kMinByteLimit = 1024;
 constexpr std::int64_t kMaxHeaderBytes = 1024 * 1024;
 constexpr std::int64_t kMaxBodyBytes = 64 * 1024 * 1024;
@@ -313,6 +314,8 @@
     settings.controlMembers = settings.idsAreAddresses
         ? seeds(settings.peerListen.port)
         : peers("--control-members", required("--control-members"));
+    settings.toleratedLosses = static_cast<std::uint32_t>(
+        number("--tolerated-losses", settings.toleratedLosses, 0, kMaxToleratedLosses));
     settings.mayFound = !settings.idsAreAddresses || isSet("--may-found");
     settings.sessionListen = optionalAddress("--session-listen");
     settings.readinessListen = optionalAddress("--readiness-listen");
