Let a controller that is not configured report to itself

Cause: a node reports to the members that it knows, and a control member that is not configured did not know itself. Ruled out: a slow link or lost reports, since all 62 fronts had reported.

Test: AControllerThatIsNotConfiguredFindsItself; fails if the own id is left out.

--- a/src/node/controller_link.cpp
+++ b/src/node/controller_link.cpp
@@ -1,9 +1,19 @@
 #include "controller_link.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace shallotlever {
 
+ControllerLink makeControllerLink(std::vector<NodeId> configured, const std::optional<NodeId> &self,
+                                  TimePoint now)
+{
+    ControllerLink link { std::move(configured), 0, now };
+    if (self && std::find(link.members.begin(), link.members.end(), *self) == link.members.end())
+        link.members.push_back(*self);
+    return link;
+}
+
 const NodeId &currentController(const ControllerLink &link)
 {
     return link.members[link.current];
--- a/src/node/controller_link.h
+++ b/src/node/controller_link.h
@@ -20,6 +20,11 @@
     TimePoint heardAt;
 };
 
+/// Starts with the configured members. `self` is this node if it is a control member: it may come
+/// to lead without being configured, and has to find itself then.
+ControllerLink makeControllerLink(std::vector<NodeId> configured, const std::optional<NodeId> &self,
+                                  TimePoint now);
+
 const NodeId &currentController(const ControllerLink &link);
 
 /// The current member answered with a lease.
--- a/src/node/controller_link_test.cpp
+++ b/src/node/controller_link_test.cpp
@@ -12,7 +12,7 @@
 
 ControllerLink makeLink()
 {
-    return { { kFirst, kSecond, kThird }, 0, kStart };
+    return makeControllerLink({ kFirst, kSecond, kThird }, std::nullopt, kStart);
 }
 
 // Guards against a node that finds a new controller only by waiting for each silent member, while
@@ -26,6 +26,17 @@
     EXPECT_TRUE(advanceControllerLink(link, kStart + 100ms + kControllerSilence));
 }
 
+// Guards against a controller that is not configured and never reports to itself: it waited for its
+// own former process until all leases of its predecessor had expired.
+TEST(ControllerLink, AControllerThatIsNotConfiguredFindsItself)
+{
+    const NodeId self("c4");
+    ControllerLink link = makeControllerLink({ kFirst, kSecond, kThird }, self, kStart);
+    EXPECT_EQ(currentController(link), kFirst);
+    onReportRequest(link, self, kStart + 100ms);
+    EXPECT_EQ(currentController(link), self);
+}
+
 // Guards against a controller that grants no lease and is followed for as long as it asks.
 TEST(ControllerLink, RequestsForReportsAreNoAnswers)
 {
--- a/src/node/node_start.cpp
+++ b/src/node/node_start.cpp
@@ -30,6 +30,14 @@
     return { address.ip, address.port };
 }
 
+std::vector<NodeId> configuredMembers(const NodeSettings &settings)
+{
+    std::vector<NodeId> members;
+    for (const ControlPeer &member : settings.controlMembers)
+        members.push_back(member.id);
+    return members;
+}
+
 LogLevel levelOf(const NodeSettings &settings)
 {
     return logLevelFromName(settings.logLevel).value_or(LogLevel::Info);
@@ -52,9 +60,9 @@
         m_reportsSent[i] = &m_registry.counter(
             "shallotlever_reports_sent_total", "Reports sent to the controller, by reason.",
             { { "reason", std::string(reportReasonName(static_cast<ReportReason>(i))) } });
-    for (const ControlPeer &member : settings.controlMembers)
-        m_controllerLink.members.push_back(member.id);
-    m_controllerLink.heardAt = monotonicNow();
+    m_controllerLink = makeControllerLink(
+        configuredMembers(settings),
+        settings.control ? std::optional(settings.nodeId) : std::nullopt, monotonicNow());
     std::vector<NodeId> relays;
     for (const ControlPeer &relay : settings.relays)
         relays.push_back(relay.id);
@@ -151,7 +159,7 @@
     ControlGroupOptions options;
     options.dataDirectory = m_settings.dataDir->string();
     options.member.node = m_settings.nodeId;
-    options.member.peers = m_controllerLink.members;
+    options.member.peers = configuredMembers(m_settings);
     options.member.seed = m_incarnation.value();
     options.member.acceptsStandbys = m_settings.idsAreAddresses;
     options.member.toleratedLosses = m_settings.toleratedLosses;
