Do not record control machines without callers, nor wait for them

After the loss of a controller nothing is granted until each recorded process has reported or 2 s have passed.

It says so in its reports and is not recorded. Ruled out: a shorter wait, since the leases of nodes with callers do live that long.

Test: AProcessWithoutCallersIsNotRecorded (a record was made before).

--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -99,9 +99,12 @@
         endPredecessorWaits(controller, now);
 }
 
-/// Whether the process may get a lease. If not, its record becomes due.
+/// Whether the process may get a lease. If not, its record becomes due. A process without callers
+/// can do no harm with a lease that a later controller does not know of.
 bool isRecorded(NodeRecords &records, const NodeReport &report, TimePoint now)
 {
+    if (report.controlOnly)
+        return true;
     const auto known = records.known.find(report.node);
     if (!records.enabled || (known != records.known.end() && known->second == report.incarnation))
         return true;
--- a/src/controller/controller_test.cpp
+++ b/src/controller/controller_test.cpp
@@ -73,6 +73,17 @@
     EXPECT_LE(m_controller.slots.grantsFrom, m_now);
 }
 
+// Guards against a new controller that waits for the leases of a control machine without callers,
+// such as the former controller, which has just been lost.
+TEST_F(Records, AProcessWithoutCallersIsNotRecorded)
+{
+    NodeReport control = report("c", 1, 1);
+    control.controlOnly = true;
+    EXPECT_TRUE(leased(control));
+    commitRecords();
+    EXPECT_FALSE(m_state.cluster.nodes.contains(NodeId("c")));
+}
+
 struct PoolCase
 {
     const char *name;
--- a/src/fleet/messages_decode.cpp
+++ b/src/fleet/messages_decode.cpp
@@ -132,6 +132,7 @@
     r.announcements = all(t.announcements(), [this](const auto &a) { return announcement(a); });
     r.observations = all(t.observations(), observationOf);
     r.observationsBase = t.observations_base();
+    r.controlOnly = t.control_only();
     r.teams = all(t.teams(), teamDemandOf);
     r.slots = all(t.slots(), slotDemandOf);
     r.nodes = all(t.nodes(), [this](const auto &n) { return report(n, true); });
--- a/src/fleet/messages_encode.cpp
+++ b/src/fleet/messages_encode.cpp
@@ -80,7 +80,7 @@
     return fbs::CreateNodeReport(b, packId(b, r.node), r.incarnation.value(), r.number,
                                  r.age.count(), r.appliedConfig.value(), &fleet, r.appliedShares,
                                  announcements, observations, r.observationsBase, teams, slots,
-                                 nodes);
+                                 nodes, r.controlOnly);
 }
 
 Offset<flatbuffers::Vector<std::uint8_t>> packBytes(FlatBufferBuilder &b, const std::string &bytes)
--- a/src/fleet/messages_test.cpp
+++ b/src/fleet/messages_test.cpp
@@ -29,6 +29,7 @@
     report.appliedConfig = ConfigVersion(8);
     report.appliedFleet = { ControlTerm(2), 17 };
     report.appliedShares = 33;
+    report.controlOnly = true;
     report.announcements = { { announcement(), 20ms } };
     report.observations = { { .upstream = UpstreamId("db1"), .reachable = false },
                             { .upstream = UpstreamId("db2"), .withdrawn = true } };
--- a/src/include/shallotlever/fleet/messages.h
+++ b/src/include/shallotlever/fleet/messages.h
@@ -59,6 +59,8 @@
     FleetVersion appliedFleet;
     /// Share version of the last lease applied; 0 if none.
     std::uint64_t appliedShares = 0;
+    /// The node serves no callers: it needs no shares, and a later controller need not wait for it.
+    bool controlOnly = false;
     std::vector<HeardAnnouncement> announcements;
     /// Observations that changed after report `observationsBase`, or all of them if that is 0.
     /// Unchanged observations are confirmed by each report.
--- a/src/include/shallotlever/settings/node_settings.h
+++ b/src/include/shallotlever/settings/node_settings.h
@@ -97,6 +97,8 @@
     std::optional<SocketAddress> promotionAddress;
     /// This node is a member of the control group; dataDir is set.
     bool control = false;
+    /// This node serves no callers, so that it never acts on a share or a lease for them.
+    bool controlOnly = false;
     std::optional<std::filesystem::path> dataDir;
     /// This node relays control traffic of its data centre.
     bool relay = false;
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -163,6 +163,7 @@
 ReportInput Node::Impl::reportInput(TimePoint now)
 {
     ReportInput input;
+    input.controlOnly = m_settings.controlOnly;
     for (const auto &[id, heard] : std::exchange(m_announcements, {}))
         input.announcements.push_back({ heard.first, now - heard.second });
     for (const auto &[service, host] : m_hosts) {
--- a/src/node/node_publish.cpp
+++ b/src/node/node_publish.cpp
@@ -86,7 +86,7 @@
     for (const auto &[id, team] : config.teams)
         snapshot->teams.emplace(id, teamEntry(team));
     for (const auto &[id, service] : config.services) {
-        if (!service.confirmsCommits)
+        if (!service.confirmsCommits && !m_settings.controlOnly)
             snapshot->services.emplace(id, serviceHost(id));
     }
     const auto preset = config.presets.find(config.activePreset);
--- a/src/node/node_view.cpp
+++ b/src/node/node_view.cpp
@@ -104,6 +104,7 @@
     report.announcements = std::move(input.announcements);
     report.teams = std::move(input.teams);
     report.slots = std::move(input.slots);
+    report.controlOnly = input.controlOnly;
     if (view.allObservationsWanted)
         view.reportedObservations.clear();
     else
--- a/src/node/node_view.h
+++ b/src/node/node_view.h
@@ -38,6 +38,7 @@
     std::map<UpstreamId, bool> reachable;
     std::vector<TeamDemand> teams;
     std::vector<SlotDemand> slots;
+    bool controlOnly = false;
 };
 
 NodeReport makeNodeReport(NodeView &view, ReportInput input, TimePoint now);
--- a/src/policy/experiment/slope_scenario.cpp
+++ b/src/policy/experiment/slope_scenario.cpp
@@ -7,6 +7,7 @@
 #include "scenarios.h"
 #include "shallotlever/policy/rate_allocator.h"
 #include "shallotlever/policy/slot_allocator.h"
+#include "shallotlever/policy/token_grants.h"
 #include "simulation.h"
 
 namespace shallotlever::experiment {
@@ -80,6 +81,29 @@
     return result;
 }
 
+/// One request for a token of one team per node and round, as from nodes that see few requests.
+QJsonObject tokenSlope(std::size_t nodes, std::size_t teams)
+{
+    RateAllocator allocator = makeRateAllocator(ControlTerm(1), TimePoint(0s));
+    std::map<TeamId, TeamConfig> config;
+    std::vector<TeamId> ids;
+    for (std::size_t t = 0; t < teams; ++t) {
+        ids.emplace_back("team-" + std::to_string(t));
+        config[ids.back()] = { ids.back(), 1000, 2000, {} };
+    }
+    applyTeamConfig(allocator, config, TimePoint(5s));
+    std::size_t granted = 0;
+    const double cpu = cpuOfRounds(nodes, [&](std::size_t n, TimePoint now) {
+        const TokenRequest request { ids[n % teams], 1 };
+        const TokenAsker asker { NodeId("node-" + std::to_string(n)), Incarnation(1), 1 };
+        granted += requestTokens(allocator, asker, { &request, 1 }, now).size();
+    });
+    return { { "nodes", static_cast<qint64>(nodes) },
+             { "teams", static_cast<qint64>(teams) },
+             { "granted", static_cast<qint64>(granted) },
+             { "us_per_request", cpu / (static_cast<double>(nodes) * kRounds) * 1e6 } };
+}
+
 QJsonObject slotSlope(std::size_t nodes, std::size_t upstreams, std::uint64_t seed)
 {
     Random random(seed);
@@ -118,12 +142,16 @@
 {
     QJsonArray rate;
     QJsonArray slot;
+    QJsonArray token;
     for (const std::size_t nodes : { 10, 100, 1900 }) {
         for (const std::size_t teams : { 8, 100, 1000 })
             rate.append(rateSlope(nodes, teams, seed));
+        token.append(tokenSlope(nodes, 1000));
         slot.append(slotSlope(nodes, 4400, seed));
     }
-    return QJsonObject { { "rate_allocator", rate }, { "slot_allocator", slot } };
+    return QJsonObject { { "rate_allocator", rate },
+                         { "single_tokens", token },
+                         { "slot_allocator", slot } };
 }
 
 } // namespace shallotlever::experiment
--- a/src/settings/flags.cpp
+++ b/src/settings/flags.cpp
@@ -44,6 +44,8 @@
     FlagSpec { "--platform-listen", "IP:PORT", "Listener for configurations and announcements." },
     FlagSpec { "--promotion-address", "IP:PORT", "Where the platform promotes databases." },
     FlagSpec { "--control", "", "This node is a control member; needs --data-dir." },
+    FlagSpec { "--control-only", "",
+               "This node serves operators and databases, but no callers; needs --control." },
     FlagSpec { "--data-dir", "DIR", "Directory of the durable state." },
     FlagSpec { "--relay", "", "Relay control traffic of the data centre." },
     FlagSpec { "--relays", "ID=IP:PORT,...", "Relays of the data centre to report to." },
--- a/src/settings/node_settings.cpp
+++ b/src/settings/node_settings.cpp
@@ -322,6 +322,9 @@
     settings.platformListen = optionalAddress("--platform-listen");
     settings.promotionAddress = optionalAddress("--promotion-address");
     settings.control = isSet("--control");
+    settings.controlOnly = isSet("--control-only");
+    if (settings.controlOnly && (!settings.control || settings.sessionListen))
+        fault("--control-only", "needs --control and excludes --session-listen");
     settings.dataDir = dataDir(settings.control);
     settings.relay = isSet("--relay");
     settings.relays = peers("--relays", optional("--relays").value_or(""));
