Send nodes the difference when a configuration is installed

Cause: an operator installs a whole configuration, and that command itself went to the nodes as the change. Ruled out: reports, whose bytes do not grow in that window.

--- a/src/config/apply.cpp
+++ b/src/config/apply.cpp
@@ -122,6 +122,31 @@
     return { ChangeOutcome::Accepted, config.version, ChangeId(), std::string() };
 }
 
+template <typename Id, typename Entry>
+void applyEntries(std::map<Id, Entry> &entries, const std::map<Id, Entry> &changed,
+                  const std::set<Id> &removed)
+{
+    for (const Id &id : removed)
+        entries.erase(id);
+    for (const auto &[id, entry] : changed)
+        entries.insert_or_assign(id, entry);
+}
+
+ChangeResult apply(ReplicatedState &state, const ConfigDifference &difference, std::int64_t)
+{
+    ClusterConfig &config = state.cluster.config;
+    const ClusterConfig &changed = difference.changed;
+    if (changed.installed.number <= config.installed.number)
+        return { ChangeOutcome::Conflict, config.version, ChangeId(), "installed already" };
+    applyEntries(config.services, changed.services, difference.removedServices);
+    applyEntries(config.teams, changed.teams, difference.removedTeams);
+    applyEntries(config.keys, changed.keys, difference.removedKeys);
+    applyEntries(config.databases, changed.databases, difference.removedDatabases);
+    config.installed = changed.installed;
+    config.version = config.version.next();
+    return { ChangeOutcome::Accepted, config.version, ChangeId(), std::string() };
+}
+
 ChangeResult apply(ReplicatedState &state, const RecordNode &record, std::int64_t)
 {
     if (record.incarnation == Incarnation())
--- a/src/config/apply_test.cpp
+++ b/src/config/apply_test.cpp
@@ -187,6 +187,27 @@
                     InstallCase { "Lower", 4, ChangeOutcome::Conflict, "first" }),
     [](const auto &info) { return info.param.name; });
 
+// Guards against a node that holds another configuration than the one installed, because the
+// difference that it got lacks an entry that was added, changed or removed.
+TEST_F(ApplyTest, ADifferenceLeadsToTheInstalledConfiguration)
+{
+    apply(install(1, "first"));
+    m_state.cluster.config.keys[KeyId("op")] = { KeyId("op"), KeyRole::Operator, {}, {}, {} };
+    ReplicatedState node = m_state;
+    InstallConfig next = install(2, "second");
+    next.content.teams[TeamId("t")] = { TeamId("t"), 10, 10, {} };
+    next.content.databases[DatabaseName("d")].name = DatabaseName("d");
+    apply(next);
+    const ConfigDifference added = configDifference(node.cluster.config, m_state.cluster.config);
+    EXPECT_EQ(added.changed.keys.size(), 0U);
+    applyCommand(node, added, LogIndex(9), 0);
+    EXPECT_EQ(node.cluster.config, m_state.cluster.config);
+    apply(install(3, "second"));
+    const ConfigDifference removed = configDifference(node.cluster.config, m_state.cluster.config);
+    applyCommand(node, removed, LogIndex(10), 0);
+    EXPECT_EQ(node.cluster.config, m_state.cluster.config);
+}
+
 // Guards against callers' keys that outlive the configuration that held them, and against
 // operators who lose theirs by it.
 TEST_F(ApplyTest, InstallingReplacesCallersKeysOnly)
--- a/src/config/codec_test.cpp
+++ b/src/config/codec_test.cpp
@@ -40,6 +40,14 @@
                                              .priority = 2,
                                              .open = true };
     out.emplace_back(InstallConfig { content });
+    ConfigDifference difference;
+    difference.changed.installed = { InstallNumber(9), "", std::chrono::milliseconds(2000) };
+    difference.changed.teams[TeamId("w")] = { TeamId("w"), 7, 7, {} };
+    difference.removedTeams = { TeamId("v") };
+    difference.removedDatabases = { DatabaseName("d") };
+    difference.removedServices = { s };
+    difference.removedKeys = { KeyId("k") };
+    out.emplace_back(difference);
     out.emplace_back(RecordNode { NodeId("n"), Incarnation(3) });
     out.emplace_back(GroupDecision(JoinVotingSet { s, u }));
     out.emplace_back(GroupDecision(ReserveTerm { s, Term(4), "why" }));
--- a/src/config/command_codec.cpp
+++ b/src/config/command_codec.cpp
@@ -157,6 +157,44 @@
 
 } // namespace
 
+namespace {
+
+Offset<fbs::ConfigDifference> encode(FlatBufferBuilder &fbb, const ConfigDifference &difference)
+{
+    const auto changed = shallotlever::encode(fbb, difference.changed);
+    const auto services = encodeIds(fbb, difference.removedServices);
+    const auto teams = encodeIds(fbb, difference.removedTeams);
+    const auto keys = encodeIds(fbb, difference.removedKeys);
+    const auto databases = encodeIds(fbb, difference.removedDatabases);
+    return fbs::CreateConfigDifference(fbb, changed, services, teams, keys, databases);
+}
+
+template <typename IdType>
+std::set<IdType> decodeIds(const flatbuffers::Vector<Offset<flatbuffers::String>> *ids)
+{
+    std::set<IdType> out;
+    if (ids == nullptr)
+        return out;
+    for (const flatbuffers::String *id : *ids)
+        out.insert(IdType(text(id)));
+    return out;
+}
+
+absl::StatusOr<Command> decodeDifference(const fbs::ConfigDifference &difference)
+{
+    if (difference.changed() == nullptr)
+        return absl::InvalidArgumentError("difference without content");
+    absl::StatusOr<ClusterConfig> changed = shallotlever::decode(*difference.changed());
+    if (!changed.ok())
+        return changed.status();
+    return Command(ConfigDifference {
+        *std::move(changed), decodeIds<ServiceId>(difference.removed_services()),
+        decodeIds<TeamId>(difference.removed_teams()), decodeIds<KeyId>(difference.removed_keys()),
+        decodeIds<DatabaseName>(difference.removed_databases()) });
+}
+
+} // namespace
+
 std::string encodeCommand(const LoggedCommand &command)
 {
     FlatBufferBuilder fbb;
@@ -164,6 +202,7 @@
     Offset<fbs::GroupDecision> decision;
     Offset<fbs::Config> install;
     Offset<fbs::NodeRecord> node;
+    Offset<fbs::ConfigDifference> difference;
     if (const auto *c = std::get_if<OperatorChange>(&command.command))
         change = encode(fbb, *c);
     else if (const auto *d = std::get_if<GroupDecision>(&command.command))
@@ -173,7 +212,10 @@
     else if (const auto *n = std::get_if<RecordNode>(&command.command))
         node =
             fbs::CreateNodeRecord(fbb, fbb.CreateString(n->node.value()), n->incarnation.value());
-    fbb.Finish(fbs::CreateCommand(fbb, command.wallTimeMs, change, decision, install, node));
+    else if (const auto *x = std::get_if<ConfigDifference>(&command.command))
+        difference = encode(fbb, *x);
+    fbb.Finish(
+        fbs::CreateCommand(fbb, command.wallTimeMs, change, decision, install, node, difference));
     return finished(fbb);
 }
 
@@ -190,7 +232,8 @@
 int presentParts(const fbs::Command &command)
 {
     return (command.change() != nullptr) + (command.group_decision() != nullptr)
-        + (command.install() != nullptr) + (command.node() != nullptr);
+        + (command.install() != nullptr) + (command.node() != nullptr)
+        + (command.difference() != nullptr);
 }
 
 absl::StatusOr<Command> decodeParts(const fbs::Command &command)
@@ -202,6 +245,8 @@
     if (command.node() != nullptr)
         return Command(RecordNode { NodeId(text(command.node()->node())),
                                     Incarnation(command.node()->incarnation()) });
+    if (command.difference() != nullptr)
+        return decodeDifference(*command.difference());
     return decodeInstall(*command.install());
 }
 
--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -25,11 +25,17 @@
     return config;
 }
 
-Command withoutDocument(Command command)
+/// The change from the configuration that nodes have, `before`. What an operator installs is a
+/// whole configuration, of which little differs from the one before.
+Command changeForNodes(const Command &command, const std::string &before,
+                       const ClusterConfig &after)
 {
-    if (auto *install = std::get_if<InstallConfig>(&command))
-        install->content.installed.document.clear();
-    return command;
+    if (!std::holds_alternative<InstallConfig>(command))
+        return command;
+    const absl::StatusOr<ClusterConfig> known = decodeConfig(before);
+    if (!known.ok())
+        return Command(InstallConfig { after });
+    return Command(configDifference(*known, after));
 }
 
 void notePrimarySet(ControllerState &controller, const Command &command, const ChangeResult &result,
@@ -182,8 +188,9 @@
         || std::holds_alternative<RecordNode>(command) || result.outcome != ChangeOutcome::Accepted
         || result.version != controller.configLog.version.next())
         return;
-    appendConfigChange(controller.configLog, encodeCommand({ withoutDocument(command), 0 }),
-                       encodeConfig(withoutDocument(replicated.cluster.config)));
+    const ClusterConfig after = withoutDocument(replicated.cluster.config);
+    const Command change = changeForNodes(command, controller.configLog.full, after);
+    appendConfigChange(controller.configLog, encodeCommand({ change, 0 }), encodeConfig(after));
     applyTeamConfig(controller.rates, replicated.cluster.config.teams, now);
 }
 
--- a/src/controller/controller_test.cpp
+++ b/src/controller/controller_test.cpp
@@ -46,6 +46,13 @@
         }
     }
 
+    void applyInstall(const InstallConfig &install)
+    {
+        const LogIndex index = m_state.cluster.index.next();
+        const ChangeResult result = applyCommand(m_state, install, index, 0);
+        onCommandApplied(m_controller, m_state, install, result, index, m_now);
+    }
+
     ReplicatedState m_state;
     ControllerState m_controller;
     TimePoint m_now = kStart + 10ms;
@@ -84,6 +91,32 @@
     EXPECT_FALSE(m_state.cluster.nodes.contains(NodeId("c")));
 }
 
+// Guards against configuration changes that fill the links of all nodes: a whole configuration was
+// sent to each for a change of one time limit, which held up callers for as long.
+TEST_F(Records, AnInstalledConfigurationReachesNodesAsADifference)
+{
+    constexpr std::size_t kMostBytes = 1024;
+    InstallConfig install;
+    install.content.installed.number = InstallNumber(1);
+    for (int i = 0; i < 80; ++i) {
+        const std::string name = "team-" + std::to_string(i);
+        install.content.teams[TeamId(name)] = { TeamId(name), 10, 10, {} };
+        install.content.keys[KeyId(name)] = { KeyId(name), KeyRole::Caller, TeamId(name), {}, {} };
+    }
+    install.content.databases[DatabaseName("d")].name = DatabaseName("d");
+    applyInstall(install);
+    NodeReport node = report("a", 1, 1);
+    node.appliedConfig = m_state.cluster.config.version;
+    install.content.installed.number = InstallNumber(2);
+    install.content.databases[DatabaseName("d")].statementTimeout = 800ms;
+    applyInstall(install);
+    const auto lease = onNodeReport(m_controller, node, m_now);
+    ASSERT_TRUE(lease);
+    ASSERT_EQ(lease->config.changes.size(), 1U);
+    EXPECT_FALSE(lease->config.full);
+    EXPECT_LE(lease->config.changes.front().size(), kMostBytes);
+}
+
 struct PoolCase
 {
     const char *name;
--- a/src/include/shallotlever/config/state.h
+++ b/src/include/shallotlever/config/state.h
@@ -46,4 +46,8 @@
 ChangeResult applyCommand(ReplicatedState &state, const Command &command, LogIndex index,
                           std::int64_t wallTimeMs);
 
+/// What leads from `before` to the configuration `after` that was installed next. Routes and
+/// presets are not compared, since installing does not change them.
+ConfigDifference configDifference(const ClusterConfig &before, const ClusterConfig &after);
+
 } // namespace shallotlever
--- a/src/include/shallotlever/types/config.h
+++ b/src/include/shallotlever/types/config.h
@@ -232,6 +232,18 @@
     ClusterConfig content;
 };
 
+/// What an InstallConfig changed, for nodes that hold the configuration before it. Never an entry
+/// of the control log.
+struct ConfigDifference
+{
+    /// Entries that were added or changed, and `installed`. Other parts are not used.
+    ClusterConfig changed;
+    std::set<ServiceId> removedServices;
+    std::set<TeamId> removedTeams;
+    std::set<KeyId> removedKeys;
+    std::set<DatabaseName> removedDatabases;
+};
+
 // Decisions of the controller about groups of databases.
 struct JoinVotingSet
 {
@@ -268,8 +280,9 @@
     friend bool operator==(const RecordNode &, const RecordNode &) = default;
 };
 
-/// One entry of the control log.
-using Command = std::variant<OperatorChange, GroupDecision, InstallConfig, RecordNode>;
+/// One entry of the control log, or a change of the configuration on its way to nodes.
+using Command =
+    std::variant<OperatorChange, GroupDecision, InstallConfig, RecordNode, ConfigDifference>;
 
 enum class ChangeOutcome : std::uint8_t { Accepted, Conflict, Invalid };
 
