--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -1,6 +1,7 @@
 #include "shallotlever/proxy/proxy.h"
 
 #include <algorithm>
+#include <array>
 #include <list>
 
 #include <QHostAddress>
@@ -61,9 +62,11 @@
     void applyGroup(const GroupView &group, const std::vector<SlotShare> &shares, TimePoint now);
     std::shared_ptr<UpstreamPool> makePool(const UpstreamInfo &info);
     void onReachable(const UpstreamId &upstream, bool reachable);
+    void onOpenFailed(const UpstreamId &upstream, LinkFailure failure, Duration waited);
     void tick(TimePoint now);
 
     ProxyState m_state;
+    std::array<Counter *, static_cast<std::size_t>(LinkFailure::Count)> m_openFailures {};
     Gauge &m_sessionsGauge;
     std::list<CallerSession> m_sessions;
     /// Pools of databases that left the view while statements ran there.
@@ -83,6 +86,11 @@
     m_state.startedAt = monotonicNow();
     m_state.refusedByDatabase = &metrics.registry().counter(
         "shallotlever_database_refusals_total", "Refusals of databases passed on to callers.");
+    for (std::size_t i = 0; i < m_openFailures.size(); ++i)
+        m_openFailures[i] = &metrics.registry().counter(
+            "shallotlever_connections_failed_total",
+            "Connections to databases that could not be opened, by reason.",
+            { { "reason", std::string(linkFailureName(static_cast<LinkFailure>(i))) } });
     m_state.answerTime = &metrics.registry().histogram(
         "shallotlever_statement_seconds", "Time from a statement's arrival to its answer.");
 }
@@ -119,6 +127,9 @@
         m_state.notePoint(service, id, point, askedAt);
     };
     callbacks.reachable = [this, id = info.id](bool reachable) { onReachable(id, reachable); };
+    callbacks.openFailed = [this, id = info.id](LinkFailure failure, Duration waited) {
+        onOpenFailed(id, failure, waited);
+    };
     return std::make_shared<UpstreamPool>(*m_state.protocol, info, std::move(callbacks));
 }
 
@@ -129,6 +140,19 @@
                          { { "upstream", upstream.value() } });
 }
 
+void SessionProxy::Impl::onOpenFailed(const UpstreamId &upstream, LinkFailure failure,
+                                      Duration waited)
+{
+    m_openFailures[static_cast<std::size_t>(failure)]->increment();
+    if (!takeLine(m_state.lines, LineTopic::Retry, monotonicNow()))
+        return;
+    m_state.logger->info(
+        "connection_failed",
+        { { "upstream", upstream.value() },
+          { "reason", linkFailureName(failure) },
+          { "waited_ms", std::chrono::duration_cast<std::chrono::milliseconds>(waited).count() } });
+}
+
 void SessionProxy::Impl::applyGroup(const GroupView &group, const std::vector<SlotShare> &shares,
                                     TimePoint now)
 {
--- a/src/proxy/upstream_link.cpp
+++ b/src/proxy/upstream_link.cpp
@@ -25,6 +25,23 @@
 
 } // namespace
 
+std::string_view linkFailureName(LinkFailure failure)
+{
+    switch (failure) {
+    case LinkFailure::Unreachable:
+        return "unreachable";
+    case LinkFailure::TimedOut:
+        return "timed_out";
+    case LinkFailure::Reset:
+        return "reset";
+    case LinkFailure::Refused:
+        return "refused";
+    case LinkFailure::Count:
+        break;
+    }
+    return "unknown";
+}
+
 UpstreamLink::UpstreamLink(const SessionProtocol &protocol, const LinkTarget &target,
                            Duration openTimeout, Callbacks callbacks)
     : m_protocol(protocol)
@@ -39,7 +56,7 @@
 {
     QObject::connect(m_socket, &QTcpSocket::connected, m_socket, [this] { onConnected(); });
     QObject::connect(&m_openTimer, &QTimer::timeout, &m_openTimer,
-                     [this] { failOpening(LinkFailure::Unreachable, std::nullopt); });
+                     [this] { failOpening(LinkFailure::TimedOut, std::nullopt); });
     m_openTimer.setSingleShot(true);
     m_openTimer.start(std::chrono::duration_cast<std::chrono::milliseconds>(openTimeout));
     m_socket->connectToHost(QHostAddress(QString::fromStdString(target.endpoint.host)),
@@ -131,7 +148,7 @@
 {
     if (m_state == State::Closed)
         return;
-    const bool wasOpen = std::exchange(m_state, State::Closed) == State::Open;
+    const State before = std::exchange(m_state, State::Closed);
     m_openTimer.stop();
     const std::weak_ptr<bool> alive = m_alive;
     for (Pending &pending : std::exchange(m_pending, {})) {
@@ -140,10 +157,12 @@
         if (alive.expired())
             return;
     }
-    if (wasOpen)
+    if (before == State::Open)
         m_callbacks.closed();
     else
-        m_callbacks.failed(LinkFailure::Unreachable, std::nullopt);
+        m_callbacks.failed(before == State::Starting ? LinkFailure::Reset
+                                                     : LinkFailure::Unreachable,
+                           std::nullopt);
 }
 
 } // namespace shallotlever
--- a/src/proxy/upstream_link.h
+++ b/src/proxy/upstream_link.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include <QTcpSocket>
 #include <QTimer>
@@ -33,7 +34,20 @@
 };
 
 /// Why a connection could not be opened.
-enum class LinkFailure : std::uint8_t { Unreachable, Refused };
+enum class LinkFailure : std::uint8_t {
+    /// No connection to the address.
+    Unreachable,
+    /// The database did not answer in time.
+    TimedOut,
+    /// The database ended the connection without an answer, as when it has too many of them.
+    Reset,
+    /// The database answered with an error.
+    Refused,
+    Count
+};
+
+/// For logs and metrics.
+std::string_view linkFailureName(LinkFailure failure);
 
 struct LinkTarget
 {
--- a/src/proxy/upstream_pool.cpp
+++ b/src/proxy/upstream_pool.cpp
@@ -218,9 +218,10 @@
 {
     const TimePoint now = monotonicNow();
     const TeamId team = link->team;
+    m_callbacks.openFailed(failure, now - link->usedAt);
     remove(link);
     m_nextOpen = now + kOpenPause;
-    if (failure == LinkFailure::Unreachable
+    if (failure != LinkFailure::Refused
         || (error && error->kind == UpstreamErrorKind::WrongUpstream)) {
         setReachable(false);
         denyWaiters(LinkDenial::Unreachable);
--- a/src/proxy/upstream_pool.h
+++ b/src/proxy/upstream_pool.h
@@ -65,6 +65,8 @@
         std::function<void(const HistoryPoint &point, TimePoint askedAt)> point;
         /// The database became reachable or unreachable.
         std::function<void(bool reachable)> reachable;
+        /// A connection could not be opened; `waited` since it was begun.
+        std::function<void(LinkFailure failure, Duration waited)> openFailed;
     };
 
     UpstreamPool(const SessionProtocol &protocol, UpstreamInfo info, Callbacks callbacks);
