--- a/src/include/shallotlever/policy/slot_allocator.h
+++ b/src/include/shallotlever/policy/slot_allocator.h
@@ -101,6 +101,9 @@
 /// Accounts for a report and computes the node's new shares. O(upstreams of this node).
 SlotGrant onSlotReport(SlotAllocator &allocator, const SlotReport &report, TimePoint now);
 
+/// Open connections to the upstream by the last reports of nodes.
+std::uint32_t reportedConnections(const SlotAllocator &allocator, const UpstreamId &upstream);
+
 void expireSlotLeases(SlotAllocator &allocator, TimePoint now);
 
 } // namespace shallotlever
--- a/src/include/shallotlever/types/fleet.h
+++ b/src/include/shallotlever/types/fleet.h
@@ -56,6 +56,8 @@
     Term fencedTerm;
     /// Newest term that the database knows, which its log may not have reached; 0 if not told.
     Term newestTerm;
+    /// Connections of all callers as the database counts them; 0 if not told.
+    std::uint32_t connections = 0;
     friend bool operator==(const UpstreamStatus &, const UpstreamStatus &) = default;
 };
 
--- a/src/node/controller_shell.cpp
+++ b/src/node/controller_shell.cpp
@@ -16,9 +16,9 @@
 constexpr Duration kAdvanceInterval = 50ms;
 /// Longest time an operator waits for a change to be in force.
 constexpr Duration kInForceWait = 10s;
-/// Interval of the lines about teams, and how many teams they name at most.
-constexpr Duration kTeamLogInterval = 5s;
-constexpr std::size_t kMaxTeamsLogged = 20;
+/// Interval of the lines about shares, and how many teams or databases they name at most.
+constexpr Duration kShareLogInterval = 5s;
+constexpr std::size_t kMaxSharesLogged = 20;
 
 UpstreamAnswer upstreamAnswer(const UpstreamCall &call,
                               const absl::StatusOr<UpstreamStatus> &status)
@@ -95,12 +95,9 @@
 
 /// What the controller believes of the teams that are closest to their limits: requests inside the
 /// rate are refused if demand is overestimated, or if the rate is held by nodes that do not use it.
-void ControllerShell::logTeams(TimePoint now)
+void ControllerShell::logTeams() const
 {
-    if (now < m_nextTeamLog)
-        return;
-    m_nextTeamLog = now + kTeamLogInterval;
-    for (const auto &[id, team] : busiestTeams(m_controller->rates, kMaxTeamsLogged)) {
+    for (const auto &[id, team] : busiestTeams(m_controller->rates, kMaxSharesLogged)) {
         m_logger.info("team_shares",
                       { { "team", id.value() },
                         { "rate_per_second", team->ratePerSecond },
@@ -114,6 +111,42 @@
     }
 }
 
+/// Databases that have nearly as many connections as they accept: by their own count, by the
+/// leases, and by the reports of nodes.
+void ControllerShell::logFullUpstreams() const
+{
+    std::size_t logged = 0;
+    for (const auto &[service, group] : m_controller->groups) {
+        for (const auto &[id, known] : group.statuses) {
+            const auto upstream = m_controller->slots.upstreams.find(id);
+            if (upstream == m_controller->slots.upstreams.end())
+                continue;
+            const SlotUpstream &slots = upstream->second;
+            const std::uint32_t most = slots.limit - connectionReserve(slots.limit);
+            const bool full = std::max(known.status.connections, slots.held) >= most;
+            if (!full || ++logged > kMaxSharesLogged)
+                continue;
+            m_logger.info("upstream_full",
+                          { { "upstream", id.value() },
+                            { "limit", slots.limit },
+                            { "counted_by_upstream", known.status.connections },
+                            { "leased", slots.held },
+                            { "reported_open", reportedConnections(m_controller->slots, id) },
+                            { "needed", slots.need },
+                            { "nodes", slots.nodes } });
+        }
+    }
+}
+
+void ControllerShell::logShares(TimePoint now)
+{
+    if (now < m_nextShareLog)
+        return;
+    m_nextShareLog = now + kShareLogInterval;
+    logTeams();
+    logFullUpstreams();
+}
+
 void ControllerShell::leaveOffice()
 {
     m_logger.info("controller_stepped_down",
@@ -146,7 +179,7 @@
     m_nextAdvance = now + kAdvanceInterval;
     m_advanceDue = false;
     watchPredecessorWait(now);
-    logTeams(now);
+    logShares(now);
     ControllerActions actions = advanceController(*m_controller, m_group.state(), now);
     m_pushDue |= actions.fleetChanged;
     for (const StateChange &change : actions.upstreamStates) {
--- a/src/node/controller_shell.h
+++ b/src/node/controller_shell.h
@@ -71,7 +71,9 @@
     void advance(TimePoint now);
     void watchPredecessorWait(TimePoint now);
     void logTerm();
-    void logTeams(TimePoint now);
+    void logShares(TimePoint now);
+    void logTeams() const;
+    void logFullUpstreams() const;
     void call(const UpstreamCall &call, TimePoint now);
     UpstreamControl &controlOf(const UpstreamCall &call);
     void propose(const GroupDecision &decision, TimePoint now);
@@ -100,7 +102,7 @@
     /// Something happened since the last advance.
     bool m_advanceDue = true;
     TimePoint m_nextAdvance;
-    TimePoint m_nextTeamLog;
+    TimePoint m_nextShareLog;
     /// Cancels answers of upstreams that arrive after this object is gone.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/src/policy/slot_allocator.cpp
+++ b/src/policy/slot_allocator.cpp
@@ -185,6 +185,16 @@
     });
 }
 
+std::uint32_t reportedConnections(const SlotAllocator &allocator, const UpstreamId &upstream)
+{
+    std::uint32_t open = 0;
+    for (const auto &[id, node] : allocator.nodes) {
+        const auto holding = node.holdings.find(upstream);
+        open += holding == node.holdings.end() ? 0 : holding->second.open;
+    }
+    return open;
+}
+
 void expireSlotLeases(SlotAllocator &allocator, TimePoint now)
 {
     for (auto it = allocator.nodes.begin(); it != allocator.nodes.end();) {
