Hide a database from nodes when a later process has its address

Cause: the registry kept both (an unannounced database is forgotten after 600 s), and each of 87 nodes tried the earlier one every 400 ms. The attempts reached the new database, which answered MISROUTED after 570 ms or CONNLIMIT at once: 217 attempts a second at a database that opens 111 connections a second (3 slots, 27 ms each). Shown by connection_failed of i-fd510e1268 with the errors "CONNLIMIT i-fb63f6c2cd" and "MISROUTED i-fb63f6c2cd". Ruled out by upstream_full: leases above the limit (257 of 285 at most).

An announcement from an endpoint ends what an earlier process announced from there: nodes do not see it any more, and its late announcements count for nothing. It stays a member of its group, since its log may hold acknowledged commits.

Tests: Successor in registry_test; AtTheSameEndpointHidesTheEarlierProcess failed before.

--- a/src/fleet/registry.cpp
+++ b/src/fleet/registry.cpp
@@ -104,6 +104,8 @@
     const UpstreamId &id = entry.announcement.upstream;
     if (entry.announcement.leaving || registry.drained.contains(id))
         return UpstreamState::Leaving;
+    if (entry.replaced)
+        return UpstreamState::Suspected;
     if (isDown(registry, id, broken, now))
         return UpstreamState::Suspected;
     if (leaseRunning(entry, now))
@@ -215,11 +217,39 @@
     if (known == registry.entries.end() || announcement.lifetime == Incarnation())
         return false;
     const Announcement &last = known->second.announcement;
+    if (known->second.replaced && announcement.lifetime <= last.lifetime)
+        return true;
     if (announcement.lifetime != last.lifetime)
         return announcement.lifetime < last.lifetime;
     return announcement.sequence != 0 && announcement.sequence <= last.sequence;
 }
 
+/// Another upstream whose process has the endpoint of the announcement; null if there is none.
+RegistryEntry *otherAtEndpoint(Registry &registry, const Announcement &announcement)
+{
+    for (auto &[id, entry] : registry.entries) {
+        if (id != announcement.upstream && !entry.replaced
+            && entry.announcement.endpoint == announcement.endpoint)
+            return &entry;
+    }
+    return nullptr;
+}
+
+/// An endpoint belongs to the process that started last. False if that is another one than the
+/// announced one, whose announcement was held up then.
+bool takeEndpoint(Registry &registry, const Announcement &announcement)
+{
+    RegistryEntry *other = otherAtEndpoint(registry, announcement);
+    if (other == nullptr || announcement.lifetime == Incarnation()
+        || other->announcement.lifetime == Incarnation())
+        return true;
+    if (other->announcement.lifetime > announcement.lifetime)
+        return false;
+    other->replaced = true;
+    ++registry.revision;
+    return true;
+}
+
 std::uint32_t limitOf(const ClusterState &cluster, const Announcement &announcement)
 {
     const auto service = cluster.config.services.find(announcement.service);
@@ -269,6 +299,11 @@
         return removeUpstream(registry, announcement);
     if (isOvertaken(registry, announcement))
         return AnnouncementVerdict::Outdated;
+    const auto known = registry.entries.find(announcement.upstream);
+    const bool sameEndpoint = known != registry.entries.end()
+        && known->second.announcement.endpoint == announcement.endpoint;
+    if (!sameEndpoint && !takeEndpoint(registry, announcement))
+        return AnnouncementVerdict::Outdated;
     const auto [item, isNew] = registry.entries.try_emplace(announcement.upstream);
     RegistryEntry &entry = item->second;
     if (!isNew && !entry.seeded) {
@@ -287,6 +322,7 @@
     entry.announcement = announcement;
     entry.heardAt = std::max(entry.heardAt, receivedAt);
     entry.seeded = false;
+    entry.replaced = false;
     return AnnouncementVerdict::Accepted;
 }
 
@@ -363,6 +399,8 @@
         view.votingSet = group->second.votingSet;
     }
     for (const auto &[id, entry] : registry.entries) {
+        if (entry.replaced)
+            continue;
         const Announcement &a = entry.announcement;
         const auto group = state.view.groups.find(a.service);
         if (group == state.view.groups.end())
--- a/src/fleet/registry_test.cpp
+++ b/src/fleet/registry_test.cpp
@@ -179,6 +179,55 @@
                     LifetimeCase { "OldProcess", process(6, 9), AnnouncementVerdict::Outdated }),
     [](const auto &info) { return info.param.name; });
 
+HeardAnnouncement successor(std::uint64_t lifetime)
+{
+    HeardAnnouncement h = process(lifetime, 1);
+    h.announcement.upstream = UpstreamId("db2");
+    return h;
+}
+
+std::set<UpstreamId> visible(const Registry &registry)
+{
+    ClusterState cluster;
+    cluster.config.services[ServiceId("s")].id = ServiceId("s");
+    cluster.groups[ServiceId("s")].service = ServiceId("s");
+    std::set<UpstreamId> ids;
+    const FleetState state = makeFleetState(registry, cluster);
+    for (const auto &[id, info] : state.view.groups.at(ServiceId("s")).upstreams)
+        ids.insert(id);
+    return ids;
+}
+
+// Guards against nodes that go on connecting to a database that is gone at an address which another
+// one has by now: their attempts took all the connections that the new one accepts.
+TEST(Successor, AtTheSameEndpointHidesTheEarlierProcess)
+{
+    Registry registry;
+    applyAnnouncement(registry, process(7, 5), TimePoint(1s), TimePoint(1s));
+    EXPECT_EQ(applyAnnouncement(registry, successor(9), TimePoint(2s), TimePoint(2s)),
+              AnnouncementVerdict::Accepted);
+    EXPECT_EQ(visible(registry), std::set { UpstreamId("db2") });
+    EXPECT_EQ(applyAnnouncement(registry, process(7, 6), TimePoint(3s), TimePoint(3s)),
+              AnnouncementVerdict::Outdated);
+    // Its log may hold what was acknowledged.
+    EXPECT_TRUE(registry.entries.contains(kDb));
+    HeardAnnouncement elsewhere = process(10, 1);
+    elsewhere.announcement.endpoint.host = "10.0.0.2";
+    EXPECT_EQ(applyAnnouncement(registry, elsewhere, TimePoint(4s), TimePoint(4s)),
+              AnnouncementVerdict::Accepted);
+    EXPECT_EQ(visible(registry).size(), 2U);
+}
+
+// Guards against a heartbeat of an earlier process that arrives late and takes the endpoint back.
+TEST(Successor, IsNotHiddenByALateAnnouncement)
+{
+    Registry registry;
+    applyAnnouncement(registry, successor(9), TimePoint(2s), TimePoint(2s));
+    EXPECT_EQ(applyAnnouncement(registry, process(7, 6), TimePoint(3s), TimePoint(3s)),
+              AnnouncementVerdict::Outdated);
+    EXPECT_EQ(visible(registry), std::set { UpstreamId("db2") });
+}
+
 // Guards against a database that has ended and is made known again by a late heartbeat, and
 // against a new process of the same id that is kept out by the end of the old one.
 TEST(Farewell, EndsItsLifetimeOnly)
--- a/src/include/shallotlever/fleet/registry.h
+++ b/src/include/shallotlever/fleet/registry.h
@@ -32,6 +32,10 @@
     TimePoint stateSince;
     /// Taken over from the controller's own node view; its role and point are not known.
     bool seeded = false;
+    /// A later process announces another upstream from the same endpoint, so this one has ended.
+    /// Nodes do not see it any more; it still counts as a member that may hold acknowledged
+    /// commits.
+    bool replaced = false;
 };
 
 /// What one node observes.
