Open few connections to a database at a time, and wait for a busy one

A database works through the openings of connections in its slots.

A node now opens two connections to one database at a time, waits 3 s for the answer once the address has accepted the connection, doubles the pause after failures up to 1.6 s, and replaces a connection of another team at most once in twice the time that opening takes. A reset or refusal no longer counts as unreachable; a database that has left the view is not tried any more. Class of fault: retries that add to the overload which causes them.

--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -62,7 +62,8 @@
     void applyGroup(const GroupView &group, const std::vector<SlotShare> &shares, TimePoint now);
     std::shared_ptr<UpstreamPool> makePool(const UpstreamInfo &info);
     void onReachable(const UpstreamId &upstream, bool reachable);
-    void onOpenFailed(const UpstreamId &upstream, LinkFailure failure, Duration waited);
+    void onOpenFailed(const UpstreamId &upstream, LinkFailure failure, const std::string &error,
+                      Duration waited);
     void tick(TimePoint now);
 
     ProxyState m_state;
@@ -127,8 +128,9 @@
         m_state.notePoint(service, id, point, askedAt);
     };
     callbacks.reachable = [this, id = info.id](bool reachable) { onReachable(id, reachable); };
-    callbacks.openFailed = [this, id = info.id](LinkFailure failure, Duration waited) {
-        onOpenFailed(id, failure, waited);
+    callbacks.openFailed = [this, id = info.id](LinkFailure failure, const std::string &error,
+                                                Duration waited) {
+        onOpenFailed(id, failure, error, waited);
     };
     return std::make_shared<UpstreamPool>(*m_state.protocol, info, std::move(callbacks));
 }
@@ -141,7 +143,7 @@
 }
 
 void SessionProxy::Impl::onOpenFailed(const UpstreamId &upstream, LinkFailure failure,
-                                      Duration waited)
+                                      const std::string &error, Duration waited)
 {
     m_openFailures[static_cast<std::size_t>(failure)]->increment();
     if (!takeLine(m_state.lines, LineTopic::Retry, monotonicNow()))
@@ -150,6 +152,7 @@
         "connection_failed",
         { { "upstream", upstream.value() },
           { "reason", linkFailureName(failure) },
+          { "error", error },
           { "waited_ms", std::chrono::duration_cast<std::chrono::milliseconds>(waited).count() } });
 }
 
@@ -169,8 +172,10 @@
         const bool same = info != group.upstreams.end()
             && info->second.endpoint == item.second->info().endpoint
             && info->second.lifetime == item.second->info().lifetime;
-        if (!same)
+        if (!same) {
+            item.second->retire();
             m_leaving.push_back(item.second);
+        }
         return !same;
     });
     for (const auto &[id, info] : group.upstreams) {
--- a/src/proxy/session_control.cpp
+++ b/src/proxy/session_control.cpp
@@ -95,7 +95,8 @@
         if (const auto control = self.lock())
             control->reset();
     };
-    m_link = std::make_unique<UpstreamLink>(m_protocol, m_target, timeout, std::move(callbacks));
+    m_link = std::make_unique<UpstreamLink>(m_protocol, m_target, timeout, timeout,
+                                            std::move(callbacks));
 }
 
 void SessionControl::send(const Call &call)
--- a/src/proxy/upstream_link.cpp
+++ b/src/proxy/upstream_link.cpp
@@ -43,10 +43,11 @@
 }
 
 UpstreamLink::UpstreamLink(const SessionProtocol &protocol, const LinkTarget &target,
-                           Duration openTimeout, Callbacks callbacks)
+                           Duration connectTimeout, Duration startTimeout, Callbacks callbacks)
     : m_protocol(protocol)
     , m_target(target)
     , m_callbacks(std::move(callbacks))
+    , m_startTimeout(startTimeout)
     , m_startedAt(monotonicNow())
     , m_socket(new QTcpSocket)
     , m_lines(std::make_unique<LineSocket>(
@@ -55,10 +56,9 @@
                                   [this] { end(); } }))
 {
     QObject::connect(m_socket, &QTcpSocket::connected, m_socket, [this] { onConnected(); });
-    QObject::connect(&m_openTimer, &QTimer::timeout, &m_openTimer,
-                     [this] { failOpening(LinkFailure::TimedOut, std::nullopt); });
+    QObject::connect(&m_openTimer, &QTimer::timeout, &m_openTimer, [this] { onOpenTimeout(); });
     m_openTimer.setSingleShot(true);
-    m_openTimer.start(std::chrono::duration_cast<std::chrono::milliseconds>(openTimeout));
+    m_openTimer.start(std::chrono::duration_cast<std::chrono::milliseconds>(connectTimeout));
     m_socket->connectToHost(QHostAddress(QString::fromStdString(target.endpoint.host)),
                             target.endpoint.port);
 }
@@ -70,6 +70,7 @@
     setUserTimeout(*m_socket);
     m_roundTrip = monotonicNow() - m_startedAt;
     m_state = State::Starting;
+    m_openTimer.start(std::chrono::duration_cast<std::chrono::milliseconds>(m_startTimeout));
     m_lines->write(m_protocol.start(m_target.service, m_target.user, m_target.upstream));
 }
 
@@ -137,6 +138,12 @@
     reply.lines.append(line).append("\r\n");
 }
 
+void UpstreamLink::onOpenTimeout()
+{
+    const bool connected = m_state == State::Starting;
+    failOpening(connected ? LinkFailure::TimedOut : LinkFailure::Unreachable, std::nullopt);
+}
+
 void UpstreamLink::failOpening(LinkFailure failure, const std::optional<UpstreamError> &error)
 {
     m_openTimer.stop();
--- a/src/proxy/upstream_link.h
+++ b/src/proxy/upstream_link.h
@@ -35,9 +35,9 @@
 
 /// Why a connection could not be opened.
 enum class LinkFailure : std::uint8_t {
-    /// No connection to the address.
+    /// No connection to the address, or none in time.
     Unreachable,
-    /// The database did not answer in time.
+    /// The database accepted the connection and did not answer in time.
     TimedOut,
     /// The database ended the connection without an answer, as when it has too many of them.
     Reset,
@@ -73,8 +73,10 @@
         std::function<void()> closed;
     };
 
-    UpstreamLink(const SessionProtocol &protocol, const LinkTarget &target, Duration openTimeout,
-                 Callbacks callbacks);
+    /// `connectTimeout` is for the connection to the address, `startTimeout` for the answer of the
+    /// database after that.
+    UpstreamLink(const SessionProtocol &protocol, const LinkTarget &target, Duration connectTimeout,
+                 Duration startTimeout, Callbacks callbacks);
     ~UpstreamLink();
     UpstreamLink(const UpstreamLink &) = delete;
     UpstreamLink &operator=(const UpstreamLink &) = delete;
@@ -94,6 +96,7 @@
     };
 
     void onConnected();
+    void onOpenTimeout();
     void onLine(std::string_view line);
     void onStartLine(const UpstreamMessage &message);
     void onReplyLine(const UpstreamMessage &message, std::string_view line);
@@ -104,6 +107,7 @@
     LinkTarget m_target;
     Callbacks m_callbacks;
     State m_state = State::Connecting;
+    Duration m_startTimeout;
     TimePoint m_startedAt;
     Duration m_roundTrip { 0 };
     std::optional<UpstreamError> m_startError;
--- a/src/proxy/upstream_pool.cpp
+++ b/src/proxy/upstream_pool.cpp
@@ -9,9 +9,16 @@
 
 namespace {
 
-constexpr Duration kOpenTimeout = 900ms;
-/// Pause after a connection could not be opened.
+constexpr Duration kConnectTimeout = 900ms;
+/// Opening takes a slot of the database, and a busy one works through a queue of openings. To give
+/// one up wastes its work, and the next one waits at the end of the queue.
+constexpr Duration kStartTimeout = 3s;
+/// Connections to one database that a node opens at a time: all nodes together must not ask for
+/// more than the database opens within kStartTimeout.
+constexpr std::uint32_t kMaxOpening = 2;
+/// Pause after a connection could not be opened; doubles with each failure in a row.
 constexpr Duration kOpenPause = 100ms;
+constexpr std::uint32_t kMaxOpenPauseDoublings = 4;
 /// An unreachable database is tried this often.
 constexpr Duration kProbeInterval = 400ms;
 /// Observations older than this are withdrawn.
@@ -26,8 +33,10 @@
 constexpr Duration kAliveAfterAnswer = 300ms;
 /// A connection may be taken from a team that has not used it for this long.
 constexpr Duration kVictimIdle = 250ms;
-/// Shortest time between two connections opened in place of another team's.
+/// Shortest time between two connections opened in place of another team's, also as a multiple of
+/// the time that opening takes: a busy database spends its slots on statements first.
 constexpr Duration kReplaceInterval = 60ms;
+constexpr int kReplaceOpenTimes = 2;
 /// A team that asked for a connection within this time is expected to ask again.
 constexpr Duration kTeamInterest = 4s;
 
@@ -58,6 +67,12 @@
         denyWaiters(LinkDenial::Cancelled);
 }
 
+void UpstreamPool::retire()
+{
+    m_load.state = UpstreamState::Leaving;
+    denyWaiters(LinkDenial::Cancelled);
+}
+
 std::uint64_t UpstreamPool::acquire(const TeamId &team, const SessionValues &values,
                                     std::uint32_t priority, LinkCallback callback, TimePoint now)
 {
@@ -122,6 +137,17 @@
                       [&](const PooledLink &link) { return !link.open && link.team == team; }));
 }
 
+std::uint32_t UpstreamPool::openings() const
+{
+    return static_cast<std::uint32_t>(std::count_if(
+        m_links.begin(), m_links.end(), [](const PooledLink &link) { return !link.open; }));
+}
+
+Duration UpstreamPool::replaceInterval() const
+{
+    return std::max(kReplaceInterval, m_load.openTime * kReplaceOpenTimes);
+}
+
 void UpstreamPool::openForWaiters(TimePoint now)
 {
     if (now < m_nextOpen)
@@ -131,10 +157,12 @@
         ++wanted[waiter.team];
     for (const auto &[team, count] : wanted) {
         for (std::uint32_t opening = openingFor(team); opening < count; ++opening) {
+            if (openings() >= kMaxOpening)
+                return;
             if (m_links.size() >= m_load.connections) {
                 PooledLink *victim = idleVictim();
                 const bool mayReplace = victim != nullptr && now >= victim->usedAt + kVictimIdle
-                    && now >= m_replacedAt + kReplaceInterval;
+                    && now >= m_replacedAt + replaceInterval();
                 if (!mayReplace)
                     return;
                 m_replacedAt = now;
@@ -169,7 +197,7 @@
     callbacks.closed = [this, number] { onClosed(number); };
     link->link = std::make_unique<UpstreamLink>(
         m_protocol, LinkTarget { m_info.service, m_info.id, m_info.endpoint, team.value() },
-        kOpenTimeout, std::move(callbacks));
+        kConnectTimeout, kStartTimeout, std::move(callbacks));
 }
 
 PooledLink *UpstreamPool::find(std::uint64_t number)
@@ -207,6 +235,7 @@
         m_load.roundTrip == Duration(0) ? roundTrip : std::min(m_load.roundTrip, roundTrip);
     m_answeredAt = monotonicNow();
     m_silences = 0;
+    m_openFailures = 0;
     setReachable(true);
     if (point)
         m_callbacks.point(*point, askedAt);
@@ -218,16 +247,19 @@
 {
     const TimePoint now = monotonicNow();
     const TeamId team = link->team;
-    m_callbacks.openFailed(failure, now - link->usedAt);
+    m_callbacks.openFailed(failure, error ? error->message : std::string(), now - link->usedAt);
     remove(link);
-    m_nextOpen = now + kOpenPause;
-    if (failure != LinkFailure::Refused
+    const std::uint32_t doublings = std::min(m_openFailures++, kMaxOpenPauseDoublings);
+    m_nextOpen = now + kOpenPause * (1U << doublings);
+    if (failure == LinkFailure::Unreachable
+        || (failure == LinkFailure::TimedOut && ++m_silences >= kSilencesUntilUnreachable)
         || (error && error->kind == UpstreamErrorKind::WrongUpstream)) {
         setReachable(false);
         denyWaiters(LinkDenial::Unreachable);
         return;
     }
-    m_load.avoidUntil = now + kAvoidAfterRefusal;
+    // A database that resets or refuses connections is there, and has too many of them.
+    m_load.avoidUntil = std::max(now + kAvoidAfterRefusal, m_nextOpen);
     // With other connections of the team at work, one of them becomes free.
     const bool others = std::any_of(m_links.begin(), m_links.end(),
                                     [&](const PooledLink &l) { return l.team == team; });
@@ -379,7 +411,7 @@
 void UpstreamPool::tick(TimePoint now)
 {
     m_retired.clear();
-    if (!m_load.reachable && now >= m_triedAt + kProbeInterval && !opening()
+    if (!m_load.reachable && now >= m_triedAt + kProbeInterval && openings() == 0
         && m_load.state != UpstreamState::Leaving)
         open(anonymousTeam(), now);
     closeOverdue(now);
@@ -387,12 +419,6 @@
         openForWaiters(now);
 }
 
-bool UpstreamPool::opening() const
-{
-    return std::any_of(m_links.begin(), m_links.end(),
-                       [](const PooledLink &link) { return !link.open; });
-}
-
 /// Connections that nobody uses, and those whose rollback is not answered: a database that is
 /// suspended would otherwise keep them busy for good.
 void UpstreamPool::closeOverdue(TimePoint now)
--- a/src/proxy/upstream_pool.h
+++ b/src/proxy/upstream_pool.h
@@ -65,8 +65,10 @@
         std::function<void(const HistoryPoint &point, TimePoint askedAt)> point;
         /// The database became reachable or unreachable.
         std::function<void(bool reachable)> reachable;
-        /// A connection could not be opened; `waited` since it was begun.
-        std::function<void(LinkFailure failure, Duration waited)> openFailed;
+        /// A connection could not be opened; `error` is what the database answered, if anything,
+        /// and `waited` the time since it was begun.
+        std::function<void(LinkFailure failure, const std::string &error, Duration waited)>
+            openFailed;
     };
 
     UpstreamPool(const SessionProtocol &protocol, UpstreamInfo info, Callbacks callbacks);
@@ -94,6 +96,8 @@
 
     void setShare(std::uint32_t connections, TimePoint now);
     void setInfo(const UpstreamInfo &info, bool primary);
+    /// The database has left the view: what runs there may end, and nothing is opened any more.
+    void retire();
     void tick(TimePoint now);
 
     const UpstreamInfo &info() const { return m_info; }
@@ -129,7 +133,8 @@
     void setReachable(bool reachable);
     std::uint32_t openingFor(const TeamId &team) const;
     void updateOutstanding();
-    bool opening() const;
+    std::uint32_t openings() const;
+    Duration replaceInterval() const;
     void closeOverdue(TimePoint now);
     std::uint32_t running() const;
 
@@ -144,6 +149,8 @@
     std::uint64_t m_lastWaiter = 0;
     std::uint64_t m_lastLink = 0;
     std::uint32_t m_silences = 0;
+    /// In a row.
+    std::uint32_t m_openFailures = 0;
     SendWindow m_window;
     TimePoint m_answeredAt;
     /// When each team last asked for a connection.
