--- a/src/include/shallotlever/control/member.h
+++ b/src/include/shallotlever/control/member.h
@@ -45,8 +45,8 @@
     NodeId node;
     /// Configured control members, this one included. Three or five.
     std::vector<NodeId> peers;
-    /// Lost machines that the group bears at the same time. A group that has standbys grows to twice
-    /// as many voters and one, but never shrinks below the configured members.
+    /// Lost machines that the group bears at the same time. A group that has standbys grows to
+    /// twice as many voters and one, but never shrinks below the configured members.
     std::size_t toleratedLosses = 1;
     /// Nodes that are not configured may take the place of a voter that stays silent; this node
     /// may itself be one of them.
