--- a/src/policy/token_bucket.cpp
+++ b/src/policy/token_bucket.cpp
@@ -54,6 +54,30 @@
     return t.time_since_epoch().count();
 }
 
+// Tokens granted by themselves: their number in the upper bits, the microsecond of their expiry in
+// the lower ones, in one word so that both change together.
+
+std::uint64_t grantedTokens(std::uint64_t word)
+{
+    return word >> kGenerationShift;
+}
+
+std::int64_t grantedUntil(std::uint64_t word)
+{
+    return static_cast<std::int64_t>(word & kTokenMask);
+}
+
+std::uint64_t makeGranted(std::uint64_t tokens, std::int64_t until)
+{
+    return (std::min(tokens, kMostGranted) << kGenerationShift)
+        | (static_cast<std::uint64_t>(until) & kTokenMask);
+}
+
+bool holdsGranted(std::uint64_t word, std::int64_t now)
+{
+    return grantedTokens(word) > 0 && grantedUntil(word) > now;
+}
+
 } // namespace
 
 const TokenBucket::Parameters &TokenBucket::parametersOf(std::uint64_t word) const
@@ -101,20 +125,19 @@
     std::uint64_t word = m_granted.load();
     std::uint64_t next = 0;
     do {
-        const bool held = generationOf(word) > 0 && tokensOf(word) > micros(now);
-        // All of them expire with the first.
-        const std::int64_t until =
-            held ? std::min(tokensOf(word), micros(expires)) : micros(expires);
-        const std::uint64_t count = (held ? generationOf(word) : 0) + tokens;
-        next = makeWord(std::min(count, kMostGranted), until);
+        // With tokens that are left all expire with the first.
+        next = holdsGranted(word, micros(now)) ? makeGranted(
+                   grantedTokens(word) + tokens, std::min(grantedUntil(word), micros(expires)))
+                                               : makeGranted(tokens, micros(expires));
     } while (!m_granted.compare_exchange_weak(word, next));
 }
 
 bool TokenBucket::takeGranted(TimePoint now)
 {
     std::uint64_t word = m_granted.load();
-    while (generationOf(word) > 0 && tokensOf(word) > micros(now)) {
-        if (m_granted.compare_exchange_weak(word, word - (std::uint64_t { 1 } << kGenerationShift)))
+    while (holdsGranted(word, micros(now))) {
+        if (m_granted.compare_exchange_weak(
+                word, makeGranted(grantedTokens(word) - 1, grantedUntil(word))))
             return true;
     }
     return false;
