--- a/src/node/report_schedule.h
+++ b/src/node/report_schedule.h
@@ -21,7 +21,7 @@
     Observed,
     /// A database leaves or ended.
     Announced,
-    /// Requests wait for tokens, or traffic has stopped.
+    /// Traffic has stopped, and others may need the share.
     Demand,
     /// Reports of other nodes are passed on.
     Relayed,
