Select owners of the connections to a database, and lease the connections to them

Cause: the connections of a database belong to one team each, and were shared among all nodes.

The controller now selects two owners for each database that confirms commits itself, by rendezvous hashing over the nodes in its data centre, and publishes them with the fleet view. Only owners get connections: the active one three quarters, the standby the rest, so that it serves at once when the active one fails. A new controller keeps the inherited owners until all nodes that it knows of have reported. Nodes report their data centre, whether they are leaving, and the age of their process: tokens that were not spent between the end of all processes and the start of their successors are granted again.

Ruled out: owners chosen by each node over a list of nodes: the fleet view has no such list, and it would grow by every node. Nodes use the owners from the next commits on.

--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -66,12 +66,23 @@
     const Duration emptyViewDelay = noNodeHasView ? kNoViewPublishDelay : kEmptyViewPublishDelay;
     if (now < controller.electedAt + (inheritedNoView ? emptyViewDelay : kAnnouncementLease))
         return false;
+    const bool allReported =
+        controller.records.anyRecorded && controller.records.unaccountedProcesses.empty();
+    std::optional<std::uint64_t> ownership;
+    if (allReported || now >= controller.electedAt + kPoolOwnerSettleTime)
+        ownership = controller.poolOwnership.revision;
     if (controller.publishedIndex == replicated.cluster.index
-        && controller.publishedRevision == controller.registry.revision)
+        && controller.publishedRevision == controller.registry.revision
+        && controller.publishedOwnership == ownership)
         return false;
+    controller.publishedOwnership = ownership;
     controller.publishedIndex = replicated.cluster.index;
     controller.publishedRevision = controller.registry.revision;
-    const FleetState fleet = makeFleetState(controller.registry, replicated.cluster);
+    FleetState fleet = makeFleetState(controller.registry, replicated.cluster);
+    if (ownership)
+        assignPoolOwners(controller.poolOwnership, replicated.cluster.config, fleet.view);
+    else
+        keepPoolOwners(controller.fleetLog.state.view, fleet.view);
     if (!publishFleet(controller.fleetLog, fleet, controller.controlTerm))
         return false;
     applyUpstreamLimits(controller.slots, controller.fleetLog.state.view);
@@ -92,21 +103,32 @@
 {
     controller.leases.predecessorLeasesUntil =
         std::min(controller.leases.predecessorLeasesUntil, now);
-    // Processes that have been replaced have spent no tokens since this controller was elected.
-    const TimePoint nothingSpentSince =
-        controller.records.recordedProcessReported ? now : controller.electedAt;
+    // Processes that have been replaced have spent no tokens since the last of their successors
+    // started.
+    const TimePoint nothingSpentSince = controller.records.recordedProcessReported
+        ? now
+        : std::min(controller.electedAt, controller.records.lastReplacementStart);
     endPredecessorWait(controller.rates, nothingSpentSince, now);
     controller.slots.grantsAllowedFrom = std::min(controller.slots.grantsAllowedFrom, now);
 }
 
+/// When the reporting process started, or `now` if it does not say.
+TimePoint startOfProcess(const NodeReport &report, TimePoint now)
+{
+    return report.processAge == Duration(0) ? now : now - report.age - report.processAge;
+}
+
 /// Accounts for the recorded process of a node: its own report states what it holds, and a report
 /// of a later process shows that the recorded one has ended.
 void accountForNode(ControllerState &controller, const NodeReport &report, TimePoint now)
 {
     std::map<NodeId, Incarnation> &unaccountedProcesses = controller.records.unaccountedProcesses;
     const auto recorded = unaccountedProcesses.find(report.node);
-    controller.records.recordedProcessReported |=
-        recorded != unaccountedProcesses.end() && recorded->second == report.incarnation;
+    if (recorded != unaccountedProcesses.end() && recorded->second == report.incarnation)
+        controller.records.recordedProcessReported = true;
+    else if (recorded != unaccountedProcesses.end())
+        controller.records.lastReplacementStart =
+            std::max(controller.records.lastReplacementStart, startOfProcess(report, now));
     if (unaccountedProcesses.erase(report.node) > 0 && unaccountedProcesses.empty())
         endPredecessorWaits(controller, now);
 }
@@ -184,6 +206,7 @@
     controller.records.enabled = recordNodes;
     controller.records.committed = replicated.cluster.nodes;
     controller.records.unaccountedProcesses = replicated.cluster.nodes;
+    controller.records.anyRecorded = !replicated.cluster.nodes.empty();
     return controller;
 }
 
@@ -226,6 +249,7 @@
         const ReportResult result = applyReport(controller.registry, *nodeReport, now);
         if (!grantLease(controller.leases, *nodeReport, now))
             continue;
+        notePoolOwnerReport(controller.poolOwnership, *nodeReport, now);
         const ShareSet &shares = grantShares(controller, *nodeReport, now);
         if (nodeReport == &report)
             lease = makeLease(*nodeReport, source, shares, result.wantsAllObservations);
@@ -259,6 +283,7 @@
     expireLeases(controller.leases, now);
     expireRateLeases(controller.rates, now);
     expireSlotLeases(controller.slots, now);
+    expirePoolOwners(controller.poolOwnership, now);
     proposeRecords(controller, actions, now);
     actions.upstreamStates = advanceRegistry(controller.registry, now);
     AnnouncedUpstreams announced = announcedUpstreams(controller.registry);
--- a/src/controller/controller_test.cpp
+++ b/src/controller/controller_test.cpp
@@ -124,6 +124,8 @@
 {
     const char *name;
     std::uint64_t incarnation;
+    /// Age of both processes when they report, 500 ms after the election.
+    Duration processAge;
     int minTokens;
     int maxTokens;
 };
@@ -152,8 +154,11 @@
     m_state.cluster.config.teams[TeamId("t")] = { TeamId("t"), 100, 100, {} };
     m_controller = makeController(ControlTerm(2), m_state, FleetLog(), 1, kStart, true);
     m_now = kStart + 500ms;
-    reportGetsLease(report("a", GetParam().incarnation, 1));
-    reportGetsLease(report("b", 2, 1));
+    NodeReport a = report("a", GetParam().incarnation, 1);
+    NodeReport b = report("b", 2, 1);
+    a.processAge = b.processAge = GetParam().processAge;
+    reportGetsLease(a);
+    reportGetsLease(b);
     commitRecords();
     reportGetsLease(report("a", GetParam().incarnation, 2));
     const int tokens = grantedTokens();
@@ -162,8 +167,10 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Processes, ControllerTokenPool,
-                         testing::Values(TokenPoolCase { "AllReplaced", 2, 25, 50 },
-                                         TokenPoolCase { "OneSurvived", 1, 0, 0 }),
+                         testing::Values(TokenPoolCase { "AllReplaced", 2, 0ms, 25, 50 },
+                                         TokenPoolCase { "AllReplacedBeforeTheElection", 2, 900ms,
+                                                         70, 90 },
+                                         TokenPoolCase { "OneSurvived", 1, 900ms, 0, 0 }),
                          [](const auto &info) { return info.param.name; });
 
 // Guards against nodes that lose databases because a controller that knows none yet publishes its
--- a/src/fleet/messages_decode.cpp
+++ b/src/fleet/messages_decode.cpp
@@ -134,6 +134,10 @@
     r.observations = decodeAll(t.observations(), observationOf);
     r.observationsBase = t.observations_base();
     r.controlOnly = t.control_only();
+    if (t.data_centre() != nullptr)
+        r.dataCentre = id<DataCentreId>(t.data_centre());
+    r.leaving = t.leaving();
+    r.processAge = nonNegativeDuration(t.process_age());
     r.teams = decodeAll(t.teams(), teamDemandOf);
     r.slots = decodeAll(t.slots(), slotDemandOf);
     r.nodes = decodeAll(t.nodes(), [this](const auto &n) { return report(n, true); });
@@ -165,6 +169,17 @@
     return c;
 }
 
+std::vector<NodeId>
+nodesOf(const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *ids)
+{
+    std::vector<NodeId> nodes;
+    if (ids == nullptr)
+        return nodes;
+    for (const flatbuffers::String *id : *ids)
+        nodes.emplace_back(id->str());
+    return nodes;
+}
+
 FleetChange Decoder::change(const fbs::FleetChangeEntry &t)
 {
     switch (t.change_type()) {
@@ -183,6 +198,7 @@
             .connectionLimit = u.connection_limit(),
             .state = enumeration<UpstreamState>(u.state(), fbs::State::Leaving),
             .lifetime = Incarnation(u.lifetime()),
+            .poolOwners = nodesOf(u.pool_owners()),
         } };
     }
     case fbs::FleetChange::RemoveUpstream: {
--- a/src/fleet/messages_encode.cpp
+++ b/src/fleet/messages_encode.cpp
@@ -22,6 +22,15 @@
     return b.CreateSharedString(id.value());
 }
 
+template <typename Ids>
+OffsetVector<flatbuffers::String> packIds(FlatBufferBuilder &b, const Ids &ids)
+{
+    std::vector<Offset<flatbuffers::String>> packed;
+    for (const auto &id : ids)
+        packed.push_back(packId(b, id));
+    return packed.empty() ? OffsetVector<flatbuffers::String>(0) : b.CreateVector(packed);
+}
+
 /// Omits an empty vector, which saves bytes on the wire.
 template <typename Table, typename Item, typename Pack>
 OffsetVector<Table> packAll(FlatBufferBuilder &b, const std::vector<Item> &items, Pack pack)
@@ -80,7 +89,8 @@
     return fbs::CreateNodeReport(b, packId(b, r.node), r.incarnation.value(), r.number,
                                  r.age.count(), r.appliedConfig.value(), &fleet, r.appliedShares,
                                  announcements, observations, r.observationsBase, teams, slots,
-                                 nodes, r.controlOnly);
+                                 nodes, r.controlOnly, packId(b, r.dataCentre), r.leaving,
+                                 r.processAge.count());
 }
 
 Offset<flatbuffers::Vector<std::uint8_t>> packBytes(FlatBufferBuilder &b, const std::string &bytes)
@@ -111,10 +121,7 @@
     }
     Offset<fbs::FleetChangeEntry> operator()(const PutGroup &c) const
     {
-        std::vector<Offset<flatbuffers::String>> members;
-        for (const UpstreamId &member : c.votingSet)
-            members.push_back(packId(b, member));
-        const auto set = b.CreateVector(members);
+        const auto set = packIds(b, c.votingSet);
         const auto primary = c.primary ? packId(b, *c.primary) : 0;
         const auto service = packId(b, c.service);
         return entry(fbs::FleetChange::PutGroup,
@@ -128,12 +135,14 @@
     Offset<fbs::FleetChangeEntry> operator()(const PutUpstream &c) const
     {
         const UpstreamInfo &i = c.info;
-        return entry(fbs::FleetChange::PutUpstream,
-                     fbs::CreatePutUpstream(
-                         b, packId(b, i.id), packId(b, i.service), packId(b, i.dataCentre),
-                         b.CreateSharedString(i.endpoint.host), i.endpoint.port, i.slots,
-                         i.connectionLimit, static_cast<fbs::State>(i.state), i.lifetime.value())
-                         .Union());
+        const auto owners = packIds(b, i.poolOwners);
+        return entry(
+            fbs::FleetChange::PutUpstream,
+            fbs::CreatePutUpstream(b, packId(b, i.id), packId(b, i.service),
+                                   packId(b, i.dataCentre), b.CreateSharedString(i.endpoint.host),
+                                   i.endpoint.port, i.slots, i.connectionLimit,
+                                   static_cast<fbs::State>(i.state), i.lifetime.value(), owners)
+                .Union());
     }
     Offset<fbs::FleetChangeEntry> operator()(const RemoveUpstream &c) const
     {
--- a/src/fleet/registry.cpp
+++ b/src/fleet/registry.cpp
@@ -418,7 +418,8 @@
                                         .slots = a.slots,
                                         .connectionLimit = effectiveConnectionLimit(cluster, a),
                                         .state = entry.state,
-                                        .lifetime = a.lifetime };
+                                        .lifetime = a.lifetime,
+                                        .poolOwners = {} };
     }
     return state;
 }
--- a/src/include/shallotlever/controller/controller.h
+++ b/src/include/shallotlever/controller/controller.h
@@ -9,6 +9,7 @@
 
 #include "shallotlever/base/random.h"
 #include "shallotlever/config/state.h"
+#include "shallotlever/controller/pool_ownership.h"
 #include "shallotlever/fleet/confirmed_change.h"
 #include "shallotlever/fleet/distribution.h"
 #include "shallotlever/fleet/freshness.h"
@@ -109,6 +110,11 @@
     std::map<NodeId, Incarnation> unaccountedProcesses;
     /// At least one of those processes reported itself, so it may have spent tokens until then.
     bool recordedProcessReported = false;
+    /// Latest start of a process that replaced one of those; the replaced ones have spent no tokens
+    /// since.
+    TimePoint lastReplacementStart = TimePoint::min();
+    /// Processes were recorded when this controller was elected.
+    bool anyRecorded = false;
     /// Records that will be proposed next.
     std::map<NodeId, RecordNode> pendingProposals;
     /// Time of the last proposal for each node.
@@ -139,6 +145,10 @@
     /// Registry revision and log index from which the published fleet view was built.
     std::uint64_t publishedRevision = 0;
     std::optional<LogIndex> publishedIndex;
+    PoolOwnership poolOwnership;
+    /// Revision of poolOwnership from which the published owners were selected; nullopt while the
+    /// inherited ones are kept.
+    std::optional<std::uint64_t> publishedOwnership;
 };
 
 /// Creates the state of a newly elected controller. Call only once the member holds the leader
--- a/src/include/shallotlever/fleet/messages.h
+++ b/src/include/shallotlever/fleet/messages.h
@@ -62,6 +62,11 @@
     /// The node serves no callers: it needs no shares, and a new controller need not wait for its
     /// report.
     bool controlOnly = false;
+    DataCentreId dataCentre;
+    /// The node is stopping.
+    bool leaving = false;
+    /// Time since the process started, or 0 if that is longer ago than matters to anyone.
+    Duration processAge { 0 };
     std::vector<HeardAnnouncement> announcements;
     /// Observations that changed after report `observationsBase`, or all of them if that is 0.
     /// Each report renews the unchanged observations.
--- a/src/include/shallotlever/policy/slot_allocator.h
+++ b/src/include/shallotlever/policy/slot_allocator.h
@@ -51,6 +51,8 @@
     std::uint32_t leasedConnections = 0;
     std::uint64_t neededConnections = 0;
     std::uint32_t servingNodes = 0;
+    /// If not empty, only these nodes get connections, the first one most of them.
+    std::vector<NodeId> owners;
 };
 
 struct SlotNode
@@ -90,6 +92,10 @@
     std::vector<SlotShare> shares;
 };
 
+/// Part of the leasable connections that the standby owner gets (pool_owner.h), so that it can
+/// serve at once when the active owner fails, before that one's lease has expired.
+std::uint32_t standbyConnections(std::uint32_t leasableConnections);
+
 /// Connections of an upstream that are never leased. They are left for operators, replication and
 /// nodes whose lease has expired.
 std::uint32_t connectionReserve(std::uint32_t connectionLimit);
--- a/src/include/shallotlever/types/fleet.h
+++ b/src/include/shallotlever/types/fleet.h
@@ -80,6 +80,9 @@
     std::uint32_t connectionLimit = 0;
     UpstreamState state = UpstreamState::Live;
     Incarnation lifetime;
+    /// Nodes that hold the connections to the database, the active one first (pool_owner.h). Empty
+    /// if every node holds connections of its own.
+    std::vector<NodeId> poolOwners;
     friend bool operator==(const UpstreamInfo &, const UpstreamInfo &) = default;
 };
 
--- a/src/policy/slot_allocator.cpp
+++ b/src/policy/slot_allocator.cpp
@@ -9,6 +9,8 @@
 constexpr std::uint32_t kMinReservedConnections = 1;
 /// One in this many connections is kept in reserve.
 constexpr std::uint32_t kReserveDivisor = 10;
+/// The standby owner gets one in this many connections.
+constexpr std::uint32_t kStandbyDivisor = 4;
 
 std::uint32_t leasableConnections(const SlotUpstream &upstream)
 {
@@ -64,12 +66,25 @@
     updateLeasedTotal(upstream, lease, now);
 }
 
-/// Assigns one connection to each node and divides the rest in proportion to running and waiting
-/// work.
-std::uint32_t targetConnections(const SlotUpstream &upstream, const SlotLease &lease)
+std::uint32_t ownerConnections(const SlotUpstream &upstream, const NodeId &node)
+{
+    const std::uint32_t capacity = leasableConnections(upstream);
+    const std::uint32_t standby = upstream.owners.size() > 1 ? standbyConnections(capacity) : 0;
+    const auto rank = std::find(upstream.owners.begin(), upstream.owners.end(), node);
+    if (rank == upstream.owners.end())
+        return 0;
+    return rank == upstream.owners.begin() ? capacity - standby : standby;
+}
+
+/// Without owners, assigns one connection to each node and divides the rest in proportion to
+/// running and waiting work.
+std::uint32_t targetConnections(const SlotUpstream &upstream, const SlotLease &lease,
+                                const NodeId &node)
 {
     if (!lease.serving)
         return 0;
+    if (!upstream.owners.empty())
+        return ownerConnections(upstream, node);
     const std::uint32_t capacity = leasableConnections(upstream);
     if (capacity <= upstream.servingNodes)
         return 1;
@@ -87,14 +102,14 @@
 }
 
 SlotShare grantShare(SlotAllocator &allocator, SlotUpstream &upstream, SlotLease &lease,
-                     const UpstreamId &id, TimePoint now)
+                     const UpstreamId &id, const NodeId &node, TimePoint now)
 {
     const std::uint32_t capacity = leasableConnections(upstream);
     const std::uint32_t others = upstream.leasedConnections - lease.leasedConnections;
     const std::uint32_t available = capacity - std::min(capacity, others);
     SlotShare share;
     share.upstream = id;
-    share.connections = std::min(targetConnections(upstream, lease), available);
+    share.connections = std::min(targetConnections(upstream, lease, node), available);
     if (allocator.faults.freeBeforeConfirmation) {
         lease.outstandingGrants.clear();
         lease.openConnections = 0;
@@ -168,6 +183,11 @@
     return std::max(kMinReservedConnections, connectionLimit / kReserveDivisor);
 }
 
+std::uint32_t standbyConnections(std::uint32_t leasableConnections)
+{
+    return leasableConnections < 2 ? 0 : std::max(1U, leasableConnections / kStandbyDivisor);
+}
+
 SlotAllocator makeSlotAllocator(ControlTerm term, TimePoint predecessorStopTime,
                                 SlotAllocatorFaults faults)
 {
@@ -186,8 +206,10 @@
     for (auto &[id, upstream] : allocator.upstreams)
         upstream.limit = 0;
     for (const auto &[service, group] : fleet.groups) {
-        for (const auto &[id, info] : group.upstreams)
+        for (const auto &[id, info] : group.upstreams) {
             allocator.upstreams[id].limit = info.connectionLimit;
+            allocator.upstreams[id].owners = info.poolOwners;
+        }
     }
     std::erase_if(allocator.upstreams, [](const auto &item) {
         const SlotUpstream &u = item.second;
@@ -245,7 +267,8 @@
         const SlotDemand *demand = found == demands.end() ? nullptr : found->second;
         accountForReport(upstream, lease, demand, report.stamp.appliedGrant, now);
         if (now >= allocator.grantsAllowedFrom)
-            grant.shares.push_back(grantShare(allocator, upstream, lease, id, now));
+            grant.shares.push_back(
+                grantShare(allocator, upstream, lease, id, report.stamp.node, now));
         else if (grant.renewal && demand != nullptr && demand->connectionsHeld > 0)
             grant.shares.push_back(renewShare(allocator, upstream, lease, *demand, now));
         it = canBeErased(lease) ? node->leases.erase(it) : std::next(it);
--- a/src/policy/slot_fuzz_test.cpp
+++ b/src/policy/slot_fuzz_test.cpp
@@ -113,6 +113,22 @@
             electController();
         if (oneIn(100))
             m_hotNode = uniformBelow(m_random, kNodes);
+        if (oneIn(400))
+            changeOwners();
+    }
+
+    /// Restricts the connections to two nodes, or shares them among all nodes again.
+    void changeOwners()
+    {
+        std::vector<NodeId> &owners =
+            m_fleet.groups[ServiceId("s")].upstreams[UpstreamId("u")].poolOwners;
+        owners.clear();
+        const std::size_t first = uniformBelow(m_random, kNodes);
+        if (!oneIn(3)) {
+            for (std::size_t i = 0; i < 2; ++i)
+                owners.push_back(NodeId("n" + std::to_string((first + i) % kNodes)));
+        }
+        applyUpstreamLimits(m_controllers.back().allocator, m_fleet);
     }
 
     void work(Node &node)
