--- a/src/base/retry_reason.cpp
+++ b/src/base/retry_reason.cpp
@@ -26,6 +26,7 @@
     RetryReasonRow { RetryReason::ReadFailed, "read_failed", false, true },
     RetryReasonRow { RetryReason::PreparedUnknown, "prepared_unknown", true, false },
     RetryReasonRow { RetryReason::IdempotentRepeat, "idempotent_repeat", false, false },
+    RetryReasonRow { RetryReason::OwnerUnavailable, "owner_unavailable", true, false },
 };
 
 } // namespace
--- a/src/include/shallotlever/base/retry_reason.h
+++ b/src/include/shallotlever/base/retry_reason.h
@@ -43,6 +43,10 @@
     /// The outcome of a write with an idempotency key is unknown, so its idempotency record is
     /// looked up.
     IdempotentRepeat,
+    /// The node that holds the connections to the database has none to offer, has no valid lease,
+    /// or
+    /// is not reachable.
+    OwnerUnavailable,
 };
 
 struct RetryReasonRow
--- a/src/include/shallotlever/proxy/placement.h
+++ b/src/include/shallotlever/proxy/placement.h
@@ -36,6 +36,9 @@
 constexpr double kInitialWindow = 8;
 constexpr double kMinWindow = 1;
 constexpr double kMaxWindow = 64;
+/// Statements that the owner of a database's connections sends in excess of its slots, so that a
+/// slot that becomes free need not wait for a round trip.
+constexpr double kOwnerWindowHeadroom = 1;
 /// Additive increase after as many successful statements as the window is large.
 constexpr double kWindowIncrement = 0.25;
 /// Multiplicative decrease after a refusal, applied at most once per interval: refusals of
@@ -65,15 +68,18 @@
     TimePoint avoidUntil;
 };
 
-/// Adaptive limit on the statements that this node runs concurrently on one database. Many nodes
-/// share a database with few slots and a short queue, and none of them sees the load of the others.
-/// The limit therefore follows AIMD congestion control: it shrinks when the database refuses a
-/// statement because no slot is free, and grows slowly with successful responses.
+/// Adaptive limit on the statements that this node runs concurrently on one database. Several nodes
+/// may share a database with few slots and a short queue, and none of them sees the load of the
+/// others. The limit therefore follows AIMD congestion control: it shrinks when the database
+/// refuses a statement because no slot is free, and grows slowly with successful responses.
 struct ConcurrencyWindow
 {
     double size = kInitialWindow;
+    double maxSize = kMaxWindow;
     TimePoint lastDecreaseAt;
 };
+/// Sets the maximum size, and the size to it. Does nothing if it is unchanged.
+void setMaxWindow(ConcurrencyWindow &window, double maxSize);
 void recordWindowSuccess(ConcurrencyWindow &window);
 void recordWindowRefusal(ConcurrencyWindow &window, TimePoint now);
 inline bool windowHasCapacity(const ConcurrencyWindow &window, std::uint32_t running)
--- a/src/include/shallotlever/proxy/proxy.h
+++ b/src/include/shallotlever/proxy/proxy.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -15,6 +16,7 @@
 #include "shallotlever/types/fleet.h"
 #include "shallotlever/types/shares.h"
 #include "shallotlever/upstream/control.h"
+#include "shallotlever/wire/peer.h"
 
 /// Proxies the TCP sessions of callers to databases that speak the same protocol.
 namespace shallotlever {
@@ -26,15 +28,33 @@
     std::vector<SlotDemand> slots;
 };
 
+/// Links between the proxy of this node and those of other nodes. The defaults are for a node that
+/// has none.
+struct ProxyPeers
+{
+    NodeId self;
+    Incarnation incarnation;
+    /// Returns false if the message was dropped.
+    std::function<bool(const NodeId &peer, MessageType type, std::uint64_t requestId,
+                       std::string payload)>
+        send =
+            [](const NodeId &, MessageType, std::uint64_t, const std::string &) { return false; };
+    std::function<bool(const NodeId &peer)> isConnected = [](const NodeId &) { return false; };
+    /// Keeps a link to the node, until forget() is called.
+    std::function<void(const NodeId &peer)> connect = [](const NodeId &) {};
+    std::function<void(const NodeId &peer)> forget = [](const NodeId &) {};
+    /// Closes the links to the node, which may be dead, and connects again.
+    std::function<void(const NodeId &peer)> reset = [](const NodeId &) {};
+};
+
 /// Not thread-safe: call all functions on the thread of the event loop that created the proxy.
 class SessionProxy
 {
 public:
     /// Creates a proxy that listens for callers on `listen`. The references must outlive it.
-    static absl::StatusOr<std::unique_ptr<SessionProxy>> create(const Endpoint &listen,
-                                                                const SessionProtocol &protocol,
-                                                                NodeMetrics &metrics,
-                                                                const Logger &logger);
+    static absl::StatusOr<std::unique_ptr<SessionProxy>>
+    create(const Endpoint &listen, const SessionProtocol &protocol, NodeMetrics &metrics,
+           const Logger &logger, ProxyPeers peers = {});
     ~SessionProxy();
     SessionProxy(const SessionProxy &) = delete;
     SessionProxy &operator=(const SessionProxy &) = delete;
@@ -48,6 +68,10 @@
     /// Runs timeouts and retries. Must be called every 10 ms.
     void tick(TimePoint now);
     ProxyReport report(TimePoint now) const;
+    /// Handles a message of another node's proxy.
+    void onPeerMessage(const PeerMessage &message, TimePoint now);
+    /// Called when the last link to another node is lost.
+    void onPeerDisconnected(const NodeId &peer, TimePoint now);
     /// Logs the admission counters of each team that had refusals since the last call.
     void logTeamRefusals();
     /// Number of per-request log lines suppressed by the log rate limit.
@@ -58,10 +82,14 @@
     // Graceful shutdown; call in this order.
     /// Stops accepting sessions. Open sessions are closed as soon as they are idle.
     void startDrain();
-    /// Rolls back the open transactions of sessions that are not serving a statement.
+    /// Rolls back the open transactions in which no statement is running: those of sessions and
+    /// those that other nodes have on this node's connections.
     void abortTransactions(TimePoint now);
     std::size_t openSessions() const;
-    std::size_t openTransactions() const;
+    /// Whether a session or another node has an open transaction.
+    bool hasOpenTransactions() const;
+    /// Statements that run or wait on this node's connections.
+    std::size_t runningStatements() const;
 
 private:
     class Impl;
--- a/src/include/shallotlever/wire/peer.h
+++ b/src/include/shallotlever/wire/peer.h
@@ -25,9 +25,17 @@
     /// A node requests individual rate-limit tokens for teams from the controller.
     TokenRequest = 9,
     TokenGrant = 10,
+    /// A statement for the node that holds the connections to its database, and the answer.
+    StatementRequest = 11,
+    StatementReply = 12,
+    /// Ends a transaction of forwarded statements without a commit. Not answered.
+    TransactionEnd = 13,
+    /// Asks for log positions of services, or for a sign of life.
+    PositionRequest = 14,
+    PositionReply = 15,
 };
 /// One more than the largest MessageType.
-inline constexpr auto kMessageTypeCount = static_cast<std::size_t>(MessageType::TokenGrant) + 1;
+inline constexpr auto kMessageTypeCount = static_cast<std::size_t>(MessageType::PositionReply) + 1;
 
 /// Maximum size of the envelope in a frame, in bytes, without the length prefix.
 constexpr std::uint32_t kMaxFrameBytes = 1U << 20U;
--- a/src/include/shallotlever/wire/peer_transport.h
+++ b/src/include/shallotlever/wire/peer_transport.h
@@ -88,6 +88,11 @@
     /// Adds a peer that this node connects to, or changes its address for later connects.
     void setPeer(const NodeId &peer, const Endpoint &endpoint);
 
+    /// Stops connecting to the peer; open links stay open.
+    void forgetPeer(const NodeId &peer);
+    /// Closes all links to the peer. Those that this node opened are opened again.
+    void closeLinks(const NodeId &peer);
+
     /// Sends a message over the newest link to the peer, whichever side opened it. The receiver
     /// incarnation is taken from the peer's Hello. Returns false if the message was dropped.
     bool send(const NodeId &peer, MessageType type, std::uint64_t requestId, std::string payload);
@@ -101,6 +106,8 @@
 Q_SIGNALS:
     /// Emitted when a link to the peer is established and the peer has identified itself.
     void connected(const NodeId &peer);
+    /// Emitted when the last link to the peer is closed.
+    void disconnected(const NodeId &peer);
 
 private:
     class Impl;
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -12,6 +12,9 @@
 /// Interval of the log lines that summarise the node's traffic.
 constexpr Duration kSummaryInterval = 10s;
 constexpr Duration kForwardTimeout = 3s;
+/// A node reports the age of its process until then. A new controller asks for it to learn since
+/// when earlier processes have spent no tokens; burst depths are refilled sooner than that.
+constexpr Duration kReportedProcessAge = 30s;
 /// Timeout of a change that is answered once it is in force; longer than the controller waits for
 /// that.
 constexpr Duration kForwardInForceTimeout = 12s;
@@ -67,7 +70,10 @@
         scheduleReport(m_reportSchedule, now, ReportReason::Demand);
     if (isReportDue(m_reportSchedule, now))
         sendReport(now);
-    advanceControllerLink(m_controllerLink, now);
+    // A link may be dead while new ones work, so the next attempt opens another.
+    const NodeId controller = currentController(m_controllerLink);
+    if (advanceControllerLink(m_controllerLink, now) && controller != m_settings.nodeId)
+        m_transport->closeLinks(controller);
     logController();
     expireForwarded(now);
     const bool fresh = isFresh(m_view.freshness, now);
@@ -95,7 +101,8 @@
                   { reports(ReportReason::Interval), reports(ReportReason::Requested),
                     reports(ReportReason::ViewApplied), reports(ReportReason::ShareReduced),
                     reports(ReportReason::Observed), reports(ReportReason::Announced),
-                    reports(ReportReason::Demand), reports(ReportReason::Relayed) });
+                    reports(ReportReason::Demand), reports(ReportReason::Relayed),
+                    reports(ReportReason::Leaving) });
     m_logger.info("summary",
                   { { "peer_messages_sent", counters.messagesSent },
                     { "peer_bytes_sent", counters.bytesSent() },
@@ -104,6 +111,12 @@
                     { "token_bytes_sent",
                       counters.bytesSentOf(MessageType::TokenRequest)
                           + counters.bytesSentOf(MessageType::TokenGrant) },
+                    { "statement_bytes_sent",
+                      counters.bytesSentOf(MessageType::StatementRequest)
+                          + counters.bytesSentOf(MessageType::StatementReply)
+                          + counters.bytesSentOf(MessageType::TransactionEnd)
+                          + counters.bytesSentOf(MessageType::PositionRequest)
+                          + counters.bytesSentOf(MessageType::PositionReply) },
                     { "log_bytes_sent", counters.bytesSentOf(MessageType::Control) },
                     { "peer_messages_dropped", counters.messagesDropped },
                     { "reports_sent", m_view.freshness.lastReport },
@@ -165,6 +178,12 @@
 {
     ReportInput input;
     input.controlOnly = m_settings.controlOnly;
+    input.leaving = m_drainPhase != DrainPhase::None;
+    if (now < m_startedAt + kReportedProcessAge)
+        input.processAge = now - m_startedAt;
+    // Other nodes can reach this one only if its id is its address.
+    if (m_sessions && m_settings.idsAreAddresses)
+        input.dataCentre = m_settings.dataCentre;
     for (const auto &[id, heard] : std::exchange(m_announcements, {}))
         input.announcements.push_back({ heard.first, now - heard.second });
     for (const auto &[service, host] : m_hosts) {
@@ -225,6 +244,14 @@
     case MessageType::TokenGrant:
         onTokenGrants(message, now);
         break;
+    case MessageType::StatementRequest:
+    case MessageType::StatementReply:
+    case MessageType::TransactionEnd:
+    case MessageType::PositionRequest:
+    case MessageType::PositionReply:
+        if (m_sessions)
+            m_sessions->onPeerMessage(message, now);
+        break;
     case MessageType::Hello:
         break;
     }
--- a/src/node/node_drain.cpp
+++ b/src/node/node_drain.cpp
@@ -28,6 +28,7 @@
     m_shared.draining = true;
     m_drainPhase = DrainPhase::Notice;
     m_drainStarted = monotonicNow();
+    scheduleReport(m_reportSchedule, m_drainStarted, ReportReason::Leaving);
     // Transfers the leadership early, while this node can still tell the others who leads. Leases
     // last 2 s; an election after the process has exited, and the search for the new leader, can
     // take longer than that.
@@ -53,7 +54,7 @@
         m_drainPhase = DrainPhase::Transactions;
         return;
     case DrainPhase::Transactions:
-        if (m_sessions && m_sessions->openTransactions() > 0) {
+        if (m_sessions && m_sessions->hasOpenTransactions()) {
             if (elapsed
                 < (m_settings.drainNotice + m_settings.drainLimit) * kTransactionDrainFraction)
                 return;
@@ -69,7 +70,8 @@
         if (m_sessions)
             m_sessions->abortTransactions(monotonicNow());
         if (m_listener->requestsInFlight() > 0 || m_listener->openConnections() > 0
-            || (m_sessions && m_sessions->openSessions() > 0)) {
+            || (m_sessions
+                && (m_sessions->openSessions() > 0 || m_sessions->runningStatements() > 0))) {
             if (elapsed < m_settings.drainNotice + m_settings.drainLimit)
                 return;
             m_logger.warning("drain_limit_reached",
--- a/src/node/node_impl.h
+++ b/src/node/node_impl.h
@@ -17,6 +17,7 @@
 #include "report_schedule.h"
 #include "request_path.h"
 #include "service_host.h"
+#include "shallotlever/base/clock.h"
 #include "shallotlever/edge/listener.h"
 #include "shallotlever/node/node.h"
 #include "shallotlever/policy/token_asks.h"
@@ -70,6 +71,7 @@
     absl::Status startControlGroup();
     absl::Status startListener();
     absl::Status startSessions();
+    ProxyPeers proxyPeers();
 
     // Periodic work.
     void tick();
@@ -160,6 +162,7 @@
     NodeId m_tokenController;
     ReportSchedule m_reportSchedule;
     std::array<Counter *, static_cast<std::size_t>(ReportReason::Count)> m_reportsSent {};
+    TimePoint m_startedAt = monotonicNow();
     TimePoint m_nextSummary;
     bool m_fresh = false;
     bool m_hasShares = false;
--- a/src/node/node_start.cpp
+++ b/src/node/node_start.cpp
@@ -149,6 +149,11 @@
     m_transport = std::move(*transport);
     QObject::connect(m_transport.get(), &PeerTransport::connected, m_context.get(),
                      [this](const NodeId &peer) { onPeerConnected(peer); });
+    QObject::connect(m_transport.get(), &PeerTransport::disconnected, m_context.get(),
+                     [this](const NodeId &peer) {
+                         if (m_sessions)
+                             m_sessions->onPeerDisconnected(peer, monotonicNow());
+                     });
     return absl::OkStatus();
 }
 
@@ -226,12 +231,30 @@
     return absl::OkStatus();
 }
 
+ProxyPeers Node::Impl::proxyPeers()
+{
+    ProxyPeers peers;
+    peers.self = m_settings.nodeId;
+    peers.incarnation = m_incarnation;
+    peers.send = [this](const NodeId &peer, MessageType type, std::uint64_t id,
+                        std::string payload) {
+        return m_transport->send(peer, type, id, std::move(payload));
+    };
+    peers.isConnected = [this](const NodeId &peer) { return m_transport->isConnected(peer); };
+    peers.connect = [this](const NodeId &peer) {
+        m_transport->setPeer(peer, { peer.value(), m_settings.peerListen.port });
+    };
+    peers.forget = [this](const NodeId &peer) { m_transport->forgetPeer(peer); };
+    peers.reset = [this](const NodeId &peer) { m_transport->closeLinks(peer); };
+    return peers;
+}
+
 absl::Status Node::Impl::startSessions()
 {
     if (!m_settings.sessionListen || m_platform.protocol == nullptr)
         return absl::OkStatus();
     auto sessions = SessionProxy::create(endpointOf(*m_settings.sessionListen),
-                                         *m_platform.protocol, m_metrics, m_logger);
+                                         *m_platform.protocol, m_metrics, m_logger, proxyPeers());
     if (!sessions.ok())
         return sessions.status();
     m_sessions = std::move(*sessions);
--- a/src/node/node_view.cpp
+++ b/src/node/node_view.cpp
@@ -105,6 +105,9 @@
     report.teams = std::move(input.teams);
     report.slots = std::move(input.slots);
     report.controlOnly = input.controlOnly;
+    report.dataCentre = std::move(input.dataCentre);
+    report.leaving = input.leaving;
+    report.processAge = input.processAge;
     if (view.allObservationsRequested)
         view.reportedObservations.clear();
     else
--- a/src/node/node_view.h
+++ b/src/node/node_view.h
@@ -39,6 +39,10 @@
     std::vector<TeamDemand> teams;
     std::vector<SlotDemand> slots;
     bool controlOnly = false;
+    /// Set if the node may hold connections to databases for other nodes.
+    DataCentreId dataCentre;
+    bool leaving = false;
+    Duration processAge { 0 };
 };
 
 NodeReport makeNodeReport(NodeView &view, ReportInput input, TimePoint now);
--- a/src/node/report_schedule.cpp
+++ b/src/node/report_schedule.cpp
@@ -23,6 +23,8 @@
         return "demand";
     case ReportReason::Relayed:
         return "relayed";
+    case ReportReason::Leaving:
+        return "leaving";
     case ReportReason::Count:
         break;
     }
--- a/src/proxy/placement.cpp
+++ b/src/proxy/placement.cpp
@@ -24,9 +24,17 @@
     load.serviceTimeUpdatedAt = now;
 }
 
+void setMaxWindow(ConcurrencyWindow &window, double maxSize)
+{
+    if (window.maxSize == maxSize)
+        return;
+    window.maxSize = maxSize;
+    window.size = maxSize;
+}
+
 void recordWindowSuccess(ConcurrencyWindow &window)
 {
-    window.size = std::min(window.size + kWindowIncrement / window.size, kMaxWindow);
+    window.size = std::min(window.size + kWindowIncrement / window.size, window.maxSize);
 }
 
 void recordWindowRefusal(ConcurrencyWindow &window, TimePoint now)
@@ -44,8 +52,9 @@
     const std::uint32_t parallel = std::max(1U, std::min(load.slots, load.leasedConnections));
     const Duration opening =
         load.needsConnection ? load.openTime * kOpenTimeCostFactor : Duration(0);
-    const Duration answer =
-        opening + load.roundTrip + service + service * load.outstanding / parallel;
+    // A statement waits only if more are outstanding than run at the same time.
+    const std::uint32_t ahead = load.outstanding + 1 - std::min(load.outstanding + 1, parallel);
+    const Duration answer = opening + load.roundTrip + service + service * ahead / parallel;
     const double cost = load.primary ? kPrimaryCostFactor : 1;
     return Duration(static_cast<std::int64_t>(static_cast<double>(answer.count()) * cost));
 }
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <list>
+#include <utility>
 
 #include <QHostAddress>
 #include <QTcpServer>
@@ -29,37 +30,46 @@
 
 } // namespace
 
-std::vector<UpstreamLoad> ServicePools::loads(const TeamId &team) const
+DatabaseRoute *ServiceDatabases::route(const UpstreamId &upstream)
 {
-    std::vector<UpstreamLoad> result;
-    for (const auto &[id, pool] : pools)
-        result.push_back(pool->loadFor(team));
-    return result;
+    const auto found = routes.find(upstream);
+    return found == routes.end() ? nullptr : &found->second;
 }
 
-std::shared_ptr<UpstreamPool> ServicePools::pool(const UpstreamId &upstream) const
+std::shared_ptr<UpstreamPool> ServiceDatabases::pool(const UpstreamId &upstream) const
 {
-    const auto found = pools.find(upstream);
-    return found == pools.end() ? nullptr : found->second;
+    const auto found = routes.find(upstream);
+    return found == routes.end() ? nullptr : found->second.pool;
 }
 
 void ProxyState::recordHistoryPoint(const ServiceId &service, const UpstreamId &upstream,
                                     const HistoryPoint &point, TimePoint requestedAt)
 {
-    const auto pools = services.find(service);
-    if (pools != services.end() && pools->second.primary == upstream && fresh(requestedAt))
-        recordPosition(pools->second.positions, point, requestedAt);
+    const auto databases = services.find(service);
+    if (databases == services.end())
+        return;
+    DatabaseRoute *route = databases->second.route(upstream);
+    if (route != nullptr && requestedAt >= route->logEndAt) {
+        route->logEnd = point;
+        route->logEndAt = requestedAt;
+    }
+    if (databases->second.primary == upstream && fresh(requestedAt))
+        recordPosition(databases->second.positions, point, requestedAt);
 }
 
 class SessionProxy::Impl
 {
 public:
-    Impl(const SessionProtocol &protocol, NodeMetrics &metrics, const Logger &logger);
+    Impl(const SessionProtocol &protocol, NodeMetrics &metrics, const Logger &logger,
+         ProxyPeers peers);
     ~Impl();
 
     absl::Status listen(const Endpoint &endpoint);
     void accept();
     void applyGroup(const GroupView &group, const std::vector<SlotShare> &shares, TimePoint now);
+    void applyPool(DatabaseRoute &route, bool primary, std::uint32_t share, TimePoint now);
+    void retirePool(DatabaseRoute &route);
+    void logOwners(const UpstreamInfo &info) const;
     std::shared_ptr<UpstreamPool> makePool(const UpstreamInfo &info);
     void onReachable(const UpstreamId &upstream, bool reachable);
     void onOpenFailed(const UpstreamId &upstream, LinkOpenFailure failure, const std::string &error,
@@ -67,6 +77,7 @@
     void tick(TimePoint now);
 
     ProxyState m_state;
+    std::unique_ptr<StatementDispatcher> m_dispatcher;
     std::array<Counter *, static_cast<std::size_t>(LinkOpenFailure::Count)> m_openFailures {};
     Gauge &m_sessionsGauge;
     std::list<CallerSession> m_sessions;
@@ -77,7 +88,7 @@
 };
 
 SessionProxy::Impl::Impl(const SessionProtocol &protocol, NodeMetrics &metrics,
-                         const Logger &logger)
+                         const Logger &logger, ProxyPeers peers)
     : m_sessionsGauge(
         metrics.registry().gauge("shallotlever_sessions", "Open sessions of callers."))
 {
@@ -85,6 +96,9 @@
     m_state.metrics = &metrics;
     m_state.logger = &logger;
     m_state.startedAt = monotonicNow();
+    m_state.self = peers.self;
+    m_state.incarnation = peers.incarnation;
+    m_dispatcher = std::make_unique<StatementDispatcher>(m_state, std::move(peers));
     m_state.refusedByDatabase = &metrics.registry().counter(
         "shallotlever_database_refusals_total", "Refusals of databases passed on to callers.");
     for (std::size_t i = 0; i < m_openFailures.size(); ++i)
@@ -116,7 +130,7 @@
 {
     while (QTcpSocket *socket = m_server.nextPendingConnection()) {
         socket->setParent(nullptr);
-        m_sessions.emplace_back(m_state, socket, monotonicNow());
+        m_sessions.emplace_back(m_state, *m_dispatcher, socket, monotonicNow());
     }
 }
 
@@ -159,7 +173,7 @@
 void SessionProxy::Impl::applyGroup(const GroupView &group, const std::vector<SlotShare> &shares,
                                     TimePoint now)
 {
-    ServicePools &service = m_state.services[group.service];
+    ServiceDatabases &service = m_state.services[group.service];
     if (service.primary != group.primary) {
         service.primary = group.primary;
         m_state.logger->info("primary_known",
@@ -167,32 +181,68 @@
                                { "primary", group.primary.value_or(UpstreamId()).value() },
                                { "epoch", group.term.value() } });
     }
-    std::erase_if(service.pools, [&](const auto &item) {
-        const auto info = group.upstreams.find(item.first);
+    for (auto item = service.routes.begin(); item != service.routes.end();) {
+        DatabaseRoute &route = item->second;
+        const auto info = group.upstreams.find(item->first);
         const bool same = info != group.upstreams.end()
-            && info->second.endpoint == item.second->info().endpoint
-            && info->second.lifetime == item.second->info().lifetime;
-        if (!same) {
-            item.second->retire();
-            m_leaving.push_back(item.second);
-        }
-        return !same;
-    });
+            && info->second.endpoint == route.info.endpoint
+            && info->second.lifetime == route.info.lifetime;
+        if (!same)
+            retirePool(route);
+        item = same ? std::next(item) : service.routes.erase(item);
+    }
     for (const auto &[id, info] : group.upstreams) {
-        std::shared_ptr<UpstreamPool> &pool = service.pools[id];
-        if (!pool)
-            pool = makePool(info);
-        pool->setInfo(info, group.primary == id);
-        pool->setLeasedConnections(shareOf(shares, id), now);
+        DatabaseRoute &route = service.routes[id];
+        if (route.info.poolOwners != info.poolOwners)
+            logOwners(info);
+        route.info = info;
+        applyPool(route, group.primary == id, shareOf(shares, id), now);
+    }
+}
+
+/// Creates or retires the pool of this node, depending on who holds the connections.
+void SessionProxy::Impl::applyPool(DatabaseRoute &route, bool primary, std::uint32_t share,
+                                   TimePoint now)
+{
+    const std::vector<NodeId> &owners = route.info.poolOwners;
+    const bool owned = std::find(owners.begin(), owners.end(), m_state.self) != owners.end();
+    // A former owner keeps its connections until its share has shrunk and they are idle.
+    const bool hasLinks = route.pool && route.pool->hasLinks();
+    if (!owned && !owners.empty() && share == 0 && !hasLinks) {
+        retirePool(route);
+        return;
     }
+    if (!route.pool)
+        route.pool = makePool(route.info);
+    route.pool->setInfo(route.info, primary, owned);
+    route.pool->setLeasedConnections(share, now);
+}
+
+void SessionProxy::Impl::retirePool(DatabaseRoute &route)
+{
+    if (!route.pool)
+        return;
+    route.pool->retire();
+    m_leaving.push_back(std::exchange(route.pool, nullptr));
+}
+
+void SessionProxy::Impl::logOwners(const UpstreamInfo &info) const
+{
+    std::string owners;
+    for (const NodeId &owner : info.poolOwners)
+        owners += (owners.empty() ? "" : " ") + owner.value();
+    m_state.logger->info("pool_owners", { { "upstream", info.id.value() }, { "owners", owners } });
 }
 
 void SessionProxy::Impl::tick(TimePoint now)
 {
     for (auto &[id, service] : m_state.services) {
-        for (const auto &[upstream, pool] : service.pools)
-            pool->tick(now);
+        for (const auto &[upstream, route] : service.routes) {
+            if (route.pool)
+                route.pool->tick(now);
+        }
     }
+    m_dispatcher->tick(now);
     std::erase_if(m_leaving, [now](const std::shared_ptr<UpstreamPool> &pool) {
         pool->tick(now);
         return !pool->hasBusyLink() && pool.use_count() == 1;
@@ -213,12 +263,11 @@
 
 SessionProxy::~SessionProxy() = default;
 
-absl::StatusOr<std::unique_ptr<SessionProxy>> SessionProxy::create(const Endpoint &listen,
-                                                                   const SessionProtocol &protocol,
-                                                                   NodeMetrics &metrics,
-                                                                   const Logger &logger)
+absl::StatusOr<std::unique_ptr<SessionProxy>>
+SessionProxy::create(const Endpoint &listen, const SessionProtocol &protocol, NodeMetrics &metrics,
+                     const Logger &logger, ProxyPeers peers)
 {
-    auto impl = std::make_unique<Impl>(protocol, metrics, logger);
+    auto impl = std::make_unique<Impl>(protocol, metrics, logger, std::move(peers));
     const absl::Status status = impl->listen(listen);
     if (!status.ok())
         return status;
@@ -248,13 +297,24 @@
 {
     for (const auto &[service, group] : fleet.groups)
         m_impl->applyGroup(group, shares, now);
-    for (auto &[service, pools] : m_impl->m_state.services) {
+    for (auto &[service, databases] : m_impl->m_state.services) {
         if (!fleet.groups.contains(service)) {
             GroupView removed;
             removed.service = service;
             m_impl->applyGroup(removed, shares, now);
         }
     }
+    m_impl->m_dispatcher->connectOwners();
+}
+
+void SessionProxy::onPeerMessage(const PeerMessage &message, TimePoint now)
+{
+    m_impl->m_dispatcher->onMessage(message, now);
+}
+
+void SessionProxy::onPeerDisconnected(const NodeId &peer, TimePoint now)
+{
+    m_impl->m_dispatcher->onPeerDisconnected(peer, now);
 }
 
 void SessionProxy::setFreshUntil(TimePoint until)
@@ -271,10 +331,12 @@
 {
     ProxyReport report;
     for (const auto &[id, service] : m_impl->m_state.services) {
-        for (const auto &[upstream, pool] : service.pools) {
-            if (pool->hasRecentObservation(now))
-                report.reachable[upstream] = pool->load().reachable;
-            report.slots.push_back(pool->demand(now));
+        for (const auto &[upstream, route] : service.routes) {
+            if (!route.pool)
+                continue;
+            if (route.pool->hasRecentObservation(now))
+                report.reachable[upstream] = route.pool->load().reachable;
+            report.slots.push_back(route.pool->demand(now));
         }
     }
     return report;
@@ -318,13 +380,19 @@
         if (session.inTransaction())
             session.abortTransaction(now);
     }
+    m_impl->m_dispatcher->runner().abortIdleTransactions(now);
+}
+
+bool SessionProxy::hasOpenTransactions() const
+{
+    return m_impl->m_dispatcher->runner().openTransactions() > 0
+        || std::any_of(m_impl->m_sessions.begin(), m_impl->m_sessions.end(),
+                       [](const CallerSession &session) { return session.inTransaction(); });
 }
 
-std::size_t SessionProxy::openTransactions() const
+std::size_t SessionProxy::runningStatements() const
 {
-    return static_cast<std::size_t>(
-        std::count_if(m_impl->m_sessions.begin(), m_impl->m_sessions.end(),
-                      [](const CallerSession &session) { return session.inTransaction(); }));
+    return m_impl->m_dispatcher->runner().runningStatements();
 }
 
 std::uint64_t SessionProxy::suppressedLines() const
--- a/src/proxy/proxy_state.h
+++ b/src/proxy/proxy_state.h
@@ -15,14 +15,40 @@
 
 namespace shallotlever {
 
-/// Connection pools and observed log positions of the databases of one service.
-struct ServicePools
+/// How this node reaches one database.
+struct DatabaseRoute
+{
+    UpstreamInfo info;
+    /// Connections of this node to the database; null if another node holds them.
+    std::shared_ptr<UpstreamPool> pool;
+    /// Load as observed through the database's owner; unused while this node holds the connections.
+    UpstreamLoad ownerLoad;
+    /// Statements of this node that the owner has not answered.
+    std::uint32_t pending = 0;
+    /// Statements outstanding at the owner as of its last answer.
+    std::uint32_t reportedOutstanding = 0;
+    TimePoint reportedAt;
+    /// Consecutive reads that the replica could not serve because it lagged. While there are some,
+    /// reads are not sent to it until avoidLaggingUntil, if another database can serve them.
+    std::uint32_t laggingReplies = 0;
+    TimePoint avoidLaggingUntil;
+    /// End of the database's log in its last response.
+    std::optional<HistoryPoint> logEnd;
+    TimePoint logEndAt;
+};
+
+/// The databases of one service and the observed end of its log.
+struct ServiceDatabases
 {
     std::optional<UpstreamId> primary;
-    std::map<UpstreamId, std::shared_ptr<UpstreamPool>> pools;
+    std::map<UpstreamId, DatabaseRoute> routes;
     PositionHistory positions;
+    /// Last read that a replica may serve.
+    TimePoint replicaReadAt;
+    /// Last time that another node asked for the end of the log.
+    TimePoint positionRequestedAt;
 
-    std::vector<UpstreamLoad> loads(const TeamId &team) const;
+    DatabaseRoute *route(const UpstreamId &upstream);
     std::shared_ptr<UpstreamPool> pool(const UpstreamId &upstream) const;
 };
 
@@ -51,7 +77,12 @@
     ClusterConfig config;
     std::map<KeyHash, TeamId> teamsByKey;
     std::map<TeamId, TeamAdmission> teams;
-    std::map<ServiceId, ServicePools> services;
+    std::map<ServiceId, ServiceDatabases> services;
+    /// This node.
+    NodeId self;
+    Incarnation incarnation;
+    /// Number of the last transaction of a session of this node.
+    std::uint64_t lastTransaction = 0;
     /// Expiry time of the node's freshness lease. After it, keys may have been revoked and another
     /// database may be the primary without this node knowing.
     TimePoint freshUntil;
@@ -68,8 +99,9 @@
     }
     /// Whether the freshness lease is valid.
     bool fresh(TimePoint now) const { return now < freshUntil; }
-    /// Records the end of a database's log. Ignored unless the database is the known primary and
-    /// the freshness lease covers `requestedAt`.
+    /// Records the end of a database's log, returned in answer to a request sent at `requestedAt`.
+    /// It bounds the staleness of reads only if the database is the known primary and the freshness
+    /// lease covers that time.
     void recordHistoryPoint(const ServiceId &service, const UpstreamId &upstream,
                             const HistoryPoint &point, TimePoint requestedAt);
 };
--- a/src/proxy/session.cpp
+++ b/src/proxy/session.cpp
@@ -25,8 +25,10 @@
 
 } // namespace
 
-CallerSession::CallerSession(ProxyState &state, QTcpSocket *socket, TimePoint now)
+CallerSession::CallerSession(ProxyState &state, StatementDispatcher &dispatcher, QTcpSocket *socket,
+                             TimePoint now)
     : m_state(state)
+    , m_dispatcher(dispatcher)
     , m_openedAt(now)
 {
     LineSocket::Callbacks callbacks;
@@ -38,16 +40,16 @@
 CallerSession::~CallerSession()
 {
     cancelPendingWait();
-    if (m_link != nullptr)
-        discardLink(monotonicNow());
+    endTransaction(monotonicNow());
 }
 
-void CallerSession::cancelPendingWait()
+bool CallerSession::cancelPendingWait()
 {
-    if (m_execution && m_execution->phase == Phase::AwaitingLink)
-        m_execution->pool->cancel(m_execution->waiterId);
-    if (m_execution && m_execution->phase == Phase::AwaitingToken)
+    if (!m_execution)
+        return true;
+    if (m_execution->phase == Phase::AwaitingToken)
         m_state.teams.at(m_team).bucket->endWait();
+    return m_execution->phase != Phase::Running || m_dispatcher.cancel(m_execution->dispatchId);
 }
 
 void CallerSession::startExecution(Statement statement, TimePoint now)
@@ -92,13 +94,12 @@
         m_transaction.reset();
         return;
     }
-    // A statement that has not been sent to a database is dropped; a running one may finish.
-    if (m_execution->phase != Phase::Running && m_execution->phase != Phase::Preparing) {
-        cancelPendingWait();
-        m_execution.reset();
-        abortTransaction(now);
-        m_transaction.reset();
-    }
+    // A statement that waits is dropped. One that was sent may finish at the database, but its
+    // answer is not needed any more.
+    cancelPendingWait();
+    m_execution.reset();
+    abortTransaction(now);
+    m_transaction.reset();
 }
 
 TransactionState CallerSession::state() const
@@ -171,8 +172,7 @@
     if (m_transaction)
         m_transaction->failed = true;
     refuse(ErrorKind::UnknownStatement, statement.id);
-    if (m_link != nullptr)
-        rollBackLink(monotonicNow());
+    endTransaction(monotonicNow());
     return false;
 }
 
@@ -254,7 +254,7 @@
 {
     const StatementKind kind = m_execution->statement.kind;
     if (kind != StatementKind::Begin && kind != StatementKind::BeginReadOnly) {
-        acquireLink(now);
+        startAttempt(now);
         return;
     }
     m_transaction.emplace();
@@ -279,10 +279,7 @@
         fail(*refused == ErrorKind::InvalidKey ? *refused : ErrorKind::TransactionLost, now);
         return;
     }
-    if (m_link != nullptr)
-        setUpLink(now);
-    else
-        acquireLink(now);
+    startAttempt(now);
 }
 
 void CallerSession::commit(Statement statement, TimePoint now)
@@ -327,8 +324,7 @@
 
 void CallerSession::rollback(TimePoint now)
 {
-    if (m_link != nullptr)
-        rollBackLink(now);
+    endTransaction(now);
     m_transaction.reset();
 }
 
@@ -336,19 +332,10 @@
 {
     if (!m_transaction || m_execution)
         return;
-    if (m_link != nullptr)
-        rollBackLink(now);
+    endTransaction(now);
     m_transaction->lost = true;
 }
 
-void CallerSession::linkLostWhileIdle()
-{
-    m_link = nullptr;
-    m_linkPool.reset();
-    if (m_transaction)
-        m_transaction->lost = true;
-}
-
 void CallerSession::close()
 {
     m_socket->closeGracefully();
@@ -376,8 +363,7 @@
 {
     m_state.metrics->refusal(kind).increment();
     logOutcome("statement_failed", errorRow(kind).name, LogTopic::Failure, now);
-    if (m_link != nullptr)
-        rollBackLink(now);
+    endTransaction(now);
     if (m_transaction && m_execution->statement.kind == StatementKind::Commit)
         m_transaction.reset();
     else if (m_transaction)
@@ -405,20 +391,20 @@
         return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
     };
     const Execution &execution = *m_execution;
-    m_state.logger->info(
-        event,
-        { { "request", execution.statement.id },
-          { "database", m_database.value() },
-          { "team", m_team.value() },
-          { "reason", reason },
-          { "transaction", m_transaction.has_value() },
-          { "inside_rate", insideRate(now) },
-          { "attempts", execution.attempts },
-          { "elapsed_ms", ms(now - execution.arrivedAt) },
-          { "last_failure", errorRow(execution.lastFailure).name },
-          { "upstream", execution.pool ? execution.pool->info().id.value() : std::string() },
-          { "config", m_state.config.installed.number.value() },
-          { "lease_left_ms", ms(m_state.freshUntil - now) } });
+    m_state.logger->info(event,
+                         { { "request", execution.statement.id },
+                           { "database", m_database.value() },
+                           { "team", m_team.value() },
+                           { "reason", reason },
+                           { "transaction", m_transaction.has_value() },
+                           { "inside_rate", insideRate(now) },
+                           { "attempts", execution.attempts },
+                           { "elapsed_ms", ms(now - execution.arrivedAt) },
+                           { "last_failure", errorRow(execution.lastFailure).name },
+                           { "upstream", execution.upstream.value() },
+                           { "owner", execution.owner.value() },
+                           { "config", m_state.config.installed.number.value() },
+                           { "lease_left_ms", ms(m_state.freshUntil - now) } });
 }
 
 void CallerSession::tick(TimePoint now)
@@ -440,18 +426,11 @@
             if (now >= m_execution->deadline)
                 giveUp(now);
             else if (now >= m_execution->retryAt)
-                acquireLink(now);
-            return;
-        case Phase::AwaitingLink:
-            if (now >= m_execution->deadline || now >= m_execution->phaseDeadline) {
-                cancelPendingWait();
-                retry(RetryReason::ConnectionWait, now);
-            }
+                startAttempt(now);
             return;
-        case Phase::Preparing:
         case Phase::Running:
-            if (now >= m_execution->deadline || now >= m_execution->phaseDeadline)
-                onAttemptTimeout(now);
+            if (now >= m_execution->deadline)
+                onDeadline(now);
             return;
         }
     }
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -9,12 +9,13 @@
 namespace shallotlever {
 
 /// Session of one caller: its connection, session variables, prepared statements and at most one
-/// open transaction. It is not bound to a database: it holds a database connection only while a
-/// statement runs or a transaction is open.
+/// open transaction. It is not bound to a database: the node that holds the connections to one
+/// lends it a connection only while a statement runs or a transaction is open.
 class CallerSession
 {
 public:
-    CallerSession(ProxyState &state, QTcpSocket *socket, TimePoint now);
+    CallerSession(ProxyState &state, StatementDispatcher &dispatcher, QTcpSocket *socket,
+                  TimePoint now);
     ~CallerSession();
     CallerSession(const CallerSession &) = delete;
     CallerSession &operator=(const CallerSession &) = delete;
@@ -51,8 +52,8 @@
 
     // Operations.
     void startExecution(Statement statement, TimePoint now);
-    /// Cancels a pending wait for a rate token or a connection.
-    void cancelPendingWait();
+    /// Cancels what the execution waits for. Returns whether its statement will certainly not run.
+    bool cancelPendingWait();
     void beginOperation(Statement statement, TimePoint now);
     void admit(TimePoint now);
     void takeToken(TimePoint now);
@@ -67,32 +68,23 @@
     const DatabaseConfig &database() const;
     bool writes(const Statement &statement) const;
     bool needsPrimary() const;
-    std::optional<HistoryPoint> requiredPosition(TimePoint now) const;
-    void acquireLink(TimePoint now);
-    void onLinkAcquired(const LinkResult &result);
-    void setUpLink(TimePoint now);
-    void sendSessionVariables();
-    void onSetupReply(const UpstreamReply &reply);
-    void beginTransactionOnLink(TimePoint now);
-    void run(TimePoint now);
-    std::string statementText();
-    Duration attemptTimeout(TimePoint now) const;
-    void onReply(const UpstreamReply &reply);
-    void onSuccess(const UpstreamReply &reply, TimePoint now);
-    void onError(const UpstreamReply &reply, TimePoint now);
-    /// The connection failed. `readReason` is the retry reason if a read had been sent.
-    void onLost(RetryReason readReason, TimePoint now);
-    void onAttemptTimeout(TimePoint now);
+    void startAttempt(TimePoint now);
+    std::optional<UpstreamId> selectDatabase(TimePoint now) const;
+    StatementRequest makeRequest(TimePoint now) const;
+    void onReply(const StatementReply &reply);
+    void onSuccess(const StatementReply &reply, TimePoint now);
+    void onError(const StatementReply &reply, TimePoint now);
+    /// The database did not answer the attempt. `sent`: the statement may have run.
+    void onUnanswered(RetryReason reason, bool sent, TimePoint now);
+    void onDeadline(TimePoint now);
     /// Schedules another attempt. The statement did not run, or may safely run again.
     void retry(RetryReason reason, TimePoint now);
     /// Fails the statement because there is no time for another attempt.
     void giveUp(TimePoint now);
-    void linkLostWhileIdle();
 
     // Completion.
-    void releaseLink(TimePoint now);
-    void discardLink(TimePoint now);
-    void rollBackLink(TimePoint now);
+    /// Rolls back the transaction at the owner of the database, if it has begun there.
+    void endTransaction(TimePoint now);
     void finishExecution();
     void answer(const std::string &lines);
     /// Answers with an error. `retryAfter` overrides the default retry delay of the kind.
@@ -103,6 +95,7 @@
     void logOutcome(std::string_view event, std::string_view reason, LogTopic topic, TimePoint now);
 
     ProxyState &m_state;
+    StatementDispatcher &m_dispatcher;
     std::unique_ptr<LineSocket> m_socket;
     bool m_started = false;
     /// The first message was received; the response waits for the node's freshness lease.
@@ -119,9 +112,6 @@
     std::optional<HistoryPoint> m_lastCommit;
     std::optional<Execution> m_execution;
     std::optional<Transaction> m_transaction;
-    /// Database connection in use, and the pool it belongs to.
-    PooledLink *m_link = nullptr;
-    std::shared_ptr<UpstreamPool> m_linkPool;
     /// Statements that the caller sent ahead of responses.
     std::deque<Statement> m_queue;
     /// Configuration used by the current statement outside of a transaction.
--- a/src/proxy/session_execution.h
+++ b/src/proxy/session_execution.h
@@ -4,7 +4,7 @@
 #include <optional>
 #include <set>
 
-#include "proxy_state.h"
+#include "statement_dispatcher.h"
 
 namespace shallotlever {
 
@@ -16,11 +16,7 @@
     AwaitingToken,
     /// Waits for an available database or for the backoff before a retry.
     AwaitingUpstream,
-    /// Waits for a connection of the pool.
-    AwaitingLink,
-    /// Sets up the session variables or begins the transaction on the connection.
-    Preparing,
-    /// Sent to the database; waits for the response.
+    /// Handed to the node that holds the connections to the database; waits for the answer.
     Running,
 };
 
@@ -31,19 +27,19 @@
     SessionPhase phase = SessionPhase::AwaitingUpstream;
     TimePoint arrivedAt;
     TimePoint deadline;
-    /// Deadline of the current phase: of the wait for a token or connection, or of the attempt.
+    /// Deadline of the wait for a token.
     TimePoint phaseDeadline;
     TimePoint retryAt;
     std::uint32_t attempts = 0;
     /// Databases not selected again after a failed attempt; cleared when no other one can serve.
     std::set<UpstreamId> excluded;
-    /// Log position that the database must have reached; nullopt if only the primary may serve.
-    std::optional<HistoryPoint> minPosition;
-    std::shared_ptr<UpstreamPool> pool;
-    /// Identifies the pending acquire() call of `pool`.
-    std::uint64_t waiterId = 0;
-    std::size_t pendingSetupReplies = 0;
-    bool setupFailed = false;
+    /// Likewise for the owners of databases.
+    std::set<NodeId> excludedOwners;
+    /// Database and owner of the last attempt.
+    UpstreamId upstream;
+    NodeId owner;
+    /// Identifies the pending call of the dispatcher.
+    std::uint64_t dispatchId = 0;
     /// A read was sent and its outcome is unknown. It may be sent again, but must not be reported
     /// as not run.
     bool mayHaveRun = false;
@@ -56,8 +52,12 @@
 {
     DatabaseConfig database;
     bool readOnly = false;
-    /// The transaction was begun on the database.
-    bool begun = false;
+    /// Number under which the owner of the database knows the transaction; 0 before the first
+    /// attempt. Each attempt to begin it has a new number.
+    std::uint64_t number = 0;
+    /// Database and owner of the transaction, once it has a number.
+    UpstreamId upstream;
+    NodeId owner;
     /// At least one statement was executed in the transaction.
     bool hasExecuted = false;
     bool wrote = false;
--- /dev/null
+++ b/src/proxy/statement_runner.cpp
@@ -0,0 +1,551 @@
+#include "statement_runner.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "shallotlever/base/clock.h"
+
+namespace shallotlever {
+
+namespace {
+
+/// Timeout of an attempt, after which its connection is considered dead: this minimum, or this
+/// multiple of the typical response time.
+constexpr Duration kMinAttemptTimeout = 400ms;
+constexpr int kAttemptTimeoutFactor = 6;
+/// While the database responds to other statements, a timed-out attempt of a repeatable statement
+/// is extended by kAttemptExtension at a time, until kMaxAttemptDuration after the statement
+/// arrived.
+constexpr Duration kMaxAttemptDuration = 1500ms;
+constexpr Duration kAttemptExtension = 100ms;
+/// Expected response times are rough estimates: a statement is refused immediately only if its
+/// response is expected after this multiple of its time left.
+constexpr int kMaxExpectedTimeFactor = 2;
+/// Maximum wait for a connection of a statement that another database may run as well.
+constexpr Duration kLinkAcquireTimeout = 300ms;
+/// The end of a replica's log is trusted for this long; then a read shows whether it has caught up.
+constexpr Duration kLogEndLifetime = 60ms;
+/// A transaction that its session has not ended this long after its idle limit is rolled back: the
+/// session's node ends it earlier, unless it has failed.
+constexpr Duration kAbandonedTransactionMargin = 1s;
+
+/// Name of a prepared statement on a database connection. Sessions share connections, so the name
+/// is derived from the statement's content.
+std::string sharedStatementName(const PreparedStatement &prepared)
+{
+    return (prepared.writes ? "w_" : "r_") + prepared.shape;
+}
+
+StatementReply answeredReply(const UpstreamReply &reply)
+{
+    StatementReply answer;
+    answer.result = StatementResult::Answered;
+    answer.lines = reply.lines;
+    answer.error = reply.error;
+    answer.point = reply.point;
+    return answer;
+}
+
+} // namespace
+
+StatementRunner::StatementRunner(ProxyState &state)
+    : m_state(state)
+    , m_refused(state.metrics->registry().counter(
+          "shallotlever_owner_refusals_total",
+          "Statements that this node could not run on its connections and returned unrun."))
+{
+}
+
+StatementRunner::~StatementRunner()
+{
+    // The pools outlive this object and must not call it.
+    for (const Execution &execution : m_statements) {
+        if (execution.phase == Phase::AwaitingLink && execution.pool)
+            execution.pool->cancel(execution.waiterId);
+    }
+}
+
+StatementRunner::Execution *StatementRunner::find(std::uint64_t id)
+{
+    const auto found =
+        std::find_if(m_statements.begin(), m_statements.end(),
+                     [id](const Execution &execution) { return execution.id == id; });
+    return found == m_statements.end() ? nullptr : &*found;
+}
+
+StatementRunner::TransactionKey StatementRunner::transactionKey(const Execution &execution) const
+{
+    return { execution.sender, execution.request.transaction };
+}
+
+std::uint64_t StatementRunner::run(const StatementSender &sender, StatementRequest request,
+                                   Callback callback, TimePoint now)
+{
+    Execution &execution = m_statements.emplace_back();
+    const std::uint64_t id = ++m_lastId;
+    execution.id = id;
+    execution.sender = sender;
+    execution.request = std::move(request);
+    execution.callback = std::move(callback);
+    execution.receivedAt = now;
+    execution.deadline = now + execution.request.timeLeft;
+    const auto service = m_state.services.find(execution.request.service);
+    if (!execution.request.primaryOnly && service != m_state.services.end())
+        service->second.replicaReadAt = now;
+    const auto open = m_transactions.find(transactionKey(execution));
+    if (execution.request.transaction != 0 && open != m_transactions.end()) {
+        open->second.running = true;
+        execution.pool = open->second.pool;
+        execution.link = open->second.link;
+        setUpLink(execution, now);
+    } else if (const auto refused = refusal(execution, now)) {
+        notRun(execution, *refused, now);
+    } else {
+        acquireLink(execution, now);
+    }
+    return find(id) == nullptr ? 0 : id;
+}
+
+/// Returns why the statement can't be run here, and otherwise sets the pool.
+std::optional<RetryReason> StatementRunner::refusal(Execution &execution, TimePoint now) const
+{
+    const StatementRequest &request = execution.request;
+    if (request.transactionBegun)
+        return RetryReason::UpstreamLostBeforeSend;
+    const auto service = m_state.services.find(request.service);
+    execution.pool =
+        service == m_state.services.end() ? nullptr : service->second.pool(request.upstream);
+    if (!m_state.fresh(now) || !execution.pool || execution.pool->load().leasedConnections == 0)
+        return RetryReason::OwnerUnavailable;
+    const UpstreamLoad &load = execution.pool->load();
+    if (load.state == UpstreamState::Leaving)
+        return RetryReason::UpstreamLeaving;
+    if (!load.reachable)
+        return RetryReason::ConnectFailed;
+    execution.minPosition = requiredPosition(request, now);
+    if (!execution.minPosition && !isPrimary(execution))
+        return request.primaryOnly ? RetryReason::NotPrimary : RetryReason::ReplicaStale;
+    if (knownToLag(execution, now))
+        return RetryReason::ReplicaStale;
+    const bool late = expectedResponseTime(load, now) > kMaxExpectedTimeFactor * request.timeLeft;
+    return late ? std::optional(RetryReason::NoSlot) : std::nullopt;
+}
+
+std::optional<HistoryPoint> StatementRunner::requiredPosition(const StatementRequest &request,
+                                                              TimePoint now) const
+{
+    const auto service = m_state.services.find(request.service);
+    if (request.primaryOnly || service == m_state.services.end())
+        return std::nullopt;
+    auto position = lowestSufficientPosition(service->second.positions, request.maxStaleness, now);
+    if (position && request.ownCommit)
+        position = std::max(*position, *request.ownCommit);
+    return position;
+}
+
+bool StatementRunner::isPrimary(const Execution &execution) const
+{
+    const auto service = m_state.services.find(execution.request.service);
+    return service != m_state.services.end()
+        && service->second.primary == execution.request.upstream;
+}
+
+/// Whether the database has recently shown that its log ends before the required position.
+bool StatementRunner::knownToLag(const Execution &execution, TimePoint now) const
+{
+    const StatementRequest &request = execution.request;
+    const auto &routes = m_state.services.at(request.service).routes;
+    const DatabaseRoute &route = routes.at(request.upstream);
+    return execution.minPosition && route.logEnd && *route.logEnd < *execution.minPosition
+        && now < route.logEndAt + kLogEndLifetime && !isPrimary(execution);
+}
+
+void StatementRunner::acquireLink(Execution &execution, TimePoint now)
+{
+    const StatementRequest &request = execution.request;
+    execution.phaseDeadline = request.primaryOnly
+        ? execution.deadline
+        : std::min(execution.deadline, now + kLinkAcquireTimeout);
+    const std::uint64_t id = execution.id;
+    const std::uint64_t waiterId = execution.pool->acquire(
+        request.team, request.variables, request.priority,
+        [this, id](const LinkResult &result) { onLinkAcquired(id, result); }, now);
+    // The callback may have answered the statement already.
+    if (Execution *waiting = find(id))
+        waiting->waiterId = waiterId;
+}
+
+void StatementRunner::onLinkAcquired(std::uint64_t id, const LinkResult &result)
+{
+    const TimePoint now = monotonicNow();
+    Execution *execution = find(id);
+    if (execution == nullptr)
+        return;
+    if (const auto *failure = std::get_if<LinkAcquireFailure>(&result)) {
+        const bool leaving = *failure == LinkAcquireFailure::Cancelled;
+        notRun(*execution, leaving ? RetryReason::UpstreamLeaving : RetryReason::ConnectFailed,
+               now);
+        return;
+    }
+    execution->link = std::get<PooledLink *>(result);
+    setUpLink(*execution, now);
+}
+
+void StatementRunner::setUpLink(Execution &execution, TimePoint now)
+{
+    execution.phase = Phase::Preparing;
+    execution.phaseDeadline = now + attemptTimeout(execution, now);
+    const std::uint64_t id = execution.id;
+    if (execution.link->variables != execution.request.variables)
+        sendSessionVariables(execution);
+    // A failed send may have answered the statement.
+    Execution *prepared = find(id);
+    if (prepared != nullptr && prepared->phase == Phase::Preparing
+        && prepared->pendingSetupReplies == 0)
+        beginTransaction(*prepared, now);
+}
+
+void StatementRunner::sendSessionVariables(Execution &execution)
+{
+    const SessionProtocol &protocol = *m_state.protocol;
+    const SessionVariables &variables = execution.request.variables;
+    PooledLink &link = *execution.link;
+    const bool hasStaleValues =
+        std::any_of(link.variables.begin(), link.variables.end(),
+                    [&](const auto &value) { return !variables.contains(value.first); });
+    std::vector<std::string> texts;
+    if (hasStaleValues) {
+        texts.push_back(protocol.systemText(SystemStatement::Discard));
+        link.variables.clear();
+        link.prepared.clear();
+    }
+    for (const auto &[name, value] : variables) {
+        const auto current = link.variables.find(name);
+        if (current == link.variables.end() || current->second != value)
+            texts.push_back(protocol.setText(name, value));
+    }
+    link.variables = variables;
+    execution.pendingSetupReplies = texts.size();
+    UpstreamLink &connection = *link.link;
+    for (const std::string &text : texts) {
+        connection.send("", text, [this, id = execution.id](const UpstreamReply &reply) {
+            onSetupReply(id, reply);
+        });
+    }
+}
+
+void StatementRunner::onSetupReply(std::uint64_t id, const UpstreamReply &reply)
+{
+    Execution *execution = find(id);
+    if (execution == nullptr || execution->phase != Phase::Preparing)
+        return;
+    const TimePoint now = monotonicNow();
+    if (reply.lost) {
+        onLost(*execution, RetryReason::UpstreamLostBeforeSend, now);
+        return;
+    }
+    execution->setupFailed = execution->setupFailed || !reply.succeeded();
+    if (--execution->pendingSetupReplies > 0)
+        return;
+    if (execution->setupFailed)
+        // The values of the session variables on the connection are unknown.
+        onLost(*execution, RetryReason::UpstreamLostBeforeSend, now);
+    else
+        beginTransaction(*execution, now);
+}
+
+void StatementRunner::beginTransaction(Execution &execution, TimePoint now)
+{
+    const StatementRequest &request = execution.request;
+    const bool begun = m_transactions.contains(transactionKey(execution));
+    if (request.transaction == 0 || begun) {
+        send(execution, now);
+        return;
+    }
+    const SessionProtocol &protocol = *m_state.protocol;
+    std::string text = protocol.systemText(
+        request.readOnlyTransaction ? SystemStatement::BeginReadOnly : SystemStatement::Begin);
+    if (execution.minPosition)
+        text = protocol.requirePositionText(*execution.minPosition, text);
+    execution.link->link->send(
+        "", text, [this, id = execution.id](const UpstreamReply &reply) { onBegun(id, reply); });
+}
+
+void StatementRunner::onBegun(std::uint64_t id, const UpstreamReply &reply)
+{
+    Execution *execution = find(id);
+    if (execution == nullptr || execution->phase != Phase::Preparing)
+        return;
+    const TimePoint now = monotonicNow();
+    if (reply.lost) {
+        onLost(*execution, RetryReason::UpstreamLostBeforeSend, now);
+        return;
+    }
+    if (!reply.succeeded()) {
+        onError(*execution, reply, now);
+        return;
+    }
+    const TransactionKey key = transactionKey(*execution);
+    m_transactions[key] = { execution->pool, execution->link, now, true };
+    execution->link->onConnectionLost = [this, key] { onTransactionConnectionLost(key); };
+    send(*execution, now);
+}
+
+/// Checks the lease and the primary again, because they may have changed during the wait for the
+/// connection, and sends the statement.
+void StatementRunner::send(Execution &execution, TimePoint now)
+{
+    const bool continues = execution.request.transactionBegun;
+    const bool primaryNeeded = execution.request.primaryOnly || !execution.minPosition;
+    const bool primaryLost = !continues && primaryNeeded && !isPrimary(execution);
+    if (!m_state.fresh(now) || primaryLost) {
+        const RetryReason reason =
+            primaryLost ? RetryReason::NotPrimary : RetryReason::OwnerUnavailable;
+        rollBackLink(execution, now);
+        notRun(execution, reason, now);
+        return;
+    }
+    execution.phase = Phase::Running;
+    execution.phaseDeadline = now + attemptTimeout(execution, now);
+    const std::string text = statementText(execution);
+    UpstreamLink &link = *execution.link->link;
+    link.send(execution.request.id, text,
+              [this, id = execution.id](const UpstreamReply &reply) { onReply(id, reply); });
+}
+
+/// Returns the text to send. Prepares the statement first if it is executed by name and not yet
+/// prepared on the connection.
+std::string StatementRunner::statementText(Execution &execution)
+{
+    const SessionProtocol &protocol = *m_state.protocol;
+    const StatementRequest &request = execution.request;
+    std::string text = request.text;
+    if (request.prepared) {
+        const std::string name = sharedStatementName(*request.prepared);
+        if (execution.link->prepared.emplace(name, *request.prepared).second)
+            // If this fails, the Execute that follows fails with UnknownPrepared and the statement
+            // is prepared again.
+            execution.link->link->send("", protocol.prepareText(name, *request.prepared),
+                                       [](const UpstreamReply &) {});
+        text = protocol.executeText(name, request.text);
+    }
+    const bool single = request.transaction == 0;
+    return single && execution.minPosition
+        ? protocol.requirePositionText(*execution.minPosition, text)
+        : text;
+}
+
+Duration StatementRunner::attemptTimeout(const Execution &execution, TimePoint now) const
+{
+    const UpstreamLoad &load = execution.pool->load();
+    const Duration typical = (load.serviceTime + load.roundTrip) * kAttemptTimeoutFactor;
+    const bool repeatable = execution.request.transaction == 0 && !execution.request.writes;
+    return repeatable ? std::max(kMinAttemptTimeout, typical) : execution.deadline - now;
+}
+
+void StatementRunner::onReply(std::uint64_t id, const UpstreamReply &reply)
+{
+    Execution *execution = find(id);
+    if (execution == nullptr || execution->phase != Phase::Running)
+        return;
+    const TimePoint now = monotonicNow();
+    if (reply.lost) {
+        onLost(*execution, RetryReason::ReadConnectionLost, now);
+        return;
+    }
+    const StatementRequest &request = execution->request;
+    if (reply.point)
+        m_state.recordHistoryPoint(request.service, request.upstream, *reply.point, reply.sentAt);
+    if (!reply.succeeded()) {
+        onError(*execution, reply, now);
+        return;
+    }
+    execution->pool->recordResponse(now - reply.sentAt, now);
+    if (request.transaction == 0) {
+        execution->pool->release(execution->link, now);
+    } else if (request.commits) {
+        m_transactions.erase(transactionKey(*execution));
+        execution->pool->release(execution->link, now);
+    } else {
+        keepTransactionOpen(*execution, now);
+    }
+    finish(*execution, answeredReply(reply), now);
+}
+
+void StatementRunner::keepTransactionOpen(Execution &execution, TimePoint now)
+{
+    if (execution.abandoned) {
+        rollBackLink(execution, now);
+        return;
+    }
+    Transaction &transaction = m_transactions.at(transactionKey(execution));
+    transaction.running = false;
+    transaction.lastUsedAt = now;
+}
+
+void StatementRunner::onError(Execution &execution, const UpstreamReply &reply, TimePoint now)
+{
+    const UpstreamErrorKind kind = reply.error ? reply.error->kind : UpstreamErrorKind::Other;
+    if (kind == UpstreamErrorKind::UnknownPrepared)
+        execution.link->prepared.clear();
+    execution.pool->recordRefusal(kind == UpstreamErrorKind::Busy, now);
+    rollBackLink(execution, now);
+    StatementReply answer = answeredReply(reply);
+    answer.error = reply.error.value_or(UpstreamError {});
+    finish(execution, std::move(answer), now);
+}
+
+/// The connection failed or is in an unknown state. `reason` is used if the statement was sent.
+void StatementRunner::onLost(Execution &execution, RetryReason reason, TimePoint now)
+{
+    const bool sent = execution.phase == Phase::Running;
+    m_transactions.erase(transactionKey(execution));
+    execution.pool->discard(std::exchange(execution.link, nullptr), now);
+    if (sent)
+        finish(execution, unansweredReply(StatementResult::Unknown, reason), now);
+    else
+        notRun(execution, RetryReason::UpstreamLostBeforeSend, now);
+}
+
+void StatementRunner::onTimeout(Execution &execution, TimePoint now)
+{
+    if (execution.phase == Phase::AwaitingLink) {
+        execution.pool->cancel(execution.waiterId);
+        notRun(execution, RetryReason::ConnectionWait, now);
+        return;
+    }
+    // A database that responds to other statements is busy; a retry would only add to its load.
+    if (now < execution.deadline && execution.pool->recentlyResponsive(now)
+        && now < execution.receivedAt + kMaxAttemptDuration) {
+        execution.phaseDeadline = now + kAttemptExtension;
+        return;
+    }
+    execution.pool->recordTimeout(now);
+    onLost(execution, RetryReason::ReadTimedOut, now);
+}
+
+void StatementRunner::rollBackLink(Execution &execution, TimePoint now)
+{
+    PooledLink *link = std::exchange(execution.link, nullptr);
+    const auto open = m_transactions.find(transactionKey(execution));
+    const bool begun = execution.request.transaction != 0 && open != m_transactions.end();
+    if (open != m_transactions.end())
+        m_transactions.erase(open);
+    if (begun)
+        execution.pool->rollBack(link, now);
+    else if (link->link->pending() == 0)
+        execution.pool->release(link, now);
+    else
+        execution.pool->discard(link, now);
+}
+
+void StatementRunner::rollBack(std::map<TransactionKey, Transaction>::iterator entry, TimePoint now)
+{
+    const Transaction transaction = std::move(entry->second);
+    m_transactions.erase(entry);
+    transaction.pool->rollBack(transaction.link, now);
+}
+
+void StatementRunner::onTransactionConnectionLost(const TransactionKey &key)
+{
+    const auto open = m_transactions.find(key);
+    // A running statement is told by its own callback.
+    if (open != m_transactions.end() && !open->second.running)
+        m_transactions.erase(open);
+}
+
+void StatementRunner::endTransaction(const StatementSender &sender, std::uint64_t transaction,
+                                     TimePoint now)
+{
+    const TransactionKey key { sender, transaction };
+    const auto open = m_transactions.find(key);
+    if (open != m_transactions.end() && !open->second.running) {
+        rollBack(open, now);
+        return;
+    }
+    const auto running =
+        std::find_if(m_statements.begin(), m_statements.end(),
+                     [&](const Execution &execution) { return transactionKey(execution) == key; });
+    if (running == m_statements.end())
+        return;
+    running->abandoned = true;
+    if (running->phase == Phase::AwaitingLink)
+        onTimeout(*running, now);
+}
+
+void StatementRunner::abortIdleTransactions(TimePoint now)
+{
+    for (auto entry = m_transactions.begin(); entry != m_transactions.end();) {
+        const auto current = entry++;
+        if (!current->second.running)
+            rollBack(current, now);
+    }
+}
+
+void StatementRunner::finish(Execution &execution, StatementReply reply, TimePoint now)
+{
+    if (execution.pool) {
+        reply.load.outstanding = execution.pool->load().outstanding;
+        reply.load.serviceTime = execution.pool->load().serviceTime;
+    }
+    reply.spent = now - execution.receivedAt;
+    const Callback callback = std::move(execution.callback);
+    m_statements.remove_if([&](const Execution &item) { return &item == &execution; });
+    callback(reply);
+}
+
+void StatementRunner::notRun(Execution &execution, RetryReason reason, TimePoint now)
+{
+    m_refused.increment();
+    if (acquireLogToken(m_state.logRateLimiter, LogTopic::Retry, now)) {
+        const auto ms = [](Duration d) {
+            return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
+        };
+        const UpstreamPool *pool = execution.pool.get();
+        m_state.logger->info("statement_not_run",
+                             { { "request", execution.request.id },
+                               { "sender", execution.sender.node.value() },
+                               { "upstream", execution.request.upstream.value() },
+                               { "team", execution.request.team.value() },
+                               { "reason", retryReasonName(reason) },
+                               { "waited_ms", ms(now - execution.receivedAt) },
+                               { "outstanding", pool == nullptr ? 0U : pool->load().outstanding },
+                               { "leased", pool == nullptr ? 0U : pool->load().leasedConnections },
+                               { "lease_left_ms", ms(m_state.freshUntil - now) } });
+    }
+    finish(execution, unansweredReply(StatementResult::NotRun, reason), now);
+}
+
+bool StatementRunner::cancel(std::uint64_t id)
+{
+    Execution *execution = find(id);
+    if (execution == nullptr || execution->phase != Phase::AwaitingLink)
+        return execution == nullptr;
+    execution->pool->cancel(execution->waiterId);
+    m_statements.remove_if([id](const Execution &item) { return item.id == id; });
+    return true;
+}
+
+void StatementRunner::tick(TimePoint now)
+{
+    std::vector<std::uint64_t> expired;
+    for (const Execution &execution : m_statements) {
+        if (now >= execution.deadline || now >= execution.phaseDeadline)
+            expired.push_back(execution.id);
+    }
+    for (const std::uint64_t id : expired) {
+        if (Execution *execution = find(id))
+            onTimeout(*execution, now);
+    }
+    const Duration idleLimit = m_state.config.installed.transactionIdleLimit;
+    if (idleLimit.count() == 0)
+        return;
+    for (auto entry = m_transactions.begin(); entry != m_transactions.end();) {
+        const auto current = entry++;
+        if (!current->second.running
+            && now >= current->second.lastUsedAt + idleLimit + kAbandonedTransactionMargin)
+            rollBack(current, now);
+    }
+}
+
+} // namespace shallotlever
--- a/src/proxy/upstream_link.cpp
+++ b/src/proxy/upstream_link.cpp
@@ -4,24 +4,15 @@
 
 #include <QHostAddress>
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 #include "shallotlever/base/clock.h"
+#include "shallotlever/wire/socket_options.h"
 
 namespace shallotlever {
 
 namespace {
 
 /// A connection whose peer acknowledges no data for this long is closed.
-constexpr unsigned kUserTimeoutMs = 3000;
-
-void setUserTimeout(const QTcpSocket &socket)
-{
-    const auto descriptor = static_cast<int>(socket.socketDescriptor());
-    setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMs, sizeof(kUserTimeoutMs));
-}
+constexpr std::chrono::milliseconds kUserTimeout = 3s;
 
 } // namespace
 
@@ -67,7 +58,7 @@
 
 void UpstreamLink::onConnected()
 {
-    setUserTimeout(*m_socket);
+    setUserTimeout(*m_socket, kUserTimeout);
     m_roundTrip = monotonicNow() - m_startedAt;
     m_state = State::Handshake;
     m_openTimer.start(std::chrono::duration_cast<std::chrono::milliseconds>(m_handshakeTimeout));
--- a/src/proxy/upstream_pool.cpp
+++ b/src/proxy/upstream_pool.cpp
@@ -27,8 +27,9 @@
 constexpr std::uint32_t kTimeoutsUntilUnreachable = 2;
 /// Idle connections are closed after this time.
 constexpr Duration kIdleTimeout = 20s;
-/// A connection whose rollback is not answered within this time is closed.
+/// A connection whose rollback or ping is not answered within this time is closed.
 constexpr Duration kRollbackTimeout = 2s;
+constexpr Duration kPingTimeout = 400ms;
 /// A database that responded within this time is considered slow rather than dead.
 constexpr Duration kResponsivePeriod = 300ms;
 /// A connection may be evicted for another team after it was idle for this long.
@@ -57,9 +58,11 @@
         waiter.callback(LinkAcquireFailure::Cancelled);
 }
 
-void UpstreamPool::setInfo(const UpstreamInfo &info, bool primary)
+void UpstreamPool::setInfo(const UpstreamInfo &info, bool primary, bool owned)
 {
     m_info = info;
+    m_owned = owned;
+    setMaxWindow(m_window, owned ? info.slots + kOwnerWindowHeadroom : kMaxWindow);
     m_load.state = info.state;
     m_load.slots = info.slots;
     m_load.primary = primary;
@@ -131,11 +134,14 @@
     return oldest;
 }
 
-std::uint32_t UpstreamPool::pendingOpensForTeam(const TeamId &team) const
+/// Number of connections to open for `waiting` statements of the team. Those that merely wait for
+/// the window need none if an idle connection is kept for them.
+std::uint32_t UpstreamPool::missingLinks(const TeamId &team, std::uint32_t waiting) const
 {
-    return static_cast<std::uint32_t>(
+    const auto available = static_cast<std::uint32_t>(
         std::count_if(m_links.begin(), m_links.end(),
-                      [&](const PooledLink &link) { return !link.open && link.team == team; }));
+                      [&](const PooledLink &link) { return !link.busy && link.team == team; }));
+    return waiting - std::min(waiting, available);
 }
 
 std::uint32_t UpstreamPool::pendingOpens() const
@@ -154,29 +160,38 @@
     if (now < m_nextOpenAt)
         return;
     std::map<TeamId, std::uint32_t> waitingByTeam;
-    for (const Waiter &waiter : m_waiters)
-        ++waitingByTeam[waiter.team];
-    for (const auto &[team, count] : waitingByTeam) {
-        for (std::uint32_t opening = pendingOpensForTeam(team); opening < count; ++opening) {
-            if (pendingOpens() >= kMaxConcurrentOpens)
-                return;
-            if (m_links.size() >= m_load.leasedConnections) {
-                PooledLink *victim = evictionCandidate();
-                const bool mayEvict = victim != nullptr
-                    && now >= victim->lastUsedAt + kMinIdleBeforeEviction
-                    && now >= m_lastEvictionAt + evictionInterval();
-                if (!mayEvict)
-                    return;
-                m_lastEvictionAt = now;
-                remove(victim);
-            }
-            if (m_links.size() >= m_load.leasedConnections)
-                return;
+    std::vector<TeamId> teams;
+    for (const Waiter &waiter : m_waiters) {
+        if (missingLinks(waiter.team, ++waitingByTeam[waiter.team]) > 0)
+            teams.push_back(waiter.team);
+    }
+    for (const TeamId &team : teams) {
+        // Opening a connection occupies a slot as well. One is opened at any load, so that a team
+        // without a connection is not starved.
+        const std::uint32_t opens = pendingOpens();
+        const bool slotFree = windowHasCapacity(m_window, runningStatements() + opens);
+        if (opens >= kMaxConcurrentOpens || (opens > 0 && !slotFree) || !makeRoom(now))
+            return;
+        if (missingLinks(team, waitingByTeam[team]) > 0)
             open(team, now);
-        }
     }
 }
 
+/// Evicts a connection if the limit is reached. Returns whether another one may be opened.
+bool UpstreamPool::makeRoom(TimePoint now)
+{
+    if (m_links.size() < m_load.leasedConnections)
+        return true;
+    PooledLink *victim = evictionCandidate();
+    const bool mayEvict = victim != nullptr && now >= victim->lastUsedAt + kMinIdleBeforeEviction
+        && now >= m_lastEvictionAt + evictionInterval();
+    if (!mayEvict)
+        return false;
+    m_lastEvictionAt = now;
+    remove(victim);
+    return m_links.size() < m_load.leasedConnections;
+}
+
 void UpstreamPool::open(const TeamId &team, TimePoint now)
 {
     m_lastContactAt = now;
@@ -301,10 +316,15 @@
 }
 
 void UpstreamPool::release(PooledLink *link, TimePoint now)
+{
+    link->lastUsedAt = now;
+    makeIdle(link, now);
+}
+
+void UpstreamPool::makeIdle(PooledLink *link, TimePoint now)
 {
     link->busy = false;
     link->onConnectionLost = nullptr;
-    link->lastUsedAt = now;
     updateOutstanding();
     serveWaiters(now);
 }
@@ -312,13 +332,13 @@
 void UpstreamPool::rollBack(PooledLink *link, TimePoint now)
 {
     link->onConnectionLost = nullptr;
-    link->rollbackDeadline = now + kRollbackTimeout;
+    link->replyDeadline = now + kRollbackTimeout;
     link->link->send("", m_protocol.systemText(SystemStatement::Rollback),
                      [this, id = link->id](const UpstreamReply &reply) {
                          PooledLink *answered = find(id);
                          if (answered == nullptr)
                              return;
-                         answered->rollbackDeadline.reset();
+                         answered->replyDeadline.reset();
                          if (reply.succeeded() && reply.state == TransactionState::None)
                              release(answered, monotonicNow());
                          else
@@ -421,23 +441,77 @@
         && m_load.state != UpstreamState::Leaving)
         open(anonymousTeam(), now);
     closeExpired(now);
+    if (m_owned && m_load.state != UpstreamState::Leaving
+        && now >= m_lastContactAt + m_pingInterval)
+        ping(now);
     if (!m_waiters.empty())
         openForWaiters(now);
 }
 
-/// Closes connections that were idle for too long, and those whose rollback was not answered: a
-/// suspended database would otherwise keep them busy forever.
+PooledLink *UpstreamPool::leastRecentlyUsedLink()
+{
+    PooledLink *oldest = nullptr;
+    for (PooledLink &link : m_links) {
+        if (link.open && !link.busy && (oldest == nullptr || link.lastUsedAt < oldest->lastUsedAt))
+            oldest = &link;
+    }
+    return oldest;
+}
+
+/// Sends a request that occupies no slot: its response shows that the database runs, and the end of
+/// its log.
+void UpstreamPool::ping(TimePoint now)
+{
+    PooledLink *link = leastRecentlyUsedLink();
+    if (link == nullptr) {
+        if (m_links.empty() && m_load.leasedConnections > 0 && now >= m_nextOpenAt)
+            open(anonymousTeam(), now);
+        return;
+    }
+    m_lastContactAt = now;
+    link->busy = true;
+    link->replyDeadline = now + kPingTimeout;
+    link->variables.clear();
+    link->prepared.clear();
+    updateOutstanding();
+    link->link->send("", m_protocol.systemText(SystemStatement::Discard),
+                     [this, id = link->id](const UpstreamReply &reply) {
+                         PooledLink *answered = find(id);
+                         if (answered == nullptr)
+                             return;
+                         answered->replyDeadline.reset();
+                         const TimePoint repliedAt = monotonicNow();
+                         if (!reply.succeeded()) {
+                             discard(answered, repliedAt);
+                             return;
+                         }
+                         m_consecutiveTimeouts = 0;
+                         m_lastResponseAt = repliedAt;
+                         setReachable(true);
+                         if (reply.point)
+                             m_callbacks.point(*reply.point, reply.sentAt);
+                         // A ping is no use of the connection: it stays a candidate for eviction.
+                         makeIdle(answered, repliedAt);
+                     });
+}
+
+/// Closes connections that were idle for too long, and those whose rollback or ping was not
+/// answered: a suspended database would otherwise keep them busy forever.
 void UpstreamPool::closeExpired(TimePoint now)
 {
     std::vector<PooledLink *> linksToClose;
+    bool unanswered = false;
     for (PooledLink &link : m_links) {
         const bool idle = link.open && !link.busy && now >= link.lastUsedAt + kIdleTimeout;
-        const bool unanswered = link.rollbackDeadline && now >= *link.rollbackDeadline;
-        if (idle || unanswered)
+        const bool late = link.replyDeadline && now >= *link.replyDeadline;
+        unanswered = unanswered || late;
+        if (idle || late)
             linksToClose.push_back(&link);
     }
     for (PooledLink *link : linksToClose)
         remove(link);
+    if (unanswered)
+        recordTimeout(now);
 }
 
 const TeamId &anonymousTeam()
--- a/src/proxy/upstream_pool.h
+++ b/src/proxy/upstream_pool.h
@@ -12,12 +12,11 @@
 
 #include "shallotlever/proxy/placement.h"
 #include "shallotlever/types/shares.h"
+#include "statement_messages.h"
 #include "upstream_link.h"
 
 namespace shallotlever {
 
-using SessionVariables = std::map<std::string, std::string>;
-
 /// Placeholder team of sessions without a key and of probe connections.
 const TeamId &anonymousTeam();
 
@@ -35,10 +34,14 @@
     /// Prepared statements by their shared name on the connection.
     std::map<std::string, PreparedStatement> prepared;
     TimePoint lastUsedAt;
-    /// Set while a rollback is pending. The connection is closed if no response arrives by then.
-    std::optional<TimePoint> rollbackDeadline;
+    /// Set while a rollback or a ping is pending. The connection is closed if no response arrives
+    /// by then.
+    std::optional<TimePoint> replyDeadline;
 };
 
+/// An owned database that has not responded for this long is pinged.
+constexpr Duration kDefaultPingInterval = 500ms;
+
 /// Why acquire() did not yield a connection.
 enum class LinkAcquireFailure : std::uint8_t {
     Unreachable,
@@ -54,6 +57,9 @@
 /// Connection pool of this node for one database. Each connection belongs to a team, because the
 /// user name sent to the database identifies the team. Connections are scarce: at the limit, an
 /// idle connection of another team is evicted to open one for a waiting statement.
+///
+/// A node that owns the pool (pool_owner.h) sends no more statements than the database has slots,
+/// and pings an idle database, so that its failures and the end of its log are known.
 class UpstreamPool
 {
 public:
@@ -94,7 +100,10 @@
     bool recentlyResponsive(TimePoint now) const;
 
     void setLeasedConnections(std::uint32_t leasedConnections, TimePoint now);
-    void setInfo(const UpstreamInfo &info, bool primary);
+    /// `owned`: this node is one of the database's pool owners.
+    void setInfo(const UpstreamInfo &info, bool primary, bool owned);
+    /// Requests that the end of the database's log be known at least this recently.
+    void setMaxPositionAge(Duration age) { m_pingInterval = age; }
     /// Called when the database has been removed from the fleet view. Running statements may
     /// finish; waiters are cancelled and no new connections are opened.
     void retire();
@@ -106,6 +115,7 @@
     UpstreamLoad loadFor(const TeamId &team) const;
     SlotDemand demand(TimePoint now) const;
     bool hasBusyLink() const;
+    bool hasLinks() const { return !m_links.empty(); }
     /// Whether the database was contacted recently enough to report its reachability.
     bool hasRecentObservation(TimePoint now) const;
 
@@ -128,11 +138,15 @@
                   const std::optional<UpstreamError> &error);
     void onClosed(std::uint64_t id);
     void remove(PooledLink *link);
+    void makeIdle(PooledLink *link, TimePoint now);
     void serveWaiters(TimePoint now);
     void openForWaiters(TimePoint now);
+    std::uint32_t missingLinks(const TeamId &team, std::uint32_t waiting) const;
+    bool makeRoom(TimePoint now);
+    void ping(TimePoint now);
+    PooledLink *leastRecentlyUsedLink();
     void failWaiters(LinkAcquireFailure failure, const TeamId *team = nullptr);
     void setReachable(bool reachable);
-    std::uint32_t pendingOpensForTeam(const TeamId &team) const;
     void updateOutstanding();
     std::uint32_t pendingOpens() const;
     Duration evictionInterval() const;
@@ -152,6 +166,8 @@
     std::uint32_t m_consecutiveTimeouts = 0;
     std::uint32_t m_consecutiveOpenFailures = 0;
     ConcurrencyWindow m_window;
+    bool m_owned = false;
+    Duration m_pingInterval = kDefaultPingInterval;
     TimePoint m_lastResponseAt;
     /// Time of each team's last acquire() call.
     std::map<TeamId, TimePoint> m_lastRequestByTeam;
--- a/src/wire/frame.cpp
+++ b/src/wire/frame.cpp
@@ -33,8 +33,7 @@
         return absl::InvalidArgumentError("the frame does not hold a valid envelope");
     const wire::Envelope *envelope = wire::GetEnvelope(data);
     const std::uint8_t type = envelope->type();
-    if (type < static_cast<std::uint8_t>(MessageType::Control)
-        || type > static_cast<std::uint8_t>(MessageType::TokenGrant))
+    if (type < static_cast<std::uint8_t>(MessageType::Control) || type >= kMessageTypeCount)
         return absl::InvalidArgumentError("the frame has an unknown message type");
     const auto *payload = envelope->payload();
     return PeerMessage { static_cast<MessageType>(type),
--- a/src/wire/peer_link.cpp
+++ b/src/wire/peer_link.cpp
@@ -2,6 +2,8 @@
 
 #include <QSslCertificate>
 
+#include "shallotlever/wire/socket_options.h"
+
 namespace shallotlever {
 
 PeerLink::PeerLink(QSslSocket *socket, const PeerTransportOptions &options,
@@ -23,6 +25,7 @@
     m_helloTimer.start(kHelloTimeout);
     m_socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
     m_socket->setSocketOption(QAbstractSocket::KeepAliveOption, 1);
+    setUserTimeout(*m_socket, kUserTimeout);
     send({ MessageType::Hello, 0, {}, {}, {}, {} });
     readAvailable();
 }
--- a/src/wire/peer_link.h
+++ b/src/wire/peer_link.h
@@ -19,6 +19,8 @@
 public:
     /// The link is closed if the peer sends no Hello within this time.
     static constexpr std::chrono::milliseconds kHelloTimeout { 3000 };
+    /// The link is closed if data that was sent is not acknowledged for this long.
+    static constexpr std::chrono::milliseconds kUserTimeout { 1500 };
     /// Messages are dropped while the socket's send buffer holds more bytes than this.
     static constexpr qint64 kMaxUnsentBytes = 8 * 1024 * 1024;
 
--- a/src/wire/peer_transport.cpp
+++ b/src/wire/peer_transport.cpp
@@ -16,9 +16,10 @@
 namespace {
 
 constexpr std::chrono::milliseconds kReconnectBackoffMin { 50 };
-constexpr std::chrono::milliseconds kReconnectBackoffMax { 1000 };
-/// A connect that takes longer, including the TLS handshake, is aborted and retried.
-constexpr std::chrono::milliseconds kConnectTimeout { 2000 };
+constexpr std::chrono::milliseconds kReconnectBackoffMax { 500 };
+/// A connect that takes longer, including the TLS handshake, is aborted and retried. Shorter than
+/// the first retransmission of a lost opening packet, which takes 1 s.
+constexpr std::chrono::milliseconds kConnectTimeout { 700 };
 
 } // namespace
 
@@ -33,6 +34,8 @@
 
     absl::Status start();
     void setPeer(const NodeId &peer, const Endpoint &endpoint);
+    void forgetPeer(const NodeId &peer) { m_outbound.erase(peer); }
+    void closeLinks(const NodeId &peer);
     PeerLink *findLink(const NodeId &peer) const;
     std::vector<NodeId> connectedPeers() const;
 
@@ -40,6 +43,8 @@
     PeerTransportCounters m_counters;
     /// Called with the peer's id when a link to it is identified.
     std::function<void(const NodeId &)> m_onConnected;
+    /// Called with the peer's id when its last identified link is closed.
+    std::function<void(const NodeId &)> m_onDisconnected;
 
 private:
     /// A peer that this node connects to.
@@ -97,6 +102,15 @@
         openLink(peer);
 }
 
+void PeerTransport::Impl::closeLinks(const NodeId &peer)
+{
+    const auto found = m_links.find(peer);
+    const std::vector<PeerLink *> links =
+        found == m_links.end() ? std::vector<PeerLink *>() : found->second;
+    for (PeerLink *link : links)
+        link->close();
+}
+
 PeerLink *PeerTransport::Impl::findLink(const NodeId &peer) const
 {
     const auto links = m_links.find(peer);
@@ -115,7 +129,10 @@
 
 void PeerTransport::Impl::openLink(const NodeId &peer)
 {
-    const Endpoint endpoint = m_outbound[peer].endpoint;
+    const auto outbound = m_outbound.find(peer);
+    if (outbound == m_outbound.end())
+        return;
+    const Endpoint endpoint = outbound->second.endpoint;
     auto *socket = new QSslSocket(&m_context);
     auto *timer = new QTimer(socket);
     timer->setSingleShot(true);
@@ -148,9 +165,12 @@
 
 void PeerTransport::Impl::scheduleReconnect(const NodeId &peer)
 {
-    OutboundPeer &outbound = m_outbound[peer];
-    QTimer::singleShot(outbound.backoff, &m_context, [this, peer] { openLink(peer); });
-    outbound.backoff = std::min(outbound.backoff * 2, kReconnectBackoffMax);
+    const auto outbound = m_outbound.find(peer);
+    if (outbound == m_outbound.end())
+        return;
+    std::chrono::milliseconds &backoff = outbound->second.backoff;
+    QTimer::singleShot(backoff, &m_context, [this, peer] { openLink(peer); });
+    backoff = std::min(backoff * 2, kReconnectBackoffMax);
 }
 
 void PeerTransport::Impl::addLink(QSslSocket *socket, const std::optional<NodeId> &expectedPeer)
@@ -161,8 +181,9 @@
             link->close();
             return;
         }
-        if (expectedPeer)
-            m_outbound[*expectedPeer].backoff = kReconnectBackoffMin;
+        const auto outbound = m_outbound.find(link->peer());
+        if (expectedPeer && outbound != m_outbound.end())
+            outbound->second.backoff = kReconnectBackoffMin;
         m_links[link->peer()].push_back(link);
         if (m_onConnected)
             m_onConnected(link->peer());
@@ -176,18 +197,22 @@
 
 void PeerTransport::Impl::removeLink(PeerLink *link, const std::optional<NodeId> &expectedPeer)
 {
-    const auto links = m_links.find(link->peer());
-    if (links != m_links.end())
-        std::erase(links->second, link);
+    const NodeId peer = link->peer();
+    const auto links = m_links.find(peer);
+    const bool wasLast =
+        links != m_links.end() && std::erase(links->second, link) > 0 && links->second.empty();
     link->deleteLater();
     if (expectedPeer)
         scheduleReconnect(*expectedPeer);
+    if (wasLast && m_onDisconnected)
+        m_onDisconnected(peer);
 }
 
 PeerTransport::PeerTransport(std::unique_ptr<Impl> impl)
     : m_impl(std::move(impl))
 {
     m_impl->m_onConnected = [this](const NodeId &peer) { Q_EMIT connected(peer); };
+    m_impl->m_onDisconnected = [this](const NodeId &peer) { Q_EMIT disconnected(peer); };
 }
 
 PeerTransport::~PeerTransport() = default;
@@ -212,6 +237,16 @@
     m_impl->setPeer(peer, endpoint);
 }
 
+void PeerTransport::forgetPeer(const NodeId &peer)
+{
+    m_impl->forgetPeer(peer);
+}
+
+void PeerTransport::closeLinks(const NodeId &peer)
+{
+    m_impl->closeLinks(peer);
+}
+
 bool PeerTransport::send(const NodeId &peer, MessageType type, std::uint64_t requestId,
                          std::string payload)
 {
