--- a/src/include/shallotlever/proxy/proxy.h
+++ b/src/include/shallotlever/proxy/proxy.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,10 @@
         send =
             [](const NodeId &, MessageType, std::uint64_t, const std::string &) { return false; };
     std::function<bool(const NodeId &peer)> isConnected = [](const NodeId &) { return false; };
+    /// Network round trip to the node, if known.
+    std::function<std::optional<Duration>(const NodeId &peer)> roundTrip = [](const NodeId &) {
+        return std::nullopt;
+    };
     /// Keeps a link to the node, until forget() is called.
     std::function<void(const NodeId &peer)> connect = [](const NodeId &) {};
     std::function<void(const NodeId &peer)> forget = [](const NodeId &) {};
--- a/src/include/shallotlever/wire/peer_transport.h
+++ b/src/include/shallotlever/wire/peer_transport.h
@@ -98,6 +98,9 @@
     bool send(const NodeId &peer, MessageType type, std::uint64_t requestId, std::string payload);
 
     bool isConnected(const NodeId &peer) const;
+    /// Network round trip to a peer that this node connects to: the shortest time that a TCP
+    /// connect took; nullopt if none has succeeded.
+    std::optional<Duration> roundTrip(const NodeId &peer) const;
     /// Peers with an identified link, whichever side opened it.
     std::vector<NodeId> connectedPeers() const;
 
--- a/src/node/node_start.cpp
+++ b/src/node/node_start.cpp
@@ -241,6 +241,7 @@
         return m_transport->send(peer, type, id, std::move(payload));
     };
     peers.isConnected = [this](const NodeId &peer) { return m_transport->isConnected(peer); };
+    peers.roundTrip = [this](const NodeId &peer) { return m_transport->roundTrip(peer); };
     peers.connect = [this](const NodeId &peer) {
         m_transport->setPeer(peer, { peer.value(), m_settings.peerListen.port });
     };
--- a/src/proxy/session_attempt.cpp
+++ b/src/proxy/session_attempt.cpp
@@ -20,6 +20,9 @@
 /// Another node is given at most this much less time than is left, so that its answer arrives
 /// before the deadline.
 constexpr Duration kMaxAnswerMargin = 60ms;
+/// Round trip assumed for a node to which none has been measured; that of another region, so that
+/// near databases are preferred.
+constexpr Duration kUnknownRoundTrip = 40ms;
 /// Outstanding statements that an owner reported longer ago than this are not counted.
 constexpr Duration kMaxLoadReportAge = 150ms;
 
@@ -69,9 +72,11 @@
 }
 
 /// Load of the database as seen through its owner.
-UpstreamLoad remoteLoad(const DatabaseRoute &route, bool primary, bool hasOwner, TimePoint now)
+UpstreamLoad remoteLoad(const DatabaseRoute &route, bool primary, bool hasOwner, Duration roundTrip,
+                        TimePoint now)
 {
     UpstreamLoad load = route.ownerLoad;
+    load.roundTrip = roundTrip;
     load.id = route.info.id;
     load.state = route.info.state;
     load.primary = primary;
@@ -114,10 +119,15 @@
     std::vector<UpstreamLoad> loads;
     for (const auto &[id, route] : service->second.routes) {
         const auto owner = m_dispatcher.owner(route.info, m_execution->excludedOwners);
-        const bool local = owner == m_state.self && route.pool;
-        loads.push_back(local ? route.pool->loadFor(m_team)
-                              : remoteLoad(route, service->second.primary == id,
-                                           owner.has_value() && owner != m_state.self, now));
+        const bool isPrimary = service->second.primary == id;
+        if (owner == m_state.self && route.pool)
+            loads.push_back(route.pool->loadFor(m_team));
+        else if (!owner || owner == m_state.self)
+            loads.push_back(remoteLoad(route, isPrimary, false, Duration(0), now));
+        else
+            loads.push_back(remoteLoad(route, isPrimary, true,
+                                       m_dispatcher.roundTrip(*owner).value_or(kUnknownRoundTrip),
+                                       now));
         loads.back().avoidUntil = std::max(loads.back().avoidUntil, route.avoidLaggingUntil);
     }
     return selectUpstream(loads, !needsPrimary(), m_execution->excluded, now);
--- a/src/proxy/statement_dispatcher.cpp
+++ b/src/proxy/statement_dispatcher.cpp
@@ -104,7 +104,7 @@
         used->pending -= std::min(used->pending, 1U);
         noteLag(*used, reply, now);
         if (forwarded.owner != m_state.self)
-            noteLoad(*used, forwarded, reply, now);
+            noteLoad(*used, reply, now);
     }
     forwarded.callback(reply);
 }
@@ -123,17 +123,13 @@
     route.avoidLaggingUntil = now + kRefusalCooldown * (1U << doublings);
 }
 
-void StatementDispatcher::noteLoad(DatabaseRoute &route, const Forwarded &forwarded,
-                                   const StatementReply &reply, TimePoint now) const
+void StatementDispatcher::noteLoad(DatabaseRoute &route, const StatementReply &reply, TimePoint now)
 {
     UpstreamLoad &load = route.ownerLoad;
     if (!reply.succeeded())
         load.avoidUntil = now + kRefusalCooldown;
     if (reply.result != StatementResult::Answered)
         return;
-    const Duration roundTrip = std::max(now - forwarded.sentAt - reply.spent, Duration(0));
-    load.roundTrip =
-        load.roundTrip == Duration(0) ? roundTrip : std::min(load.roundTrip, roundTrip);
     load.serviceTime = reply.load.serviceTime;
     load.serviceTimeUpdatedAt = now;
     route.reportedOutstanding = reply.load.outstanding;
--- a/src/proxy/statement_dispatcher.h
+++ b/src/proxy/statement_dispatcher.h
@@ -27,6 +27,9 @@
     /// excluded, or this node if every node holds connections of its own. nullopt if there is none.
     std::optional<NodeId> owner(const UpstreamInfo &info, const std::set<NodeId> &excluded) const;
 
+    /// Network round trip to the node, if known.
+    std::optional<Duration> roundTrip(const NodeId &node) const { return m_peers.roundTrip(node); }
+
     /// Runs a statement. The callback is called once unless the statement is cancelled, possibly
     /// before this function returns. Returns an id to pass to cancel(), or 0 if it has been
     /// answered.
@@ -75,8 +78,7 @@
     DatabaseRoute *route(const Forwarded &forwarded);
     void answer(std::uint64_t id, const StatementReply &reply, TimePoint now);
     static void noteLag(DatabaseRoute &route, const StatementReply &reply, TimePoint now);
-    void noteLoad(DatabaseRoute &route, const Forwarded &forwarded, const StatementReply &reply,
-                  TimePoint now) const;
+    static void noteLoad(DatabaseRoute &route, const StatementReply &reply, TimePoint now);
     void onStatement(const PeerMessage &message, TimePoint now);
     void onPositionRequest(const PeerMessage &message, TimePoint now);
     void onPositionReply(const PeerMessage &message);
--- a/src/proxy/statement_messages.cpp
+++ b/src/proxy/statement_messages.cpp
@@ -127,8 +127,8 @@
     const fbs::LogPoint point = packPoint(reply.point.value_or(HistoryPoint()));
     b.Finish(fbs::CreateStatementReply(b, static_cast<std::uint8_t>(reply.result),
                                        static_cast<std::uint8_t>(reply.reason), lines, error,
-                                       reply.point ? &point : nullptr, reply.spent.count(),
-                                       reply.load.outstanding, reply.load.serviceTime.count()));
+                                       reply.point ? &point : nullptr, reply.load.outstanding,
+                                       reply.load.serviceTime.count()));
     return finishedBytes(b);
 }
 
@@ -150,7 +150,6 @@
                                       error->message()->str() };
     }
     reply.point = pointOf(message->point());
-    reply.spent = Duration(message->spent());
     reply.load = { message->outstanding(), Duration(message->service_time()) };
     return reply;
 }
--- a/src/proxy/statement_messages.h
+++ b/src/proxy/statement_messages.h
@@ -83,8 +83,6 @@
     std::optional<UpstreamError> error;
     /// End of the database's log after the statement, if known.
     std::optional<HistoryPoint> point;
-    /// Time between receipt of the request and this reply.
-    Duration spent { 0 };
     OwnerLoad load;
 
     bool succeeded() const { return result == StatementResult::Answered && !error; }
--- a/src/proxy/statement_runner.cpp
+++ b/src/proxy/statement_runner.cpp
@@ -369,7 +369,7 @@
     } else {
         keepTransactionOpen(*execution, now);
     }
-    finish(*execution, answeredReply(reply), now);
+    finish(*execution, answeredReply(reply));
 }
 
 void StatementRunner::keepTransactionOpen(Execution &execution, TimePoint now)
@@ -392,7 +392,7 @@
     rollBackLink(execution, now);
     StatementReply answer = answeredReply(reply);
     answer.error = reply.error.value_or(UpstreamError {});
-    finish(execution, std::move(answer), now);
+    finish(execution, std::move(answer));
 }
 
 /// The connection failed or is in an unknown state. `reason` is used if the statement was sent.
@@ -402,7 +402,7 @@
     m_transactions.erase(transactionKey(execution));
     execution.pool->discard(std::exchange(execution.link, nullptr), now);
     if (sent)
-        finish(execution, unansweredReply(StatementResult::Unknown, reason), now);
+        finish(execution, unansweredReply(StatementResult::Unknown, reason));
     else
         notRun(execution, RetryReason::UpstreamLostBeforeSend, now);
 }
@@ -482,13 +482,12 @@
     }
 }
 
-void StatementRunner::finish(Execution &execution, StatementReply reply, TimePoint now)
+void StatementRunner::finish(Execution &execution, StatementReply reply)
 {
     if (execution.pool) {
         reply.load.outstanding = execution.pool->load().outstanding;
         reply.load.serviceTime = execution.pool->load().serviceTime;
     }
-    reply.spent = now - execution.receivedAt;
     const Callback callback = std::move(execution.callback);
     m_statements.remove_if([&](const Execution &item) { return &item == &execution; });
     callback(reply);
@@ -513,7 +512,7 @@
                                { "leased", pool == nullptr ? 0U : pool->load().leasedConnections },
                                { "lease_left_ms", ms(m_state.freshUntil - now) } });
     }
-    finish(execution, unansweredReply(StatementResult::NotRun, reason), now);
+    finish(execution, unansweredReply(StatementResult::NotRun, reason));
 }
 
 bool StatementRunner::cancel(std::uint64_t id)
--- a/src/proxy/statement_runner.h
+++ b/src/proxy/statement_runner.h
@@ -118,7 +118,7 @@
     void onTransactionConnectionLost(const TransactionKey &key);
     void keepTransactionOpen(Execution &execution, TimePoint now);
     void rollBack(std::map<TransactionKey, Transaction>::iterator entry, TimePoint now);
-    void finish(Execution &execution, StatementReply reply, TimePoint now);
+    void finish(Execution &execution, StatementReply reply);
     void notRun(Execution &execution, RetryReason reason, TimePoint now);
 
     ProxyState &m_state;
--- a/src/wire/peer_transport.cpp
+++ b/src/wire/peer_transport.cpp
@@ -10,6 +10,7 @@
 #include "peer_link.h"
 #include "peer_server.h"
 #include "peer_tls.h"
+#include "shallotlever/base/clock.h"
 
 namespace shallotlever {
 
@@ -36,6 +37,8 @@
     void setPeer(const NodeId &peer, const Endpoint &endpoint);
     void forgetPeer(const NodeId &peer) { m_outbound.erase(peer); }
     void closeLinks(const NodeId &peer);
+    void noteRoundTrip(const NodeId &peer, Duration connectTime);
+    std::optional<Duration> roundTrip(const NodeId &peer) const;
     PeerLink *findLink(const NodeId &peer) const;
     std::vector<NodeId> connectedPeers() const;
 
@@ -52,6 +55,7 @@
     {
         Endpoint endpoint;
         std::chrono::milliseconds backoff = kReconnectBackoffMin;
+        std::optional<Duration> roundTrip;
     };
 
     void openLink(const NodeId &peer);
@@ -111,6 +115,20 @@
         link->close();
 }
 
+void PeerTransport::Impl::noteRoundTrip(const NodeId &peer, Duration connectTime)
+{
+    const auto outbound = m_outbound.find(peer);
+    if (outbound != m_outbound.end())
+        outbound->second.roundTrip =
+            std::min(connectTime, outbound->second.roundTrip.value_or(connectTime));
+}
+
+std::optional<Duration> PeerTransport::Impl::roundTrip(const NodeId &peer) const
+{
+    const auto outbound = m_outbound.find(peer);
+    return outbound == m_outbound.end() ? std::nullopt : outbound->second.roundTrip;
+}
+
 PeerLink *PeerTransport::Impl::findLink(const NodeId &peer) const
 {
     const auto links = m_links.find(peer);
@@ -147,6 +165,9 @@
         timer->stop();
         addLink(socket, peer);
     };
+    const TimePoint startedAt = monotonicNow();
+    QObject::connect(socket, &QSslSocket::connected, &m_context,
+                     [this, peer, startedAt] { noteRoundTrip(peer, monotonicNow() - startedAt); });
     QObject::connect(timer, &QTimer::timeout, &m_context, onFailure);
     QObject::connect(socket, &QSslSocket::errorOccurred, &m_context, onFailure);
     const QString host = QString::fromStdString(endpoint.host);
@@ -263,6 +284,11 @@
     return m_impl->findLink(peer) != nullptr;
 }
 
+std::optional<Duration> PeerTransport::roundTrip(const NodeId &peer) const
+{
+    return m_impl->roundTrip(peer);
+}
+
 std::vector<NodeId> PeerTransport::connectedPeers() const
 {
     return m_impl->connectedPeers();
