--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -177,6 +177,39 @@
     controller.records.pendingProposals.clear();
 }
 
+/// Returns the report with the versions that the node has, or will have when the answer arrives.
+NodeReport withUpdatesInTransit(const ControllerState &controller, const NodeReport &report,
+                                TimePoint now)
+{
+    NodeReport assumed;
+    assumed.node = report.node;
+    assumed.incarnation = report.incarnation;
+    assumed.number = report.number;
+    assumed.appliedConfig = report.appliedConfig;
+    assumed.appliedFleet = report.appliedFleet;
+    assumed.appliedShares = report.appliedShares;
+    const auto sent = controller.sentUpdates.find(report.node);
+    if (sent == controller.sentUpdates.end() || sent->second.incarnation != report.incarnation
+        || now >= sent->second.sentAt + kUpdateConfirmationTimeout)
+        return assumed;
+    assumed.appliedConfig = std::max(assumed.appliedConfig, sent->second.config);
+    assumed.appliedFleet = std::max(assumed.appliedFleet, sent->second.fleet);
+    return assumed;
+}
+
+/// Makes the lease that answers a report, and records the update that it carries.
+NodeLease answerWithUpdates(ControllerState &controller, const NodeReport &report,
+                            const LeaseSource &source, const ShareSet &shares,
+                            bool wantsAllObservations, TimePoint now)
+{
+    NodeLease lease = makeLease(withUpdatesInTransit(controller, report, now), source, shares,
+                                wantsAllObservations);
+    if (lease.config.from != lease.config.to || lease.fleet.from != lease.fleet.to)
+        controller.sentUpdates[report.node] = { report.incarnation, lease.config.to, lease.fleet.to,
+                                                now };
+    return lease;
+}
+
 } // namespace
 
 ControllerState makeController(ControlTerm term, const ReplicatedState &replicated,
@@ -252,7 +285,8 @@
         notePoolOwnerReport(controller.poolOwnership, *nodeReport, now);
         const ShareSet &shares = grantShares(controller, *nodeReport, now);
         if (nodeReport == &report)
-            lease = makeLease(*nodeReport, source, shares, result.wantsAllObservations);
+            lease = answerWithUpdates(controller, report, source, shares,
+                                      result.wantsAllObservations, now);
         else if (lease)
             lease->nodes.push_back(
                 makeRelayedLease(*nodeReport, shares, result.wantsAllObservations));
--- a/src/controller/controller_test.cpp
+++ b/src/controller/controller_test.cpp
@@ -120,6 +120,47 @@
     EXPECT_LE(lease->config.changes.front().size(), kMaxChangeBytes);
 }
 
+struct RepeatedUpdateCase
+{
+    const char *name;
+    /// Time between the first lease, which carries the full configuration, and the second report.
+    Duration delay;
+    std::uint64_t incarnation;
+    bool repeated;
+};
+
+class RepeatedUpdate : public ControllerNodeRecords,
+                       public testing::WithParamInterface<RepeatedUpdateCase>
+{
+};
+
+// Load pattern: many nodes start at once and are asked for several reports before a full
+// configuration has crossed their slow links. Guards against sending it with each answer, and
+// against never sending it again when it was lost or the process was replaced.
+TEST_P(RepeatedUpdate, IsSentOnlyIfTheFirstWasLost)
+{
+    m_controller.records.enabled = false;
+    InstallConfig install;
+    install.content.installed.number = InstallNumber(1);
+    applyInstall(install);
+    NodeReport node = report("a", 1, 1);
+    const auto first = onNodeReport(m_controller, node, m_now);
+    ASSERT_TRUE(first);
+    ASSERT_EQ(first->config.changes.size(), 1U);
+    m_now += GetParam().delay;
+    node = report("a", GetParam().incarnation, 2);
+    const auto second = onNodeReport(m_controller, node, m_now);
+    ASSERT_TRUE(second);
+    EXPECT_EQ(second->config.changes.size(), GetParam().repeated ? 1U : 0U);
+    EXPECT_EQ(second->config.to, first->config.to);
+}
+
+INSTANTIATE_TEST_SUITE_P(Reports, RepeatedUpdate,
+                         testing::Values(RepeatedUpdateCase { "InTransit", 100ms, 1, false },
+                                         RepeatedUpdateCase { "Lost", 600ms, 1, true },
+                                         RepeatedUpdateCase { "NewProcess", 100ms, 2, true }),
+                         [](const auto &info) { return info.param.name; });
+
 struct TokenPoolCase
 {
     const char *name;
--- a/src/include/shallotlever/controller/controller.h
+++ b/src/include/shallotlever/controller/controller.h
@@ -72,6 +72,20 @@
     std::deque<GrantNumbers> recentGrants;
 };
 
+/// Time within which a node confirms an update, unless the update was lost. A report that does not
+/// confirm it yet is not answered with the same update again, because several reports may be on
+/// their way and a full state is large; updates and leases arrive in order.
+constexpr Duration kUpdateConfirmationTimeout = 500ms;
+
+/// The last update sent to a node that it had not confirmed by then.
+struct SentUpdate
+{
+    Incarnation incarnation;
+    ConfigVersion config;
+    FleetVersion fleet;
+    TimePoint sentAt;
+};
+
 /// Controller state of one group that is not part of the committed state.
 struct GroupControl
 {
@@ -138,6 +152,7 @@
     SlotAllocator slots;
     std::map<NodeId, NodeShares> shares;
     std::uint64_t lastShareVersion = 0;
+    std::map<NodeId, SentUpdate> sentUpdates;
     LogIndex logIndex;
     NodeRecords records;
     /// A node has reported a fleet view that a predecessor published.
