Leave room for other connections, and give starved teams theirs at once

Load pattern: all nodes lose power. The database counts the dead connections for seconds and accepts only what is left of its limit, fewer than there are teams.

An owner closes an idle connection after 2 s if its team has another one, takes the number of open connections as the limit for 500 ms after a refusal, and evicts an idle connection at once for a team that has none while a slot is free.

--- a/src/proxy/upstream_pool.cpp
+++ b/src/proxy/upstream_pool.cpp
@@ -38,6 +38,11 @@
 /// that a busy database spends its slots on statements rather than on new connections.
 constexpr Duration kMinEvictionInterval = 60ms;
 constexpr int kEvictionOpenTimeFactor = 2;
+/// An idle connection of a team that has another idle one is closed after this time, so that the
+/// database can accept those of other nodes, for example of this one's successor after a crash.
+constexpr Duration kSurplusIdleTimeout = 2s;
+/// A database that refused a connection is taken to accept no more than are open, for this long.
+constexpr Duration kObservedLimitPeriod = 500ms;
 /// A team that requested a connection within this time is expected to request one again.
 constexpr Duration kTeamActivityWindow = 4s;
 
@@ -170,26 +175,39 @@
         // without a connection is not starved.
         const std::uint32_t opens = pendingOpens();
         const bool slotFree = windowHasCapacity(m_window, runningStatements() + opens);
-        if (opens >= kMaxConcurrentOpens || (opens > 0 && !slotFree) || !makeRoom(now))
+        if (opens >= kMaxConcurrentOpens || (opens > 0 && !slotFree)
+            || !makeRoom(team, slotFree, now))
             return;
         if (missingLinks(team, waitingByTeam[team]) > 0)
             open(team, now);
     }
 }
 
-/// Evicts a connection if the limit is reached. Returns whether another one may be opened.
-bool UpstreamPool::makeRoom(TimePoint now)
+/// Connections that this node may have open: those leased to it, or fewer if the database has
+/// recently refused one.
+std::size_t UpstreamPool::connectionLimit(TimePoint now) const
 {
-    if (m_links.size() < m_load.leasedConnections)
+    const std::size_t leased = m_load.leasedConnections;
+    return now < m_observedLimitUntil ? std::min(leased, m_observedLimit) : leased;
+}
+
+/// Evicts a connection if the limit is reached. Returns whether one for the team may be opened. A
+/// team without a connection that waits while the database has a free slot gets one at once.
+bool UpstreamPool::makeRoom(const TeamId &team, bool slotFree, TimePoint now)
+{
+    if (m_links.size() < connectionLimit(now))
         return true;
     PooledLink *victim = evictionCandidate();
-    const bool mayEvict = victim != nullptr && now >= victim->lastUsedAt + kMinIdleBeforeEviction
-        && now >= m_lastEvictionAt + evictionInterval();
-    if (!mayEvict)
+    const bool teamHasLink = std::any_of(m_links.begin(), m_links.end(),
+                                         [&](const PooledLink &link) { return link.team == team; });
+    const bool atOnce = m_owned && slotFree && !teamHasLink;
+    const bool mayEvict =
+        victim != nullptr && (atOnce || now >= victim->lastUsedAt + kMinIdleBeforeEviction);
+    if (!mayEvict || now < m_lastEvictionAt + evictionInterval())
         return false;
     m_lastEvictionAt = now;
     remove(victim);
-    return m_links.size() < m_load.leasedConnections;
+    return m_links.size() < connectionLimit(now);
 }
 
 void UpstreamPool::open(const TeamId &team, TimePoint now)
@@ -279,6 +297,8 @@
     // A database that resets or refuses connections is running but has reached its connection
     // limit.
     m_load.avoidUntil = std::max(now + kRefusalCooldown, m_nextOpenAt);
+    m_observedLimit = std::max<std::size_t>(m_links.size(), 1);
+    m_observedLimitUntil = now + kObservedLimitPeriod;
     // If the team has other connections, its waiters are served when one of them becomes idle.
     const bool others = std::any_of(m_links.begin(), m_links.end(),
                                     [&](const PooledLink &l) { return l.team == team; });
@@ -495,6 +515,15 @@
                      });
 }
 
+/// Whether the team has another idle connection that was used more recently.
+bool UpstreamPool::isSurplus(const PooledLink &link) const
+{
+    return m_owned && std::any_of(m_links.begin(), m_links.end(), [&](const PooledLink &other) {
+               return other.open && !other.busy && other.team == link.team
+                   && other.lastUsedAt > link.lastUsedAt;
+           });
+}
+
 /// Closes connections that were idle for too long, and those whose rollback or ping was not
 /// answered: a suspended database would otherwise keep them busy forever.
 void UpstreamPool::closeExpired(TimePoint now)
@@ -502,7 +531,8 @@
     std::vector<PooledLink *> linksToClose;
     bool unanswered = false;
     for (PooledLink &link : m_links) {
-        const bool idle = link.open && !link.busy && now >= link.lastUsedAt + kIdleTimeout;
+        const bool idle = link.open && !link.busy
+            && now >= link.lastUsedAt + (isSurplus(link) ? kSurplusIdleTimeout : kIdleTimeout);
         const bool late = link.replyDeadline && now >= *link.replyDeadline;
         unanswered = unanswered || late;
         if (idle || late)
--- a/src/proxy/upstream_pool.h
+++ b/src/proxy/upstream_pool.h
@@ -142,7 +142,9 @@
     void serveWaiters(TimePoint now);
     void openForWaiters(TimePoint now);
     std::uint32_t missingLinks(const TeamId &team, std::uint32_t waiting) const;
-    bool makeRoom(TimePoint now);
+    std::size_t connectionLimit(TimePoint now) const;
+    bool makeRoom(const TeamId &team, bool slotFree, TimePoint now);
+    bool isSurplus(const PooledLink &link) const;
     void ping(TimePoint now);
     PooledLink *leastRecentlyUsedLink();
     void failWaiters(LinkAcquireFailure failure, const TeamId *team = nullptr);
@@ -175,6 +177,8 @@
     TimePoint m_lastContactAt;
     TimePoint m_nextOpenAt;
     TimePoint m_lastEvictionAt;
+    std::size_t m_observedLimit = 0;
+    TimePoint m_observedLimitUntil;
 };
 
 } // namespace shallotlever
