Wait while the disk of a control member is full

A refused record is cut off again and the write is tried every 100 ms until the disk has room; nothing is confirmed meanwhile, and the other members go on.

The tests use a fake disk that fills; both fail without the change.

--- a/src/include/shallotlever/storage/storage_thread.h
+++ b/src/include/shallotlever/storage/storage_thread.h
@@ -11,7 +11,7 @@
 namespace shallotlever {
 
 /// Performs durable writes in order on a dedicated thread. Writes that queue up while the disk is
-/// busy are committed as one group.
+/// busy are committed as one group. While the disk is full, they wait until it has room again.
 class StorageThread
 {
 public:
@@ -19,10 +19,14 @@
     /// after which all further writes fail.
     using Completion = std::function<void(std::uint64_t sequence, const absl::Status &status)>;
 
-    static std::unique_ptr<StorageThread> create(std::unique_ptr<DataDirectory> directory,
-                                                 Completion completion);
+    /// Called on the storage thread when the disk becomes full, and when it has room again.
+    using DiskFullChanged = std::function<void(bool full)>;
 
-    /// Completes the queued writes and joins the thread.
+    static std::unique_ptr<StorageThread> create(
+        std::unique_ptr<DataDirectory> directory, Completion completion,
+        DiskFullChanged diskFullChanged = [](bool) {});
+
+    /// Completes the queued writes, unless the disk is full, and joins the thread.
     ~StorageThread();
 
     /// Thread-safe; does not wait for disk I/O.
--- a/src/node/control_group.cpp
+++ b/src/node/control_group.cpp
@@ -44,21 +44,27 @@
     if (!member.ok())
         return member.status();
     m_member = std::move(*member);
-    m_storage = StorageThread::create(std::move(*directory),
-                                      [this](std::uint64_t sequence, const absl::Status &status) {
-                                          QMetaObject::invokeMethod(
-                                              m_context.get(),
-                                              [this, sequence, status] {
-                                                  if (!status.ok()) {
-                                                      m_callbacks.failed(status);
-                                                      return;
-                                                  }
-                                                  const TimePoint completedAt = monotonicNow();
-                                                  m_member->persisted(completedAt, sequence);
-                                                  processReady(completedAt);
-                                              },
-                                              Qt::QueuedConnection);
-                                      });
+    m_storage = StorageThread::create(
+        std::move(*directory),
+        [this](std::uint64_t sequence, const absl::Status &status) {
+            QMetaObject::invokeMethod(
+                m_context.get(),
+                [this, sequence, status] {
+                    if (!status.ok()) {
+                        m_callbacks.failed(status);
+                        return;
+                    }
+                    const TimePoint completedAt = monotonicNow();
+                    m_member->persisted(completedAt, sequence);
+                    processReady(completedAt);
+                },
+                Qt::QueuedConnection);
+        },
+        [this](bool full) {
+            QMetaObject::invokeMethod(
+                m_context.get(), [this, full] { m_callbacks.diskFullChanged(full); },
+                Qt::QueuedConnection);
+        });
     processReady(now);
     return absl::OkStatus();
 }
--- a/src/node/control_group.h
+++ b/src/node/control_group.h
@@ -29,6 +29,9 @@
         std::function<void(const NodeId &to, std::string payload)> send;
         /// A command has been applied to state().
         std::function<void(const Command &, const ChangeResult &, LogIndex)> applied;
+        /// The disk became full, or has room again. While it is full, this member confirms nothing
+        /// new; the others may go on without it.
+        std::function<void(bool full)> diskFullChanged;
         /// Storage failed; the member has stopped and the process must exit.
         std::function<void(const absl::Status &)> failed;
     };
--- a/src/node/node_start.cpp
+++ b/src/node/node_start.cpp
@@ -177,6 +177,15 @@
         if (m_controller)
             m_controller->onApplied(command, result, index, monotonicNow());
     };
+    Gauge &diskFull =
+        m_registry.gauge("shallotlever_disk_full", "1 while the disk of the control log is full.");
+    callbacks.diskFullChanged = [this, &diskFull](bool full) {
+        diskFull.set(full ? 1 : 0);
+        if (full)
+            m_logger.error("disk_full", {});
+        else
+            m_logger.info("disk_writable", {});
+    };
     callbacks.failed = [this](const absl::Status &status) {
         m_logger.error("storage_failed", { { "error", std::string(status.message()) } });
         finish(1);
--- a/src/storage/data_directory.cpp
+++ b/src/storage/data_directory.cpp
@@ -126,6 +126,7 @@
     RecoveredState m_recovered;
 
 private:
+    absl::Status writeGroup(const std::vector<DurableWrite> &group);
     absl::Status writeSnapshot(const DurableWrite &write);
     absl::Status removeOldSnapshots(LogIndex newest);
 
@@ -155,7 +156,7 @@
     if (!snapshot.ok())
         return snapshot.status();
     SegmentedLog::RecoveredLog recovered;
-    absl::StatusOr<SegmentedLog> log = SegmentedLog::open(path, options.segmentBytes, recovered);
+    absl::StatusOr<SegmentedLog> log = SegmentedLog::open(path, options, recovered);
     if (!log.ok())
         return log.status();
     m_log = *std::move(log);
@@ -203,6 +204,14 @@
 {
     if (!m_failure.ok())
         return m_failure;
+    const absl::Status status = writeGroup(group);
+    if (!isDiskFull(status))
+        m_failure = status;
+    return status;
+}
+
+absl::Status DataDirectory::Impl::writeGroup(const std::vector<DurableWrite> &group)
+{
     std::vector<DurableWrite> pending;
     for (const DurableWrite &write : group) {
         if (!write.snapshot) {
@@ -210,16 +219,15 @@
             continue;
         }
         // Entries that precede the snapshot must be durable before it.
+        absl::Status status;
         if (!pending.empty())
-            m_failure.Update(m_log.append(std::exchange(pending, {})));
-        if (m_failure.ok())
-            m_failure = writeSnapshot(write);
-        if (!m_failure.ok())
-            return m_failure;
+            status = m_log.append(std::exchange(pending, {}));
+        if (status.ok())
+            status = writeSnapshot(write);
+        if (!status.ok())
+            return status;
     }
-    if (!pending.empty())
-        m_failure = m_log.append(std::move(pending));
-    return m_failure;
+    return pending.empty() ? absl::OkStatus() : m_log.append(std::move(pending));
 }
 
 absl::StatusOr<std::unique_ptr<DataDirectory>> DataDirectory::open(const std::string &path,
--- a/src/storage/data_directory_test.cpp
+++ b/src/storage/data_directory_test.cpp
@@ -190,6 +190,50 @@
     EXPECT_EQ(reopen().entries.size(), 2U);
 }
 
+// Guards against a control member that ends, or loses what was durable, because its disk is full
+// for a while.
+TEST_F(StorageTest, ThreadWaitsWhileTheDiskIsFull)
+{
+    constexpr std::uint64_t kPartOfARecord = 40;
+    StorageOptions options;
+    options.space = std::make_shared<FakeDiskSpace>();
+    options.space->freeBytes = kPartOfARecord;
+    reopen(options);
+    std::promise<absl::Status> completed;
+    std::promise<void> full;
+    std::promise<void> writable;
+    auto thread = StorageThread::create(
+        std::move(m_directory),
+        [&](std::uint64_t, const absl::Status &status) { completed.set_value(status); },
+        [&](bool isFull) { isFull ? full.set_value() : writable.set_value(); });
+    thread->submit(entries(1, 3, 1));
+    full.get_future().wait();
+    options.space->freeBytes = 1U << 20U;
+    EXPECT_TRUE(completed.get_future().get().ok());
+    writable.get_future().wait();
+    thread.reset();
+    EXPECT_EQ(reopen().entries, entries(1, 3, 1).entries);
+}
+
+// Guards against a member that can't be stopped while its disk is full.
+TEST_F(StorageTest, ThreadEndsWhileTheDiskIsFull)
+{
+    StorageOptions options;
+    options.space = std::make_shared<FakeDiskSpace>();
+    reopen(options);
+    std::promise<absl::Status> completed;
+    std::promise<void> full;
+    auto thread = StorageThread::create(
+        std::move(m_directory),
+        [&](std::uint64_t, const absl::Status &status) { completed.set_value(status); },
+        [&](bool) { full.set_value(); });
+    thread->submit(entries(1, 3, 1));
+    full.get_future().wait();
+    thread.reset();
+    EXPECT_TRUE(isDiskFull(completed.get_future().get()));
+    EXPECT_TRUE(reopen().entries.empty());
+}
+
 // Guards against completions that arrive out of order or before the data is durable.
 TEST_F(StorageTest, ThreadCompletesWritesInOrder)
 {
--- a/src/storage/file.cpp
+++ b/src/storage/file.cpp
@@ -110,10 +110,14 @@
     absl::StatusOr<File> file = File::open(temporary, O_WRONLY | O_CREAT | O_TRUNC);
     if (!file.ok())
         return file.status();
-    if (absl::Status written = file->writeAll(bytes); !written.ok())
+    absl::Status written = file->writeAll(bytes);
+    if (written.ok())
+        written = file->sync();
+    if (!written.ok()) {
+        // Frees the space if the disk is full.
+        ::unlink(temporary.c_str());
         return written;
-    if (absl::Status synced = file->sync(); !synced.ok())
-        return synced;
+    }
     if (::rename(temporary.c_str(), path.c_str()) != 0)
         return systemError(path, "rename");
     return syncDirectory(directory);
--- a/src/storage/segmented_log.cpp
+++ b/src/storage/segmented_log.cpp
@@ -46,11 +46,12 @@
 } // namespace
 
 absl::StatusOr<SegmentedLog> SegmentedLog::open(const std::string &directory,
-                                                std::uint64_t segmentBytes, RecoveredLog &recovered)
+                                                const StorageOptions &options,
+                                                RecoveredLog &recovered)
 {
     SegmentedLog log;
     log.m_directory = directory;
-    log.m_segmentBytes = segmentBytes;
+    log.m_options = options;
     absl::StatusOr<std::vector<std::uint64_t>> numbers = segmentNumbers(directory);
     if (!numbers.ok())
         return numbers.status();
@@ -142,9 +143,24 @@
     return syncDirectory(m_directory);
 }
 
+absl::Status SegmentedLog::writeRecord(const std::string &record)
+{
+    std::string_view bytes = record;
+    if (m_options.space) {
+        const std::uint64_t available = m_options.space->freeBytes.load();
+        bytes = bytes.substr(0, available);
+        m_options.space->freeBytes -= bytes.size();
+    }
+    if (absl::Status written = m_activeSegment.writeAll(bytes); !written.ok())
+        return written;
+    if (bytes.size() < record.size())
+        return absl::ResourceExhaustedError("the fake disk is full");
+    return m_activeSegment.sync();
+}
+
 absl::Status SegmentedLog::append(std::vector<DurableWrite> group)
 {
-    if (m_activeSegmentBytes >= m_segmentBytes) {
+    if (m_activeSegmentBytes >= m_options.segmentBytes) {
         if (absl::Status started = startSegment(); !started.ok())
             return started;
     }
@@ -156,10 +172,13 @@
     const std::uint64_t number = m_segments.rbegin()->first;
     const std::string record =
         encodeRecord(encodeDurableWrites(group), number, m_activeSegmentBytes);
-    if (absl::Status written = m_activeSegment.writeAll(record); !written.ok())
-        return written;
-    if (absl::Status synced = m_activeSegment.sync(); !synced.ok())
-        return synced;
+    if (absl::Status written = writeRecord(record); !written.ok()) {
+        if (!isDiskFull(written))
+            return written;
+        // Removes the part that was written, so that the record can be written again.
+        const absl::Status truncated = m_activeSegment.truncate(m_activeSegmentBytes);
+        return truncated.ok() ? written : truncated;
+    }
     m_activeSegmentBytes += record.size();
     for (const DurableWrite &write : group) {
         if (write.hardState)
--- a/src/storage/segmented_log.h
+++ b/src/storage/segmented_log.h
@@ -10,6 +10,7 @@
 
 #include "file.h"
 #include "shallotlever/control/types.h"
+#include "shallotlever/storage/data_directory.h"
 
 namespace shallotlever {
 
@@ -24,10 +25,10 @@
         std::vector<LogEntry> entries;
     };
 
-    static absl::StatusOr<SegmentedLog> open(const std::string &directory,
-                                             std::uint64_t segmentBytes, RecoveredLog &recovered);
+    static absl::StatusOr<SegmentedLog>
+    open(const std::string &directory, const StorageOptions &options, RecoveredLog &recovered);
 
-    /// Writes the group as one record and syncs it.
+    /// Writes the group as one record and syncs it. If the disk is full, the log is as before.
     absl::Status append(std::vector<DurableWrite> group);
     /// Starts a new segment and removes the oldest segments whose entries are all at or before
     /// `index`.
@@ -40,10 +41,11 @@
     absl::Status replayRecord(const std::string &location, std::string_view payload,
                               RecoveredLog &recovered);
     absl::Status startSegment();
+    absl::Status writeRecord(const std::string &record);
     absl::Status removeSegments(LogIndex index);
 
     std::string m_directory;
-    std::uint64_t m_segmentBytes = 0;
+    StorageOptions m_options;
     /// Highest entry index by segment number. The last one is the active segment.
     std::map<std::uint64_t, LogIndex> m_segments;
     File m_activeSegment;
--- a/src/storage/storage_thread.cpp
+++ b/src/storage/storage_thread.cpp
@@ -1,5 +1,6 @@
 #include "shallotlever/storage/storage_thread.h"
 
+#include <chrono>
 #include <condition_variable>
 #include <mutex>
 #include <thread>
@@ -8,12 +9,21 @@
 
 namespace shallotlever {
 
+namespace {
+
+/// Interval at which a write is tried again while the disk is full.
+constexpr std::chrono::milliseconds kDiskFullRetryInterval { 100 };
+
+} // namespace
+
 class StorageThread::Impl
 {
 public:
-    Impl(std::unique_ptr<DataDirectory> directory, Completion completion)
+    Impl(std::unique_ptr<DataDirectory> directory, Completion completion,
+         DiskFullChanged diskFullChanged)
         : m_directory(std::move(directory))
         , m_completion(std::move(completion))
+        , m_diskFullChanged(std::move(diskFullChanged))
         , m_thread([this] { run(); })
     {
     }
@@ -50,12 +60,52 @@
                 group = std::exchange(m_queue, {});
             }
             const std::uint64_t lastSequence = group.back().sequence;
-            m_completion(lastSequence, m_directory->write(group));
+            absl::Status status;
+            for (const std::vector<DurableWrite> &part : splitAtSnapshots(std::move(group)))
+                status.Update(status.ok() ? writeOnceThereIsRoom(part) : absl::OkStatus());
+            m_completion(lastSequence, status);
+        }
+    }
+
+    /// Returns groups that may be written again, in order.
+    static std::vector<std::vector<DurableWrite>> splitAtSnapshots(std::vector<DurableWrite> group)
+    {
+        std::vector<std::vector<DurableWrite>> parts;
+        bool startsPart = true;
+        for (DurableWrite &write : group) {
+            const bool isSnapshot = write.snapshot != nullptr;
+            if (startsPart || isSnapshot)
+                parts.emplace_back();
+            startsPart = isSnapshot;
+            parts.back().push_back(std::move(write));
         }
+        return parts;
+    }
+
+    absl::Status writeOnceThereIsRoom(const std::vector<DurableWrite> &part)
+    {
+        absl::Status status = m_directory->write(part);
+        if (!isDiskFull(status))
+            return status;
+        m_diskFullChanged(true);
+        while (isDiskFull(status) && waitForRetry())
+            status = m_directory->write(part);
+        if (status.ok())
+            m_diskFullChanged(false);
+        return status;
+    }
+
+    /// Returns false if the thread is to stop.
+    bool waitForRetry()
+    {
+        std::unique_lock lock(m_mutex);
+        m_queueChanged.wait_for(lock, kDiskFullRetryInterval, [this] { return m_stopping; });
+        return !m_stopping;
     }
 
     std::unique_ptr<DataDirectory> m_directory;
     Completion m_completion;
+    DiskFullChanged m_diskFullChanged;
     std::mutex m_mutex;
     std::condition_variable m_queueChanged;
     std::vector<DurableWrite> m_queue;
@@ -65,10 +115,11 @@
 };
 
 std::unique_ptr<StorageThread> StorageThread::create(std::unique_ptr<DataDirectory> directory,
-                                                     Completion completion)
+                                                     Completion completion,
+                                                     DiskFullChanged diskFullChanged)
 {
-    return std::unique_ptr<StorageThread>(
-        new StorageThread(std::make_unique<Impl>(std::move(directory), std::move(completion))));
+    return std::unique_ptr<StorageThread>(new StorageThread(std::make_unique<Impl>(
+        std::move(directory), std::move(completion), std::move(diskFullChanged))));
 }
 
 StorageThread::StorageThread(std::unique_ptr<Impl> impl)
