--- a/src/proxy/statement_runner.cpp
+++ b/src/proxy/statement_runner.cpp
@@ -1,3 +1,6 @@
+// Acceptance, outcome and transactions of statements. The way of a statement to its database is in
+// statement_setup.cpp.
+
 #include "statement_runner.h"
 
 #include <algorithm>
@@ -9,10 +12,6 @@
 
 namespace {
 
-/// Timeout of an attempt, after which its connection is considered dead: this minimum, or this
-/// multiple of the typical response time.
-constexpr Duration kMinAttemptTimeout = 400ms;
-constexpr int kAttemptTimeoutFactor = 6;
 /// While the database responds to other statements, a timed-out attempt of a repeatable statement
 /// is extended by kAttemptExtension at a time, until kMaxAttemptDuration after the statement
 /// arrived.
@@ -21,21 +20,12 @@
 /// Expected response times are rough estimates: a statement is refused immediately only if its
 /// response is expected after this multiple of its time left.
 constexpr int kMaxExpectedTimeFactor = 2;
-/// Maximum wait for a connection of a statement that another database may run as well.
-constexpr Duration kLinkAcquireTimeout = 300ms;
 /// The end of a replica's log is trusted for this long; then a read shows whether it has caught up.
 constexpr Duration kLogEndLifetime = 60ms;
 /// A transaction that its session has not ended this long after its idle limit is rolled back: the
 /// session's node ends it earlier, unless it has failed.
 constexpr Duration kAbandonedTransactionMargin = 1s;
 
-/// Name of a prepared statement on a database connection. Sessions share connections, so the name
-/// is derived from the statement's content.
-std::string sharedStatementName(const PreparedStatement &prepared)
-{
-    return (prepared.writes ? "w_" : "r_") + prepared.shape;
-}
-
 StatementReply answeredReply(const UpstreamReply &reply)
 {
     StatementReply answer;
@@ -160,189 +150,6 @@
         && now < route.logEndAt + kLogEndLifetime && !isPrimary(execution);
 }
 
-void StatementRunner::acquireLink(Execution &execution, TimePoint now)
-{
-    const StatementRequest &request = execution.request;
-    execution.phaseDeadline = request.primaryOnly
-        ? execution.deadline
-        : std::min(execution.deadline, now + kLinkAcquireTimeout);
-    const std::uint64_t id = execution.id;
-    const std::uint64_t waiterId = execution.pool->acquire(
-        request.team, request.variables, request.priority,
-        [this, id](const LinkResult &result) { onLinkAcquired(id, result); }, now);
-    // The callback may have answered the statement already.
-    if (Execution *waiting = find(id))
-        waiting->waiterId = waiterId;
-}
-
-void StatementRunner::onLinkAcquired(std::uint64_t id, const LinkResult &result)
-{
-    const TimePoint now = monotonicNow();
-    Execution *execution = find(id);
-    if (execution == nullptr)
-        return;
-    if (const auto *failure = std::get_if<LinkAcquireFailure>(&result)) {
-        const bool leaving = *failure == LinkAcquireFailure::Cancelled;
-        notRun(*execution, leaving ? RetryReason::UpstreamLeaving : RetryReason::ConnectFailed,
-               now);
-        return;
-    }
-    execution->link = std::get<PooledLink *>(result);
-    setUpLink(*execution, now);
-}
-
-void StatementRunner::setUpLink(Execution &execution, TimePoint now)
-{
-    execution.phase = Phase::Preparing;
-    execution.phaseDeadline = now + attemptTimeout(execution, now);
-    const std::uint64_t id = execution.id;
-    if (execution.link->variables != execution.request.variables)
-        sendSessionVariables(execution);
-    // A failed send may have answered the statement.
-    Execution *prepared = find(id);
-    if (prepared != nullptr && prepared->phase == Phase::Preparing
-        && prepared->pendingSetupReplies == 0)
-        beginTransaction(*prepared, now);
-}
-
-void StatementRunner::sendSessionVariables(Execution &execution)
-{
-    const SessionProtocol &protocol = *m_state.protocol;
-    const SessionVariables &variables = execution.request.variables;
-    PooledLink &link = *execution.link;
-    const bool hasStaleValues =
-        std::any_of(link.variables.begin(), link.variables.end(),
-                    [&](const auto &value) { return !variables.contains(value.first); });
-    std::vector<std::string> texts;
-    if (hasStaleValues) {
-        texts.push_back(protocol.systemText(SystemStatement::Discard));
-        link.variables.clear();
-        link.prepared.clear();
-    }
-    for (const auto &[name, value] : variables) {
-        const auto current = link.variables.find(name);
-        if (current == link.variables.end() || current->second != value)
-            texts.push_back(protocol.setText(name, value));
-    }
-    link.variables = variables;
-    execution.pendingSetupReplies = texts.size();
-    UpstreamLink &connection = *link.link;
-    for (const std::string &text : texts) {
-        connection.send("", text, [this, id = execution.id](const UpstreamReply &reply) {
-            onSetupReply(id, reply);
-        });
-    }
-}
-
-void StatementRunner::onSetupReply(std::uint64_t id, const UpstreamReply &reply)
-{
-    Execution *execution = find(id);
-    if (execution == nullptr || execution->phase != Phase::Preparing)
-        return;
-    const TimePoint now = monotonicNow();
-    if (reply.lost) {
-        onLost(*execution, RetryReason::UpstreamLostBeforeSend, now);
-        return;
-    }
-    execution->setupFailed = execution->setupFailed || !reply.succeeded();
-    if (--execution->pendingSetupReplies > 0)
-        return;
-    if (execution->setupFailed)
-        // The values of the session variables on the connection are unknown.
-        onLost(*execution, RetryReason::UpstreamLostBeforeSend, now);
-    else
-        beginTransaction(*execution, now);
-}
-
-void StatementRunner::beginTransaction(Execution &execution, TimePoint now)
-{
-    const StatementRequest &request = execution.request;
-    const bool begun = m_transactions.contains(transactionKey(execution));
-    if (request.transaction == 0 || begun) {
-        send(execution, now);
-        return;
-    }
-    const SessionProtocol &protocol = *m_state.protocol;
-    std::string text = protocol.systemText(
-        request.readOnlyTransaction ? SystemStatement::BeginReadOnly : SystemStatement::Begin);
-    if (execution.minPosition)
-        text = protocol.requirePositionText(*execution.minPosition, text);
-    execution.link->link->send(
-        "", text, [this, id = execution.id](const UpstreamReply &reply) { onBegun(id, reply); });
-}
-
-void StatementRunner::onBegun(std::uint64_t id, const UpstreamReply &reply)
-{
-    Execution *execution = find(id);
-    if (execution == nullptr || execution->phase != Phase::Preparing)
-        return;
-    const TimePoint now = monotonicNow();
-    if (reply.lost) {
-        onLost(*execution, RetryReason::UpstreamLostBeforeSend, now);
-        return;
-    }
-    if (!reply.succeeded()) {
-        onError(*execution, reply, now);
-        return;
-    }
-    const TransactionKey key = transactionKey(*execution);
-    m_transactions[key] = { execution->pool, execution->link, now, true };
-    execution->link->onConnectionLost = [this, key] { onTransactionConnectionLost(key); };
-    send(*execution, now);
-}
-
-/// Checks the lease and the primary again, because they may have changed during the wait for the
-/// connection, and sends the statement.
-void StatementRunner::send(Execution &execution, TimePoint now)
-{
-    const bool continues = execution.request.transactionBegun;
-    const bool primaryNeeded = execution.request.primaryOnly || !execution.minPosition;
-    const bool primaryLost = !continues && primaryNeeded && !isPrimary(execution);
-    if (!m_state.fresh(now) || primaryLost) {
-        const RetryReason reason =
-            primaryLost ? RetryReason::NotPrimary : RetryReason::OwnerUnavailable;
-        rollBackLink(execution, now);
-        notRun(execution, reason, now);
-        return;
-    }
-    execution.phase = Phase::Running;
-    execution.phaseDeadline = now + attemptTimeout(execution, now);
-    const std::string text = statementText(execution);
-    UpstreamLink &link = *execution.link->link;
-    link.send(execution.request.id, text,
-              [this, id = execution.id](const UpstreamReply &reply) { onReply(id, reply); });
-}
-
-/// Returns the text to send. Prepares the statement first if it is executed by name and not yet
-/// prepared on the connection.
-std::string StatementRunner::statementText(Execution &execution)
-{
-    const SessionProtocol &protocol = *m_state.protocol;
-    const StatementRequest &request = execution.request;
-    std::string text = request.text;
-    if (request.prepared) {
-        const std::string name = sharedStatementName(*request.prepared);
-        if (execution.link->prepared.emplace(name, *request.prepared).second)
-            // If this fails, the Execute that follows fails with UnknownPrepared and the statement
-            // is prepared again.
-            execution.link->link->send("", protocol.prepareText(name, *request.prepared),
-                                       [](const UpstreamReply &) {});
-        text = protocol.executeText(name, request.text);
-    }
-    const bool single = request.transaction == 0;
-    return single && execution.minPosition
-        ? protocol.requirePositionText(*execution.minPosition, text)
-        : text;
-}
-
-Duration StatementRunner::attemptTimeout(const Execution &execution, TimePoint now) const
-{
-    const UpstreamLoad &load = execution.pool->load();
-    const Duration typical = (load.serviceTime + load.roundTrip) * kAttemptTimeoutFactor;
-    const bool repeatable = execution.request.transaction == 0 && !execution.request.writes;
-    return repeatable ? std::max(kMinAttemptTimeout, typical) : execution.deadline - now;
-}
-
 void StatementRunner::onReply(std::uint64_t id, const UpstreamReply &reply)
 {
     Execution *execution = find(id);
--- a/src/proxy/upstream_pool.h
+++ b/src/proxy/upstream_pool.h
@@ -39,6 +39,8 @@
     std::optional<TimePoint> replyDeadline;
 };
 
+/// Number of consecutive timeouts after which a database is considered unreachable.
+constexpr std::uint32_t kTimeoutsUntilUnreachable = 2;
 /// An owned database that has not responded for this long is pinged.
 constexpr Duration kDefaultPingInterval = 500ms;
 
@@ -151,7 +153,6 @@
     void setReachable(bool reachable);
     void updateOutstanding();
     std::uint32_t pendingOpens() const;
-    Duration evictionInterval() const;
     void closeExpired(TimePoint now);
     std::uint32_t runningStatements() const;
 
