--- a/src/proxy/statement_dispatcher.cpp
+++ b/src/proxy/statement_dispatcher.cpp
@@ -87,10 +87,7 @@
 DatabaseRoute *StatementDispatcher::route(const Forwarded &forwarded)
 {
     const auto service = m_state.services.find(forwarded.service);
-    if (service == m_state.services.end())
-        return nullptr;
-    const auto found = service->second.routes.find(forwarded.upstream);
-    return found == service->second.routes.end() ? nullptr : &found->second;
+    return service == m_state.services.end() ? nullptr : service->second.route(forwarded.upstream);
 }
 
 void StatementDispatcher::answer(std::uint64_t id, const StatementReply &reply, TimePoint now)
--- a/src/proxy/statement_runner.cpp
+++ b/src/proxy/statement_runner.cpp
@@ -40,10 +40,13 @@
 
 StatementRunner::StatementRunner(ProxyState &state)
     : m_state(state)
-    , m_refused(state.metrics->registry().counter(
-          "shallotlever_owner_refusals_total",
-          "Statements that this node could not run on its connections and returned unrun."))
 {
+    for (const RetryReasonRow &row : retryReasonTable())
+        m_returned.push_back(
+            &state.metrics->registry().counter("shallotlever_owner_refusals_total",
+                                               "Statements that this node could not run on its "
+                                               "connections and returned unrun, by reason.",
+                                               { { "reason", std::string(row.name) } }));
 }
 
 StatementRunner::~StatementRunner()
@@ -302,7 +305,7 @@
 
 void StatementRunner::notRun(Execution &execution, RetryReason reason, TimePoint now)
 {
-    m_refused.increment();
+    m_returned[static_cast<std::size_t>(reason)]->increment();
     if (acquireLogToken(m_state.logRateLimiter, LogTopic::Retry, now)) {
         const auto ms = [](Duration d) {
             return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
--- a/src/proxy/statement_runner.h
+++ b/src/proxy/statement_runner.h
@@ -4,6 +4,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <vector>
 
 #include "proxy_state.h"
 #include "statement_messages.h"
@@ -125,7 +126,8 @@
     std::list<Execution> m_statements;
     std::map<TransactionKey, Transaction> m_transactions;
     std::uint64_t m_lastId = 0;
-    Counter &m_refused;
+    /// Statements returned unrun, by RetryReason.
+    std::vector<Counter *> m_returned;
 };
 
 } // namespace shallotlever
