--- /dev/null
+++ b/review/stand-ins/restarted_front.cpp
@@ -0,0 +1,79 @@
+// A machine that takes requests is killed and starts again while databases still run what it sent.
+#include "lab.h"
+
+using namespace lab;
+
+int main(int argc, char **argv)
+{
+    const bool trouble = begin(argc, argv);
+    Deployment d(3);
+    Group group("svc270a", d.controlAddresses);
+    const int port = freePort(d.ip(101));
+    Database &p = group.add("i-p", d.ip(101), port, "vast-a");
+    Database &r1 = group.add("i-r1", d.ip(102), port, "norr-a");
+    Database &r2 = group.add("i-r2", d.ip(103), port, "ost-a");
+    for (Database *database : { &p, &r1, &r2 }) {
+        // Work of departure-board on the site farjeplan.
+        database->meanWorkMs = 55;
+        database->maxWorkMs = 410;
+    }
+    Platform platform(d.platformIp, d.platformPort, { &group });
+    d.start();
+    p.start(true);
+    r1.start(false);
+    r2.start(false);
+    const std::vector<std::string> routes { route("huvo11a", "svc270a", "bounded_staleness", 3000,
+                                                  1500) };
+    if (!d.putConfig(config(7, routes, { "svc270a" },
+                            { tenant("tenant-a", { "u6wsjnbanfqasnmgkcuy" }, 1000) }),
+                     20000))
+        cannotRun("no configuration");
+    d.awaitReady(20000);
+    sleepFor(6000ms);
+
+    constexpr std::size_t kFront = 1;
+    std::atomic<bool> stop { false };
+    std::atomic<int> broken { 0 }, good { 0 };
+    std::vector<std::thread> threads;
+    for (int n = 0; n < 48; ++n) {
+        threads.emplace_back([&, n] {
+            const std::string name = "r" + std::to_string(n);
+            for (int session = 0; !stop; ++session) {
+                Requester requester(name + "." + std::to_string(session), d.entryIps[kFront],
+                                    d.frontPort);
+                if (!requester.start("huvo11a", "u6wsjnbanfqasnmgkcuy")) {
+                    sleepFor(20ms);
+                    continue;
+                }
+                for (int i = 0; !stop; ++i) {
+                    std::string id;
+                    const std::string item = name + "item" + std::to_string(i);
+                    const Answer answer = requester.query("READ " + item, 5000, &id);
+                    if (answer.closed || answer.timedOut)
+                        break;
+                    if (!answer.ok())
+                        continue;
+                    ++good;
+                    if (answer.complete.find(id) == std::string::npos) {
+                        ++broken;
+                        RECORD("MIXED: requester %s gets a success for %s with the signature %s",
+                               requester.name().c_str(), id.c_str(), answer.complete.c_str());
+                    }
+                }
+            }
+        });
+    }
+    // The first requests of this machine are under way.
+    sleepFor(60ms);
+    if (trouble) {
+        d.entry[kFront].kill();
+        d.restart(d.entry[kFront]);
+    }
+    sleepFor(4000ms);
+    stop = true;
+    for (std::thread &t : threads)
+        t.join();
+    RECORD("successes: %d, of them with the signature of another statement: %d", good.load(),
+           broken.load());
+    finish(broken > 0 ? 1 : 0);
+}
