--- a/review/stand-ins/lab.h
+++ b/review/stand-ins/lab.h
@@ -8,6 +8,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -318,9 +319,9 @@
     /// Its heartbeats do not reach the control nodes.
     std::atomic<bool> cutFromControl { false };
     /// Time that a statement takes, distributed as in the site files (lognormal).
-    double meanWorkMs = 11;
+    std::atomic<double> meanWorkMs { 11 };
     double workSpread = 0.7;
-    double maxWorkMs = 82;
+    std::atomic<double> maxWorkMs { 82 };
     /// Statements that run at the same time, and that wait; more are refused.
     int slots = 5;
     int queue = 40;
@@ -350,7 +351,7 @@
         std::lognormal_distribution<double> work(std::log(meanWorkMs) - workSpread * workSpread / 2,
                                                  workSpread);
         return std::chrono::milliseconds(
-            static_cast<long>(std::min(work(random), maxWorkMs) + 0.5));
+            static_cast<long>(std::min(work(random), maxWorkMs.load()) + 0.5));
     }
     void acceptLoop(int listener);
     void serve(int fd);
@@ -1129,6 +1130,8 @@
             sigset_t none;
             sigemptyset(&none);
             sigprocmask(SIG_SETMASK, &none, nullptr);
+            // The program must not outlive this one.
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
             execve(argv[0], argv.data(), envp.data());
             _exit(127);
         }
