--- a/review/stand-ins/lab.h
+++ b/review/stand-ins/lab.h
@@ -1290,6 +1290,22 @@
         for (Process &p : entry)
             p.start();
     }
+    /// The settings of later starts name these control machines as seeds.
+    void setSeeds(const std::vector<std::string> &ips)
+    {
+        std::string seeds;
+        for (const std::string &s : ips)
+            seeds += (seeds.empty() ? "" : ",") + s + ":" + std::to_string(controlAddresses.port);
+        for (auto *processes : { &control, &entry }) {
+            for (Process &p : *processes) {
+                for (std::size_t i = 0; i + 1 < p.arguments.size(); ++i) {
+                    if (p.arguments[i] == "--control-seeds")
+                        p.arguments[i + 1] = seeds;
+                }
+            }
+        }
+        RECORD("platform: the seeds are %s", seeds.c_str());
+    }
     /// A later start, after which the system is no longer new.
     void restart(Process &p)
     {
