--- a/review/stand-ins/lab.h
+++ b/review/stand-ins/lab.h
@@ -53,7 +53,7 @@
     std::this_thread::sleep_for(d);
 }
 
-/// Writes record.txt, one line for each thing that was sent, answered or run.
+/// Writes the record, one line for each thing that was sent, answered or run.
 class Record
 {
 public:
@@ -62,7 +62,11 @@
         static Record record;
         return record;
     }
-    void open(const std::string &path) { m_file = fopen(path.c_str(), "w"); }
+    bool open(const std::string &path)
+    {
+        m_file = fopen(path.c_str(), "w");
+        return m_file != nullptr;
+    }
     void line(const char *format, ...)
     {
         std::lock_guard lock(m_mutex);
@@ -1398,11 +1402,11 @@
     _exit(2);
 }
 
-/// Opens record.txt, and limits the run to 115 s. Returns whether the disruption is wanted.
+/// Opens the record, and limits the run to 115 s. Returns whether the disruption is wanted.
 inline bool begin(int argc, char **argv)
 {
     if (argc != 2) {
-        fprintf(stderr, "usage: %s FOLDER\n", argv[0]);
+        fprintf(stderr, "usage: %s RECORD_FILE\n", argv[0]);
         exit(2);
     }
     ::signal(SIGPIPE, SIG_IGN);
@@ -1410,7 +1414,10 @@
     ::signal(SIGINT, handleStop);
     ::signal(SIGALRM, handleStop);
     alarm(115);
-    Record::instance().open(std::string(argv[1]) + "/record.txt");
+    if (!Record::instance().open(argv[1])) {
+        fprintf(stderr, "cannot write %s\n", argv[1]);
+        exit(2);
+    }
     const char *trouble = getenv("TROUBLE");
     const bool wanted = trouble == nullptr || std::string(trouble) != "0";
     RECORD("disruption: %s", wanted ? "yes" : "no");
--- a/review/stand-ins/reborn.cpp
+++ b/review/stand-ins/reborn.cpp
@@ -41,7 +41,7 @@
         write(i);
     sleepFor(6000ms);
     if (trouble) {
-        // replica_lag: the replica receives nothing for 6.5 s.
+        // replica_lag: the replica receives nothing, for less than 6.5 s.
         r2.deaf = true;
         RECORD("database i-r2: receives nothing");
     }
@@ -55,11 +55,11 @@
         r1.crash();
         sleepFor(500ms);
         r1.restart(true);
-        sleepFor(5500ms);
+        sleepFor(4500ms);
         r2.deaf = false;
         RECORD("database i-r2: receives again");
-        sleepFor(1000ms);
-        // The primary comes back with its log 7 s after its crash.
+        sleepFor(1900ms);
+        // The primary comes back with its log 6.9 s after its crash.
         p.restart(false);
         sleepFor(10000ms);
     }
--- a/review/stand-ins/restarted_front.cpp
+++ b/review/stand-ins/restarted_front.cpp
@@ -6,7 +6,8 @@
 int main(int argc, char **argv)
 {
     const bool trouble = begin(argc, argv);
-    Deployment d(3);
+    // As on the site: 7 fronts and 3 core machines, 3 services of 3 databases.
+    Deployment d(7);
     Group group("svc270a", d.controlAddresses);
     const int port = freePort(d.ip(101));
     Database &p = group.add("i-p", d.ip(101), port, "vast-a");
@@ -19,13 +20,18 @@
         database->slots = 3;
         database->queue = 24;
     }
-    Platform platform(d.platformIp, d.platformPort, { &group });
+    Group second("svc270b", d.controlAddresses), third("svc270c", d.controlAddresses);
+    for (int i = 0; i < 3; ++i) {
+        second.add("i-b" + std::to_string(i), d.ip(111 + i), port, d.zones[i]).start(i == 0);
+        third.add("i-c" + std::to_string(i), d.ip(121 + i), port, d.zones[i]).start(i == 0);
+    }
+    Platform platform(d.platformIp, d.platformPort, { &group, &second, &third });
     d.start();
     p.start(true);
     r1.start(false);
     r2.start(false);
     const std::vector<std::string> routes { route("lepu270", "svc270a", "primary", 1000, 0) };
-    if (!d.putConfig(config(7, routes, { "svc270a" },
+    if (!d.putConfig(config(7, routes, { "svc270a", "svc270b", "svc270c" },
                             { tenant("tenant-a", { "u6wsjnbanfqasnmgkcuy" }, 1000) }),
                      20000))
         cannotRun("no configuration");
@@ -33,7 +39,7 @@
     sleepFor(6000ms);
 
     if (trouble) {
-        // srv_slow, until the end of the run (less than 6.5 s).
+        // srv_slow, for less than 6.5 s.
         constexpr double kSlowFactor = 5;
         p.meanWorkMs = p.meanWorkMs * kSlowFactor;
         p.maxWorkMs = p.maxWorkMs * kSlowFactor;
@@ -87,6 +93,11 @@
         d.restart(d.entry[kFront]);
     }
     sleepFor(4000ms);
+    if (trouble) {
+        p.meanWorkMs = 8;
+        p.maxWorkMs = 60;
+        RECORD("database i-p: no longer slow");
+    }
     stop = true;
     for (std::thread &t : threads)
         t.join();
