Address replies to the process that sent the request

Cause: forwarded statements are numbered from 1 in each process. The owner kept the sender's node id and the number, and its reply went to whichever process of that node was connected. The link stamps messages with the incarnation in the peer's Hello, so the receiver's check of stale incarnations passed.

Change: replies go to a PeerProcess (node id and incarnation of the request) and are dropped if it is gone; an answer is accepted only from the node that was asked. The same for log positions, answers to operators, tokens, leases and controller hints, which used the node id.

ReplyDoesNotReachSuccessorOfRequester covers the transport.

Ruled out: replies of databases (matched by order on a connection that ends with the process), messages of the control log (durable terms).

--- a/src/include/shallotlever/proxy/proxy.h
+++ b/src/include/shallotlever/proxy/proxy.h
@@ -40,6 +40,13 @@
                        std::string payload)>
         send =
             [](const NodeId &, MessageType, std::uint64_t, const std::string &) { return false; };
+    /// Answers a request: the message reaches only the process that sent it. Returns false if the
+    /// message was dropped.
+    std::function<bool(const PeerProcess &process, MessageType type, std::uint64_t requestId,
+                       std::string payload)>
+        reply = [](const PeerProcess &, MessageType, std::uint64_t, const std::string &) {
+            return false;
+        };
     std::function<bool(const NodeId &peer)> isConnected = [](const NodeId &) { return false; };
     /// Network round trip to the node, if known.
     std::function<std::optional<Duration>(const NodeId &peer)> roundTrip = [](const NodeId &) {
--- a/src/include/shallotlever/wire/peer.h
+++ b/src/include/shallotlever/wire/peer.h
@@ -40,6 +40,14 @@
 /// Maximum size of the envelope in a frame, in bytes, without the length prefix.
 constexpr std::uint32_t kMaxFrameBytes = 1U << 20U;
 
+/// One process of a node. A node that restarts is another process under the same id.
+struct PeerProcess
+{
+    NodeId node;
+    Incarnation incarnation;
+    friend auto operator<=>(const PeerProcess &, const PeerProcess &) = default;
+};
+
 struct PeerMessage
 {
     MessageType type = MessageType::Control;
@@ -51,6 +59,8 @@
     Incarnation receiverIncarnation;
     /// FlatBuffers payload of the protocol given by `type`.
     std::string payload;
+
+    PeerProcess senderProcess() const { return { sender, senderIncarnation }; }
 };
 
 } // namespace shallotlever
--- a/src/include/shallotlever/wire/peer_transport.h
+++ b/src/include/shallotlever/wire/peer_transport.h
@@ -97,6 +97,12 @@
     /// incarnation is taken from the peer's Hello. Returns false if the message was dropped.
     bool send(const NodeId &peer, MessageType type, std::uint64_t requestId, std::string payload);
 
+    /// Sends a message to one process of a peer, over the newest link to it. Use it for replies:
+    /// request ids are unique only within the process that sent the request. Returns false if the
+    /// message was dropped, for example because the peer has restarted.
+    bool sendTo(const PeerProcess &process, MessageType type, std::uint64_t requestId,
+                std::string payload);
+
     bool isConnected(const NodeId &peer) const;
     /// Network round trip to a peer that this node connects to: the shortest time that a TCP
     /// connect took; nullopt if none has succeeded.
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -167,7 +167,7 @@
     addRelayedReports(report, now);
     const NodeId target = reportTarget();
     if (target == m_settings.nodeId)
-        answerReport(report, target, 0, now);
+        answerReport(report, { target, m_incarnation }, 0, now);
     else
         m_transport->send(target, MessageType::NodeReport, report.number, encodeNodeReport(report));
     for (const auto &[service, host] : m_hosts)
@@ -267,28 +267,28 @@
     if (m_settings.relay && !isController)
         relayNodeReport(*std::move(report), now);
     else
-        answerReport(*report, message.sender, message.requestId, now);
+        answerReport(*report, message.senderProcess(), message.requestId, now);
 }
 
-void Node::Impl::answerReport(const NodeReport &report, const NodeId &to, std::uint64_t requestId,
-                              TimePoint now)
+void Node::Impl::answerReport(const NodeReport &report, const PeerProcess &to,
+                              std::uint64_t requestId, TimePoint now)
 {
-    const bool local = to == m_settings.nodeId;
+    const bool local = to.node == m_settings.nodeId;
     if (m_controller && m_controller->isActive()) {
         const std::optional<NodeLease> lease = m_controller->answerReport(report, now);
         if (lease && local)
             applyLease(*lease, now);
         else if (lease)
-            m_transport->send(to, MessageType::NodeLease, requestId, encodeNodeLease(*lease));
+            m_transport->sendTo(to, MessageType::NodeLease, requestId, encodeNodeLease(*lease));
         return;
     }
     const std::optional<Member> leader =
         m_controlGroup ? m_controlGroup->member().leader() : std::nullopt;
     const NodeId named = leader ? leader->node : NodeId();
     if (local)
-        applyControllerHint(m_controllerLink, to, named, now);
+        applyControllerHint(m_controllerLink, to.node, named, now);
     else
-        m_transport->send(to, MessageType::ControllerHint, requestId, named.value());
+        m_transport->sendTo(to, MessageType::ControllerHint, requestId, named.value());
 }
 
 void Node::Impl::onLease(const PeerMessage &message, TimePoint now)
@@ -300,10 +300,9 @@
 
 void Node::Impl::onForward(const PeerMessage &message, TimePoint now)
 {
-    const NodeId sender = message.sender;
-    const std::uint64_t id = message.requestId;
-    const auto reply = [this, sender, id](const OperatorReply &answer) {
-        m_transport->send(sender, MessageType::ForwardReply, id, encodeOperatorReply(answer));
+    const auto reply = [this, sender = message.senderProcess(),
+                        id = message.requestId](const OperatorReply &answer) {
+        m_transport->sendTo(sender, MessageType::ForwardReply, id, encodeOperatorReply(answer));
     };
     const absl::StatusOr<OperatorRequest> request = decodeOperatorRequest(message.payload);
     if (!request.ok())
--- a/src/node/node_impl.h
+++ b/src/node/node_impl.h
@@ -88,7 +88,7 @@
     // Messages from peers.
     void onPeerMessage(const PeerMessage &message);
     void onReport(const PeerMessage &message, TimePoint now);
-    void answerReport(const NodeReport &report, const NodeId &to, std::uint64_t requestId,
+    void answerReport(const NodeReport &report, const PeerProcess &to, std::uint64_t requestId,
                       TimePoint now);
     void onLease(const PeerMessage &message, TimePoint now);
     void onForward(const PeerMessage &message, TimePoint now);
--- a/src/node/node_start.cpp
+++ b/src/node/node_start.cpp
@@ -249,6 +249,10 @@
                         std::string payload) {
         return m_transport->send(peer, type, id, std::move(payload));
     };
+    peers.reply = [this](const PeerProcess &process, MessageType type, std::uint64_t id,
+                         std::string payload) {
+        return m_transport->sendTo(process, type, id, std::move(payload));
+    };
     peers.isConnected = [this](const NodeId &peer) { return m_transport->isConnected(peer); };
     peers.roundTrip = [this](const NodeId &peer) { return m_transport->roundTrip(peer); };
     peers.connect = [this](const NodeId &peer) {
--- a/src/node/node_tokens.cpp
+++ b/src/node/node_tokens.cpp
@@ -48,15 +48,16 @@
 
 void Node::Impl::deliverTokens(const std::vector<TokenDelivery> &deliveries, TimePoint now)
 {
-    std::map<std::pair<NodeId, std::uint64_t>, std::vector<TokenGrant>> messages;
+    std::map<std::pair<PeerProcess, std::uint64_t>, std::vector<TokenGrant>> messages;
     for (const TokenDelivery &delivery : deliveries)
-        messages[{ delivery.to.node, delivery.to.request }].push_back(delivery.grant);
+        messages[{ { delivery.to.node, delivery.to.incarnation }, delivery.to.request }].push_back(
+            delivery.grant);
     for (const auto &[to, grants] : messages) {
-        if (to.first == m_settings.nodeId)
+        if (to.first.node == m_settings.nodeId)
             applyTokenGrants(grants, to.second, now);
         else
-            m_transport->send(to.first, MessageType::TokenGrant, to.second,
-                              encodeTokenGrants(grants));
+            m_transport->sendTo(to.first, MessageType::TokenGrant, to.second,
+                                encodeTokenGrants(grants));
     }
 }
 
--- a/src/proxy/statement_dispatcher.cpp
+++ b/src/proxy/statement_dispatcher.cpp
@@ -169,12 +169,11 @@
         break;
     case MessageType::StatementReply:
         if (const auto reply = decodeStatementReply(message.payload); reply.ok())
-            answer(message.requestId, *reply, now);
+            onStatementReply(message, *reply, now);
         break;
     case MessageType::TransactionEnd:
         if (const auto transaction = decodeTransactionEnd(message.payload); transaction.ok())
-            m_runner.endTransaction({ message.sender, message.senderIncarnation }, *transaction,
-                                    now);
+            m_runner.endTransaction(message.senderProcess(), *transaction, now);
         break;
     case MessageType::PositionRequest:
         onPositionRequest(message, now);
@@ -189,16 +188,24 @@
 
 void StatementDispatcher::onStatement(const PeerMessage &message, TimePoint now)
 {
-    const auto reply = [this, peer = message.sender,
+    const auto reply = [this, process = message.senderProcess(),
                         id = message.requestId](const StatementReply &answer) {
-        m_peers.send(peer, MessageType::StatementReply, id, encodeStatementReply(answer));
+        m_peers.reply(process, MessageType::StatementReply, id, encodeStatementReply(answer));
     };
     absl::StatusOr<StatementRequest> request = decodeStatementRequest(message.payload);
     if (!request.ok()) {
         reply(unansweredReply(StatementResult::NotRun, RetryReason::OwnerUnavailable));
         return;
     }
-    m_runner.run({ message.sender, message.senderIncarnation }, *std::move(request), reply, now);
+    m_runner.run(message.senderProcess(), *std::move(request), reply, now);
+}
+
+void StatementDispatcher::onStatementReply(const PeerMessage &message, const StatementReply &reply,
+                                           TimePoint now)
+{
+    const auto forwarded = m_forwarded.find(message.requestId);
+    if (forwarded != m_forwarded.end() && forwarded->second.owner == message.sender)
+        answer(message.requestId, reply, now);
 }
 
 void StatementDispatcher::onPositionRequest(const PeerMessage &message, TimePoint now)
@@ -217,21 +224,22 @@
             positions.push_back({ id, *service->second.primary, observations.back().point,
                                   std::max(now - observations.back().requestedAt, Duration(0)) });
     }
-    m_peers.send(message.sender, MessageType::PositionReply, message.requestId,
-                 encodePositionReply(positions));
+    m_peers.reply(message.senderProcess(), MessageType::PositionReply, message.requestId,
+                  encodePositionReply(positions));
 }
 
 void StatementDispatcher::onPositionReply(const PeerMessage &message)
 {
     const auto request = m_positionRequests.find(message.requestId);
     const auto positions = decodePositionReply(message.payload);
-    if (request == m_positionRequests.end() || !positions.ok())
+    if (request == m_positionRequests.end() || request->second.peer != message.sender
+        || !positions.ok())
         return;
     // The other node observed the position at most `age` before it received the request, so not
     // earlier than `age` before the request was sent.
     for (const ServicePosition &position : *positions)
         m_state.recordHistoryPoint(position.service, position.primary, position.point,
-                                   request->second - position.age);
+                                   request->second.sentAt - position.age);
     m_positionRequests.erase(request);
 }
 
@@ -292,7 +300,7 @@
 {
     const std::uint64_t id = ++m_lastPositionRequest;
     if (m_peers.send(peer, MessageType::PositionRequest, id, encodePositionRequest(services)))
-        m_positionRequests[id] = now;
+        m_positionRequests[id] = { peer, now };
 }
 
 /// Requests the end of the logs of the services whose replicas this node serves.
@@ -302,7 +310,7 @@
         return;
     m_nextPositionRequests = now + kPositionInterval;
     std::erase_if(m_positionRequests, [now](const auto &request) {
-        return now >= request.second + kPositionRequestTimeout;
+        return now >= request.second.sentAt + kPositionRequestTimeout;
     });
     std::map<NodeId, std::vector<ServiceId>> servicesByOwner;
     for (auto &[id, service] : m_state.services) {
--- a/src/proxy/statement_dispatcher.h
+++ b/src/proxy/statement_dispatcher.h
@@ -75,11 +75,18 @@
         bool responsive = true;
     };
 
+    struct PendingPositionRequest
+    {
+        NodeId peer;
+        TimePoint sentAt;
+    };
+
     DatabaseRoute *route(const Forwarded &forwarded);
     void answer(std::uint64_t id, const StatementReply &reply, TimePoint now);
     static void noteLag(DatabaseRoute &route, const StatementReply &reply, TimePoint now);
     static void noteLoad(DatabaseRoute &route, const StatementReply &reply, TimePoint now);
     void onStatement(const PeerMessage &message, TimePoint now);
+    void onStatementReply(const PeerMessage &message, const StatementReply &reply, TimePoint now);
     void onPositionRequest(const PeerMessage &message, TimePoint now);
     void onPositionReply(const PeerMessage &message);
     void checkLiveness(TimePoint now);
@@ -94,8 +101,8 @@
     std::map<std::uint64_t, Forwarded> m_forwarded;
     std::uint64_t m_lastId = 0;
     std::map<NodeId, PeerLiveness> m_liveness;
-    /// When the pending position requests were sent, by request id.
-    std::map<std::uint64_t, TimePoint> m_positionRequests;
+    /// Position requests that have not been answered, by request id.
+    std::map<std::uint64_t, PendingPositionRequest> m_positionRequests;
     std::uint64_t m_lastPositionRequest = 0;
     TimePoint m_nextPositionRequests;
     std::set<NodeId> m_connected;
--- a/src/proxy/statement_runner.cpp
+++ b/src/proxy/statement_runner.cpp
@@ -71,7 +71,7 @@
     return { execution.sender, execution.request.transaction };
 }
 
-std::uint64_t StatementRunner::run(const StatementSender &sender, StatementRequest request,
+std::uint64_t StatementRunner::run(const PeerProcess &sender, StatementRequest request,
                                    Callback callback, TimePoint now)
 {
     Execution &execution = m_statements.emplace_back();
@@ -264,7 +264,7 @@
         m_transactions.erase(open);
 }
 
-void StatementRunner::endTransaction(const StatementSender &sender, std::uint64_t transaction,
+void StatementRunner::endTransaction(const PeerProcess &sender, std::uint64_t transaction,
                                      TimePoint now)
 {
     const TransactionKey key { sender, transaction };
--- a/src/proxy/statement_runner.h
+++ b/src/proxy/statement_runner.h
@@ -7,18 +7,11 @@
 #include <vector>
 
 #include "proxy_state.h"
+#include "shallotlever/wire/peer.h"
 #include "statement_messages.h"
 
 namespace shallotlever {
 
-/// The process whose session a statement belongs to.
-struct StatementSender
-{
-    NodeId node;
-    Incarnation incarnation;
-    friend auto operator<=>(const StatementSender &, const StatementSender &) = default;
-};
-
 /// Runs statements on the connections that this node holds to databases: those of its own sessions
 /// and those that other nodes forward. Keeps the connection of an open transaction until it ends.
 ///
@@ -34,14 +27,15 @@
     StatementRunner(const StatementRunner &) = delete;
     StatementRunner &operator=(const StatementRunner &) = delete;
 
-    /// Returns an id to pass to cancel(), or 0 if the statement has been answered already.
-    std::uint64_t run(const StatementSender &sender, StatementRequest request, Callback callback,
+    /// `sender` is the process whose session the statement belongs to. Returns an id to pass to
+    /// cancel(), or 0 if the statement has been answered already.
+    std::uint64_t run(const PeerProcess &sender, StatementRequest request, Callback callback,
                       TimePoint now);
     /// Drops a statement that has not been sent, without an answer. Returns false if it has been
     /// sent; it is then answered.
     bool cancel(std::uint64_t id);
     /// Rolls back a transaction, if it is open.
-    void endTransaction(const StatementSender &sender, std::uint64_t transaction, TimePoint now);
+    void endTransaction(const PeerProcess &sender, std::uint64_t transaction, TimePoint now);
     /// Handles expired timeouts.
     void tick(TimePoint now);
     /// Rolls back the transactions in which no statement is running.
@@ -51,7 +45,7 @@
     std::size_t runningStatements() const { return m_statements.size(); }
 
 private:
-    using TransactionKey = std::pair<StatementSender, std::uint64_t>;
+    using TransactionKey = std::pair<PeerProcess, std::uint64_t>;
 
     enum class Phase : std::uint8_t {
         /// Waits for a connection of the pool.
@@ -73,7 +67,7 @@
     struct Execution
     {
         std::uint64_t id = 0;
-        StatementSender sender;
+        PeerProcess sender;
         StatementRequest request;
         Callback callback;
         TimePoint receivedAt;
--- a/src/wire/peer_link.h
+++ b/src/wire/peer_link.h
@@ -31,6 +31,8 @@
     void start();
     bool ready() const { return m_ready; }
     const NodeId &peer() const { return m_peer; }
+    /// Incarnation in the peer's Hello.
+    Incarnation peerIncarnation() const { return m_peerIncarnation; }
     bool send(PeerMessage message);
     void close();
 
--- a/src/wire/peer_transport.cpp
+++ b/src/wire/peer_transport.cpp
@@ -40,6 +40,8 @@
     void noteRoundTrip(const NodeId &peer, Duration connectTime);
     std::optional<Duration> roundTrip(const NodeId &peer) const;
     PeerLink *findLink(const NodeId &peer) const;
+    PeerLink *findLink(const PeerProcess &process) const;
+    bool sendOver(PeerLink *link, PeerMessage message);
     std::vector<NodeId> connectedPeers() const;
 
     PeerServer m_server;
@@ -135,6 +137,26 @@
     return links == m_links.end() || links->second.empty() ? nullptr : links->second.back();
 }
 
+PeerLink *PeerTransport::Impl::findLink(const PeerProcess &process) const
+{
+    const auto found = m_links.find(process.node);
+    if (found == m_links.end())
+        return nullptr;
+    const std::vector<PeerLink *> &links = found->second;
+    const auto newest = std::find_if(links.rbegin(), links.rend(), [&](const PeerLink *link) {
+        return link->peerIncarnation() == process.incarnation;
+    });
+    return newest == links.rend() ? nullptr : *newest;
+}
+
+bool PeerTransport::Impl::sendOver(PeerLink *link, PeerMessage message)
+{
+    if (link != nullptr)
+        return link->send(std::move(message));
+    ++m_counters.messagesDropped;
+    return false;
+}
+
 std::vector<NodeId> PeerTransport::Impl::connectedPeers() const
 {
     std::vector<NodeId> peers;
@@ -271,12 +293,15 @@
 bool PeerTransport::send(const NodeId &peer, MessageType type, std::uint64_t requestId,
                          std::string payload)
 {
-    PeerLink *link = m_impl->findLink(peer);
-    if (link == nullptr) {
-        ++m_impl->m_counters.messagesDropped;
-        return false;
-    }
-    return link->send({ type, requestId, {}, {}, {}, std::move(payload) });
+    return m_impl->sendOver(m_impl->findLink(peer),
+                            { type, requestId, {}, {}, {}, std::move(payload) });
+}
+
+bool PeerTransport::sendTo(const PeerProcess &process, MessageType type, std::uint64_t requestId,
+                           std::string payload)
+{
+    return m_impl->sendOver(m_impl->findLink(process),
+                            { type, requestId, {}, {}, {}, std::move(payload) });
 }
 
 bool PeerTransport::isConnected(const NodeId &peer) const
--- a/src/wire/peer_transport_test.cpp
+++ b/src/wire/peer_transport_test.cpp
@@ -85,6 +85,29 @@
     EXPECT_EQ(server->received[0].receiverIncarnation, Incarnation(7));
 }
 
+// Guards against a reply that is delivered to another process than the one that sent the request.
+TEST(PeerTransport, ReplyDoesNotReachSuccessorOfRequester)
+{
+    auto server = makePeer("a", 1, {});
+    const std::map<NodeId, Endpoint> peers { { NodeId("a"),
+                                               { "127.0.0.1", server->transport->port() } } };
+    auto client = makePeer("b", 2, peers);
+    ASSERT_TRUE(runUntil([&] { return client->transport->isConnected(NodeId("a")); }));
+    client->transport->send(NodeId("a"), MessageType::Forward, 1, "request");
+    ASSERT_TRUE(runUntil([&] { return !server->received.empty(); }));
+    const PeerProcess requester = server->received[0].senderProcess();
+    client.reset();
+    client = makePeer("b", 3, peers);
+    const PeerProcess successor { NodeId("b"), Incarnation(3) };
+    ASSERT_TRUE(runUntil([&] {
+        return server->transport->sendTo(successor, MessageType::ForwardReply, 2, "for b 3");
+    }));
+    EXPECT_FALSE(server->transport->sendTo(requester, MessageType::ForwardReply, 1, "for b 2"));
+    ASSERT_TRUE(runUntil([&] { return !client->received.empty(); }));
+    EXPECT_EQ(client->received[0].payload, "for b 3");
+    EXPECT_EQ(client->received.size(), 1U);
+}
+
 // Guards against bytes of another protocol that are delivered as a message or crash the node.
 TEST(PeerTransport, RejectsMalformedFrame)
 {
