Look up the team of a key for each operation of a session

Cause: the team was looked up when the session was opened. The check before each operation asked only whether some team holds the key.

Change: an operation is admitted for the team that holds the key now, also when that changes while it waits for a token or between attempts. A transaction of the former team is rolled back and answered as lost. The log line session_team_changed names both teams.

Ruled out: the HTTP path, which looks up the team for each request, and the settings of the route, which were read for each operation already.

--- a/src/proxy/session.cpp
+++ b/src/proxy/session.cpp
@@ -203,6 +203,7 @@
         fail(ErrorKind::UnknownService, now);
         return;
     }
+    m_team = teamOfKey();
     m_operationConfig = database->second;
     m_execution->deadline = m_execution->arrivedAt + m_operationConfig.statementTimeout;
     const auto admission = m_state.teams.find(m_team);
@@ -216,8 +217,27 @@
     takeToken(now);
 }
 
+void CallerSession::onTeamChanged(TimePoint now)
+{
+    m_state.logger->info("session_team_changed",
+                         { { "request", m_execution->statement.id },
+                           { "former_team", m_team.value() },
+                           { "team", teamOfKey().value() },
+                           { "transaction", m_transaction.has_value() } });
+    if (m_execution->phase == Phase::AwaitingToken)
+        m_state.teams.at(m_team).bucket->endWait();
+    if (m_transaction)
+        fail(ErrorKind::TransactionLost, now);
+    else
+        admit(now);
+}
+
 void CallerSession::takeToken(TimePoint now)
 {
+    if (teamOfKey() != m_team) {
+        onTeamChanged(now);
+        return;
+    }
     const auto admission = m_state.teams.find(m_team);
     if (admission == m_state.teams.end()) {
         fail(ErrorKind::InvalidKey, now);
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -63,6 +63,10 @@
     void rollback(TimePoint now);
     bool insideRate(TimePoint now) const;
     std::optional<ErrorKind> unauthorized(TimePoint now) const;
+    TeamId teamOfKey() const;
+    /// Admits the statement for the team that holds the key now. A transaction is lost instead,
+    /// because it was begun for the other team.
+    void onTeamChanged(TimePoint now);
 
     // Attempts to run a statement on a database.
     const DatabaseConfig &database() const;
@@ -105,6 +109,7 @@
     TimePoint m_openedAt;
     DatabaseName m_database;
     KeyHash m_key {};
+    /// Team that the current operation, or the last one, was admitted for.
     TeamId m_team;
     SessionVariables m_variables;
     std::map<std::string, PreparedStatement> m_prepared;
--- a/src/proxy/session_attempt.cpp
+++ b/src/proxy/session_attempt.cpp
@@ -141,6 +141,10 @@
         fail(*refused, now);
         return;
     }
+    if (teamOfKey() != m_team) {
+        onTeamChanged(now);
+        return;
+    }
     const bool begun = m_transaction && m_transaction->hasExecuted;
     const std::optional<UpstreamId> target = begun ? m_transaction->upstream : selectDatabase(now);
     if (!target) {
--- a/src/proxy/session_start.cpp
+++ b/src/proxy/session_start.cpp
@@ -44,13 +44,19 @@
     } else if (const auto refused = unauthorized(now)) {
         refuseStart(*refused);
     } else {
-        const auto team = m_state.teamsByKey.find(m_key);
-        m_team = team == m_state.teamsByKey.end() ? anonymousTeam() : team->second;
+        m_team = teamOfKey();
         m_started = true;
         m_socket->write(m_state.protocol->ready(TransactionState::None));
     }
 }
 
+/// A new configuration may give the key to another team while the session is open.
+TeamId CallerSession::teamOfKey() const
+{
+    const auto team = m_state.teamsByKey.find(m_key);
+    return team == m_state.teamsByKey.end() ? anonymousTeam() : team->second;
+}
+
 std::optional<ErrorKind> CallerSession::unauthorized(TimePoint now) const
 {
     if (!m_state.fresh(now))
