--- a/src/fleet/registry.cpp
+++ b/src/fleet/registry.cpp
@@ -216,9 +216,12 @@
     if (ended != registry.endedLifetimes.end() && announcement.lifetime <= ended->second)
         return true;
     const auto known = registry.entries.find(announcement.upstream);
-    if (known == registry.entries.end() || announcement.lifetime == Incarnation())
+    if (known == registry.entries.end())
         return false;
     const Announcement &last = known->second.announcement;
+    // A process that has reported its lifetime always does, so this is another sender.
+    if (announcement.lifetime == Incarnation())
+        return last.lifetime != Incarnation();
     if (known->second.replaced && announcement.lifetime <= last.lifetime)
         return true;
     if (announcement.lifetime != last.lifetime)
--- a/src/fleet/registry_test.cpp
+++ b/src/fleet/registry_test.cpp
@@ -176,6 +176,7 @@
                     LifetimeCase { "Repeated", process(7, 5), AnnouncementVerdict::Outdated },
                     LifetimeCase { "Earlier", process(7, 4), AnnouncementVerdict::Outdated },
                     LifetimeCase { "NewProcess", process(8, 1), AnnouncementVerdict::Accepted },
+                    LifetimeCase { "NoLifetime", process(0, 6), AnnouncementVerdict::Outdated },
                     LifetimeCase { "OldProcess", process(6, 9), AnnouncementVerdict::Outdated }),
     [](const auto &info) { return info.param.name; });
 
