Remove the rest of a record before the next write to a full disk

Reported by operators of systems like ours: after full disks in turn, changes stayed unanswered.

- If the full disk also refused to truncate a record that fitted in part, the next record was written behind the rest, and the log could not be recovered after a restart.
- If the directory could not be synced after a file was removed, the second attempt failed because the file was gone, and the member ended.

--- a/src/include/shallotlever/storage/data_directory.h
+++ b/src/include/shallotlever/storage/data_directory.h
@@ -17,6 +17,8 @@
 struct FakeDiskSpace
 {
     std::atomic<std::uint64_t> freeBytes { 0 };
+    /// Files can't be truncated either.
+    std::atomic<bool> refusesTruncation { false };
 };
 
 struct StorageOptions
--- a/src/storage/data_directory_test.cpp
+++ b/src/storage/data_directory_test.cpp
@@ -10,6 +10,7 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
+#include "file.h"
 #include "shallotlever/base/random.h"
 #include "shallotlever/config/codec.h"
 #include "shallotlever/storage/storage_thread.h"
@@ -215,6 +216,35 @@
     EXPECT_EQ(reopen().entries, entries(1, 3, 1).entries);
 }
 
+// Guards against a log that can't be recovered because a record follows the rest of one that did
+// not fit: the full disk also refused to remove that rest.
+TEST_F(StorageTest, RestOfARecordIsRemovedOnceTheDiskHasRoom)
+{
+    constexpr std::uint64_t kPartOfARecord = 40;
+    StorageOptions options;
+    options.space = std::make_shared<FakeDiskSpace>();
+    options.space->freeBytes = kPartOfARecord;
+    options.space->refusesTruncation = true;
+    reopen(options);
+    EXPECT_TRUE(isDiskFull(m_directory->write({ entries(1, 3, 1) })));
+    options.space->freeBytes = 1U << 20U;
+    EXPECT_TRUE(isDiskFull(m_directory->write({ entries(1, 3, 1) })));
+    options.space->refusesTruncation = false;
+    EXPECT_TRUE(m_directory->write({ entries(1, 3, 1) }).ok());
+    EXPECT_TRUE(m_directory->write({ entries(4, 5, 1) }).ok());
+    EXPECT_EQ(reopen().entries, entries(1, 5, 1).entries);
+}
+
+// Guards against a member that ends because a file is already gone: a full disk refused to sync the
+// directory after the first attempt to remove it.
+TEST_F(StorageTest, FileIsRemovedOnce)
+{
+    reopen();
+    ASSERT_TRUE(replaceFileAtomically(m_path, "file", "content").ok());
+    EXPECT_TRUE(removeFile(m_path, "file").ok());
+    EXPECT_TRUE(removeFile(m_path, "file").ok());
+}
+
 // Guards against a member that can't be stopped while its disk is full.
 TEST_F(StorageTest, ThreadEndsWhileTheDiskIsFull)
 {
--- a/src/storage/file.cpp
+++ b/src/storage/file.cpp
@@ -126,7 +126,8 @@
 absl::Status removeFile(const std::string &directory, const std::string &name)
 {
     const std::string path = directory + "/" + name;
-    if (::unlink(path.c_str()) != 0)
+    // The file is gone already if an earlier attempt removed it and could not sync the directory.
+    if (::unlink(path.c_str()) != 0 && errno != ENOENT)
         return systemError(path, "unlink");
     return syncDirectory(directory);
 }
--- a/src/storage/file.h
+++ b/src/storage/file.h
@@ -38,7 +38,7 @@
 /// and syncs the directory. After a crash the file is unchanged or contains all of `bytes`.
 absl::Status replaceFileAtomically(const std::string &directory, const std::string &name,
                                    std::string_view bytes);
-/// Removes the file and syncs the directory.
+/// Removes the file, if it exists, and syncs the directory.
 absl::Status removeFile(const std::string &directory, const std::string &name);
 /// Returns the sorted names of the files that start with `prefix`, except temporary files that
 /// replaceFileAtomically() left behind.
--- a/src/storage/segmented_log.cpp
+++ b/src/storage/segmented_log.cpp
@@ -132,6 +132,8 @@
 
 absl::Status SegmentedLog::startSegment()
 {
+    if (absl::Status removed = removePartialRecord(); !removed.ok())
+        return removed;
     const std::uint64_t number = m_segments.empty() ? 1 : m_segments.rbegin()->first + 1;
     const std::string path = m_directory + "/" + segmentName(number);
     absl::StatusOr<File> file = File::open(path, O_WRONLY | O_APPEND | O_CREAT | O_EXCL);
@@ -158,8 +160,23 @@
     return m_activeSegment.sync();
 }
 
+/// Removes what is left of a record that did not fit on the disk, so that it can be written again.
+absl::Status SegmentedLog::removePartialRecord()
+{
+    if (!m_hasPartialRecord)
+        return absl::OkStatus();
+    if (m_options.space && m_options.space->refusesTruncation)
+        return absl::ResourceExhaustedError("the fake disk is full");
+    const absl::Status truncated = m_activeSegment.truncate(m_activeSegmentBytes);
+    m_hasPartialRecord = !truncated.ok();
+    return truncated;
+}
+
 absl::Status SegmentedLog::append(std::vector<DurableWrite> group)
 {
+    // A full disk may have refused this too when the record was written.
+    if (absl::Status removed = removePartialRecord(); !removed.ok())
+        return removed;
     if (m_activeSegmentBytes >= m_options.segmentBytes) {
         if (absl::Status started = startSegment(); !started.ok())
             return started;
@@ -175,9 +192,9 @@
     if (absl::Status written = writeRecord(record); !written.ok()) {
         if (!isDiskFull(written))
             return written;
-        // Removes the part that was written, so that the record can be written again.
-        const absl::Status truncated = m_activeSegment.truncate(m_activeSegmentBytes);
-        return truncated.ok() ? written : truncated;
+        m_hasPartialRecord = true;
+        const absl::Status removed = removePartialRecord();
+        return removed.ok() ? written : removed;
     }
     m_activeSegmentBytes += record.size();
     for (const DurableWrite &write : group) {
--- a/src/storage/segmented_log.h
+++ b/src/storage/segmented_log.h
@@ -42,6 +42,7 @@
                               RecoveredLog &recovered);
     absl::Status startSegment();
     absl::Status writeRecord(const std::string &record);
+    absl::Status removePartialRecord();
     absl::Status removeSegments(LogIndex index);
 
     std::string m_directory;
@@ -50,6 +51,8 @@
     std::map<std::uint64_t, LogIndex> m_segments;
     File m_activeSegment;
     std::uint64_t m_activeSegmentBytes = 0;
+    /// The active segment may end with a part of a record, beyond m_activeSegmentBytes.
+    bool m_hasPartialRecord = false;
     /// Written at the start of each segment, so that earlier segments can be removed.
     HardState m_hardState;
 };
--- a/testsuite/control_fuzz/main.cpp
+++ b/testsuite/control_fuzz/main.cpp
@@ -12,7 +12,7 @@
 
 Usage:
   control_fuzz [--seed=N] [--runs=N] [--steps=N] [--members=N] [--fault=NAME]
-               [--isolation]
+               [--isolation] [--full-disks]
 
 Options:
   --seed=N     First seed [default: 1].
@@ -23,6 +23,8 @@
                ack-before-sync, vote-after-disk-loss, no-pre-vote, lease-without-quorum.
   --isolation  The only faults are cut links of one follower at a time; the term must not
                change then.
+  --full-disks  The only faults are disks that are full for up to 8 s, one at a time; changes
+               must be committed all the time.
 )";
 
 using shallotlever::fuzz::Simulation;
@@ -73,6 +75,7 @@
     options.steps = static_cast<std::uint64_t>(args.at("--steps").asLong());
     options.members = static_cast<std::size_t>(args.at("--members").asLong());
     options.isolationOnly = args.at("--isolation").asBool();
+    options.fullDisksOnly = args.at("--full-disks").asBool();
     const bool expectViolation = args.at("--fault").isString();
     if (expectViolation && !setFault(options, args.at("--fault").asString())) {
         fmt::print(stderr, "unknown fault\n");
--- a/testsuite/control_fuzz/simulation.cpp
+++ b/testsuite/control_fuzz/simulation.cpp
@@ -14,6 +14,8 @@
 /// Proposals go on for this long after the last fault, and stop before convergence is checked.
 constexpr std::uint64_t kHealedSteps = 4'000;
 constexpr std::uint64_t kConvergenceSteps = 12'000;
+/// Operators expect an answer to a change within this time.
+constexpr Duration kAcknowledgementTimeout = 6s;
 
 } // namespace
 
@@ -186,6 +188,28 @@
     m_cutUntil = m_now + upTo(30s);
 }
 
+void Simulation::fillNextDisk()
+{
+    // The members need all their disks to found the group.
+    if (m_now < m_nextFullDisk || m_oracle.lastCommitted() == LogIndex())
+        return;
+    Node &node = m_nodes[m_fullDisks++ % m_nodes.size()];
+    node.diskFullUntil = m_now + upTo(8s);
+    m_nextFullDisk = node.diskFullUntil + upTo(3s);
+}
+
+void Simulation::checkProgress()
+{
+    const bool founded = m_oracle.lastCommitted() != LogIndex();
+    const bool progressed = m_oracle.lastCommitted() > m_progress;
+    if (!founded || progressed || m_idle || !m_options.fullDisksOnly) {
+        m_progress = m_oracle.lastCommitted();
+        m_progressAt = m_now;
+    }
+    if (m_now > m_progressAt + kAcknowledgementTimeout)
+        throw Violation("no change is committed while a disk is full, or after it");
+}
+
 void Simulation::heal()
 {
     for (auto &row : m_cut)
@@ -198,7 +222,9 @@
         heal();
     if (m_options.isolationOnly && chance(300) && m_cutUntil <= m_now)
         isolateFollower();
-    if (!m_faulty)
+    if (m_options.fullDisksOnly && m_faulty)
+        fillNextDisk();
+    if (!m_faulty || m_options.fullDisksOnly)
         return;
     Node &node = m_nodes[anyNode()];
     if (chance(600))
@@ -209,6 +235,8 @@
         loseDisk(node);
     if (chance(800))
         node.frozenUntil = m_now + upTo(3s);
+    if (chance(800))
+        node.diskFullUntil = m_now + upTo(5s);
 }
 
 void Simulation::post(std::size_t from, const ControlMessage &message)
@@ -216,12 +244,12 @@
     const auto to = std::find_if(m_nodes.begin(), m_nodes.end(),
                                  [&](const Node &n) { return n.id == message.to.node; });
     const auto target = static_cast<std::size_t>(to - m_nodes.begin());
-    if (m_cut[from][target] || (m_faulty && chance(30)))
+    if (m_cut[from][target] || (lossyNetwork() && chance(30)))
         return;
     const std::string bytes = encodeControlMessage(message);
-    const int copies = m_faulty && chance(50) ? 2 : 1;
+    const int copies = lossyNetwork() && chance(50) ? 2 : 1;
     for (int i = 0; i < copies; ++i) {
-        const Duration delay = 1ms + upTo(m_faulty && chance(40) ? 800ms : 10ms);
+        const Duration delay = 1ms + upTo(lossyNetwork() && chance(40) ? 800ms : 10ms);
         m_network.emplace(m_now + delay, Packet { from, target, bytes });
     }
 }
@@ -246,7 +274,8 @@
 
 void Simulation::finishWrites(Node &node)
 {
-    while (!node.writes.empty() && node.writes.front().doneAt <= m_now) {
+    while (!node.writes.empty() && node.writes.front().doneAt <= m_now
+           && node.diskFullUntil <= m_now) {
         const DurableWrite write = std::move(node.writes.front().write);
         node.writes.erase(node.writes.begin());
         node.disk.apply(write);
@@ -343,6 +372,7 @@
             throw Violation(fmt::format("{} disturbed the group", node.id.value()));
         m_report.terms = std::max(m_report.terms, node.member->term().value());
     }
+    checkProgress();
 }
 
 void Simulation::step()
--- a/testsuite/control_fuzz/simulation.h
+++ b/testsuite/control_fuzz/simulation.h
@@ -22,6 +22,8 @@
     bool keepIdentity = false;
     /// The only faults are cut links of one follower at a time. The term must not change then.
     bool isolationOnly = false;
+    /// The only faults are disks that are full for some seconds, one at a time. Changes must go on.
+    bool fullDisksOnly = false;
 };
 
 struct SimulationReport
@@ -66,6 +68,8 @@
         ReplicatedState state;
         TimePoint downUntil;
         TimePoint frozenUntil;
+        /// No write completes before.
+        TimePoint diskFullUntil;
         /// Local clock: offset + time * rate.
         Duration offset { 0 };
         double rate = 1;
@@ -77,6 +81,7 @@
         std::string bytes;
     };
 
+    bool lossyNetwork() const { return m_faulty && !m_options.fullDisksOnly; }
     bool chance(std::uint64_t oneIn) { return uniformBelow(m_random, oneIn) == 0; }
     std::size_t anyNode() { return uniformBelow(m_random, m_nodes.size()); }
     Duration upTo(Duration bound) { return uniformDuration(m_random, Duration(0), bound); }
@@ -87,6 +92,9 @@
     void injectFaults();
     void cutLinks();
     void isolateFollower();
+    void fillNextDisk();
+    /// Changes are committed although a disk is full.
+    void checkProgress();
     void heal();
     void crash(Node &node);
     void loseDisk(Node &node);
@@ -120,6 +128,10 @@
     /// No more proposals.
     bool m_idle = false;
     std::optional<ControlTerm> m_settledTerm;
+    TimePoint m_nextFullDisk;
+    std::size_t m_fullDisks = 0;
+    LogIndex m_progress;
+    TimePoint m_progressAt;
     std::uint64_t m_nextIdentity = 1;
     std::uint64_t m_nextChange = 1;
     Oracle m_oracle;
