Do not give up a controller whose lease is arriving

Their link carries 2 Mbit/s; a first lease holds the configuration and the view, some 80 KB (37.6 MB of leases in the first 10 s). After 600 ms without a lease the node closed the link in the middle of it, asked the next member, was sent back, and began anew.

Change: bytes of a message that is still incomplete count as a sign of the controller.

Tests: KeepsMemberWhoseAnswerIsArriving, ReportsMessageThatIsArriving.

--- a/src/include/shallotlever/wire/frame.h
+++ b/src/include/shallotlever/wire/frame.h
@@ -26,6 +26,9 @@
     /// frame is too long or invalid.
     absl::StatusOr<std::optional<PeerMessage>> next();
 
+    /// Whether a part of the next message has been received.
+    bool hasPartialMessage() const { return m_offset < m_buffer.size(); }
+
 private:
     std::string m_buffer;
     std::size_t m_offset = 0;
--- a/src/include/shallotlever/wire/peer_transport.h
+++ b/src/include/shallotlever/wire/peer_transport.h
@@ -104,6 +104,9 @@
                 std::string payload);
 
     bool isConnected(const NodeId &peer) const;
+    /// When the last part of a message that is still incomplete arrived from the peer, over any
+    /// link; nullopt if there is no such message.
+    std::optional<TimePoint> lastPartialReceiveAt(const NodeId &peer) const;
     /// Network round trip to a peer that this node connects to: the shortest time that a TCP
     /// connect took; nullopt if none has succeeded.
     std::optional<Duration> roundTrip(const NodeId &peer) const;
--- a/src/node/controller_link.cpp
+++ b/src/node/controller_link.cpp
@@ -24,6 +24,11 @@
     link.lastAnswerAt = now;
 }
 
+void noteControllerProgress(ControllerLink &link, TimePoint receivedAt)
+{
+    link.lastAnswerAt = std::max(link.lastAnswerAt, receivedAt);
+}
+
 void applyControllerHint(ControllerLink &link, const NodeId &from, const NodeId &leader,
                          TimePoint now)
 {
--- a/src/node/controller_link.h
+++ b/src/node/controller_link.h
@@ -42,6 +42,10 @@
 /// member. A request of the current member does not count as an answer.
 void onReportRequest(ControllerLink &link, const NodeId &from, TimePoint now);
 
+/// Records that a part of a message of the current member arrived at `receivedAt`. A first lease
+/// carries the whole configuration, which takes long over a slow link.
+void noteControllerProgress(ControllerLink &link, TimePoint receivedAt);
+
 /// Switches to the next member if the current one has timed out. Returns true if it did.
 bool advanceControllerLink(ControllerLink &link, TimePoint now);
 
--- a/src/node/controller_link_test.cpp
+++ b/src/node/controller_link_test.cpp
@@ -46,6 +46,16 @@
     EXPECT_TRUE(advanceControllerLink(link, kStart + kControllerTimeout));
 }
 
+// Guards against a node that never gets its first lease over a slow link: it gave up the
+// controller, and closed the link, while the lease was arriving.
+TEST(ControllerLink, KeepsMemberWhoseAnswerIsArriving)
+{
+    ControllerLink link = makeLink();
+    noteControllerProgress(link, kStart + kControllerTimeout - 1ms);
+    EXPECT_FALSE(advanceControllerLink(link, kStart + kControllerTimeout));
+    EXPECT_TRUE(advanceControllerLink(link, kStart + 2 * kControllerTimeout - 1ms));
+}
+
 TEST(ControllerLink, IgnoresRequestsFromUnknownNodes)
 {
     ControllerLink link = makeLink();
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -72,6 +72,8 @@
         sendReport(now);
     // A link may be dead while new ones work, so the next attempt opens another.
     const NodeId controller = currentController(m_controllerLink);
+    if (const auto receivedAt = m_transport->lastPartialReceiveAt(controller))
+        noteControllerProgress(m_controllerLink, *receivedAt);
     if (advanceControllerLink(m_controllerLink, now) && controller != m_settings.nodeId)
         m_transport->closeLinks(controller);
     logController();
--- a/src/wire/peer_link.cpp
+++ b/src/wire/peer_link.cpp
@@ -2,6 +2,7 @@
 
 #include <QSslCertificate>
 
+#include "shallotlever/base/clock.h"
 #include "shallotlever/wire/socket_options.h"
 
 namespace shallotlever {
@@ -61,11 +62,17 @@
     Q_EMIT closed();
 }
 
+std::optional<TimePoint> PeerLink::lastPartialReceiveAt() const
+{
+    return m_reader.hasPartialMessage() ? std::optional(m_lastBytesAt) : std::nullopt;
+}
+
 void PeerLink::readAvailable()
 {
     if (m_closed)
         return;
     const QByteArray bytes = m_socket->readAll();
+    m_lastBytesAt = monotonicNow();
     m_counters.bytesReceived += static_cast<std::uint64_t>(bytes.size());
     m_reader.feed({ bytes.constData(), static_cast<std::size_t>(bytes.size()) });
     while (!m_closed) {
--- a/src/wire/peer_link.h
+++ b/src/wire/peer_link.h
@@ -6,6 +6,7 @@
 #include <QSslSocket>
 #include <QTimer>
 
+#include "shallotlever/base/time.h"
 #include "shallotlever/wire/frame.h"
 #include "shallotlever/wire/peer_transport.h"
 
@@ -35,6 +36,8 @@
     Incarnation peerIncarnation() const { return m_peerIncarnation; }
     bool send(PeerMessage message);
     void close();
+    /// When the last bytes of a message that is still incomplete arrived; nullopt if there is none.
+    std::optional<TimePoint> lastPartialReceiveAt() const;
 
 Q_SIGNALS:
     void identified();
@@ -51,6 +54,7 @@
     const PeerTransportOptions &m_options;
     PeerTransportCounters &m_counters;
     FrameReader m_reader;
+    TimePoint m_lastBytesAt;
     QTimer m_helloTimer;
     NodeId m_peer;
     Incarnation m_peerIncarnation;
--- a/src/wire/peer_transport.cpp
+++ b/src/wire/peer_transport.cpp
@@ -42,6 +42,7 @@
     PeerLink *findLink(const NodeId &peer) const;
     PeerLink *findLink(const PeerProcess &process) const;
     bool sendOver(PeerLink *link, PeerMessage message);
+    std::optional<TimePoint> lastPartialReceiveAt(const NodeId &peer) const;
     std::vector<NodeId> connectedPeers() const;
 
     PeerServer m_server;
@@ -149,6 +150,17 @@
     return newest == links.rend() ? nullptr : *newest;
 }
 
+std::optional<TimePoint> PeerTransport::Impl::lastPartialReceiveAt(const NodeId &peer) const
+{
+    std::optional<TimePoint> latest;
+    const auto links = m_links.find(peer);
+    if (links == m_links.end())
+        return latest;
+    for (const PeerLink *link : links->second)
+        latest = std::max(latest, link->lastPartialReceiveAt());
+    return latest;
+}
+
 bool PeerTransport::Impl::sendOver(PeerLink *link, PeerMessage message)
 {
     if (link != nullptr)
@@ -309,6 +321,11 @@
     return m_impl->findLink(peer) != nullptr;
 }
 
+std::optional<TimePoint> PeerTransport::lastPartialReceiveAt(const NodeId &peer) const
+{
+    return m_impl->lastPartialReceiveAt(peer);
+}
+
 std::optional<Duration> PeerTransport::roundTrip(const NodeId &peer) const
 {
     return m_impl->roundTrip(peer);
--- a/src/wire/peer_transport_test.cpp
+++ b/src/wire/peer_transport_test.cpp
@@ -5,6 +5,8 @@
 #include <QTcpSocket>
 #include <gtest/gtest.h>
 
+#include "shallotlever/wire/frame.h"
+
 namespace shallotlever {
 namespace {
 
@@ -111,6 +113,28 @@
     EXPECT_EQ(client->received.size(), 1U);
 }
 
+// Guards against a large message that looks like silence until its last byte has arrived.
+TEST(PeerTransport, ReportsMessageThatIsArriving)
+{
+    auto server = makePeer("a", 1, {});
+    QTcpSocket client;
+    client.connectToHost("127.0.0.1", server->transport->port());
+    const auto frameOf = [](MessageType type) {
+        return QByteArray::fromStdString(
+            *encodeFrame({ type, 0, NodeId("b"), Incarnation(2), {}, "lease" }));
+    };
+    client.write(frameOf(MessageType::Hello));
+    ASSERT_TRUE(runUntil([&] { return server->transport->isConnected(NodeId("b")); }));
+    EXPECT_FALSE(server->transport->lastPartialReceiveAt(NodeId("b")));
+    const QByteArray frame = frameOf(MessageType::NodeLease);
+    client.write(frame.first(frame.size() / 2));
+    EXPECT_TRUE(
+        runUntil([&] { return server->transport->lastPartialReceiveAt(NodeId("b")).has_value(); }));
+    client.write(frame.sliced(frame.size() / 2));
+    ASSERT_TRUE(runUntil([&] { return !server->received.empty(); }));
+    EXPECT_FALSE(server->transport->lastPartialReceiveAt(NodeId("b")));
+}
+
 // Guards against bytes of another protocol that are delivered as a message or crash the node.
 TEST(PeerTransport, RejectsMalformedFrame)
 {
