Publish the first primary of a group without waiting for all nodes

Cause: before a controller publishes a primary it waits until every node that holds a lease has applied a view without one. The 21 nodes that never received a lease still reported, and so counted as holders. For the first primary there is nothing to wait for: no node has ever been given another one, and no database is promoted.

Test: FirstPrimaryIsPublishedWithoutWaitingForNodes, fails before.

--- a/src/fleet/confirmed_change.cpp
+++ b/src/fleet/confirmed_change.cpp
@@ -193,7 +193,8 @@
     if (const auto promoted = promotedByPredecessor(change, input)) {
         change.candidate = promoted;
         change.times.fenced = change.times.promoted = change.times.confirmed = now;
-        if (input.primaryReleased)
+        // A group that has never had a primary needs no node to stop using one.
+        if (input.primaryReleased || !input.group.primary)
             enterPhase(change, ConfirmedPhase::Publishing, now);
         return;
     }
--- a/src/fleet/confirmed_change_test.cpp
+++ b/src/fleet/confirmed_change_test.cpp
@@ -185,6 +185,22 @@
     EXPECT_EQ(promote->term, Term(2));
 }
 
+// Guards against a new group without a primary, in which every write fails, for as long as one of
+// many nodes has not applied the view.
+TEST_F(ConfirmedChangeTest, FirstPrimaryIsPublishedWithoutWaitingForNodes)
+{
+    m_in.group.primary.reset();
+    m_in.members[kPrimary] = member(status(UpstreamRole::Primary, 9));
+    m_in.members[kPrimary].announcedRole = UpstreamRole::Primary;
+    reserve();
+    m_in.members[kPrimary].statusAskedAt = m_now;
+    step();
+    const auto actions = step();
+    const auto *propose = find<Propose>(actions);
+    ASSERT_NE(propose, nullptr);
+    EXPECT_EQ(std::get<SetPrimary>(propose->decision).upstream, kPrimary);
+}
+
 // Guards against publishing a primary before it has taken the role, and against a change that hangs
 // because the promoted database has no free slot for a status query.
 TEST_F(ConfirmedChangeTest, PublishesAfterCandidateAnnouncesPrimaryRole)
