Answer statements that are sent ahead in their order

Cause: after a statement the session took only one message from its queue. If it needed no database, the rest stayed and the next line was served before them; a malformed line was always answered at once.

Change: every message passes the queue, which is served until one needs a database.

Test: StatementsSentAheadAreAnsweredInOrder, fails before with the answer of a later statement in second place.

--- a/src/proxy/session.cpp
+++ b/src/proxy/session.cpp
@@ -64,24 +64,38 @@
 {
     const TimePoint now = monotonicNow();
     CallerMessage message = m_state.protocol->decodeCaller(line);
-    if (auto *statement = std::get_if<Statement>(&message)) {
-        if (!m_started)
-            refuseStart(ErrorKind::MalformedRequest);
-        else if (m_execution)
-            enqueue(std::move(*statement));
-        else
-            onStatement(std::move(*statement), now);
-    } else if (const auto *start = std::get_if<SessionStart>(&message)) {
+    if (const auto *start = std::get_if<SessionStart>(&message)) {
         if (m_started || m_awaitingLease)
             refuseStart(ErrorKind::MalformedRequest);
         else
             onStart(*start, now);
-    } else if (const auto *malformed = std::get_if<MalformedMessage>(&message)) {
-        refuse(ErrorKind::MalformedRequest, malformed->id);
-    } else {
+    } else if (std::holds_alternative<SessionEnd>(message)) {
         m_socket->closeGracefully();
         onClosed();
+    } else if (!m_started && std::holds_alternative<Statement>(message)) {
+        refuseStart(ErrorKind::MalformedRequest);
+    } else {
+        enqueue(std::move(message));
+        serveQueue();
+    }
+}
+
+/// Serves the messages that wait, in the order in which they were sent, until one needs a database.
+void CallerSession::serveQueue()
+{
+    // A statement that fails at once ends its execution inside the loop.
+    if (m_servingQueue)
+        return;
+    m_servingQueue = true;
+    while (!m_execution && !m_disconnected && !m_queue.empty()) {
+        CallerMessage message = std::move(m_queue.front());
+        m_queue.pop_front();
+        if (auto *statement = std::get_if<Statement>(&message))
+            onStatement(std::move(*statement), monotonicNow());
+        else if (const auto *malformed = std::get_if<MalformedMessage>(&message))
+            refuse(ErrorKind::MalformedRequest, malformed->id);
     }
+    m_servingQueue = false;
 }
 
 void CallerSession::onClosed()
@@ -326,10 +340,10 @@
 }
 
 /// Bounds the memory used by a caller that sends statements without reading responses.
-void CallerSession::enqueue(Statement statement)
+void CallerSession::enqueue(CallerMessage message)
 {
     if (m_queue.size() < kMaxQueuedStatements && m_socket->unsentBytes() < kMaxUnsentBytes) {
-        m_queue.push_back(std::move(statement));
+        m_queue.push_back(std::move(message));
         return;
     }
     m_state.metrics->refusal(ErrorKind::RequestTooLarge).increment();
@@ -372,11 +386,7 @@
         m_transaction.reset();
         return;
     }
-    if (m_queue.empty())
-        return;
-    Statement next = std::move(m_queue.front());
-    m_queue.pop_front();
-    onStatement(std::move(next), monotonicNow());
+    serveQueue();
 }
 
 void CallerSession::fail(ErrorKind kind, TimePoint now, std::optional<Duration> retryAfter)
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -42,7 +42,8 @@
     void onClosed();
     void onStart(const SessionStart &start, TimePoint now);
     void onStatement(Statement statement, TimePoint now);
-    void enqueue(Statement statement);
+    void enqueue(CallerMessage message);
+    void serveQueue();
     void refuseStart(ErrorKind kind);
     void answerStart(TimePoint now);
 
@@ -117,8 +118,9 @@
     std::optional<HistoryPoint> m_lastCommit;
     std::optional<Execution> m_execution;
     std::optional<Transaction> m_transaction;
-    /// Statements that the caller sent ahead of responses.
-    std::deque<Statement> m_queue;
+    /// Messages that the caller sent ahead of responses.
+    std::deque<CallerMessage> m_queue;
+    bool m_servingQueue = false;
     /// Configuration used by the current statement outside of a transaction.
     DatabaseConfig m_operationConfig;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
