Close draining sessions at the end of their statement

Cause: only sessions that were idle at a tick were closed, and the limit ended the process without an answer.

Change: a draining session closes when its operation ends. At the limit open statements are answered: not run, lost transaction, or in doubt.

--- a/src/include/shallotlever/proxy/proxy.h
+++ b/src/include/shallotlever/proxy/proxy.h
@@ -92,11 +92,15 @@
     bool takeObservationChanged();
 
     // Graceful shutdown; call in this order.
-    /// Stops accepting sessions. Open sessions are closed as soon as they are idle.
+    /// Stops accepting sessions. Open sessions are closed when their statement or transaction
+    /// ends.
     void startDrain();
     /// Rolls back the open transactions in which no statement is running: those of sessions and
     /// those that other nodes have on this node's connections.
     void abortTransactions(TimePoint now);
+    /// Answers every open statement with an error that says truthfully whether it may have run, and
+    /// closes the sessions. Returns how many had a statement or a transaction.
+    std::size_t endOpenStatements(TimePoint now);
     std::size_t openSessions() const;
     /// Whether a session or another node has an open transaction.
     bool hasOpenTransactions() const;
--- a/src/node/node_drain.cpp
+++ b/src/node/node_drain.cpp
@@ -74,10 +74,7 @@
                 && (m_sessions->openSessions() > 0 || m_sessions->runningStatements() > 0))) {
             if (elapsed < m_settings.drainNotice + m_settings.drainLimit)
                 return;
-            m_logger.warning("drain_limit_reached",
-                             { { "requests", m_listener->requestsInFlight() },
-                               { "transactions", openTransactions() } });
-            finish(kExitStatusDrainLimit);
+            cutOffOpenWork();
             return;
         }
         if (m_controlGroup)
@@ -90,6 +87,17 @@
     }
 }
 
+/// Ends the process although work is open. Sessions get their answers first.
+void Node::Impl::cutOffOpenWork()
+{
+    const std::size_t sessions = m_sessions ? m_sessions->endOpenStatements(monotonicNow()) : 0;
+    m_logger.warning("drain_limit_reached",
+                     { { "requests", m_listener->requestsInFlight() },
+                       { "sessions", sessions },
+                       { "transactions", openTransactions() } });
+    finish(kExitStatusDrainLimit);
+}
+
 std::uint32_t Node::Impl::openTransactions() const
 {
     std::uint32_t open = 0;
--- a/src/node/node_impl.h
+++ b/src/node/node_impl.h
@@ -132,6 +132,7 @@
 
     // Shutdown.
     void advanceDrain();
+    void cutOffOpenWork();
     std::uint32_t openTransactions() const;
     void finish(int status);
 
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -383,6 +383,16 @@
     m_impl->m_dispatcher->runner().abortIdleTransactions(now);
 }
 
+std::size_t SessionProxy::endOpenStatements(TimePoint now)
+{
+    std::size_t ended = 0;
+    for (CallerSession &session : m_impl->m_sessions) {
+        ended += session.idle() ? 0 : 1;
+        session.endOpenStatements(now);
+    }
+    return ended;
+}
+
 bool SessionProxy::hasOpenTransactions() const
 {
     return m_impl->m_dispatcher->runner().openTransactions() > 0
--- a/src/proxy/session.cpp
+++ b/src/proxy/session.cpp
@@ -387,6 +387,28 @@
         return;
     }
     serveQueue();
+    if (m_state.draining && idle() && m_queue.empty())
+        close();
+}
+
+void CallerSession::endOpenStatements(TimePoint now)
+{
+    std::deque<CallerMessage> unserved = std::exchange(m_queue, {});
+    if (m_execution) {
+        const bool sent = !cancelPendingWait();
+        const bool commits = m_execution->statement.kind == StatementKind::Commit;
+        m_execution->mayHaveRun = m_execution->mayHaveRun || sent;
+        // Nothing is kept of a transaction unless its commit was sent.
+        if (m_transaction && !(commits && sent && m_transaction->wrote))
+            fail(ErrorKind::TransactionLost, now);
+        else
+            fail(m_execution->mayHaveRun ? ErrorKind::OutcomeUnknown : ErrorKind::Draining, now);
+    }
+    for (const CallerMessage &message : unserved) {
+        if (const auto *statement = std::get_if<Statement>(&message))
+            refuse(ErrorKind::Draining, statement->id);
+    }
+    close();
 }
 
 void CallerSession::fail(ErrorKind kind, TimePoint now, std::optional<Duration> retryAfter)
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -29,6 +29,9 @@
     bool inTransaction() const { return m_transaction.has_value(); }
     /// Closes an idle session.
     void close();
+    /// Answers all statements of the session with an error that says truthfully whether they may
+    /// have run, and closes it.
+    void endOpenStatements(TimePoint now);
     /// Rolls back the transaction unless a statement is being served. The next statement fails
     /// unless it is a rollback.
     void abortTransaction(TimePoint now);
