Start control members whatever the number of seeds

Cause: create() required three or five seeds, although the group of a member with a data directory is in its log.

Change: nodes that find members at run time accept any number of seeds.

Test: RestartsWithFewerSeedsThanMembers; before, create() fails.

--- a/src/control/member.cpp
+++ b/src/control/member.cpp
@@ -209,7 +209,11 @@
         return absl::InvalidArgumentError("the control members must name this node exactly once");
     if (std::set<NodeId>(peers.begin(), peers.end()).size() != peers.size())
         return absl::InvalidArgumentError("a control member is named twice");
-    if (peers.size() != 3 && peers.size() != 5)
+    // Nodes that find members at run time are given seeds, which are fewer than the members while
+    // the group is small or after a machine was removed for good.
+    const bool isComplete =
+        options.acceptsStandbys ? !peers.empty() : peers.size() == 3 || peers.size() == 5;
+    if (!isComplete)
         return absl::InvalidArgumentError("the control group needs three or five members");
     if (recovered.identity == MemberIdentity())
         return absl::InvalidArgumentError("the data directory has no identity");
--- a/src/control/member_test.cpp
+++ b/src/control/member_test.cpp
@@ -25,7 +25,7 @@
     {
         ControlOptions options;
         options.node = NodeId(name);
-        options.peers = { NodeId("a"), NodeId("b"), NodeId("c") };
+        options.peers = m_seeds;
         options.seed = m_sharedSeed.value_or(identity);
         options.acceptsStandbys = m_acceptsStandbys;
         options.toleratedLosses = m_toleratedLosses;
@@ -92,6 +92,7 @@
         return "";
     }
 
+    std::vector<NodeId> m_seeds { NodeId("a"), NodeId("b"), NodeId("c") };
     bool m_acceptsStandbys = false;
     std::size_t m_toleratedLosses = 1;
     /// Seed of all members. By default each member has a different one.
@@ -199,6 +200,24 @@
     EXPECT_EQ(voters(*m_members.at(leader())), expected);
 }
 
+// Guards against members that do not start any more once a machine was removed for good: only two
+// seeds are left, and all processes have been killed.
+TEST_F(ThreeMemberGroup, RestartsWithFewerSeedsThanMembers)
+{
+    m_acceptsStandbys = true;
+    m_members.clear();
+    for (const char *name : { "a", "b", "c" })
+        start(name, m_members.size() + 11);
+    runFor(5s);
+    m_members.clear();
+    m_seeds = { NodeId("a"), NodeId("b") };
+    restart("a");
+    restart("b");
+    runFor(5s);
+    ASSERT_NE(leader(), "");
+    EXPECT_EQ(voters(*m_members.at(leader())), (std::set<std::string> { "a", "b", "c" }));
+}
+
 // Guards against a standby that replaces a member which is only restarting.
 TEST_F(ThreeMemberGroup, StandbyDoesNotReplaceResponsiveMember)
 {
--- a/src/include/shallotlever/control/member.h
+++ b/src/include/shallotlever/control/member.h
@@ -44,7 +44,8 @@
 struct ControlOptions
 {
     NodeId node;
-    /// Configured control members, three or five. Must include this node unless it is a standby.
+    /// Configured control members, three or five, including this node. With acceptsStandbys: the
+    /// seeds, any number, which need not include this node.
     std::vector<NodeId> peers;
     /// Number of simultaneous machine failures that the group tolerates. A group with standbys
     /// grows to 2 * toleratedLosses + 1 voters, but never below the number of configured members.
