Carry the control members in leases and search among all at once

Cause: a node knew its seeds, and another member only if that one led and was named to it while the node still had a link to a member that could name it.

Change: a lease carries the members when the node's report has another digest of them. The node connects to all and drops former ones; seeds stay last. A node whose controller is silent reports to all members at once instead of one after the other.

Tests: FollowsMembersThatWereReplacedOneByOne, round trips.

--- a/src/fleet/messages_decode.cpp
+++ b/src/fleet/messages_decode.cpp
@@ -138,6 +138,7 @@
         r.dataCentre = id<DataCentreId>(t.data_centre());
     r.leaving = t.leaving();
     r.processAge = nonNegativeDuration(t.process_age());
+    r.knownMembers = t.known_members();
     r.teams = decodeAll(t.teams(), teamDemandOf);
     r.slots = decodeAll(t.slots(), slotDemandOf);
     r.nodes = decodeAll(t.nodes(), [this](const auto &n) { return report(n, true); });
@@ -263,6 +264,9 @@
     l.slots = decodeAll(t.slots(), slotShareOf);
     l.wantsAllObservations = t.wants_all_observations();
     l.sharesRenewed = t.shares_renewed();
+    l.controlMembers = decodeAll(t.control_members(), [](const flatbuffers::String &member) {
+        return NodeId(member.str());
+    });
     l.nodes = decodeAll(t.nodes(), [this](const auto &n) { return lease(n, true); });
     return l;
 }
--- a/src/fleet/messages_encode.cpp
+++ b/src/fleet/messages_encode.cpp
@@ -1,6 +1,10 @@
 #include "shallotlever/fleet/messages.h"
 
+#include <algorithm>
+#include <set>
+
 #include <flatbuffers/flatbuffers.h>
+#include <xxhash.h>
 
 #include "generated/fleet_messages_generated.h"
 
@@ -90,7 +94,7 @@
                                  r.age.count(), r.appliedConfig.value(), &fleet, r.appliedShares,
                                  announcements, observations, r.observationsBase, teams, slots,
                                  nodes, r.controlOnly, packId(b, r.dataCentre), r.leaving,
-                                 r.processAge.count());
+                                 r.processAge.count(), r.knownMembers);
 }
 
 Offset<flatbuffers::Vector<std::uint8_t>> packBytes(FlatBufferBuilder &b, const std::string &bytes)
@@ -188,10 +192,11 @@
     const auto fleet = packFleet(b, l.fleet);
     const auto rates = packAll<fbs::RateShare>(b, l.rates, packRate);
     const auto slots = packAll<fbs::SlotShare>(b, l.slots, packSlot);
+    const auto members = packIds(b, l.controlMembers);
     return fbs::CreateNodeLease(b, packId(b, l.node), l.incarnation.value(), l.report,
                                 l.length.count(), l.controlTerm.value(), l.logIndex.value(), config,
                                 fleet, l.shareVersion, l.sharesUnchanged, rates, slots,
-                                l.wantsAllObservations, nodes, l.sharesRenewed);
+                                l.wantsAllObservations, nodes, l.sharesRenewed, members);
 }
 
 std::string finish(FlatBufferBuilder &b, Offset<fbs::FleetMessage> root)
@@ -202,6 +207,14 @@
 
 } // namespace
 
+std::uint64_t controlMembersDigest(const std::vector<NodeId> &members)
+{
+    std::string text;
+    for (const NodeId &member : std::set<NodeId>(members.begin(), members.end()))
+        text += member.value() + '\n';
+    return text.empty() ? 0 : std::max<std::uint64_t>(XXH3_64bits(text.data(), text.size()), 1);
+}
+
 std::string encodeNodeReport(const NodeReport &report)
 {
     FlatBufferBuilder b(kInitialBufferBytes);
--- a/src/fleet/messages_test.cpp
+++ b/src/fleet/messages_test.cpp
@@ -34,6 +34,7 @@
     report.observations = { { .upstream = UpstreamId("db1"), .reachable = false },
                             { .upstream = UpstreamId("db2"), .withdrawn = true } };
     report.observationsBase = 11;
+    report.knownMembers = 77;
     report.teams = { { TeamId("t"), 12.5, 0.5 } };
     report.slots = { { UpstreamId("db1"), 1, 2, 3 } };
     return report;
@@ -69,6 +70,7 @@
     lease.rates = { { TeamId("t"), 1.5, 2.5 } };
     lease.slots = { { UpstreamId("db1"), 4 } };
     lease.wantsAllObservations = true;
+    lease.controlMembers = { NodeId("10.0.0.1"), NodeId("10.0.0.2") };
     return lease;
 }
 
--- a/src/include/shallotlever/fleet/messages.h
+++ b/src/include/shallotlever/fleet/messages.h
@@ -67,6 +67,8 @@
     bool leaving = false;
     /// Time since the process started, or 0 if that is longer ago than matters to anyone.
     Duration processAge { 0 };
+    /// Digest of the control members that the node knows (see controlMembersDigest); 0 if none.
+    std::uint64_t knownMembers = 0;
     std::vector<HeardAnnouncement> announcements;
     /// Observations that changed after report `observationsBase`, or all of them if that is 0.
     /// Each report renews the unchanged observations.
@@ -173,9 +175,14 @@
     /// In the answer to a relay: the leases of its nodes, without configuration and fleet, which
     /// the relay adds from its own copy.
     std::vector<NodeLease> nodes;
+    /// All control members, if the node does not know them yet; otherwise empty.
+    std::vector<NodeId> controlMembers;
     friend bool operator==(const NodeLease &, const NodeLease &) = default;
 };
 
+/// Identifies a set of control members, whatever their order; never 0 unless there are none.
+std::uint64_t controlMembersDigest(const std::vector<NodeId> &members);
+
 std::string encodeNodeReport(const NodeReport &report);
 /// Fails on a buffer that is not a well-formed report or nests deeper than one level.
 absl::StatusOr<NodeReport> decodeNodeReport(std::string_view bytes);
--- a/src/include/shallotlever/proxy/proxy.h
+++ b/src/include/shallotlever/proxy/proxy.h
@@ -82,6 +82,8 @@
     ProxyReport report(TimePoint now) const;
     /// Handles a message of another node's proxy.
     void onPeerMessage(const PeerMessage &message, TimePoint now);
+    /// Whether the proxy keeps a link to the node.
+    bool usesPeer(const NodeId &peer) const;
     /// Called when the last link to another node is lost.
     void onPeerDisconnected(const NodeId &peer, TimePoint now);
     /// Logs the admission counters of each team that had refusals since the last call.
--- a/src/node/controller_host.cpp
+++ b/src/node/controller_host.cpp
@@ -305,7 +305,22 @@
         return std::nullopt;
     // A report may confirm what a change of primary waits for.
     m_advanceDue = true;
-    return onNodeReport(*m_controller, report, now);
+    std::optional<NodeLease> lease = onNodeReport(*m_controller, report, now);
+    const std::vector<NodeId> members = controlMembers();
+    if (lease && controlMembersDigest(members) != report.knownMembers)
+        lease->controlMembers = members;
+    return lease;
+}
+
+std::vector<NodeId> ControllerHost::controlMembers() const
+{
+    const Membership &membership = m_group.member().membership();
+    std::vector<NodeId> members;
+    for (const Member &voter : membership.voters)
+        members.push_back(voter.node);
+    if (membership.learner)
+        members.push_back(membership.learner->node);
+    return members;
 }
 
 std::vector<TokenDelivery> ControllerHost::requestTokens(const TokenRequester &requester,
--- a/src/node/controller_host.h
+++ b/src/node/controller_host.h
@@ -81,6 +81,7 @@
     void logPrimaryChange(const CompletedPrimaryChange &changed) const;
     void proposeInstall(const InstallRequest &request, ForwardCallback callback, TimePoint now);
     void proposeChange(const ChangeRequest &request, ForwardCallback callback, TimePoint now);
+    std::vector<NodeId> controlMembers() const;
     void answerWaiters(TimePoint now);
     ChangeResponse answerOf(const ChangeResult &result, TimePoint now) const;
 
--- a/src/node/controller_link.cpp
+++ b/src/node/controller_link.cpp
@@ -8,7 +8,7 @@
 ControllerLink makeControllerLink(std::vector<NodeId> configured, const std::optional<NodeId> &self,
                                   TimePoint now)
 {
-    ControllerLink link { std::move(configured), 0, now };
+    ControllerLink link { std::move(configured), 0, now, false };
     if (self && std::find(link.members.begin(), link.members.end(), *self) == link.members.end())
         link.members.push_back(*self);
     return link;
@@ -19,9 +19,34 @@
     return link.members[link.current];
 }
 
-void noteControllerAnswer(ControllerLink &link, TimePoint now)
+void noteControllerAnswer(ControllerLink &link, const NodeId &from, TimePoint now)
 {
+    link.searching = false;
     link.lastAnswerAt = now;
+    selectController(link, from, now);
+}
+
+std::vector<NodeId> setControlMembers(ControllerLink &link, const std::vector<NodeId> &members,
+                                      const std::vector<NodeId> &configured)
+{
+    std::vector<NodeId> present = members;
+    const auto keep = [&present](const NodeId &member) {
+        if (std::find(present.begin(), present.end(), member) == present.end())
+            present.push_back(member);
+    };
+    for (const NodeId &member : configured)
+        keep(member);
+    keep(currentController(link));
+    const NodeId current = currentController(link);
+    std::vector<NodeId> removed;
+    for (const NodeId &member : link.members) {
+        if (std::find(present.begin(), present.end(), member) == present.end())
+            removed.push_back(member);
+    }
+    link.members = std::move(present);
+    const auto selected = std::find(link.members.begin(), link.members.end(), current);
+    link.current = static_cast<std::size_t>(selected - link.members.begin());
+    return removed;
 }
 
 void noteControllerProgress(ControllerLink &link, TimePoint receivedAt)
@@ -58,6 +83,7 @@
     if (now < link.lastAnswerAt + kControllerTimeout)
         return false;
     link.current = (link.current + 1) % link.members.size();
+    link.searching = true;
     link.lastAnswerAt = now;
     return true;
 }
--- a/src/node/controller_link.h
+++ b/src/node/controller_link.h
@@ -18,6 +18,8 @@
     std::size_t current = 0;
     /// Time of the last answer, or when the current member was selected if that is later.
     TimePoint lastAnswerAt;
+    /// The current member timed out and no other one has answered yet: reports go to all members.
+    bool searching = false;
 };
 
 /// Starts with the configured members. `self` is this node if it is a control member: it may be
@@ -27,8 +29,14 @@
 
 const NodeId &currentController(const ControllerLink &link);
 
-/// Records that the current member answered with a lease.
-void noteControllerAnswer(ControllerLink &link, TimePoint now);
+/// Records that a member answered with a lease, and selects it.
+void noteControllerAnswer(ControllerLink &link, const NodeId &from, TimePoint now);
+
+/// Replaces the members that were learned earlier by the present ones. `configured` members stay,
+/// as the last to be tried. The selected member stays selected if it is still one, or until
+/// another one answers. Returns the members that were removed.
+std::vector<NodeId> setControlMembers(ControllerLink &link, const std::vector<NodeId> &members,
+                                      const std::vector<NodeId> &configured);
 
 /// Selects the leader that `from` named; empty if it knows none. Ignored unless `from` is the
 /// current member.
--- a/src/node/controller_link_test.cpp
+++ b/src/node/controller_link_test.cpp
@@ -46,6 +46,25 @@
     EXPECT_TRUE(advanceControllerLink(link, kStart + kControllerTimeout));
 }
 
+// Guards against a node that reports to former members for ever after all members were replaced: it
+// knew its seeds only.
+TEST(ControllerLink, FollowsMembersThatWereReplacedOneByOne)
+{
+    const std::vector<NodeId> seeds { kFirst, kSecond, kThird };
+    ControllerLink link = makeLink();
+    noteControllerAnswer(link, kFirst, kStart);
+    EXPECT_TRUE(setControlMembers(link, { kFirst, kSecond, NodeId("c4") }, seeds).empty());
+    EXPECT_TRUE(setControlMembers(link, { kFirst, NodeId("c5"), NodeId("c6") }, seeds)
+                == std::vector<NodeId> { NodeId("c4") });
+    EXPECT_EQ(currentController(link), kFirst);
+    EXPECT_TRUE(advanceControllerLink(link, kStart + kControllerTimeout));
+    EXPECT_EQ(currentController(link), NodeId("c5"));
+    EXPECT_TRUE(link.searching);
+    noteControllerAnswer(link, NodeId("c6"), kStart + kControllerTimeout);
+    EXPECT_EQ(currentController(link), NodeId("c6"));
+    EXPECT_FALSE(link.searching);
+}
+
 // Guards against a node that never gets its first lease over a slow link: it gave up the
 // controller, and closed the link, while the lease was arriving.
 TEST(ControllerLink, KeepsMemberWhoseAnswerIsArriving)
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -162,16 +162,32 @@
     return due;
 }
 
+void Node::Impl::reportTo(const NodeId &target, const NodeReport &report, TimePoint now)
+{
+    if (target == m_settings.nodeId)
+        answerReport(report, { target, m_incarnation }, 0, now);
+    else
+        m_transport->send(target, MessageType::NodeReport, report.number, encodeNodeReport(report));
+}
+
+/// Only the controller grants a lease; the others answer with hints.
+void Node::Impl::reportToAllMembers(const NodeReport &report, TimePoint now)
+{
+    const std::vector<NodeId> members = m_controllerLink.members;
+    for (const NodeId &member : members)
+        reportTo(member, report, now);
+}
+
 void Node::Impl::sendReport(TimePoint now)
 {
     m_reportsSent[static_cast<std::size_t>(noteReportSent(m_reportSchedule, now))]->increment();
     NodeReport report = makeNodeReport(m_view, reportInput(now), now);
+    report.knownMembers = m_knownMembers;
     addRelayedReports(report, now);
-    const NodeId target = reportTarget();
-    if (target == m_settings.nodeId)
-        answerReport(report, { target, m_incarnation }, 0, now);
+    if (m_controllerLink.searching && !currentRelay(m_relayLink))
+        reportToAllMembers(report, now);
     else
-        m_transport->send(target, MessageType::NodeReport, report.number, encodeNodeReport(report));
+        reportTo(reportTarget(), report, now);
     for (const auto &[service, host] : m_hosts)
         host->requestReport();
 }
@@ -278,8 +294,8 @@
     const bool local = to.node == m_settings.nodeId;
     if (m_controller && m_controller->isActive()) {
         const std::optional<NodeLease> lease = m_controller->answerReport(report, now);
-        if (lease && local)
-            applyLease(*lease, now);
+        if (lease && local && applyLease(*lease, now))
+            noteControllerAnswer(m_controllerLink, to.node, now);
         else if (lease)
             m_transport->sendTo(to, MessageType::NodeLease, requestId, encodeNodeLease(*lease));
         return;
@@ -296,8 +312,13 @@
 void Node::Impl::onLease(const PeerMessage &message, TimePoint now)
 {
     const absl::StatusOr<NodeLease> lease = decodeNodeLease(message.payload);
-    if (lease.ok() && applyLease(*lease, now))
-        noteRelayAnswer(m_relayLink, message.sender, now);
+    if (!lease.ok() || !applyLease(*lease, now))
+        return;
+    noteRelayAnswer(m_relayLink, message.sender, now);
+    const NodeId &controller = currentRelay(m_relayLink) == message.sender
+        ? currentController(m_controllerLink)
+        : message.sender;
+    noteControllerAnswer(m_controllerLink, controller, now);
 }
 
 void Node::Impl::onForward(const PeerMessage &message, TimePoint now)
@@ -414,6 +435,27 @@
     m_transport->setPeer(member, { member.value(), m_settings.peerListen.port });
 }
 
+/// Follows the control members that the controller named, so that a node which was told of some
+/// seeds only still finds the group when all of them have been replaced.
+void Node::Impl::adoptControlMembers(const std::vector<NodeId> &members)
+{
+    if (members.empty())
+        return;
+    m_knownMembers = controlMembersDigest(members);
+    for (const NodeId &member : members)
+        addDiscoveredMember(member);
+    if (!m_settings.idsAreAddresses)
+        return;
+    std::vector<NodeId> configured = configuredMembers(m_settings);
+    if (m_settings.control)
+        configured.push_back(m_settings.nodeId);
+    for (const NodeId &former : setControlMembers(m_controllerLink, members, configured)) {
+        m_logger.info("control_member_removed", { { "member", former.value() } });
+        if (!m_sessions || !m_sessions->usesPeer(former))
+            m_transport->forgetPeer(former);
+    }
+}
+
 void Node::Impl::addGroupMembers()
 {
     if (!m_controlGroup || !m_settings.idsAreAddresses)
--- a/src/node/node_impl.h
+++ b/src/node/node_impl.h
@@ -27,6 +27,9 @@
 
 namespace shallotlever {
 
+/// Ids of the control members in the settings, which may be seeds only.
+std::vector<NodeId> configuredMembers(const NodeSettings &settings);
+
 /// The part of a node that runs on the control thread: reports to the controller, applies its
 /// leases, and publishes state to the edge and executor threads.
 class Node::Impl
@@ -76,6 +79,8 @@
     // Periodic work.
     void tick();
     void sendReport(TimePoint now);
+    void reportTo(const NodeId &target, const NodeReport &report, TimePoint now);
+    void reportToAllMembers(const NodeReport &report, TimePoint now);
     bool earlyReportDue(TimePoint now);
     /// Requests reports from the nodes, because changes reach them with the leases that answer.
     void requestReports(const std::vector<NodeId> &nodes);
@@ -117,6 +122,7 @@
     void announce(const AnnounceRequest &request, const EdgeResponder &respond);
     // Control members that are discovered instead of configured.
     void addDiscoveredMember(const NodeId &member);
+    void adoptControlMembers(const std::vector<NodeId> &members);
     void addGroupMembers();
     UpstreamControl controlOf(const ServiceId &service, const UpstreamId &upstream,
                               const Endpoint &endpoint) const;
@@ -145,6 +151,8 @@
     NodeView m_view;
     NodeSharedState m_shared;
     ControllerLink m_controllerLink;
+    /// Digest of the control members that the controller named last.
+    std::uint64_t m_knownMembers = 0;
     NodeId m_loggedController;
     RelayLink m_relayLink;
     RelayState m_relay;
--- a/src/node/node_publish.cpp
+++ b/src/node/node_publish.cpp
@@ -17,7 +17,7 @@
             .increment();
         return false;
     }
-    noteControllerAnswer(m_controllerLink, now);
+    adoptControlMembers(lease.controlMembers);
     m_shared.freshUntilUs.store(m_view.freshness.leaseUntil.time_since_epoch().count(),
                                 std::memory_order_release);
     if (m_sessions)
--- a/src/node/node_start.cpp
+++ b/src/node/node_start.cpp
@@ -30,6 +30,13 @@
     return { address.ip, address.port };
 }
 
+LogLevel levelOf(const NodeSettings &settings)
+{
+    return logLevelFromName(settings.logLevel).value_or(LogLevel::Info);
+}
+
+} // namespace
+
 std::vector<NodeId> configuredMembers(const NodeSettings &settings)
 {
     std::vector<NodeId> members;
@@ -38,13 +45,6 @@
     return members;
 }
 
-LogLevel levelOf(const NodeSettings &settings)
-{
-    return logLevelFromName(settings.logLevel).value_or(LogLevel::Info);
-}
-
-} // namespace
-
 Node::Impl::Impl(const NodeSettings &settings, PlatformAdapter platform)
     : m_settings(settings)
     , m_platform(std::move(platform))
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -312,6 +312,11 @@
     m_impl->m_dispatcher->onMessage(message, now);
 }
 
+bool SessionProxy::usesPeer(const NodeId &peer) const
+{
+    return m_impl->m_dispatcher->usesPeer(peer);
+}
+
 void SessionProxy::onPeerDisconnected(const NodeId &peer, TimePoint now)
 {
     m_impl->m_dispatcher->onPeerDisconnected(peer, now);
--- a/src/proxy/statement_dispatcher.h
+++ b/src/proxy/statement_dispatcher.h
@@ -47,6 +47,7 @@
     void onPeerDisconnected(const NodeId &peer, TimePoint now);
     /// Keeps links to the owners of all databases.
     void connectOwners();
+    bool usesPeer(const NodeId &peer) const { return m_connected.contains(peer); }
     void tick(TimePoint now);
 
     StatementRunner &runner() { return m_runner; }
--- a/testsuite/cluster_fuzz/node_side.cpp
+++ b/testsuite/cluster_fuzz/node_side.cpp
@@ -114,7 +114,7 @@
     if (result.verdict != LeaseVerdict::Applied)
         return;
     ++m_report.leases;
-    noteControllerAnswer(host.link, now);
+    noteControllerAnswer(host.link, currentController(host.link), now);
     for (const auto &[id, team] : host.view.replicated.cluster.config.teams) {
         if (auto &bucket = host.buckets[id]; !bucket)
             bucket = std::make_unique<TokenBucket>();
