--- a/src/proxy/session.cpp
+++ b/src/proxy/session.cpp
@@ -1,5 +1,6 @@
 // Dispatch of session messages, admission, and statements that need no database. Session start is
-// in session_start.cpp, attempts on a database are in session_attempt.cpp.
+// in session_start.cpp, attempts on a database are in session_attempt.cpp, messages that wait are
+// in session_queue.cpp.
 
 #include "session.h"
 
@@ -18,10 +19,6 @@
 constexpr Duration kFirstMessageTimeout = 5s;
 /// Timeout of a statement whose database is not in the configuration.
 constexpr Duration kDefaultStatementTimeout = 1800ms;
-/// Maximum number of statements that a caller may send ahead of responses, and of response bytes
-/// that it may leave unread.
-constexpr std::size_t kMaxQueuedStatements = 64;
-constexpr std::size_t kMaxUnsentBytes = 1U << 20U;
 
 } // namespace
 
@@ -80,24 +77,6 @@
     }
 }
 
-/// Serves the messages that wait, in the order in which they were sent, until one needs a database.
-void CallerSession::serveQueue()
-{
-    // A statement that fails at once ends its execution inside the loop.
-    if (m_servingQueue)
-        return;
-    m_servingQueue = true;
-    while (!m_execution && !m_disconnected && !m_queue.empty()) {
-        CallerMessage message = std::move(m_queue.front());
-        m_queue.pop_front();
-        if (auto *statement = std::get_if<Statement>(&message))
-            onStatement(std::move(*statement), monotonicNow());
-        else if (const auto *malformed = std::get_if<MalformedMessage>(&message))
-            refuse(ErrorKind::MalformedRequest, malformed->id);
-    }
-    m_servingQueue = false;
-}
-
 void CallerSession::onClosed()
 {
     m_disconnected = true;
@@ -339,23 +318,6 @@
     answer(m_state.protocol->error({ kind, {}, std::nullopt }) + m_state.protocol->ready(state()));
 }
 
-/// Bounds the memory used by a caller that sends statements without reading responses.
-void CallerSession::enqueue(CallerMessage message)
-{
-    if (m_queue.size() < kMaxQueuedStatements && m_socket->unsentBytes() < kMaxUnsentBytes) {
-        m_queue.push_back(std::move(message));
-        return;
-    }
-    m_state.metrics->refusal(ErrorKind::RequestTooLarge).increment();
-    m_state.logger->warning("session_closed",
-                            { { "database", m_database.value() },
-                              { "team", m_team.value() },
-                              { "reason", errorRow(ErrorKind::RequestTooLarge).name },
-                              { "queued", m_queue.size() } });
-    m_socket->closeGracefully();
-    onClosed();
-}
-
 void CallerSession::rollback(TimePoint now)
 {
     endTransaction(now);
@@ -391,26 +353,6 @@
         close();
 }
 
-void CallerSession::endOpenStatements(TimePoint now)
-{
-    std::deque<CallerMessage> unserved = std::exchange(m_queue, {});
-    if (m_execution) {
-        const bool sent = !cancelPendingWait();
-        const bool commits = m_execution->statement.kind == StatementKind::Commit;
-        m_execution->mayHaveRun = m_execution->mayHaveRun || sent;
-        // Nothing is kept of a transaction unless its commit was sent.
-        if (m_transaction && !(commits && sent && m_transaction->wrote))
-            fail(ErrorKind::TransactionLost, now);
-        else
-            fail(m_execution->mayHaveRun ? ErrorKind::OutcomeUnknown : ErrorKind::Draining, now);
-    }
-    for (const CallerMessage &message : unserved) {
-        if (const auto *statement = std::get_if<Statement>(&message))
-            refuse(ErrorKind::Draining, statement->id);
-    }
-    close();
-}
-
 void CallerSession::fail(ErrorKind kind, TimePoint now, std::optional<Duration> retryAfter)
 {
     m_state.metrics->refusal(kind).increment();
--- /dev/null
+++ b/src/proxy/session_queue.cpp
@@ -0,0 +1,74 @@
+// Messages that a caller sends ahead of responses, and the end of a session whose node stops.
+
+#include <utility>
+
+#include "session.h"
+#include "shallotlever/base/clock.h"
+
+namespace shallotlever {
+
+namespace {
+
+/// Maximum number of statements that a caller may send ahead of responses, and of response bytes
+/// that it may leave unread.
+constexpr std::size_t kMaxQueuedStatements = 64;
+constexpr std::size_t kMaxUnsentBytes = 1U << 20U;
+
+} // namespace
+
+/// Bounds the memory used by a caller that sends statements without reading responses.
+void CallerSession::enqueue(CallerMessage message)
+{
+    if (m_queue.size() < kMaxQueuedStatements && m_socket->unsentBytes() < kMaxUnsentBytes) {
+        m_queue.push_back(std::move(message));
+        return;
+    }
+    m_state.metrics->refusal(ErrorKind::RequestTooLarge).increment();
+    m_state.logger->warning("session_closed",
+                            { { "database", m_database.value() },
+                              { "team", m_team.value() },
+                              { "reason", errorRow(ErrorKind::RequestTooLarge).name },
+                              { "queued", m_queue.size() } });
+    m_socket->closeGracefully();
+    onClosed();
+}
+
+/// Serves the messages that wait, in the order in which they were sent, until one needs a database.
+void CallerSession::serveQueue()
+{
+    // A statement that fails at once ends its execution inside the loop.
+    if (m_servingQueue)
+        return;
+    m_servingQueue = true;
+    while (!m_execution && !m_disconnected && !m_queue.empty()) {
+        CallerMessage message = std::move(m_queue.front());
+        m_queue.pop_front();
+        if (auto *statement = std::get_if<Statement>(&message))
+            onStatement(std::move(*statement), monotonicNow());
+        else if (const auto *malformed = std::get_if<MalformedMessage>(&message))
+            refuse(ErrorKind::MalformedRequest, malformed->id);
+    }
+    m_servingQueue = false;
+}
+
+void CallerSession::endOpenStatements(TimePoint now)
+{
+    std::deque<CallerMessage> unserved = std::exchange(m_queue, {});
+    if (m_execution) {
+        const bool sent = !cancelPendingWait();
+        const bool commits = m_execution->statement.kind == StatementKind::Commit;
+        m_execution->mayHaveRun = m_execution->mayHaveRun || sent;
+        // Nothing is kept of a transaction unless its commit was sent.
+        if (m_transaction && !(commits && sent && m_transaction->wrote))
+            fail(ErrorKind::TransactionLost, now);
+        else
+            fail(m_execution->mayHaveRun ? ErrorKind::OutcomeUnknown : ErrorKind::Draining, now);
+    }
+    for (const CallerMessage &message : unserved) {
+        if (const auto *statement = std::get_if<Statement>(&message))
+            refuse(ErrorKind::Draining, statement->id);
+    }
+    close();
+}
+
+} // namespace shallotlever
