Count the sessions that a stop closes, and what is lost with them

The log of a node that stops said nothing about the sessions that it closed, so that the places where a statement can be lost couldn't be told apart.

The line `sessions_closed`, one for each stop, and counters tell how many sessions were closed idle, after a statement and at the limit, with unread input or unsent output, and how many statements were refused.

--- a/src/include/shallotlever/proxy/proxy.h
+++ b/src/include/shallotlever/proxy/proxy.h
@@ -104,6 +104,8 @@
     /// closes the sessions. Returns how many had a statement or a transaction.
     std::size_t endOpenStatements(TimePoint now);
     std::size_t openSessions() const;
+    /// Logs how many sessions the stop closed, and what was lost with them.
+    void logStop() const;
     /// Whether a session or another node has an open transaction.
     bool hasOpenTransactions() const;
     /// Statements that run or wait on this node's connections.
--- a/src/node/node_drain.cpp
+++ b/src/node/node_drain.cpp
@@ -111,6 +111,8 @@
 void Node::Impl::finish(int status)
 {
     m_drainPhase = DrainPhase::Finished;
+    if (m_sessions)
+        m_sessions->logStop();
     QCoreApplication::exit(status);
 }
 
--- a/src/proxy/line_socket.cpp
+++ b/src/proxy/line_socket.cpp
@@ -1,5 +1,9 @@
 #include "line_socket.h"
 
+#include <utility>
+
+#include "shallotlever/wire/socket_end.h"
+
 namespace shallotlever {
 
 namespace {
@@ -43,6 +47,11 @@
     m_socket->disconnectFromHost();
 }
 
+bool LineSocket::hasUnservedInput() const
+{
+    return m_buffer.size() > m_consumed || hasUnreadInput(*m_socket);
+}
+
 std::size_t LineSocket::unsentBytes() const
 {
     return static_cast<std::size_t>(m_socket->bytesToWrite());
@@ -53,16 +62,15 @@
     const QByteArray bytes = m_socket->readAll();
     m_buffer.append(bytes.constData(), static_cast<std::size_t>(bytes.size()));
     const std::weak_ptr<bool> alive = m_alive;
-    std::size_t start = 0;
-    for (std::size_t found = m_buffer.find(kLineEnd, start); found != std::string::npos && !m_ended;
-         found = m_buffer.find(kLineEnd, start)) {
-        const std::string line = m_buffer.substr(start, found - start);
-        start = found + kLineEnd.size();
+    for (std::size_t found = m_buffer.find(kLineEnd); found != std::string::npos && !m_ended;
+         found = m_buffer.find(kLineEnd, m_consumed)) {
+        const std::string line = m_buffer.substr(m_consumed, found - m_consumed);
+        m_consumed = found + kLineEnd.size();
         m_callbacks.line(line);
         if (alive.expired())
             return;
     }
-    m_buffer.erase(0, start);
+    m_buffer.erase(0, std::exchange(m_consumed, 0));
     if (m_buffer.size() > kMaxLineBytes)
         end();
 }
--- a/src/proxy/line_socket.h
+++ b/src/proxy/line_socket.h
@@ -35,6 +35,8 @@
     /// Sends the buffered bytes, then closes the connection.
     void closeGracefully();
     bool isOpen() const { return !m_ended; }
+    /// Whether bytes of the peer have not been passed on as a line yet.
+    bool hasUnservedInput() const;
     /// Bytes in the send buffer that the operating system has not accepted yet.
     std::size_t unsentBytes() const;
 
@@ -45,6 +47,8 @@
     QTcpSocket *m_socket;
     Callbacks m_callbacks;
     std::string m_buffer;
+    /// Bytes at the start of m_buffer that were passed on.
+    std::size_t m_consumed = 0;
     bool m_ended = false;
     /// Expires when a callback destroys this object.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -95,6 +95,7 @@
     m_state.protocol = &protocol;
     m_state.metrics = &metrics;
     m_state.logger = &logger;
+    m_state.stopCounters = std::make_unique<StopCounters>(metrics.registry());
     m_state.startedAt = monotonicNow();
     m_state.self = peers.self;
     m_state.incarnation = peers.incarnation;
@@ -250,7 +251,7 @@
     for (auto session = m_sessions.begin(); session != m_sessions.end();) {
         session->tick(now);
         if (m_state.draining && session->idle() && !session->finished())
-            session->close();
+            session->closeForStop(StopClose::Idle);
         session = session->finished() ? m_sessions.erase(session) : std::next(session);
     }
     m_sessionsGauge.set(static_cast<std::int64_t>(m_sessions.size()));
@@ -398,6 +399,11 @@
     return ended;
 }
 
+void SessionProxy::logStop() const
+{
+    m_impl->m_state.stopCounters->log(*m_impl->m_state.logger);
+}
+
 bool SessionProxy::hasOpenTransactions() const
 {
     return m_impl->m_dispatcher->runner().openTransactions() > 0
--- a/src/proxy/proxy_state.h
+++ b/src/proxy/proxy_state.h
@@ -11,6 +11,7 @@
 #include "shallotlever/telemetry/log_rate_limiter.h"
 #include "shallotlever/telemetry/node_metrics.h"
 #include "shallotlever/types/config.h"
+#include "stop_counters.h"
 #include "upstream_pool.h"
 
 namespace shallotlever {
@@ -87,6 +88,7 @@
     /// database may be the primary without this node knowing.
     TimePoint freshUntil;
     LogRateLimiter logRateLimiter;
+    std::unique_ptr<StopCounters> stopCounters;
     bool draining = false;
     TimePoint startedAt;
 
--- a/src/proxy/session.cpp
+++ b/src/proxy/session.cpp
@@ -350,7 +350,7 @@
     }
     serveQueue();
     if (m_state.draining && idle() && m_queue.empty())
-        close();
+        closeForStop(StopClose::AfterStatement);
 }
 
 void CallerSession::fail(ErrorKind kind, TimePoint now, std::optional<Duration> retryAfter)
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -27,8 +27,7 @@
     /// The connection was closed and no statement of the session is running.
     bool finished() const { return m_disconnected && !m_execution; }
     bool inTransaction() const { return m_transaction.has_value(); }
-    /// Closes an idle session.
-    void close();
+    void closeForStop(StopClose when);
     /// Answers all statements of the session with an error that says truthfully whether they may
     /// have run, and closes it.
     void endOpenStatements(TimePoint now);
@@ -47,6 +46,7 @@
     void onStatement(Statement statement, TimePoint now);
     void enqueue(CallerMessage message);
     void serveQueue();
+    void close();
     void refuseStart(ErrorKind kind);
     void answerStart(TimePoint now);
 
--- a/src/proxy/session_queue.cpp
+++ b/src/proxy/session_queue.cpp
@@ -51,6 +51,13 @@
     m_servingQueue = false;
 }
 
+void CallerSession::closeForStop(StopClose when)
+{
+    m_state.stopCounters->countClose(when, m_socket->hasUnservedInput(),
+                                     m_socket->unsentBytes() > 0);
+    close();
+}
+
 void CallerSession::endOpenStatements(TimePoint now)
 {
     std::deque<CallerMessage> unserved = std::exchange(m_queue, {});
@@ -65,10 +72,12 @@
             fail(m_execution->mayHaveRun ? ErrorKind::OutcomeUnknown : ErrorKind::Draining, now);
     }
     for (const CallerMessage &message : unserved) {
-        if (const auto *statement = std::get_if<Statement>(&message))
+        if (const auto *statement = std::get_if<Statement>(&message)) {
+            m_state.stopCounters->countRefused();
             refuse(ErrorKind::Draining, statement->id);
+        }
     }
-    close();
+    closeForStop(StopClose::AtLimit);
 }
 
 } // namespace shallotlever
