End the connection of a session in two steps

Callers lost statements, and could lose answers, when a node stopped: their connection was reset although a whole statement had been sent on it.

A session was closed when it was idle, without a look at bytes that wait in the line buffer, in Qt's and in the operating system's. Closing a socket with unread input resets it. A process that waited for the processor handles the tick that closes sessions before it reads.

A stop closes a session only if nothing of its caller waits in any of these buffers and the caller has sent nothing for 100 ms, or directly after an answer. The sending direction is shut down after the last answer was handed over, and input is read until the caller closes or 2 s pass without progress. At the drain limit what has arrived is read and refused as not run. Statements that arrive after the end can't be answered; they are not run, and are counted and logged (`statement_unanswered`): a caller that sends one within a round trip of the end still gets none.

--- a/src/include/shallotlever/proxy/proxy.h
+++ b/src/include/shallotlever/proxy/proxy.h
@@ -104,6 +104,8 @@
     /// closes the sessions. Returns how many had a statement or a transaction.
     std::size_t endOpenStatements(TimePoint now);
     std::size_t openSessions() const;
+    /// Sessions that have ended and whose callers have not closed their connection yet.
+    std::size_t closingSessions() const;
     /// Logs how many sessions the stop closed, and what was lost with them.
     void logStop() const;
     /// Whether a session or another node has an open transaction.
--- a/src/proxy/line_socket.cpp
+++ b/src/proxy/line_socket.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::string_view kLineEnd = "\r\n";
+/// Time for which a peer that takes no output, or does not close, is waited for.
+constexpr Duration kLingerTimeout = 2s;
 
 } // namespace
 
@@ -18,6 +20,7 @@
 {
     m_socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
     QObject::connect(m_socket, &QTcpSocket::readyRead, m_socket, [this] { readLines(); });
+    QObject::connect(m_socket, &QTcpSocket::bytesWritten, m_socket, [this] { onBytesWritten(); });
     QObject::connect(m_socket, &QTcpSocket::disconnected, m_socket, [this] { end(); });
     QObject::connect(m_socket, &QTcpSocket::errorOccurred, m_socket, [this] { end(); });
 }
@@ -25,31 +28,69 @@
 LineSocket::~LineSocket()
 {
     QObject::disconnect(m_socket, nullptr, m_socket, nullptr);
-    if (m_socket->state() == QAbstractSocket::ClosingState)
-        QObject::connect(m_socket, &QTcpSocket::disconnected, m_socket, &QObject::deleteLater);
-    else
-        m_socket->abort();
-    if (m_socket->state() == QAbstractSocket::UnconnectedState)
-        m_socket->deleteLater();
+    m_socket->abort();
+    m_socket->deleteLater();
 }
 
 void LineSocket::write(const std::string &bytes)
 {
-    if (m_ended)
+    if (m_stage != Stage::Open)
         return;
     m_socket->write(bytes.data(), static_cast<qint64>(bytes.size()));
     m_socket->flush();
 }
 
-void LineSocket::closeGracefully()
+void LineSocket::readWaitingLines()
 {
-    m_ended = true;
-    m_socket->disconnectFromHost();
+    // Without input the call would report a timeout as an error of the socket.
+    if (m_stage == Stage::Open && hasUnreadInput())
+        m_socket->waitForReadyRead(0);
+}
+
+void LineSocket::closeGracefully(TimePoint now)
+{
+    if (m_stage != Stage::Open)
+        return;
+    m_stage = Stage::Sending;
+    m_lingerUntil = now + kLingerTimeout;
+    shutDownWhenSent();
+}
+
+void LineSocket::shutDownWhenSent()
+{
+    if (m_socket->bytesToWrite() > 0)
+        return;
+    m_stage = Stage::Lingering;
+    shutDownSending(*m_socket);
+}
+
+void LineSocket::onBytesWritten()
+{
+    m_lingerProgress = true;
+    if (m_stage == Stage::Sending)
+        shutDownWhenSent();
+}
+
+void LineSocket::tick(TimePoint now)
+{
+    if (m_stage == Stage::Open || m_stage == Stage::Closed)
+        return;
+    if (std::exchange(m_lingerProgress, false))
+        m_lingerUntil = now + kLingerTimeout;
+    if (now < m_lingerUntil)
+        return;
+    m_stage = Stage::Closed;
+    m_socket->abort();
+}
+
+bool LineSocket::hasUnreadInput() const
+{
+    return shallotlever::hasUnreadInput(*m_socket);
 }
 
 bool LineSocket::hasUnservedInput() const
 {
-    return m_buffer.size() > m_consumed || hasUnreadInput(*m_socket);
+    return m_buffer.size() > m_consumed || hasUnreadInput();
 }
 
 std::size_t LineSocket::unsentBytes() const
@@ -62,7 +103,8 @@
     const QByteArray bytes = m_socket->readAll();
     m_buffer.append(bytes.constData(), static_cast<std::size_t>(bytes.size()));
     const std::weak_ptr<bool> alive = m_alive;
-    for (std::size_t found = m_buffer.find(kLineEnd); found != std::string::npos && !m_ended;
+    for (std::size_t found = m_buffer.find(kLineEnd, m_consumed);
+         found != std::string::npos && m_stage != Stage::Closed;
          found = m_buffer.find(kLineEnd, m_consumed)) {
         const std::string line = m_buffer.substr(m_consumed, found - m_consumed);
         m_consumed = found + kLineEnd.size();
@@ -77,10 +119,9 @@
 
 void LineSocket::end()
 {
-    if (m_ended)
-        return;
-    m_ended = true;
-    m_callbacks.closed();
+    const Stage before = std::exchange(m_stage, Stage::Closed);
+    if (before == Stage::Open)
+        m_callbacks.closed();
 }
 
 } // namespace shallotlever
--- a/src/proxy/line_socket.h
+++ b/src/proxy/line_socket.h
@@ -7,6 +7,8 @@
 
 #include <QTcpSocket>
 
+#include "shallotlever/base/time.h"
+
 namespace shallotlever {
 
 /// Maximum size of an incomplete line, in bytes; the connection is closed beyond it.
@@ -19,29 +21,45 @@
 public:
     struct Callbacks
     {
+        /// A line was received. Also called after closeGracefully(), when nothing can be sent any
+        /// more.
         std::function<void(std::string_view line)> line;
-        /// The connection was closed or failed; no further callback follows.
+        /// The peer closed the connection, or it failed; no further callback follows. Not called
+        /// after closeGracefully().
         std::function<void()> closed;
     };
 
     /// Takes ownership of a connected or connecting socket.
     LineSocket(QTcpSocket *socket, Callbacks callbacks);
-    /// Closes the connection without invoking callbacks.
+    /// Closes the connection at once, without invoking callbacks.
     ~LineSocket();
     LineSocket(const LineSocket &) = delete;
     LineSocket &operator=(const LineSocket &) = delete;
 
     void write(const std::string &bytes);
-    /// Sends the buffered bytes, then closes the connection.
-    void closeGracefully();
-    bool isOpen() const { return !m_ended; }
+    /// Passes on the lines that the operating system has received and Qt has not read.
+    void readWaitingLines();
+    /// Sends the buffered bytes and shuts down the sending direction. Input is read until the peer
+    /// closes as well; tick() limits how long.
+    void closeGracefully(TimePoint now);
+    /// Closes the connection if closeGracefully() was called and the peer took too long.
+    void tick(TimePoint now);
+    bool isOpen() const { return m_stage == Stage::Open; }
+    /// Both directions are closed.
+    bool isClosed() const { return m_stage == Stage::Closed; }
+    /// Whether bytes of the peer wait to be read.
+    bool hasUnreadInput() const;
     /// Whether bytes of the peer have not been passed on as a line yet.
     bool hasUnservedInput() const;
     /// Bytes in the send buffer that the operating system has not accepted yet.
     std::size_t unsentBytes() const;
 
 private:
+    enum class Stage { Open, Sending, Lingering, Closed };
+
     void readLines();
+    void onBytesWritten();
+    void shutDownWhenSent();
     void end();
 
     QTcpSocket *m_socket;
@@ -49,7 +67,11 @@
     std::string m_buffer;
     /// Bytes at the start of m_buffer that were passed on.
     std::size_t m_consumed = 0;
-    bool m_ended = false;
+    Stage m_stage = Stage::Open;
+    /// End of the time that the peer has to take the output, and then to close; runs anew from the
+    /// first tick after progress.
+    TimePoint m_lingerUntil;
+    bool m_lingerProgress = false;
     /// Expires when a callback destroys this object.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -250,8 +250,8 @@
     });
     for (auto session = m_sessions.begin(); session != m_sessions.end();) {
         session->tick(now);
-        if (m_state.draining && session->idle() && !session->finished())
-            session->closeForStop(StopClose::Idle);
+        if (m_state.draining)
+            session->closeIfIdle(now);
         session = session->finished() ? m_sessions.erase(session) : std::next(session);
     }
     m_sessionsGauge.set(static_cast<std::int64_t>(m_sessions.size()));
@@ -391,6 +391,7 @@
 
 std::size_t SessionProxy::endOpenStatements(TimePoint now)
 {
+    m_impl->m_state.atDrainLimit = true;
     std::size_t ended = 0;
     for (CallerSession &session : m_impl->m_sessions) {
         ended += session.idle() ? 0 : 1;
@@ -423,7 +424,15 @@
 
 std::size_t SessionProxy::openSessions() const
 {
-    return m_impl->m_sessions.size();
+    const std::list<CallerSession> &sessions = m_impl->m_sessions;
+    return static_cast<std::size_t>(
+        std::count_if(sessions.begin(), sessions.end(),
+                      [](const CallerSession &session) { return !session.disconnected(); }));
+}
+
+std::size_t SessionProxy::closingSessions() const
+{
+    return m_impl->m_sessions.size() - openSessions();
 }
 
 } // namespace shallotlever
--- a/src/proxy/proxy_state.h
+++ b/src/proxy/proxy_state.h
@@ -90,6 +90,8 @@
     LogRateLimiter logRateLimiter;
     std::unique_ptr<StopCounters> stopCounters;
     bool draining = false;
+    /// Nothing more is run, because the process ends.
+    bool atDrainLimit = false;
     TimePoint startedAt;
 
     /// Whether a node without a lease expects one soon, because it started or lost its lease
--- a/src/proxy/session.cpp
+++ b/src/proxy/session.cpp
@@ -27,6 +27,7 @@
     : m_state(state)
     , m_dispatcher(dispatcher)
     , m_openedAt(now)
+    , m_lastActiveAt(now)
 {
     LineSocket::Callbacks callbacks;
     callbacks.line = [this](std::string_view line) { onLine(line); };
@@ -60,6 +61,11 @@
 void CallerSession::onLine(std::string_view line)
 {
     const TimePoint now = monotonicNow();
+    m_lastActiveAt = now;
+    if (m_disconnected) {
+        onLateMessage(line, now);
+        return;
+    }
     CallerMessage message = m_state.protocol->decodeCaller(line);
     if (const auto *start = std::get_if<SessionStart>(&message)) {
         if (m_started || m_awaitingLease)
@@ -67,7 +73,7 @@
         else
             onStart(*start, now);
     } else if (std::holds_alternative<SessionEnd>(message)) {
-        m_socket->closeGracefully();
+        m_socket->closeGracefully(now);
         onClosed();
     } else if (!m_started && std::holds_alternative<Statement>(message)) {
         refuseStart(ErrorKind::MalformedRequest);
@@ -334,7 +340,7 @@
 
 void CallerSession::close()
 {
-    m_socket->closeGracefully();
+    m_socket->closeGracefully(monotonicNow());
     m_disconnected = true;
 }
 
@@ -348,8 +354,9 @@
         m_transaction.reset();
         return;
     }
+    m_lastActiveAt = monotonicNow();
     serveQueue();
-    if (m_state.draining && idle() && m_queue.empty())
+    if (m_state.draining && quiescent())
         closeForStop(StopClose::AfterStatement);
 }
 
@@ -403,9 +410,11 @@
 
 void CallerSession::tick(TimePoint now)
 {
+    m_socket->tick(now);
     if (m_awaitingLease && !m_disconnected)
         answerStart(now);
-    if (!m_started && !m_disconnected && now >= m_openedAt + kFirstMessageTimeout)
+    if (!m_started && !m_disconnected && now >= m_openedAt + kFirstMessageTimeout
+        && !m_socket->hasUnreadInput())
         close();
     if (m_execution) {
         switch (m_execution->phase) {
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -24,10 +24,14 @@
     void tick(TimePoint now);
     /// No statement is being served and no transaction is open.
     bool idle() const { return !m_execution && !m_transaction; }
+    /// Nothing more is sent to the caller.
+    bool disconnected() const { return m_disconnected; }
     /// The connection was closed and no statement of the session is running.
-    bool finished() const { return m_disconnected && !m_execution; }
+    bool finished() const { return m_disconnected && !m_execution && m_socket->isClosed(); }
     bool inTransaction() const { return m_transaction.has_value(); }
-    void closeForStop(StopClose when);
+    /// Closes a session whose caller has sent nothing for a while and is owed nothing, because the
+    /// node stops.
+    void closeIfIdle(TimePoint now);
     /// Answers all statements of the session with an error that says truthfully whether they may
     /// have run, and closes it.
     void endOpenStatements(TimePoint now);
@@ -46,6 +50,11 @@
     void onStatement(Statement statement, TimePoint now);
     void enqueue(CallerMessage message);
     void serveQueue();
+    bool quiescent() const;
+    void onLateMessage(std::string_view line, TimePoint now);
+    void closeForStop(StopClose when);
+    void failOpenStatement(TimePoint now);
+    void refuseUnserved(const CallerMessage &message);
     void close();
     void refuseStart(ErrorKind kind);
     void answerStart(TimePoint now);
@@ -111,6 +120,8 @@
     /// The connection was closed or is being closed; nothing more is sent to the caller.
     bool m_disconnected = false;
     TimePoint m_openedAt;
+    /// The caller last sent a message or received an answer.
+    TimePoint m_lastActiveAt;
     DatabaseName m_database;
     KeyHash m_key {};
     /// Team that the current operation, or the last one, was admitted for.
--- a/src/proxy/session_queue.cpp
+++ b/src/proxy/session_queue.cpp
@@ -13,6 +13,9 @@
 /// that it may leave unread.
 constexpr std::size_t kMaxQueuedStatements = 64;
 constexpr std::size_t kMaxUnsentBytes = 1U << 20U;
+/// A session is closed by a stop when its caller has sent nothing for this long, so that a caller
+/// that sends one statement after the other is told with an answer instead.
+constexpr Duration kMinIdleTime = 100ms;
 
 } // namespace
 
@@ -29,7 +32,7 @@
                               { "team", m_team.value() },
                               { "reason", errorRow(ErrorKind::RequestTooLarge).name },
                               { "queued", m_queue.size() } });
-    m_socket->closeGracefully();
+    m_socket->closeGracefully(monotonicNow());
     onClosed();
 }
 
@@ -37,7 +40,7 @@
 void CallerSession::serveQueue()
 {
     // A statement that fails at once ends its execution inside the loop.
-    if (m_servingQueue)
+    if (m_servingQueue || m_state.atDrainLimit)
         return;
     m_servingQueue = true;
     while (!m_execution && !m_disconnected && !m_queue.empty()) {
@@ -51,6 +54,32 @@
     m_servingQueue = false;
 }
 
+/// Whether the caller is owed nothing: no message of it is being served or waits to be read.
+bool CallerSession::quiescent() const
+{
+    return idle() && !m_disconnected && !m_awaitingLease && m_queue.empty()
+        && !m_socket->hasUnservedInput();
+}
+
+void CallerSession::closeIfIdle(TimePoint now)
+{
+    if (now >= m_lastActiveAt + kMinIdleTime && quiescent())
+        closeForStop(StopClose::Idle);
+}
+
+/// A caller may send a statement before it learns that its session has ended. It is not run.
+void CallerSession::onLateMessage(std::string_view line, TimePoint now)
+{
+    if (!m_state.draining)
+        return;
+    m_state.stopCounters->countUnanswered();
+    const CallerMessage message = m_state.protocol->decodeCaller(line);
+    const auto *statement = std::get_if<Statement>(&message);
+    if (statement != nullptr && acquireLogToken(m_state.logRateLimiter, LogTopic::Failure, now))
+        m_state.logger->info("statement_unanswered",
+                             { { "request", statement->id }, { "database", m_database.value() } });
+}
+
 void CallerSession::closeForStop(StopClose when)
 {
     m_state.stopCounters->countClose(when, m_socket->hasUnservedInput(),
@@ -60,24 +89,39 @@
 
 void CallerSession::endOpenStatements(TimePoint now)
 {
+    m_socket->readWaitingLines();
+    if (m_disconnected)
+        return;
     std::deque<CallerMessage> unserved = std::exchange(m_queue, {});
-    if (m_execution) {
-        const bool sent = !cancelPendingWait();
-        const bool commits = m_execution->statement.kind == StatementKind::Commit;
-        m_execution->mayHaveRun = m_execution->mayHaveRun || sent;
-        // Nothing is kept of a transaction unless its commit was sent.
-        if (m_transaction && !(commits && sent && m_transaction->wrote))
-            fail(ErrorKind::TransactionLost, now);
-        else
-            fail(m_execution->mayHaveRun ? ErrorKind::OutcomeUnknown : ErrorKind::Draining, now);
-    }
-    for (const CallerMessage &message : unserved) {
-        if (const auto *statement = std::get_if<Statement>(&message)) {
-            m_state.stopCounters->countRefused();
-            refuse(ErrorKind::Draining, statement->id);
-        }
-    }
+    if (m_execution)
+        failOpenStatement(now);
+    for (const CallerMessage &message : unserved)
+        refuseUnserved(message);
     closeForStop(StopClose::AtLimit);
 }
 
+void CallerSession::failOpenStatement(TimePoint now)
+{
+    const bool sent = !cancelPendingWait();
+    const bool commits = m_execution->statement.kind == StatementKind::Commit;
+    m_execution->mayHaveRun = m_execution->mayHaveRun || sent;
+    // Nothing is kept of a transaction unless its commit was sent.
+    if (m_transaction && !(commits && sent && m_transaction->wrote))
+        fail(ErrorKind::TransactionLost, now);
+    else
+        fail(m_execution->mayHaveRun ? ErrorKind::OutcomeUnknown : ErrorKind::Draining, now);
+}
+
+void CallerSession::refuseUnserved(const CallerMessage &message)
+{
+    if (const auto *malformed = std::get_if<MalformedMessage>(&message)) {
+        refuse(ErrorKind::MalformedRequest, malformed->id);
+    } else if (const auto *statement = std::get_if<Statement>(&message)) {
+        m_state.stopCounters->countRefused();
+        if (m_transaction)
+            m_transaction->failed = true;
+        refuse(m_transaction ? ErrorKind::TransactionLost : ErrorKind::Draining, statement->id);
+    }
+}
+
 } // namespace shallotlever
--- a/src/proxy/session_start.cpp
+++ b/src/proxy/session_start.cpp
@@ -1,6 +1,7 @@
 // Session start and authorisation of the caller.
 
 #include "session.h"
+#include "shallotlever/base/clock.h"
 #include "shallotlever/session/keys.h"
 
 namespace shallotlever {
@@ -19,7 +20,7 @@
     m_state.logger->info("session_refused",
                          { { "database", m_database.value() }, { "reason", errorRow(kind).name } });
     m_socket->write(m_state.protocol->error({ kind, {}, std::nullopt }));
-    m_socket->closeGracefully();
+    m_socket->closeGracefully(monotonicNow());
     m_disconnected = true;
 }
 
