Serve the callers that wait to be accepted when a stop begins

A caller whose connection the operating system had accepted was reset when the listener of sessions closed, and one whose first message waited for the node's lease was closed without a word, as its session looked idle.

The backlog is accepted before the listener closes, as the HTTP listener does, and a stopping node doesn't wait for a lease: it refuses the session.

CallerThatWaitsToBeAcceptedIsServed and FirstMessageThatWaitsForLeaseIsAnswered fail without the change (a reset, and no answer).

--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -377,7 +377,10 @@
 void SessionProxy::startDrain()
 {
     m_impl->m_state.draining = true;
-    m_impl->m_server.close();
+    QTcpServer &server = m_impl->m_server;
+    // Closing the socket would reset the connections in its backlog, so accept them first.
+    while (server.isListening() && server.waitForNewConnection(0)) { }
+    server.close();
 }
 
 void SessionProxy::abortTransactions(TimePoint now)
--- a/src/proxy/session_start.cpp
+++ b/src/proxy/session_start.cpp
@@ -33,8 +33,8 @@
 
 void CallerSession::answerStart(TimePoint now)
 {
-    m_awaitingLease =
-        !m_state.fresh(now) && m_state.expectsLease(now) && now < m_openedAt + kMaxStartWait;
+    m_awaitingLease = !m_state.draining && !m_state.fresh(now) && m_state.expectsLease(now)
+        && now < m_openedAt + kMaxStartWait;
     if (m_awaitingLease)
         return;
     const auto database = m_state.config.databases.find(m_database);
