--- a/src/edge/connection.cpp
+++ b/src/edge/connection.cpp
@@ -1,7 +1,5 @@
 #include "connection.h"
 
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <cstring>
 
@@ -9,6 +7,7 @@
 
 #include "http_response.h"
 #include "shallotlever/base/clock.h"
+#include "shallotlever/wire/socket_end.h"
 
 namespace shallotlever {
 
@@ -220,22 +219,15 @@
         return;
     m_writeShutDown = true;
     m_timer.start(kLingerTimeout);
-    // Qt has no function to shut down one direction of a socket, so this uses the descriptor. With
-    // TLS the client detects the end of the response by its Content-Length instead.
-    if (qobject_cast<QSslSocket *>(m_socket.get()) == nullptr)
-        ::shutdown(static_cast<int>(m_socket->socketDescriptor()), SHUT_WR);
+    shutDownSending(*m_socket);
     m_socket->readAll();
 }
 
 bool Connection::isIdle(std::chrono::milliseconds minIdleTime) const
 {
-    if (m_stage != Stage::Reading || m_inFlight || m_socket->bytesAvailable() > 0)
+    if (m_stage != Stage::Reading || m_inFlight || hasUnreadInput(*m_socket))
         return false;
-    char byte = 0;
-    const auto descriptor = static_cast<int>(m_socket->socketDescriptor());
-    // A request in the kernel's receive buffer that Qt has not read yet must not be discarded.
-    const bool unread = ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
-    return !unread && monotonicNow() - m_idleSince >= minIdleTime;
+    return monotonicNow() - m_idleSince >= minIdleTime;
 }
 
 void Connection::closeGracefully()
