Let the last answers leave before the process ends

At the drain limit the process ended at once after it had answered the open statements, and an answer to another node's statement could still be in Qt's buffer when the last statement had ended: the other node then reported a write that had run as in doubt. The hand-over of the leadership was sent in the same moment.

A stop has a last phase, at most 400 ms long, that waits until callers have closed their connections and the links to other nodes have taken all messages. Read in the code; not reproduced in a test of its own.

--- a/src/include/shallotlever/wire/peer_transport.h
+++ b/src/include/shallotlever/wire/peer_transport.h
@@ -104,6 +104,8 @@
                 std::string payload);
 
     bool isConnected(const NodeId &peer) const;
+    /// Whether messages wait to be accepted by the operating system.
+    bool hasUnsentBytes() const;
     /// When the last part of a message that is still incomplete arrived from the peer, over any
     /// link; nullopt if there is no such message.
     std::optional<TimePoint> lastPartialReceiveAt(const NodeId &peer) const;
--- a/src/node/node_drain.cpp
+++ b/src/node/node_drain.cpp
@@ -12,6 +12,8 @@
 /// Exit status if the drain limit or a second stop cut off open work.
 constexpr int kExitStatusDrainLimit = 3;
 constexpr std::chrono::milliseconds kIdleConnectionTimeout { 100 };
+/// Time for the last answers to leave and for callers to close their connections.
+constexpr std::chrono::milliseconds kClosingLimit { 400 };
 /// Fraction of the whole drain after which open transactions of sessions are aborted.
 constexpr double kTransactionDrainFraction = 0.58;
 
@@ -69,25 +71,41 @@
         m_listener->closeIdleConnections(kIdleConnectionTimeout);
         if (m_sessions)
             m_sessions->abortTransactions(monotonicNow());
-        if (m_listener->requestsInFlight() > 0 || m_listener->openConnections() > 0
-            || (m_sessions
-                && (m_sessions->openSessions() > 0 || m_sessions->runningStatements() > 0))) {
-            if (elapsed < m_settings.drainNotice + m_settings.drainLimit)
-                return;
-            cutOffOpenWork();
+        m_drainCutOff = hasOpenWork();
+        if (m_drainCutOff && elapsed < m_settings.drainNotice + m_settings.drainLimit)
             return;
-        }
-        if (m_controlGroup)
+        if (m_drainCutOff)
+            cutOffOpenWork();
+        else if (m_controlGroup)
             m_controlGroup->transferLeadership(monotonicNow());
-        m_logger.info("drain_finished", {});
-        finish(0);
+        m_drainPhase = DrainPhase::Closing;
+        m_closingStarted = monotonicNow();
+        return;
+    case DrainPhase::Closing:
+        if (hasUnsentAnswers() && monotonicNow() < m_closingStarted + kClosingLimit)
+            return;
+        if (!m_drainCutOff)
+            m_logger.info("drain_finished", {});
+        finish(m_drainCutOff ? kExitStatusDrainLimit : 0);
         return;
     case DrainPhase::Finished:
         return;
     }
 }
 
-/// Ends the process although work is open. Sessions get their answers first.
+bool Node::Impl::hasOpenWork() const
+{
+    return m_listener->requestsInFlight() > 0 || m_listener->openConnections() > 0
+        || (m_sessions && (m_sessions->openSessions() > 0 || m_sessions->runningStatements() > 0));
+}
+
+/// The end of the process resets connections with unread input and drops what Qt has buffered.
+bool Node::Impl::hasUnsentAnswers() const
+{
+    return (m_sessions && m_sessions->closingSessions() > 0) || m_transport->hasUnsentBytes();
+}
+
+/// Answers the statements that are open although their work has not ended.
 void Node::Impl::cutOffOpenWork()
 {
     const std::size_t sessions = m_sessions ? m_sessions->endOpenStatements(monotonicNow()) : 0;
@@ -95,7 +113,6 @@
                      { { "requests", m_listener->requestsInFlight() },
                        { "sessions", sessions },
                        { "transactions", openTransactions() } });
-    finish(kExitStatusDrainLimit);
 }
 
 std::uint32_t Node::Impl::openTransactions() const
--- a/src/node/node_impl.h
+++ b/src/node/node_impl.h
@@ -56,6 +56,8 @@
         Transactions,
         /// The listener is closed; requests that have begun may finish.
         Requests,
+        /// No work is open; the last answers are on their way.
+        Closing,
         Finished,
     };
 
@@ -139,6 +141,8 @@
     // Shutdown.
     void advanceDrain();
     void cutOffOpenWork();
+    bool hasOpenWork() const;
+    bool hasUnsentAnswers() const;
     std::uint32_t openTransactions() const;
     void finish(int status);
 
@@ -177,6 +181,9 @@
     bool m_hasShares = false;
     TimePoint m_drainStarted;
     DrainPhase m_drainPhase = DrainPhase::None;
+    TimePoint m_closingStarted;
+    /// The drain limit was reached while work was open.
+    bool m_drainCutOff = false;
     /// Context object for timers and for calls queued by other threads.
     std::unique_ptr<QObject> m_context = std::make_unique<QObject>();
     QTimer m_timer;
--- a/src/wire/peer_link.h
+++ b/src/wire/peer_link.h
@@ -38,6 +38,7 @@
     void close();
     /// When the last bytes of a message that is still incomplete arrived; nullopt if there is none.
     std::optional<TimePoint> lastPartialReceiveAt() const;
+    bool hasUnsentBytes() const { return m_socket->bytesToWrite() > 0; }
 
 Q_SIGNALS:
     void identified();
--- a/src/wire/peer_transport.cpp
+++ b/src/wire/peer_transport.cpp
@@ -44,6 +44,7 @@
     bool sendOver(PeerLink *link, PeerMessage message);
     std::optional<TimePoint> lastPartialReceiveAt(const NodeId &peer) const;
     std::vector<NodeId> connectedPeers() const;
+    bool hasUnsentBytes() const;
 
     PeerServer m_server;
     PeerTransportCounters m_counters;
@@ -179,6 +180,14 @@
     return peers;
 }
 
+bool PeerTransport::Impl::hasUnsentBytes() const
+{
+    return std::any_of(m_links.begin(), m_links.end(), [](const auto &peer) {
+        return std::any_of(peer.second.begin(), peer.second.end(),
+                           [](const PeerLink *link) { return link->hasUnsentBytes(); });
+    });
+}
+
 void PeerTransport::Impl::openLink(const NodeId &peer)
 {
     const auto outbound = m_outbound.find(peer);
@@ -331,6 +340,11 @@
     return m_impl->roundTrip(peer);
 }
 
+bool PeerTransport::hasUnsentBytes() const
+{
+    return m_impl->hasUnsentBytes();
+}
+
 std::vector<NodeId> PeerTransport::connectedPeers() const
 {
     return m_impl->connectedPeers();
