Close the idle sessions of a stop a few at a time

Callers still lost statements that were under way when a stop closed their idle session: a tick closed all of them, up to 278 at once, and what arrived while it did was not seen before it had ended.

Idle sessions are closed over about 100 ticks, so that input is read in between; those that become busy meanwhile end with an answer, which leaves no window.

--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -18,6 +18,9 @@
 
 /// Maximum number of connections that wait to be accepted.
 constexpr int kAcceptBacklog = 512;
+/// Idle sessions are closed over about this many ticks of a drain. What callers send while a tick
+/// closes sessions is not seen before the tick has ended, so a tick must not close many.
+constexpr std::size_t kDrainCloseTicks = 100;
 
 std::uint32_t shareOf(const std::vector<SlotShare> &shares, const UpstreamId &upstream)
 {
@@ -85,6 +88,8 @@
     std::vector<std::shared_ptr<UpstreamPool>> m_leaving;
     QTcpServer m_server;
     bool m_observationChanged = false;
+    /// Idle sessions that a tick of a drain may close.
+    std::size_t m_closesPerTick = 0;
 };
 
 SessionProxy::Impl::Impl(const SessionProtocol &protocol, NodeMetrics &metrics,
@@ -248,10 +253,11 @@
         pool->tick(now);
         return !pool->hasBusyLink() && pool.use_count() == 1;
     });
+    std::size_t closed = 0;
     for (auto session = m_sessions.begin(); session != m_sessions.end();) {
         session->tick(now);
-        if (m_state.draining)
-            session->closeIfIdle(now);
+        if (m_state.draining && closed < m_closesPerTick && session->closeIfIdle(now))
+            ++closed;
         session = session->finished() ? m_sessions.erase(session) : std::next(session);
     }
     m_sessionsGauge.set(static_cast<std::int64_t>(m_sessions.size()));
@@ -381,6 +387,7 @@
     // Closing the socket would reset the connections in its backlog, so accept them first.
     while (server.isListening() && server.waitForNewConnection(0)) { }
     server.close();
+    m_impl->m_closesPerTick = m_impl->m_sessions.size() / kDrainCloseTicks + 1;
 }
 
 void SessionProxy::abortTransactions(TimePoint now)
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -30,8 +30,8 @@
     bool finished() const { return m_disconnected && !m_execution && m_socket->isClosed(); }
     bool inTransaction() const { return m_transaction.has_value(); }
     /// Closes a session whose caller has sent nothing for a while and is owed nothing, because the
-    /// node stops.
-    void closeIfIdle(TimePoint now);
+    /// node stops. Returns whether it did.
+    bool closeIfIdle(TimePoint now);
     /// Answers all statements of the session with an error that says truthfully whether they may
     /// have run, and closes it.
     void endOpenStatements(TimePoint now);
--- a/src/proxy/session_queue.cpp
+++ b/src/proxy/session_queue.cpp
@@ -61,10 +61,12 @@
         && !m_socket->hasUnservedInput();
 }
 
-void CallerSession::closeIfIdle(TimePoint now)
+bool CallerSession::closeIfIdle(TimePoint now)
 {
-    if (now >= m_lastActiveAt + kMinIdleTime && quiescent())
-        closeForStop(StopClose::Idle);
+    if (now < m_lastActiveAt + kMinIdleTime || !quiescent())
+        return false;
+    closeForStop(StopClose::Idle);
+    return true;
 }
 
 /// A caller may send a statement before it learns that its session has ended. It is not run.
