--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -18,6 +18,9 @@
 
 /// Maximum number of connections that wait to be accepted.
 constexpr int kAcceptBacklog = 512;
+/// Idle sessions are closed over about this many ticks of a drain. What callers send while a tick
+/// closes sessions is not seen before the tick has ended, so a tick must not close many.
+constexpr std::size_t kDrainCloseTicks = 100;
 
 std::uint32_t shareOf(const std::vector<SlotShare> &shares, const UpstreamId &upstream)
 {
@@ -85,6 +88,8 @@
     std::vector<std::shared_ptr<UpstreamPool>> m_leaving;
     QTcpServer m_server;
     bool m_observationChanged = false;
+    /// Idle sessions that a tick of a drain may close.
+    std::size_t m_closesPerTick = 0;
 };
 
 SessionProxy::Impl::Impl(const SessionProtocol &protocol, NodeMetrics &metrics,
@@ -95,6 +100,7 @@
     m_state.protocol = &protocol;
     m_state.metrics = &metrics;
     m_state.logger = &logger;
+    m_state.stopCounters = std::make_unique<StopCounters>(metrics.registry());
     m_state.startedAt = monotonicNow();
     m_state.self = peers.self;
     m_state.incarnation = peers.incarnation;
@@ -247,10 +253,11 @@
         pool->tick(now);
         return !pool->hasBusyLink() && pool.use_count() == 1;
     });
+    std::size_t closed = 0;
     for (auto session = m_sessions.begin(); session != m_sessions.end();) {
         session->tick(now);
-        if (m_state.draining && session->idle() && !session->finished())
-            session->close();
+        if (m_state.draining && closed < m_closesPerTick && session->closeIfIdle(now))
+            ++closed;
         session = session->finished() ? m_sessions.erase(session) : std::next(session);
     }
     m_sessionsGauge.set(static_cast<std::int64_t>(m_sessions.size()));
@@ -376,7 +383,11 @@
 void SessionProxy::startDrain()
 {
     m_impl->m_state.draining = true;
-    m_impl->m_server.close();
+    QTcpServer &server = m_impl->m_server;
+    // Closing the socket would reset the connections in its backlog, so accept them first.
+    while (server.isListening() && server.waitForNewConnection(0)) { }
+    server.close();
+    m_impl->m_closesPerTick = m_impl->m_sessions.size() / kDrainCloseTicks + 1;
 }
 
 void SessionProxy::abortTransactions(TimePoint now)
@@ -390,6 +401,7 @@
 
 std::size_t SessionProxy::endOpenStatements(TimePoint now)
 {
+    m_impl->m_state.atDrainLimit = true;
     std::size_t ended = 0;
     for (CallerSession &session : m_impl->m_sessions) {
         ended += session.idle() ? 0 : 1;
@@ -398,6 +410,11 @@
     return ended;
 }
 
+void SessionProxy::logStop() const
+{
+    m_impl->m_state.stopCounters->log(*m_impl->m_state.logger);
+}
+
 bool SessionProxy::hasOpenTransactions() const
 {
     return m_impl->m_dispatcher->runner().openTransactions() > 0
@@ -417,7 +434,15 @@
 
 std::size_t SessionProxy::openSessions() const
 {
-    return m_impl->m_sessions.size();
+    const std::list<CallerSession> &sessions = m_impl->m_sessions;
+    return static_cast<std::size_t>(
+        std::count_if(sessions.begin(), sessions.end(),
+                      [](const CallerSession &session) { return !session.disconnected(); }));
+}
+
+std::size_t SessionProxy::closingSessions() const
+{
+    return m_impl->m_sessions.size() - openSessions();
 }
 
 } // namespace shallotlever
--- a/src/proxy/proxy_state.h
+++ b/src/proxy/proxy_state.h
@@ -11,6 +11,7 @@
 #include "shallotlever/telemetry/log_rate_limiter.h"
 #include "shallotlever/telemetry/node_metrics.h"
 #include "shallotlever/types/config.h"
+#include "stop_counters.h"
 #include "upstream_pool.h"
 
 namespace shallotlever {
@@ -87,7 +88,10 @@
     /// database may be the primary without this node knowing.
     TimePoint freshUntil;
     LogRateLimiter logRateLimiter;
+    std::unique_ptr<StopCounters> stopCounters;
     bool draining = false;
+    /// Nothing more is run, because the process ends.
+    bool atDrainLimit = false;
     TimePoint startedAt;
 
     /// Whether a node without a lease expects one soon, because it started or lost its lease
