Count replicas of a group by process, not by id, in a change of primary

Cause: chooseConfirmedCandidate() counted unfenced replicas by id. The new process answered and was fenced, so "all replicas are fenced" seemed to prove that a fenced one holds each commit. Statuses were kept by id too, so an answer of the ended process counted for its successor.

A member is now an id and an incarnation. The ended process stays an unfenced member until as many other replicas as confirm a commit hold the end that the primary's log had after the end was known. A status counts only for the process that is announced, and only if that process has announced itself since the connection was opened that carried the answer. A candidate that starts again is dropped.

--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -305,9 +305,15 @@
         onPromoteAnswer(group.confirmed, call.upstream, answer.accepted, now);
     if (!answer.status || askedAt < group.primarySince)
         return;
+    // A later process under the id knows nothing of what the answer says.
+    const auto entry = controller.registry.entries.find(call.upstream);
+    if (entry == controller.registry.entries.end()
+        || entry->second.announcement.lifetime != call.incarnation)
+        return;
     const auto known = group.statuses.find(call.upstream);
-    if (known == group.statuses.end() || known->second.askedAt <= askedAt)
-        group.statuses[call.upstream] = { *answer.status, askedAt };
+    if (known == group.statuses.end() || known->second.askedAt <= askedAt
+        || known->second.incarnation != call.incarnation)
+        group.statuses[call.upstream] = { *answer.status, askedAt, call.incarnation };
 }
 
 ControllerActions advanceController(ControllerState &controller, const ReplicatedState &replicated,
--- a/src/controller/controller_test.cpp
+++ b/src/controller/controller_test.cpp
@@ -237,6 +237,70 @@
     EXPECT_TRUE(advanceController(m_controller, m_state, m_now).fleetChanged);
 }
 
+/// The controller of a service whose databases confirm commits, which knows a replica.
+class ControllerStatuses : public ControllerNodeRecords
+{
+protected:
+    ControllerStatuses()
+    {
+        ServiceConfig &service = m_state.cluster.config.services[ServiceId("s")];
+        service.id = ServiceId("s");
+        service.confirmsCommits = true;
+        service.confirmingReplicas = 1;
+        m_controller = makeController(ControlTerm(2), m_state, FleetLog(), 1, kStart);
+    }
+
+    void announce(std::uint64_t lifetime)
+    {
+        NodeReport next = report("a", 1, ++m_reports);
+        HeardAnnouncement heard;
+        heard.announcement.upstream = UpstreamId("db");
+        heard.announcement.service = ServiceId("s");
+        heard.announcement.endpoint = { "10.0.0.1", 5432 };
+        heard.announcement.lifetime = Incarnation(lifetime);
+        next.announcements.push_back(heard);
+        reportGetsLease(next);
+    }
+
+    UpstreamCall statusCall()
+    {
+        m_now += 2s;
+        const ControllerActions actions = advanceController(m_controller, m_state, m_now);
+        EXPECT_FALSE(actions.calls.empty());
+        return actions.calls.empty() ? UpstreamCall() : actions.calls.front();
+    }
+
+    /// Whether a status is used for the process that is announced.
+    bool hasStatus() const
+    {
+        const auto &statuses = m_controller.groups.at(ServiceId("s")).statuses;
+        const auto found = statuses.find(UpstreamId("db"));
+        return found != statuses.end()
+            && found->second.incarnation
+            == m_controller.registry.entries.at(UpstreamId("db")).announcement.lifetime;
+    }
+
+    std::uint64_t m_reports = 0;
+};
+
+// Guards against taking the log end or the fence of an ended process for those of the process that
+// has started under its id with nothing.
+TEST_F(ControllerStatuses, AnswerOfAnEndedProcessDoesNotCount)
+{
+    announce(1);
+    const UpstreamCall call = statusCall();
+    UpstreamAnswer answer;
+    answer.status.emplace();
+    announce(2);
+    onUpstreamAnswer(m_controller, call, answer, m_now, m_now);
+    EXPECT_FALSE(hasStatus());
+    const UpstreamCall next = statusCall();
+    onUpstreamAnswer(m_controller, next, answer, m_now, m_now);
+    EXPECT_TRUE(hasStatus());
+    announce(3);
+    EXPECT_FALSE(hasStatus());
+}
+
 // Guards against a wait at each controller change for a node that was removed long ago.
 TEST_F(ControllerNodeRecords, RemovesRecordOfNodeWithoutLease)
 {
--- a/src/controller/group_control.cpp
+++ b/src/controller/group_control.cpp
@@ -33,7 +33,9 @@
     const auto entry = registry.entries.find(upstream);
     if (entry == registry.entries.end())
         return;
-    actions.calls.push_back({ kind, service, upstream, entry->second.announcement.endpoint, term });
+    const Announcement &announcement = entry->second.announcement;
+    actions.calls.push_back(
+        { kind, service, upstream, announcement.lifetime, announcement.endpoint, term });
 }
 
 void addChangeAction(ControllerState &controller, const ServiceId &service,
@@ -78,19 +80,34 @@
     }
 }
 
+/// Whether the status came from the announced process. It has announced itself since the connection
+/// was opened, so it did not start after that; an earlier process would have closed the connection.
+bool isFromKnownProcess(const MemberStatus &status, const RegistryEntry &entry)
+{
+    const bool identified = status.status.connectedAt == TimePoint()
+        || (!entry.seeded && entry.receivedAt >= status.status.connectedAt);
+    return identified && status.incarnation == entry.announcement.lifetime;
+}
+
 ConfirmedInput confirmedInput(const ControllerState &controller, const ServiceConfig &service,
                               const GroupState &state, const GroupControl &group,
                               const std::map<UpstreamId, RegistryEntry> &announced, TimePoint now)
 {
     ConfirmedInput input;
     input.group = state;
+    input.recorded = group.members;
     for (const auto &[id, entry] : announced) {
+        const MemberId memberId { id, entry.announcement.lifetime };
+        // A member that ended and left holds no commit that is not elsewhere.
+        if (entry.replaced && !group.members.contains(memberId))
+            continue;
         ConfirmedMember &member = input.members[id];
         member.state = entry.state;
         member.leaving = entry.announcement.leaving || entry.state == UpstreamState::Leaving;
+        member.incarnation = entry.announcement.lifetime;
         member.announcedRole = entry.announcement.role;
         const auto status = group.statuses.find(id);
-        if (status != group.statuses.end()) {
+        if (status != group.statuses.end() && isFromKnownProcess(status->second, entry)) {
             member.status = status->second.status;
             member.statusAskedAt = status->second.askedAt;
         }
@@ -157,6 +174,24 @@
     }
 }
 
+/// Lets the processes that are announced join the group, and those leave that have ended and whose
+/// commits are held by others.
+void updateMembers(const ControllerState &controller, GroupControl &group,
+                   const ConfirmedInput &input, TimePoint now)
+{
+    MemberInput members;
+    members.group = input;
+    members.changing = group.confirmed.phase != ConfirmedPhase::Idle;
+    for (const MemberId &member : group.members) {
+        if (hasEnded(controller.registry, member))
+            members.ended.insert(member);
+    }
+    const MemberChanges changes = nextMemberChanges(group.memberProgress, members, now);
+    group.members.insert(changes.joining.begin(), changes.joining.end());
+    for (const MemberId &member : changes.leaving)
+        group.members.erase(member);
+}
+
 void advanceConfirmedGroup(ControllerState &controller, const ServiceConfig &service,
                            const GroupState &state,
                            const std::map<UpstreamId, RegistryEntry> &announced,
@@ -168,6 +203,7 @@
     const ConfirmedInput input = confirmedInput(controller, service, state, group, announced, now);
     for (const ConfirmedAction &action : stepConfirmedChange(group.confirmed, input, now))
         addConfirmedAction(controller, service.id, action, actions);
+    updateMembers(controller, group, input, now);
     if (group.confirmed.phase != ConfirmedPhase::Idle)
         return;
     std::set<UpstreamId> queries;
--- a/src/fleet/confirmed_change.cpp
+++ b/src/fleet/confirmed_change.cpp
@@ -43,6 +43,26 @@
     return isFormerPrimary(input, id) || member.status->fencedTerm >= change.fenceTerm;
 }
 
+/// Number of processes other than the former primary that may still accept commits from it, or that
+/// took the commits that they confirmed with them.
+std::uint32_t countUnfenced(const ConfirmedChange &change, const ConfirmedInput &input)
+{
+    std::uint32_t unfenced = 0;
+    for (const MemberId &recorded : input.recorded) {
+        const auto heard = input.members.find(recorded.upstream);
+        const bool fenced = heard != input.members.end()
+            && heard->second.incarnation == recorded.incarnation
+            && isFenced(change, input, recorded.upstream, heard->second);
+        unfenced += fenced || isFormerPrimary(input, recorded.upstream) ? 0 : 1;
+    }
+    for (const auto &[id, member] : input.members) {
+        const bool counted = input.recorded.contains({ id, member.incarnation });
+        unfenced +=
+            counted || isFormerPrimary(input, id) || isFenced(change, input, id, member) ? 0 : 1;
+    }
+    return unfenced;
+}
+
 bool canBecomePrimary(const ConfirmedMember &member)
 {
     return member.state == UpstreamState::Live && !member.leaving;
@@ -209,6 +229,7 @@
     if (!change.candidate || !input.primaryReleased
         || !(graceElapsed || allLiveFenced(change, input)))
         return;
+    change.candidateIncarnation = input.members.at(*change.candidate).incarnation;
     change.times.fenced = now;
     enterPhase(change, ConfirmedPhase::Promoting, now);
 }
@@ -218,8 +239,11 @@
 {
     const auto member = input.members.find(*change.candidate);
     const bool lost = member == input.members.end() || !canBecomePrimary(member->second);
+    // A later process under the id lacks what made its predecessor the candidate.
+    const bool replaced =
+        member != input.members.end() && member->second.incarnation != change.candidateIncarnation;
     const bool refused = change.refusedCandidates.contains(*change.candidate);
-    if (refused || now >= change.phaseStartedAt + kPromotionTimeout
+    if (refused || replaced || now >= change.phaseStartedAt + kPromotionTimeout
         || (lost && !change.promotedAt)) {
         startAttempt(change, input, now);
         return;
@@ -342,17 +366,15 @@
 std::optional<UpstreamId> chooseConfirmedCandidate(const ConfirmedChange &change,
                                                    const ConfirmedInput &input)
 {
+    const std::uint32_t unfenced = countUnfenced(change, input);
     std::optional<UpstreamId> best;
     HistoryPoint bestPoint;
     std::optional<HistoryPoint> primaryEnd;
-    std::uint32_t unfenced = 0;
     for (const auto &[id, member] : input.members) {
         const bool former = isFormerPrimary(input, id);
         const bool fenced = isFenced(change, input, id, member);
         if (former && fenced)
             primaryEnd = member.status->point;
-        if (!former && !fenced)
-            ++unfenced;
         if (!fenced || !canBecomePrimary(member) || change.refusedCandidates.contains(id))
             continue;
         if (!best || member.status->point > bestPoint) {
--- a/src/fleet/confirmed_change_test.cpp
+++ b/src/fleet/confirmed_change_test.cpp
@@ -118,6 +118,85 @@
                         kA }),
     [](const auto &info) { return info.param.name; });
 
+ConfirmedMember process(std::uint64_t incarnation, const ConfirmedMember &answered)
+{
+    ConfirmedMember m = answered;
+    m.incarnation = Incarnation(incarnation);
+    return m;
+}
+
+struct ProcessCase
+{
+    const char *name;
+    std::map<UpstreamId, ConfirmedMember> members;
+    std::set<MemberId> recorded;
+    std::optional<UpstreamId> expected;
+};
+
+class RecordedProcesses : public testing::TestWithParam<ProcessCase>
+{
+};
+
+const MemberId kFirstP { kPrimary, Incarnation(1) };
+const MemberId kFirstA { kA, Incarnation(1) };
+const MemberId kFirstB { kB, Incarnation(1) };
+
+// Guards against the promotion of a database that lacks acknowledged commits, because the process
+// that confirmed them is not heard of or has been replaced by one that starts with nothing.
+TEST_P(RecordedProcesses, CountAsUnfencedUntilHeard)
+{
+    ConfirmedInput in = input();
+    in.members = GetParam().members;
+    in.recorded = GetParam().recorded;
+    ConfirmedChange change;
+    change.fenceTerm = Term(kFence);
+    change.phaseStartedAt = kStart;
+    EXPECT_EQ(chooseConfirmedCandidate(change, in), GetParam().expected);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Groups, RecordedProcesses,
+    testing::Values(ProcessCase { "AllHeard",
+                                  { { kPrimary, process(1, member(std::nullopt, kDown)) },
+                                    { kA, process(1, member(status(kReplica, 9, kFence))) },
+                                    { kB, process(1, member(status(kReplica, 7, kFence))) } },
+                                  { kFirstP, kFirstA, kFirstB },
+                                  kA },
+                    ProcessCase { "RebornReplicaHoldsNothing",
+                                  { { kPrimary, process(1, member(std::nullopt, kDown)) },
+                                    { kA, process(2, member(status(kReplica, 0, kFence))) },
+                                    { kB, process(1, member(status(kReplica, 7, kFence))) } },
+                                  { kFirstP, kFirstA, kFirstB, { kA, Incarnation(2) } },
+                                  std::nullopt },
+                    ProcessCase { "RebornReplicaAndPrimaryFencedAndReached",
+                                  { { kPrimary, process(1, member(status(kReplica, 9), kDown)) },
+                                    { kA, process(2, member(status(kReplica, 0, kFence))) },
+                                    { kB, process(1, member(status(kReplica, 9, kFence))) } },
+                                  { kFirstP, kFirstA, kFirstB, { kA, Incarnation(2) } },
+                                  kB },
+                    ProcessCase { "RebornReplicaWhoseFirstProcessHasLeft",
+                                  { { kPrimary, process(1, member(std::nullopt, kDown)) },
+                                    { kA, process(2, member(status(kReplica, 9, kFence))) },
+                                    { kB, process(1, member(status(kReplica, 7, kFence))) } },
+                                  { kFirstP, kFirstB, { kA, Incarnation(2) } },
+                                  kA },
+                    ProcessCase { "ReplicaNotHeardOf",
+                                  { { kPrimary, process(1, member(std::nullopt, kDown)) },
+                                    { kB, process(1, member(status(kReplica, 7, kFence))) } },
+                                  { kFirstP, kFirstA, kFirstB },
+                                  std::nullopt },
+                    ProcessCase { "ReplicaAndPrimaryNotHeardOf",
+                                  { { kB, process(1, member(status(kReplica, 7, kFence))) } },
+                                  { kFirstP, kFirstA, kFirstB },
+                                  std::nullopt },
+                    ProcessCase { "ReplicaNotYetRecorded",
+                                  { { kPrimary, process(1, member(std::nullopt, kDown)) },
+                                    { kA, process(1, member(std::nullopt)) },
+                                    { kB, process(1, member(status(kReplica, 7, kFence))) } },
+                                  { kFirstP, kFirstB },
+                                  std::nullopt }),
+    [](const auto &info) { return info.param.name; });
+
 template <typename Action>
 const Action *find(const std::vector<ConfirmedAction> &actions)
 {
@@ -265,6 +344,24 @@
     EXPECT_EQ(m_change.reason, ChangeReason::Stalled);
 }
 
+// Guards against taking the empty process that starts under the id of a promoted database for it.
+TEST_F(ConfirmedChangeTest, CandidateThatStartsAgainIsNotPublished)
+{
+    reserve();
+    fenceReplicas();
+    m_in.primaryReleased = true;
+    step();
+    step();
+    onPromoteAnswer(m_change, kA, true, m_now);
+    m_in.members[kA].incarnation = Incarnation(2);
+    m_in.members[kA].announcedRole = UpstreamRole::Primary;
+    step();
+    const auto actions = step();
+    const auto *propose = find<Propose>(actions);
+    ASSERT_NE(propose, nullptr);
+    EXPECT_TRUE(std::holds_alternative<ReserveTerm>(propose->decision));
+}
+
 // Guards against a planned change that interrupts in-flight commits.
 TEST_F(ConfirmedChangeTest, PlannedChangeFencesOnlyAfterPrimaryIsReleased)
 {
--- a/src/include/shallotlever/controller/controller.h
+++ b/src/include/shallotlever/controller/controller.h
@@ -13,6 +13,7 @@
 #include "shallotlever/fleet/confirmed_change.h"
 #include "shallotlever/fleet/distribution.h"
 #include "shallotlever/fleet/freshness.h"
+#include "shallotlever/fleet/group_members.h"
 #include "shallotlever/fleet/primary_change.h"
 #include "shallotlever/fleet/registry.h"
 #include "shallotlever/fleet/replication_watch.h"
@@ -34,6 +35,8 @@
     CallKind kind = CallKind::Status;
     ServiceId service;
     UpstreamId upstream;
+    /// Process to which the call is addressed.
+    Incarnation incarnation;
     Endpoint endpoint;
     /// Used by Fence, StepDown and Promote only.
     Term term;
@@ -92,6 +95,9 @@
     PrimaryChange change;
     /// Used instead of `change` and `voting` for groups whose databases confirm commits themselves.
     ConfirmedChange confirmed;
+    /// Members of a group that confirms commits itself, and those that have ended.
+    std::set<MemberId> members;
+    MemberProgress memberProgress;
     VotingSetProgress voting;
     ReplicationWatch replication;
     std::map<UpstreamId, MemberStatus> statuses;
--- a/src/include/shallotlever/fleet/confirmed_change.h
+++ b/src/include/shallotlever/fleet/confirmed_change.h
@@ -37,7 +37,9 @@
 {
     UpstreamState state = UpstreamState::Live;
     bool leaving = false;
+    Incarnation incarnation;
     UpstreamRole announcedRole = UpstreamRole::Replica;
+    /// Last reply of this incarnation.
     std::optional<UpstreamStatus> status;
     TimePoint statusAskedAt;
 };
@@ -57,6 +59,7 @@
     Term fenceTerm;
     std::map<UpstreamId, TimePoint> sentAt;
     std::optional<UpstreamId> candidate;
+    Incarnation candidateIncarnation;
     std::optional<TimePoint> promotedAt;
     /// Databases that the platform refused to promote.
     std::set<UpstreamId> refusedCandidates;
@@ -72,7 +75,10 @@
 struct ConfirmedInput
 {
     GroupState group;
+    /// The databases that have announced themselves.
     std::map<UpstreamId, ConfirmedMember> members;
+    /// Processes that may hold acknowledged commits, heard of or not (see group_members.h).
+    std::set<MemberId> recorded;
     /// See ChangeInput.
     Term ownReservedTerm;
     bool registryComplete = true;
@@ -105,6 +111,8 @@
 /// commits. If fewer than `confirmingReplicas` replicas are unfenced, every acknowledged commit is
 /// on a fenced replica, and the longest log among the fenced ones holds them all. Otherwise the
 /// former primary must be fenced as well, and the candidate's log must reach the end of its log.
+/// A recorded process counts as unfenced until it is heard: a later process under its id holds
+/// nothing of what it confirmed.
 std::optional<UpstreamId> chooseConfirmedCandidate(const ConfirmedChange &change,
                                                    const ConfirmedInput &input);
 
--- a/src/include/shallotlever/fleet/voting_set.h
+++ b/src/include/shallotlever/fleet/voting_set.h
@@ -24,6 +24,8 @@
 {
     UpstreamStatus status;
     TimePoint askedAt;
+    /// Process that was known under the id when the query was sent and when it was answered.
+    Incarnation incarnation {};
 };
 
 /// Per-group state of the controller that limits the voting set to one change at a time.
--- a/src/include/shallotlever/types/fleet.h
+++ b/src/include/shallotlever/types/fleet.h
@@ -46,6 +46,15 @@
     friend bool operator==(const Announcement &, const Announcement &) = default;
 };
 
+/// One process of a database. A database that starts again under its id is another member of its
+/// group.
+struct MemberId
+{
+    UpstreamId upstream;
+    Incarnation incarnation;
+    friend auto operator<=>(const MemberId &, const MemberId &) = default;
+};
+
 /// Reply of an upstream to a status, fence or promote call.
 struct UpstreamStatus
 {
@@ -58,6 +67,9 @@
     Term newestTerm;
     /// Open connections from all callers as counted by the database; 0 if not reported.
     std::uint32_t connections = 0;
+    /// When the connection that carried the reply was opened, by the receiver's clock. The process
+    /// behind it has not changed since. 0 if not known.
+    TimePoint connectedAt {};
     friend bool operator==(const UpstreamStatus &, const UpstreamStatus &) = default;
 };
 
--- a/src/proxy/session_control.cpp
+++ b/src/proxy/session_control.cpp
@@ -2,6 +2,7 @@
 
 #include <QTimer>
 
+#include "shallotlever/base/clock.h"
 #include "shallotlever/proxy/proxy.h"
 #include "upstream_link.h"
 
@@ -41,6 +42,8 @@
     std::unique_ptr<UpstreamLink> m_link;
     /// Number of the current connection; incremented for each new one.
     std::uint64_t m_generation = 0;
+    /// When the current connection was opened.
+    TimePoint m_openedAt;
     std::vector<Call> m_waiting;
 };
 
@@ -82,6 +85,7 @@
     UpstreamLink::Callbacks callbacks;
     callbacks.opened = [self](std::optional<HistoryPoint>, TimePoint) {
         if (const auto control = self.lock()) {
+            control->m_openedAt = monotonicNow();
             for (const Call &call : std::exchange(control->m_waiting, {}))
                 control->send(call);
         }
@@ -105,18 +109,21 @@
     if (!*call.callback)
         return;
     const auto decode = m_protocol.decodeStatus;
-    m_link->send("", call.text, [decode, callback = call.callback](const UpstreamReply &reply) {
-        if (reply.lost) {
-            finish(callback, absl::UnavailableError("connection lost"));
-        } else if (!reply.succeeded()) {
-            finish(callback,
-                   absl::UnavailableError(reply.error ? reply.error->message : "refused"));
-        } else if (const auto status = decode(reply.firstRow)) {
-            finish(callback, *status);
-        } else {
-            finish(callback, absl::InternalError("status not understood"));
-        }
-    });
+    m_link->send(
+        "", call.text,
+        [decode, callback = call.callback, openedAt = m_openedAt](const UpstreamReply &reply) {
+            if (reply.lost) {
+                finish(callback, absl::UnavailableError("connection lost"));
+            } else if (!reply.succeeded()) {
+                finish(callback,
+                       absl::UnavailableError(reply.error ? reply.error->message : "refused"));
+            } else if (auto status = decode(reply.firstRow)) {
+                status->connectedAt = openedAt;
+                finish(callback, *status);
+            } else {
+                finish(callback, absl::InternalError("status not understood"));
+            }
+        });
 }
 
 void SessionControl::failPendingCalls(const absl::Status &status)
