Keep the members of database groups in the control log

Cause: the members of a group were nowhere durable. A new controller counted only the databases that had announced themselves since its election, and the primary, not being among them, as leaving.

The control log now holds each group's members by id and incarnation, with endpoint, data centre, slots and connection limit, and the incarnation of the primary (ChangeMembers, SetPrimary). A member that is not heard of is unfenced. A primary that is not heard of is suspected; one that has started again is replaced, and its log counts as the primary's only if it is as long as every log heard of. A new controller seeds its registry from the log. While a change waits, the log line primary_change_waits and `shallotlever status` name the processes. Old state decodes without members. Conditions on members moved to confirmed_candidate.cpp, without change.

There is no operator's command yet that removes a member which is gone for good.

--- a/src/config/apply_test.cpp
+++ b/src/config/apply_test.cpp
@@ -136,6 +136,26 @@
     EXPECT_EQ(decide(LeaveVotingSet { s, UpstreamId("b") }), ChangeOutcome::Accepted);
 }
 
+// A change of primary counts the members, so none may leave meanwhile; one that joins may confirm
+// commits at once.
+TEST_F(ApplyTest, MembersJoinButDoNotLeaveDuringPrimaryChange)
+{
+    const ServiceId s("s");
+    const MemberId a { UpstreamId("a"), Incarnation(1) };
+    const MemberId b { UpstreamId("b"), Incarnation(1) };
+    change("a", 0, putService("s"));
+    EXPECT_EQ(decide(ChangeMembers { s, { { a, {} } }, {} }), ChangeOutcome::Accepted);
+    EXPECT_EQ(decide(ReserveTerm { s, Term(3), "first" }), ChangeOutcome::Accepted);
+    EXPECT_EQ(decide(ChangeMembers { s, { { b, {} } }, {} }), ChangeOutcome::Accepted);
+    EXPECT_EQ(decide(ChangeMembers { s, {}, { a } }), ChangeOutcome::Invalid);
+    EXPECT_EQ(m_state.cluster.groups.at(s).members.size(), 2U);
+    EXPECT_EQ(decide(SetPrimary { s, Term(3), UpstreamId("b"), Incarnation(1) }),
+              ChangeOutcome::Accepted);
+    EXPECT_EQ(m_state.cluster.groups.at(s).primaryIncarnation, Incarnation(1));
+    EXPECT_EQ(decide(ChangeMembers { s, {}, { a } }), ChangeOutcome::Accepted);
+    EXPECT_EQ(m_state.cluster.groups.at(s).members.size(), 1U);
+}
+
 // Terms must not restart when a service is removed and added again.
 TEST_F(ApplyTest, TermsPersistAcrossServiceRemoval)
 {
--- a/src/config/codec_test.cpp
+++ b/src/config/codec_test.cpp
@@ -51,7 +51,13 @@
     out.emplace_back(RecordNode { NodeId("n"), Incarnation(3) });
     out.emplace_back(GroupDecision(JoinVotingSet { s, u }));
     out.emplace_back(GroupDecision(ReserveTerm { s, Term(4), "why" }));
-    out.emplace_back(GroupDecision(SetPrimary { s, Term(4), u }));
+    out.emplace_back(GroupDecision(SetPrimary { s, Term(4), u, Incarnation(6) }));
+    const MemberId first { u, Incarnation(6) };
+    const MemberId second { UpstreamId("v"), Incarnation(7) };
+    const MemberRecord record { { "10.0.0.1", 5432 }, DataCentreId("c"), 5, 30 };
+    out.emplace_back(
+        GroupDecision(ChangeMembers { s, { { first, record }, { second, record } }, {} }));
+    out.emplace_back(GroupDecision(ChangeMembers { s, {}, { second } }));
     out.emplace_back(GroupDecision(LeaveVotingSet { s, u }));
     return out;
 }
--- a/src/config/command_codec.cpp
+++ b/src/config/command_codec.cpp
@@ -57,6 +57,9 @@
     std::string upstream;
     std::string reason;
     Term term;
+    Incarnation incarnation;
+    std::map<MemberId, MemberRecord> joining;
+    std::map<MemberId, MemberRecord> leaving;
     if (const auto *join = std::get_if<JoinVotingSet>(&decision))
         upstream = join->upstream.value();
     else if (const auto *leave = std::get_if<LeaveVotingSet>(&decision))
@@ -64,14 +67,23 @@
     else if (const auto *reserve = std::get_if<ReserveTerm>(&decision))
         term = reserve->term, reason = reserve->reason;
     else if (const auto *primary = std::get_if<SetPrimary>(&decision))
-        term = primary->term, upstream = primary->upstream.value();
+        term = primary->term, upstream = primary->upstream.value(),
+        incarnation = primary->incarnation;
+    else if (const auto *members = std::get_if<ChangeMembers>(&decision)) {
+        joining = members->joining;
+        for (const MemberId &member : members->leaving)
+            leaving[member] = {};
+    }
     const std::string &service = std::visit(
         [](const auto &d) -> const std::string & { return d.service.value(); }, decision);
     const auto serviceOffset = fbb.CreateString(service);
     const auto upstreamOffset = fbb.CreateString(upstream);
     const auto reasonOffset = fbb.CreateString(reason);
+    const auto joiningOffset = shallotlever::encode(fbb, joining);
+    const auto leavingOffset = shallotlever::encode(fbb, leaving);
     return fbs::CreateGroupDecision(fbb, static_cast<fbs::Decision>(decision.index()),
-                                    serviceOffset, upstreamOffset, term.value(), reasonOffset);
+                                    serviceOffset, upstreamOffset, term.value(), reasonOffset,
+                                    incarnation.value(), joiningOffset, leavingOffset);
 }
 
 absl::Status missingTableError(std::string_view table)
@@ -128,6 +140,14 @@
     }
 }
 
+ChangeMembers decodeMembers(const ServiceId &service, const fbs::GroupDecision &decision)
+{
+    ChangeMembers out { service, shallotlever::decode(decision.joining()), {} };
+    for (const auto &[member, record] : shallotlever::decode(decision.leaving()))
+        out.leaving.insert(member);
+    return out;
+}
+
 absl::StatusOr<Command> decode(const fbs::GroupDecision &decision)
 {
     const ServiceId service(stringOrEmpty(decision.service()));
@@ -142,7 +162,10 @@
         return Command(
             GroupDecision(ReserveTerm { service, term, stringOrEmpty(decision.reason()) }));
     case fbs::Decision::SetPrimary:
-        return Command(GroupDecision(SetPrimary { service, term, upstream }));
+        return Command(GroupDecision(
+            SetPrimary { service, term, upstream, Incarnation(decision.incarnation()) }));
+    case fbs::Decision::ChangeMembers:
+        return Command(GroupDecision(decodeMembers(service, decision)));
     }
     return absl::InvalidArgumentError("group decision out of range");
 }
--- a/src/config/config_codec.cpp
+++ b/src/config/config_codec.cpp
@@ -121,6 +121,36 @@
                                    result.version.value(), winner, message);
 }
 
+Offset<GroupMembers> encode(FlatBufferBuilder &fbb, const std::map<MemberId, MemberRecord> &members)
+{
+    std::vector<Offset<fbs::GroupMember>> offsets;
+    for (const auto &[id, record] : members) {
+        const auto upstream = fbb.CreateString(id.upstream.value());
+        const auto host = fbb.CreateString(record.endpoint.host);
+        const auto dataCentre = fbb.CreateString(record.dataCentre.value());
+        offsets.push_back(fbs::CreateGroupMember(fbb, upstream, id.incarnation.value(), host,
+                                                 record.endpoint.port, dataCentre, record.slots,
+                                                 record.connectionLimit));
+    }
+    return fbb.CreateVector(offsets);
+}
+
+std::map<MemberId, MemberRecord> decode(const GroupMembers *members)
+{
+    std::map<MemberId, MemberRecord> out;
+    if (members == nullptr)
+        return out;
+    for (const fbs::GroupMember *member : *members) {
+        const MemberId id { UpstreamId(stringOrEmpty(member->upstream())),
+                            Incarnation(member->incarnation()) };
+        out[id] = { { stringOrEmpty(member->host()), member->port() },
+                    DataCentreId(stringOrEmpty(member->data_centre())),
+                    member->slots(),
+                    member->connection_limit() };
+    }
+    return out;
+}
+
 TeamConfig decode(const fbs::Team &team)
 {
     TeamConfig out { TeamId(stringOrEmpty(team.id())), team.rate(), team.burst(), {} };
--- a/src/config/config_codec.h
+++ b/src/config/config_codec.h
@@ -55,6 +55,12 @@
 Offset<fbs::Config> encode(FlatBufferBuilder &fbb, const ClusterConfig &config);
 Offset<fbs::ChangeResult> encode(FlatBufferBuilder &fbb, const ChangeResult &result);
 
+using GroupMembers = flatbuffers::Vector<Offset<fbs::GroupMember>>;
+Offset<GroupMembers> encode(FlatBufferBuilder &fbb,
+                            const std::map<MemberId, MemberRecord> &members);
+/// `members` may be null.
+std::map<MemberId, MemberRecord> decode(const GroupMembers *members);
+
 TeamConfig decode(const fbs::Team &team);
 absl::StatusOr<KeyConfig> decode(const fbs::Key &key);
 RouteConfig decode(const fbs::Route &route);
--- a/src/config/decisions.cpp
+++ b/src/config/decisions.cpp
@@ -70,10 +70,29 @@
         return refuse("upstream", "not in the voting set");
     group.term = decision.term;
     group.primary = decision.upstream;
+    group.primaryIncarnation = decision.incarnation;
     return absl::StrCat("upstream \"", decision.upstream.value(), "\" is primary at term ",
                         decision.term.value());
 }
 
+absl::StatusOr<std::string> perform(GroupState &group, const ChangeMembers &decision)
+{
+    if (!decision.leaving.empty()) {
+        if (const absl::Status status = checkNoPrimaryChange(group); !status.ok())
+            return status;
+    }
+    std::string text = "members";
+    for (const auto &[member, record] : decision.joining) {
+        group.members.insert_or_assign(member, record);
+        absl::StrAppend(&text, " +", member.upstream.value(), "/", member.incarnation.value());
+    }
+    for (const MemberId &member : decision.leaving) {
+        group.members.erase(member);
+        absl::StrAppend(&text, " -", member.upstream.value(), "/", member.incarnation.value());
+    }
+    return absl::StrCat(text, ", now ", group.members.size());
+}
+
 } // namespace
 
 absl::StatusOr<std::string> applyDecision(ClusterState &state, const GroupDecision &decision)
--- a/src/config/state_codec.cpp
+++ b/src/config/state_codec.cpp
@@ -11,8 +11,9 @@
     Offset<flatbuffers::String> primary;
     if (group.primary)
         primary = fbb.CreateString(group.primary->value());
+    const auto members = encode(fbb, group.members);
     return fbs::CreateGroup(fbb, service, votingSet, group.reservedTerm.value(), group.term.value(),
-                            primary);
+                            primary, group.primaryIncarnation.value(), members);
 }
 
 Offset<flatbuffers::Vector<Offset<fbs::RememberedChange>>> encode(FlatBufferBuilder &fbb,
@@ -51,6 +52,8 @@
     out.term = Term(group.term());
     if (group.primary() != nullptr)
         out.primary = UpstreamId(group.primary()->str());
+    out.primaryIncarnation = Incarnation(group.primary_incarnation());
+    out.members = decode(group.members());
     return out;
 }
 
--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -221,6 +221,7 @@
     controller.electedAt = now;
     controller.random.seed(seed);
     controller.registry = seedRegistry(localFleetLog.state, now);
+    seedMembers(controller.registry, replicated.cluster, now);
     controller.leases = makeLeaseTable(now);
     controller.fleetLog = localFleetLog;
     controller.inheritedFleetVersion = localFleetLog.version;
--- a/src/controller/group_control.cpp
+++ b/src/controller/group_control.cpp
@@ -95,16 +95,17 @@
 {
     ConfirmedInput input;
     input.group = state;
-    input.recorded = group.members;
     for (const auto &[id, entry] : announced) {
         const MemberId memberId { id, entry.announcement.lifetime };
         // A member that ended and left holds no commit that is not elsewhere.
-        if (entry.replaced && !group.members.contains(memberId))
+        if (entry.replaced && !state.members.contains(memberId))
             continue;
         ConfirmedMember &member = input.members[id];
         member.state = entry.state;
         member.leaving = entry.announcement.leaving || entry.state == UpstreamState::Leaving;
         member.incarnation = entry.announcement.lifetime;
+        member.record = { entry.announcement.endpoint, entry.announcement.dataCentre,
+                          entry.announcement.slots, entry.announcement.connectionLimit };
         member.announcedRole = entry.announcement.role;
         const auto status = group.statuses.find(id);
         if (status != group.statuses.end() && isFromKnownProcess(status->second, entry)) {
@@ -174,22 +175,20 @@
     }
 }
 
-/// Lets the processes that are announced join the group, and those leave that have ended and whose
-/// commits are held by others.
-void updateMembers(const ControllerState &controller, GroupControl &group,
-                   const ConfirmedInput &input, TimePoint now)
+/// Proposes that the processes that are announced join the group, and that those leave that have
+/// ended and whose commits are held by others.
+void updateMembers(const ControllerState &controller, GroupControl &group, ConfirmedInput input,
+                   ControllerActions &actions, TimePoint now)
 {
     MemberInput members;
-    members.group = input;
+    members.group = std::move(input);
     members.changing = group.confirmed.phase != ConfirmedPhase::Idle;
-    for (const MemberId &member : group.members) {
+    for (const auto &[member, record] : members.group.group.members) {
         if (hasEnded(controller.registry, member))
             members.ended.insert(member);
     }
-    const MemberChanges changes = nextMemberChanges(group.memberProgress, members, now);
-    group.members.insert(changes.joining.begin(), changes.joining.end());
-    for (const MemberId &member : changes.leaving)
-        group.members.erase(member);
+    if (auto changes = nextMemberChanges(group.memberProgress, members, now))
+        actions.proposals.emplace_back(*std::move(changes));
 }
 
 void advanceConfirmedGroup(ControllerState &controller, const ServiceConfig &service,
@@ -200,10 +199,10 @@
     GroupControl &group = controller.groups[service.id];
     std::erase_if(group.statuses,
                   [&](const auto &item) { return !announced.contains(item.first); });
-    const ConfirmedInput input = confirmedInput(controller, service, state, group, announced, now);
+    ConfirmedInput input = confirmedInput(controller, service, state, group, announced, now);
     for (const ConfirmedAction &action : stepConfirmedChange(group.confirmed, input, now))
         addConfirmedAction(controller, service.id, action, actions);
-    updateMembers(controller, group, input, now);
+    updateMembers(controller, group, std::move(input), actions, now);
     if (group.confirmed.phase != ConfirmedPhase::Idle)
         return;
     std::set<UpstreamId> queries;
--- a/src/fleet/confirmed_change.cpp
+++ b/src/fleet/confirmed_change.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "confirmed_candidate.h"
+
 namespace shallotlever {
 
 namespace {
@@ -23,51 +25,6 @@
     return newest;
 }
 
-bool answeredSince(const ConfirmedMember &member, TimePoint since)
-{
-    return member.status && member.statusAskedAt >= since;
-}
-
-bool isFormerPrimary(const ConfirmedInput &input, const UpstreamId &id)
-{
-    return input.group.primary == id;
-}
-
-/// Returns whether the database neither makes commits nor accepts any from the former primary.
-bool isFenced(const ConfirmedChange &change, const ConfirmedInput &input, const UpstreamId &id,
-              const ConfirmedMember &member)
-{
-    if (change.fenceTerm == Term() || !answeredSince(member, change.phaseStartedAt)
-        || member.status->role == UpstreamRole::Primary)
-        return false;
-    return isFormerPrimary(input, id) || member.status->fencedTerm >= change.fenceTerm;
-}
-
-/// Number of processes other than the former primary that may still accept commits from it, or that
-/// took the commits that they confirmed with them.
-std::uint32_t countUnfenced(const ConfirmedChange &change, const ConfirmedInput &input)
-{
-    std::uint32_t unfenced = 0;
-    for (const MemberId &recorded : input.recorded) {
-        const auto heard = input.members.find(recorded.upstream);
-        const bool fenced = heard != input.members.end()
-            && heard->second.incarnation == recorded.incarnation
-            && isFenced(change, input, recorded.upstream, heard->second);
-        unfenced += fenced || isFormerPrimary(input, recorded.upstream) ? 0 : 1;
-    }
-    for (const auto &[id, member] : input.members) {
-        const bool counted = input.recorded.contains({ id, member.incarnation });
-        unfenced +=
-            counted || isFormerPrimary(input, id) || isFenced(change, input, id, member) ? 0 : 1;
-    }
-    return unfenced;
-}
-
-bool canBecomePrimary(const ConfirmedMember &member)
-{
-    return member.state == UpstreamState::Live && !member.leaving;
-}
-
 void enterPhase(ConfirmedChange &change, ConfirmedPhase phase, TimePoint now)
 {
     change.phase = phase;
@@ -212,6 +169,7 @@
 {
     if (const auto promoted = promotedByPredecessor(change, input)) {
         change.candidate = promoted;
+        change.candidateIncarnation = input.members.at(*promoted).incarnation;
         change.times.fenced = change.times.promoted = change.times.confirmed = now;
         // A group that has never had a primary needs no node to stop using one.
         if (input.primaryReleased || !input.group.primary)
@@ -225,6 +183,7 @@
     }
     fenceMembers(change, input, actions, now);
     change.candidate = chooseConfirmedCandidate(change, input);
+    change.awaited = change.candidate ? std::vector<MemberId>() : unfencedProcesses(change, input);
     const bool graceElapsed = now >= change.phaseStartedAt + kFenceGrace;
     if (!change.candidate || !input.primaryReleased
         || !(graceElapsed || allLiveFenced(change, input)))
@@ -274,6 +233,9 @@
         actions.push_back(ChangeDone { change.epoch, *change.candidate, change.reason, change.times,
                                        change.attempts });
         change.notBefore = now + kChangeCooldown;
+        // The new primary's log replaces longer ones of unacknowledged commits.
+        change.highestPoint = HistoryPoint();
+        change.awaited.clear();
         change.demotedSince.reset();
         change.lastReplicationProgressAt = now;
         enterPhase(change, ConfirmedPhase::Idle, now);
@@ -284,8 +246,8 @@
         return;
     }
     if (takeDueCall(change, UpstreamId(), kProposalRetryInterval, now))
-        actions.push_back(
-            Propose { SetPrimary { input.group.service, change.epoch, *change.candidate } });
+        actions.push_back(Propose { SetPrimary {
+            input.group.service, change.epoch, *change.candidate, change.candidateIncarnation } });
 }
 
 bool otherCanBecomePrimary(const ConfirmedInput &input)
@@ -351,11 +313,17 @@
     if (!group.primary)
         return firstPrimaryKnown(input) ? ChangeReason::Founding : ChangeReason::None;
     const auto primary = input.members.find(*group.primary);
+    const bool heard = primary != input.members.end();
+    // Another process under the id may lack the commits that the one in office acknowledged.
+    if (heard && !isInOffice(input, primary->second))
+        return ChangeReason::Restarted;
     if (!otherCanBecomePrimary(input))
         return ChangeReason::None;
-    if (primary == input.members.end() || primary->second.leaving)
+    // A primary that has not announced itself since the controller's election has not said that it
+    // leaves.
+    if (heard && primary->second.leaving)
         return ChangeReason::Leaving;
-    if (primary->second.state == UpstreamState::Suspected)
+    if (!heard || primary->second.state == UpstreamState::Suspected)
         return ChangeReason::Suspected;
     if (isDemoted(change, primary->second, now))
         return ChangeReason::Fenced;
@@ -363,31 +331,6 @@
                                                                    : ChangeReason::None;
 }
 
-std::optional<UpstreamId> chooseConfirmedCandidate(const ConfirmedChange &change,
-                                                   const ConfirmedInput &input)
-{
-    const std::uint32_t unfenced = countUnfenced(change, input);
-    std::optional<UpstreamId> best;
-    HistoryPoint bestPoint;
-    std::optional<HistoryPoint> primaryEnd;
-    for (const auto &[id, member] : input.members) {
-        const bool former = isFormerPrimary(input, id);
-        const bool fenced = isFenced(change, input, id, member);
-        if (former && fenced)
-            primaryEnd = member.status->point;
-        if (!fenced || !canBecomePrimary(member) || change.refusedCandidates.contains(id))
-            continue;
-        if (!best || member.status->point > bestPoint) {
-            best = id;
-            bestPoint = member.status->point;
-        }
-    }
-    // Without confirming replicas no replica is certain to hold a commit, so all must be fenced.
-    const bool fencedHoldCommits = unfenced < std::max<std::uint32_t>(input.confirmingReplicas, 1);
-    const bool reachesEnd = primaryEnd && bestPoint >= *primaryEnd;
-    return best && (fencedHoldCommits || reachesEnd) ? best : std::nullopt;
-}
-
 void onPromoteAnswer(ConfirmedChange &change, const UpstreamId &upstream, bool accepted,
                      TimePoint now)
 {
@@ -402,6 +345,7 @@
 Actions stepConfirmedChange(ConfirmedChange &change, const ConfirmedInput &input, TimePoint now)
 {
     Actions actions;
+    change.highestPoint = std::max(change.highestPoint, highestPoint(input));
     switch (change.phase) {
     case ConfirmedPhase::Idle: {
         const ChangeReason reason = confirmedChangeDue(change, input, now);
--- a/src/fleet/confirmed_change_test.cpp
+++ b/src/fleet/confirmed_change_test.cpp
@@ -147,7 +147,9 @@
 {
     ConfirmedInput in = input();
     in.members = GetParam().members;
-    in.recorded = GetParam().recorded;
+    for (const MemberId &recorded : GetParam().recorded)
+        in.group.members[recorded] = {};
+    in.group.primaryIncarnation = Incarnation(1);
     ConfirmedChange change;
     change.fenceTerm = Term(kFence);
     change.phaseStartedAt = kStart;
@@ -189,6 +191,21 @@
                                   { { kB, process(1, member(status(kReplica, 7, kFence))) } },
                                   { kFirstP, kFirstA, kFirstB },
                                   std::nullopt },
+                    ProcessCase { "RebornPrimaryWithoutItsLog",
+                                  { { kPrimary, process(2, member(status(kReplica, 0))) },
+                                    { kB, process(1, member(status(kReplica, 7, kFence))) } },
+                                  { kFirstP, { kPrimary, Incarnation(2) }, kFirstA, kFirstB },
+                                  std::nullopt },
+                    ProcessCase { "RebornPrimaryWithAShorterLogThanAReplica",
+                                  { { kPrimary, process(2, member(status(kReplica, 6))) },
+                                    { kB, process(1, member(status(kReplica, 7, kFence))) } },
+                                  { kFirstP, { kPrimary, Incarnation(2) }, kFirstA, kFirstB },
+                                  std::nullopt },
+                    ProcessCase { "RestartedPrimaryWithItsLog",
+                                  { { kPrimary, process(2, member(status(kReplica, 9))) },
+                                    { kB, process(1, member(status(kReplica, 7, kFence))) } },
+                                  { kFirstP, { kPrimary, Incarnation(2) }, kFirstA, kFirstB },
+                                  kPrimary },
                     ProcessCase { "ReplicaNotYetRecorded",
                                   { { kPrimary, process(1, member(std::nullopt, kDown)) },
                                     { kA, process(1, member(std::nullopt)) },
@@ -362,6 +379,41 @@
     EXPECT_TRUE(std::holds_alternative<ReserveTerm>(propose->decision));
 }
 
+// Guards against a primary that starts again with nothing and stays in office.
+TEST_F(ConfirmedChangeTest, PrimaryThatStartsAgainIsReplaced)
+{
+    m_in.group.primaryIncarnation = Incarnation(1);
+    m_in.members[kPrimary] = process(2, member(status(UpstreamRole::Primary, 0)));
+    EXPECT_EQ(confirmedChangeDue(m_change, m_in, m_now), ChangeReason::Restarted);
+    m_in.group.primaryIncarnation = Incarnation(2);
+    EXPECT_EQ(confirmedChangeDue(m_change, m_in, m_now), ChangeReason::None);
+}
+
+// Guards against a planned change, which lets commits finish, for a primary that a new controller
+// has not heard of.
+TEST_F(ConfirmedChangeTest, PrimaryNotHeardOfIsNotLeaving)
+{
+    m_in.members.erase(kPrimary);
+    EXPECT_EQ(confirmedChangeDue(m_change, m_in, m_now), ChangeReason::Suspected);
+}
+
+// Guards against an empty log of the former primary that passes for all that it acknowledged, when
+// it was longer before.
+TEST_F(ConfirmedChangeTest, LogEndsHeardBeforeAChangeCount)
+{
+    m_in.group.primaryIncarnation = Incarnation(1);
+    reserve();
+    m_in.members[kPrimary] = process(2, member(status(kReplica, 8)));
+    m_in.members[kPrimary].statusAskedAt = m_now;
+    m_in.members.erase(kA);
+    m_in.group.members[{ kA, Incarnation() }] = {};
+    m_in.members[kB].status = status(kReplica, 8, kFence);
+    m_in.members[kB].statusAskedAt = m_now;
+    step();
+    EXPECT_FALSE(m_change.candidate);
+    EXPECT_FALSE(m_change.awaited.empty());
+}
+
 // Guards against a planned change that interrupts in-flight commits.
 TEST_F(ConfirmedChangeTest, PlannedChangeFencesOnlyAfterPrimaryIsReleased)
 {
--- a/src/fleet/fuzz/simulation.cpp
+++ b/src/fleet/fuzz/simulation.cpp
@@ -60,6 +60,8 @@
         group.primary = d.upstream;
         return true;
     }
+    /// Only for groups whose databases confirm commits themselves.
+    bool operator()(const ChangeMembers &) const { return false; }
 };
 
 } // namespace
--- a/src/fleet/group_members_test.cpp
+++ b/src/fleet/group_members_test.cpp
@@ -32,10 +32,11 @@
         m_in.group.group.primary = kPrimary;
         m_in.group.group.term = Term(1);
         m_in.group.confirmingReplicas = 1;
-        m_in.group.recorded = { { kPrimary, Incarnation(1) },
-                                { kA, Incarnation(1) },
-                                { kA, Incarnation(2) },
-                                { kB, Incarnation(1) } };
+        m_in.group.group.primaryIncarnation = Incarnation(1);
+        m_in.group.group.members = { { { kPrimary, Incarnation(1) }, {} },
+                                     { { kA, Incarnation(1) }, {} },
+                                     { { kA, Incarnation(2) }, {} },
+                                     { { kB, Incarnation(1) }, {} } };
         m_in.ended = { { kA, Incarnation(1) } };
         answer(kPrimary, 9);
         answer(kA, 0);
@@ -53,7 +54,8 @@
     bool leaves()
     {
         m_now += 50ms;
-        return !nextMemberChanges(m_progress, m_in, m_now).leaving.empty();
+        const auto changes = nextMemberChanges(m_progress, m_in, m_now);
+        return changes && !changes->leaving.empty();
     }
 
     MemberInput m_in;
@@ -84,7 +86,7 @@
 TEST_F(EndedMember, PrimaryThatStartedAgainIsNoReference)
 {
     EXPECT_FALSE(leaves());
-    m_in.group.recorded.insert({ kPrimary, Incarnation(2) });
+    m_in.group.group.members[{ kPrimary, Incarnation(2) }] = {};
     answer(kPrimary, 1);
     m_in.group.members[kPrimary].incarnation = Incarnation(2);
     answer(kB, 5);
@@ -116,11 +118,12 @@
 // Guards against a replica that may confirm commits without being counted.
 TEST_F(EndedMember, AnnouncedProcessJoinsAlsoDuringAChange)
 {
-    m_in.group.recorded.erase({ kB, Incarnation(1) });
+    m_in.group.group.members.erase({ kB, Incarnation(1) });
     m_in.changing = true;
-    const MemberChanges changes = nextMemberChanges(m_progress, m_in, m_now);
-    ASSERT_EQ(changes.joining.size(), 1U);
-    EXPECT_EQ(changes.joining.front(), (MemberId { kB, Incarnation(1) }));
+    const auto changes = nextMemberChanges(m_progress, m_in, m_now);
+    ASSERT_TRUE(changes);
+    ASSERT_EQ(changes->joining.size(), 1U);
+    EXPECT_EQ(changes->joining.begin()->first, (MemberId { kB, Incarnation(1) }));
 }
 
 struct EndCase
--- a/src/fleet/primary_change.cpp
+++ b/src/fleet/primary_change.cpp
@@ -315,6 +315,8 @@
         return "founding";
     case ChangeReason::Unfinished:
         return "unfinished";
+    case ChangeReason::Restarted:
+        return "restarted";
     }
     return "none";
 }
--- a/src/include/shallotlever/controller/controller.h
+++ b/src/include/shallotlever/controller/controller.h
@@ -95,8 +95,6 @@
     PrimaryChange change;
     /// Used instead of `change` and `voting` for groups whose databases confirm commits themselves.
     ConfirmedChange confirmed;
-    /// Members of a group that confirms commits itself, and those that have ended.
-    std::set<MemberId> members;
     MemberProgress memberProgress;
     VotingSetProgress voting;
     ReplicationWatch replication;
--- a/src/include/shallotlever/fleet/confirmed_change.h
+++ b/src/include/shallotlever/fleet/confirmed_change.h
@@ -38,6 +38,7 @@
     UpstreamState state = UpstreamState::Live;
     bool leaving = false;
     Incarnation incarnation;
+    MemberRecord record;
     UpstreamRole announcedRole = UpstreamRole::Replica;
     /// Last reply of this incarnation.
     std::optional<UpstreamStatus> status;
@@ -69,6 +70,10 @@
     /// Replication progress: highest point that a replica holds, and when it last changed.
     HistoryPoint replicatedPoint;
     TimePoint lastReplicationProgressAt;
+    /// Highest log end that a process has reported since the last change.
+    HistoryPoint highestPoint;
+    /// While fencing without a candidate: the processes whose fence or return is waited for.
+    std::vector<MemberId> awaited;
     ChangeTimes times;
 };
 
@@ -77,8 +82,6 @@
     GroupState group;
     /// The databases that have announced themselves.
     std::map<UpstreamId, ConfirmedMember> members;
-    /// Processes that may hold acknowledged commits, heard of or not (see group_members.h).
-    std::set<MemberId> recorded;
     /// See ChangeInput.
     Term ownReservedTerm;
     bool registryComplete = true;
--- a/src/include/shallotlever/fleet/group_members.h
+++ b/src/include/shallotlever/fleet/group_members.h
@@ -26,6 +26,9 @@
     /// Term of the primary whose log the barriers belong to.
     Term term;
     std::map<MemberId, Ended> ended;
+    /// Last change proposed, and when.
+    ChangeMembers proposed;
+    TimePoint proposedAt;
 };
 
 struct MemberInput
@@ -38,20 +41,20 @@
     std::set<MemberId> ended;
 };
 
-struct MemberChanges
-{
-    std::vector<MemberId> joining;
-    std::vector<MemberId> leaving;
-};
-
 /// Returns whether the process is known to have ended: it deregistered, or a later process
 /// announces its id or another id at its endpoint. Silence is no evidence, as a silent process may
 /// still confirm commits.
 bool hasEnded(const Registry &registry, const MemberId &member);
 
-/// Returns the changes to make to the recorded members. A process joins when it announces itself,
-/// because it may confirm commits from then on. A process that has ended leaves once as many other
-/// replicas as confirm a commit, and at least one, hold everything that it may have confirmed.
-MemberChanges nextMemberChanges(MemberProgress &progress, const MemberInput &input, TimePoint now);
+/// Adds the recorded members to the registry of a new controller, each with a lease that starts at
+/// `now`, unless the registry knows the process or a later one under its id.
+void seedMembers(Registry &registry, const ClusterState &cluster, TimePoint now);
+
+/// Returns the change to propose to the recorded members, or nullopt. A process joins when it
+/// announces itself, because it may confirm commits from then on. A process that has ended leaves
+/// once as many other replicas as confirm a commit, and at least one, hold everything that it may
+/// have confirmed.
+std::optional<ChangeMembers> nextMemberChanges(MemberProgress &progress, const MemberInput &input,
+                                               TimePoint now);
 
 } // namespace shallotlever
--- a/src/include/shallotlever/fleet/primary_change.h
+++ b/src/include/shallotlever/fleet/primary_change.h
@@ -59,6 +59,8 @@
     Founding,
     /// This or a previous controller reserved a term but never published a primary for it.
     Unfinished,
+    /// A later process runs under the id of the primary.
+    Restarted,
 };
 std::string_view changeReasonName(ChangeReason reason);
 
--- a/src/include/shallotlever/types/config.h
+++ b/src/include/shallotlever/types/config.h
@@ -12,6 +12,7 @@
 
 #include "shallotlever/base/ids.h"
 #include "shallotlever/base/time.h"
+#include "shallotlever/types/fleet.h"
 
 /// Plain structs of the replicated state: the configuration set by operators and the decisions of
 /// the controller. Owned by the control log; nodes hold read-only copies.
@@ -157,6 +158,16 @@
     friend bool operator==(const ClusterConfig &, const ClusterConfig &) = default;
 };
 
+/// What is recorded about a member of a group whose databases confirm commits themselves.
+struct MemberRecord
+{
+    Endpoint endpoint;
+    DataCentreId dataCentre;
+    std::uint32_t slots = 0;
+    std::uint32_t connectionLimit = 0;
+    friend bool operator==(const MemberRecord &, const MemberRecord &) = default;
+};
+
 /// Decisions of the controller about one group of databases.
 struct GroupState
 {
@@ -169,6 +180,11 @@
     /// Term of the current primary; lower than reservedTerm during a change of primary.
     Term term;
     std::optional<UpstreamId> primary;
+    /// Process that was put into office as the primary; 0 if not known.
+    Incarnation primaryIncarnation;
+    /// Processes that may hold acknowledged commits; empty unless the databases confirm commits
+    /// themselves.
+    std::map<MemberId, MemberRecord> members;
     friend bool operator==(const GroupState &, const GroupState &) = default;
 };
 
@@ -268,9 +284,21 @@
     ServiceId service;
     Term term;
     UpstreamId upstream;
+    /// 0 if not known.
+    Incarnation incarnation {};
+};
+/// Processes that join and leave the members of a group whose databases confirm commits themselves.
+/// None leaves during a change of primary, which counts them.
+struct ChangeMembers
+{
+    ServiceId service;
+    std::map<MemberId, MemberRecord> joining;
+    std::set<MemberId> leaving;
+    friend bool operator==(const ChangeMembers &, const ChangeMembers &) = default;
 };
 
-using GroupDecision = std::variant<JoinVotingSet, LeaveVotingSet, ReserveTerm, SetPrimary>;
+using GroupDecision =
+    std::variant<JoinVotingSet, LeaveVotingSet, ReserveTerm, SetPrimary, ChangeMembers>;
 
 /// Records a node process before it is granted leases, or removes the record if `incarnation` is 0,
 /// when the process has not held a lease for a long time. A new controller thereby knows every
--- a/src/node/controller_host.cpp
+++ b/src/node/controller_host.cpp
@@ -2,6 +2,8 @@
 
 #include <QDateTime>
 
+#include <fmt/format.h>
+
 #include "shallotlever/base/clock.h"
 #include "status_document.h"
 
@@ -142,6 +144,26 @@
     }
 }
 
+/// Logs the processes for which changes of primary wait: commits may be held by them alone.
+void ControllerHost::logWaitingChanges(TimePoint now) const
+{
+    std::size_t logged = 0;
+    for (const auto &[service, group] : m_controller->groups) {
+        const ConfirmedChange &change = group.confirmed;
+        if (change.awaited.empty() || now < change.times.detected + kShareLogInterval
+            || ++logged > kMaxShareLogLines)
+            continue;
+        std::string awaited;
+        for (const MemberId &process : change.awaited)
+            awaited += fmt::format("{}{}/{}", awaited.empty() ? "" : " ", process.upstream.value(),
+                                   process.incarnation.value());
+        m_logger.warning("primary_change_waits",
+                         { { "service", service.value() },
+                           { "awaited", awaited },
+                           { "waited_ms", millisecondsBetween(change.times.detected, now) } });
+    }
+}
+
 void ControllerHost::logShares(TimePoint now)
 {
     if (now < m_nextShareLog)
@@ -149,6 +171,7 @@
     m_nextShareLog = now + kShareLogInterval;
     logTeams();
     logFullUpstreams();
+    logWaitingChanges(now);
 }
 
 void ControllerHost::stopController()
--- a/src/node/controller_host.h
+++ b/src/node/controller_host.h
@@ -74,6 +74,7 @@
     void logShares(TimePoint now);
     void logTeams() const;
     void logFullUpstreams() const;
+    void logWaitingChanges(TimePoint now) const;
     void call(const UpstreamCall &call, TimePoint now);
     UpstreamControl &controlOf(const UpstreamCall &call);
     void propose(const GroupDecision &decision, TimePoint now);
--- a/src/node/status_document.cpp
+++ b/src/node/status_document.cpp
@@ -75,6 +75,34 @@
              { "voting", group.votingSet.contains(info.id) } };
 }
 
+QJsonObject processObject(const MemberId &process)
+{
+    return { { "id", text(process.upstream) },
+             { "incarnation", QString::number(process.incarnation.value()) } };
+}
+
+/// The recorded members of a group, and the processes for which its change of primary waits.
+QJsonObject memberObject(const GroupState &state, const ControllerState &controller, TimePoint now)
+{
+    QJsonArray members;
+    for (const auto &[process, record] : state.members)
+        members.append(processObject(process));
+    QJsonObject object { { "service", text(state.service) }, { "members", members } };
+    const auto group = controller.groups.find(state.service);
+    if (group == controller.groups.end() || group->second.confirmed.awaited.empty())
+        return object;
+    const ConfirmedChange &change = group->second.confirmed;
+    QJsonArray awaited;
+    for (const MemberId &process : change.awaited)
+        awaited.append(processObject(process));
+    object.insert("awaited", awaited);
+    object.insert("awaited_ms",
+                  static_cast<qint64>(std::chrono::duration_cast<std::chrono::milliseconds>(
+                                          now - change.times.detected)
+                                          .count()));
+    return object;
+}
+
 QJsonObject groupObject(const GroupView &group)
 {
     QJsonArray upstreams;
@@ -124,11 +152,15 @@
 {
     const InForce inForce =
         configInForce(controller.leases, group.state().cluster.config.version, now);
-    return toText({ { "configuration", configObject(group.state().cluster.config) },
-                    { "in_force", inForce.inForce },
-                    { "control", controlObject(group.member()) },
-                    { "nodes", nodeArray(controller.leases) },
-                    { "groups", encodeAll(controller.fleetLog.state.view.groups, groupObject) } });
+    return toText(
+        { { "configuration", configObject(group.state().cluster.config) },
+          { "in_force", inForce.inForce },
+          { "control", controlObject(group.member()) },
+          { "nodes", nodeArray(controller.leases) },
+          { "groups", encodeAll(controller.fleetLog.state.view.groups, groupObject) },
+          { "members", encodeAll(group.state().cluster.groups, [&](const GroupState &state) {
+                return memberObject(state, controller, now);
+            }) } });
 }
 
 std::string explainDocument(const ReplicatedState &state)
--- a/src/operator/query_commands.cpp
+++ b/src/operator/query_commands.cpp
@@ -116,6 +116,33 @@
     return rows;
 }
 
+QString processNames(const QJsonArray &processes)
+{
+    QStringList names;
+    for (const QJsonValue &process : processes)
+        names << QStringLiteral("%1/%2").arg(process[QLatin1String("id")].toString(),
+                                             process[QLatin1String("incarnation")].toString());
+    return names.join(QLatin1Char(' '));
+}
+
+/// Members of the groups whose databases confirm commits, and what their changes of primary wait
+/// for.
+QJsonArray memberRows(const QJsonObject &status)
+{
+    QJsonArray rows;
+    for (const QJsonValue &value : status.value(QLatin1String("members")).toArray()) {
+        QJsonObject row = value.toObject();
+        const QJsonArray members = row.value(QLatin1String("members")).toArray();
+        if (members.isEmpty())
+            continue;
+        row.insert(QStringLiteral("members"), processNames(members));
+        row.insert(QStringLiteral("awaited"),
+                   processNames(row.value(QLatin1String("awaited")).toArray()));
+        rows.append(row);
+    }
+    return rows;
+}
+
 void printStatus(const CommandContext &context, const QJsonObject &status)
 {
     const QJsonObject configuration = status.value(QLatin1String("configuration")).toObject();
@@ -139,6 +166,15 @@
                              { "ROLE", "role" },
                              { "VOTING", "voting" },
                              { "TERM", "term" } });
+    const QJsonArray members = memberRows(status);
+    if (members.isEmpty())
+        return;
+    context.out << "\n"
+                << tableOf(members,
+                           { { "SERVICE", "service" },
+                             { "MEMBERS", "members" },
+                             { "CHANGE WAITS FOR", "awaited" },
+                             { "SINCE MS", "awaited_ms" } });
 }
 
 QJsonArray lastDecisions(const QJsonObject &document, std::uint64_t count)
