--- a/src/controller/group_control.cpp
+++ b/src/controller/group_control.cpp
@@ -33,7 +33,9 @@
     const auto entry = registry.entries.find(upstream);
     if (entry == registry.entries.end())
         return;
-    actions.calls.push_back({ kind, service, upstream, entry->second.announcement.endpoint, term });
+    const Announcement &announcement = entry->second.announcement;
+    actions.calls.push_back(
+        { kind, service, upstream, announcement.lifetime, announcement.endpoint, term });
 }
 
 void addChangeAction(ControllerState &controller, const ServiceId &service,
@@ -78,6 +80,15 @@
     }
 }
 
+/// Whether the status came from the announced process. It has announced itself since the connection
+/// was opened, so it did not start after that; an earlier process would have closed the connection.
+bool isFromKnownProcess(const MemberStatus &status, const RegistryEntry &entry)
+{
+    const bool identified = status.status.connectedAt == TimePoint()
+        || (!entry.seeded && entry.receivedAt >= status.status.connectedAt);
+    return identified && status.incarnation == entry.announcement.lifetime;
+}
+
 ConfirmedInput confirmedInput(const ControllerState &controller, const ServiceConfig &service,
                               const GroupState &state, const GroupControl &group,
                               const std::map<UpstreamId, RegistryEntry> &announced, TimePoint now)
@@ -85,12 +96,19 @@
     ConfirmedInput input;
     input.group = state;
     for (const auto &[id, entry] : announced) {
+        const MemberId memberId { id, entry.announcement.lifetime };
+        // A member that ended and left holds no commit that is not elsewhere.
+        if (entry.replaced && !state.members.contains(memberId))
+            continue;
         ConfirmedMember &member = input.members[id];
         member.state = entry.state;
         member.leaving = entry.announcement.leaving || entry.state == UpstreamState::Leaving;
+        member.incarnation = entry.announcement.lifetime;
+        member.record = { entry.announcement.endpoint, entry.announcement.dataCentre,
+                          entry.announcement.slots, entry.announcement.connectionLimit };
         member.announcedRole = entry.announcement.role;
         const auto status = group.statuses.find(id);
-        if (status != group.statuses.end()) {
+        if (status != group.statuses.end() && isFromKnownProcess(status->second, entry)) {
             member.status = status->second.status;
             member.statusAskedAt = status->second.askedAt;
         }
@@ -157,6 +175,22 @@
     }
 }
 
+/// Proposes that the processes that are announced join the group, and that those leave that have
+/// ended and whose commits are held by others.
+void updateMembers(const ControllerState &controller, GroupControl &group, ConfirmedInput input,
+                   ControllerActions &actions, TimePoint now)
+{
+    MemberInput members;
+    members.group = std::move(input);
+    members.changing = group.confirmed.phase != ConfirmedPhase::Idle;
+    for (const auto &[member, record] : members.group.group.members) {
+        if (hasEnded(controller.registry, member))
+            members.ended.insert(member);
+    }
+    if (auto changes = nextMemberChanges(group.memberProgress, members, now))
+        actions.proposals.emplace_back(*std::move(changes));
+}
+
 void advanceConfirmedGroup(ControllerState &controller, const ServiceConfig &service,
                            const GroupState &state,
                            const std::map<UpstreamId, RegistryEntry> &announced,
@@ -165,9 +199,10 @@
     GroupControl &group = controller.groups[service.id];
     std::erase_if(group.statuses,
                   [&](const auto &item) { return !announced.contains(item.first); });
-    const ConfirmedInput input = confirmedInput(controller, service, state, group, announced, now);
+    ConfirmedInput input = confirmedInput(controller, service, state, group, announced, now);
     for (const ConfirmedAction &action : stepConfirmedChange(group.confirmed, input, now))
         addConfirmedAction(controller, service.id, action, actions);
+    updateMembers(controller, group, std::move(input), actions, now);
     if (group.confirmed.phase != ConfirmedPhase::Idle)
         return;
     std::set<UpstreamId> queries;
--- a/src/fleet/confirmed_change.cpp
+++ b/src/fleet/confirmed_change.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "confirmed_candidate.h"
+
 namespace shallotlever {
 
 namespace {
@@ -23,31 +25,6 @@
     return newest;
 }
 
-bool answeredSince(const ConfirmedMember &member, TimePoint since)
-{
-    return member.status && member.statusAskedAt >= since;
-}
-
-bool isFormerPrimary(const ConfirmedInput &input, const UpstreamId &id)
-{
-    return input.group.primary == id;
-}
-
-/// Returns whether the database neither makes commits nor accepts any from the former primary.
-bool isFenced(const ConfirmedChange &change, const ConfirmedInput &input, const UpstreamId &id,
-              const ConfirmedMember &member)
-{
-    if (change.fenceTerm == Term() || !answeredSince(member, change.phaseStartedAt)
-        || member.status->role == UpstreamRole::Primary)
-        return false;
-    return isFormerPrimary(input, id) || member.status->fencedTerm >= change.fenceTerm;
-}
-
-bool canBecomePrimary(const ConfirmedMember &member)
-{
-    return member.state == UpstreamState::Live && !member.leaving;
-}
-
 void enterPhase(ConfirmedChange &change, ConfirmedPhase phase, TimePoint now)
 {
     change.phase = phase;
@@ -192,6 +169,7 @@
 {
     if (const auto promoted = promotedByPredecessor(change, input)) {
         change.candidate = promoted;
+        change.candidateIncarnation = input.members.at(*promoted).incarnation;
         change.times.fenced = change.times.promoted = change.times.confirmed = now;
         // A group that has never had a primary needs no node to stop using one.
         if (input.primaryReleased || !input.group.primary)
@@ -205,10 +183,12 @@
     }
     fenceMembers(change, input, actions, now);
     change.candidate = chooseConfirmedCandidate(change, input);
+    change.awaited = change.candidate ? std::vector<MemberId>() : unfencedProcesses(change, input);
     const bool graceElapsed = now >= change.phaseStartedAt + kFenceGrace;
     if (!change.candidate || !input.primaryReleased
         || !(graceElapsed || allLiveFenced(change, input)))
         return;
+    change.candidateIncarnation = input.members.at(*change.candidate).incarnation;
     change.times.fenced = now;
     enterPhase(change, ConfirmedPhase::Promoting, now);
 }
@@ -218,8 +198,11 @@
 {
     const auto member = input.members.find(*change.candidate);
     const bool lost = member == input.members.end() || !canBecomePrimary(member->second);
+    // A later process under the id lacks what made its predecessor the candidate.
+    const bool replaced =
+        member != input.members.end() && member->second.incarnation != change.candidateIncarnation;
     const bool refused = change.refusedCandidates.contains(*change.candidate);
-    if (refused || now >= change.phaseStartedAt + kPromotionTimeout
+    if (refused || replaced || now >= change.phaseStartedAt + kPromotionTimeout
         || (lost && !change.promotedAt)) {
         startAttempt(change, input, now);
         return;
@@ -250,6 +233,9 @@
         actions.push_back(ChangeDone { change.epoch, *change.candidate, change.reason, change.times,
                                        change.attempts });
         change.notBefore = now + kChangeCooldown;
+        // The new primary's log replaces longer ones of unacknowledged commits.
+        change.highestPoint = HistoryPoint();
+        change.awaited.clear();
         change.demotedSince.reset();
         change.lastReplicationProgressAt = now;
         enterPhase(change, ConfirmedPhase::Idle, now);
@@ -260,8 +246,8 @@
         return;
     }
     if (takeDueCall(change, UpstreamId(), kProposalRetryInterval, now))
-        actions.push_back(
-            Propose { SetPrimary { input.group.service, change.epoch, *change.candidate } });
+        actions.push_back(Propose { SetPrimary {
+            input.group.service, change.epoch, *change.candidate, change.candidateIncarnation } });
 }
 
 bool otherCanBecomePrimary(const ConfirmedInput &input)
@@ -327,11 +313,17 @@
     if (!group.primary)
         return firstPrimaryKnown(input) ? ChangeReason::Founding : ChangeReason::None;
     const auto primary = input.members.find(*group.primary);
+    const bool heard = primary != input.members.end();
+    // Another process under the id may lack the commits that the one in office acknowledged.
+    if (heard && !isInOffice(input, primary->second))
+        return ChangeReason::Restarted;
     if (!otherCanBecomePrimary(input))
         return ChangeReason::None;
-    if (primary == input.members.end() || primary->second.leaving)
+    // A primary that has not announced itself since the controller's election has not said that it
+    // leaves.
+    if (heard && primary->second.leaving)
         return ChangeReason::Leaving;
-    if (primary->second.state == UpstreamState::Suspected)
+    if (!heard || primary->second.state == UpstreamState::Suspected)
         return ChangeReason::Suspected;
     if (isDemoted(change, primary->second, now))
         return ChangeReason::Fenced;
@@ -339,33 +331,6 @@
                                                                    : ChangeReason::None;
 }
 
-std::optional<UpstreamId> chooseConfirmedCandidate(const ConfirmedChange &change,
-                                                   const ConfirmedInput &input)
-{
-    std::optional<UpstreamId> best;
-    HistoryPoint bestPoint;
-    std::optional<HistoryPoint> primaryEnd;
-    std::uint32_t unfenced = 0;
-    for (const auto &[id, member] : input.members) {
-        const bool former = isFormerPrimary(input, id);
-        const bool fenced = isFenced(change, input, id, member);
-        if (former && fenced)
-            primaryEnd = member.status->point;
-        if (!former && !fenced)
-            ++unfenced;
-        if (!fenced || !canBecomePrimary(member) || change.refusedCandidates.contains(id))
-            continue;
-        if (!best || member.status->point > bestPoint) {
-            best = id;
-            bestPoint = member.status->point;
-        }
-    }
-    // Without confirming replicas no replica is certain to hold a commit, so all must be fenced.
-    const bool fencedHoldCommits = unfenced < std::max<std::uint32_t>(input.confirmingReplicas, 1);
-    const bool reachesEnd = primaryEnd && bestPoint >= *primaryEnd;
-    return best && (fencedHoldCommits || reachesEnd) ? best : std::nullopt;
-}
-
 void onPromoteAnswer(ConfirmedChange &change, const UpstreamId &upstream, bool accepted,
                      TimePoint now)
 {
@@ -380,6 +345,7 @@
 Actions stepConfirmedChange(ConfirmedChange &change, const ConfirmedInput &input, TimePoint now)
 {
     Actions actions;
+    change.highestPoint = std::max(change.highestPoint, highestPoint(input));
     switch (change.phase) {
     case ConfirmedPhase::Idle: {
         const ChangeReason reason = confirmedChangeDue(change, input, now);
--- a/src/include/shallotlever/fleet/confirmed_change.h
+++ b/src/include/shallotlever/fleet/confirmed_change.h
@@ -37,7 +37,10 @@
 {
     UpstreamState state = UpstreamState::Live;
     bool leaving = false;
+    Incarnation incarnation;
+    MemberRecord record;
     UpstreamRole announcedRole = UpstreamRole::Replica;
+    /// Last reply of this incarnation.
     std::optional<UpstreamStatus> status;
     TimePoint statusAskedAt;
 };
@@ -57,6 +60,7 @@
     Term fenceTerm;
     std::map<UpstreamId, TimePoint> sentAt;
     std::optional<UpstreamId> candidate;
+    Incarnation candidateIncarnation;
     std::optional<TimePoint> promotedAt;
     /// Databases that the platform refused to promote.
     std::set<UpstreamId> refusedCandidates;
@@ -66,12 +70,17 @@
     /// Replication progress: highest point that a replica holds, and when it last changed.
     HistoryPoint replicatedPoint;
     TimePoint lastReplicationProgressAt;
+    /// Highest log end that a process has reported since the last change.
+    HistoryPoint highestPoint;
+    /// While fencing without a candidate: the processes whose fence or return is waited for.
+    std::vector<MemberId> awaited;
     ChangeTimes times;
 };
 
 struct ConfirmedInput
 {
     GroupState group;
+    /// The databases that have announced themselves.
     std::map<UpstreamId, ConfirmedMember> members;
     /// See ChangeInput.
     Term ownReservedTerm;
@@ -105,6 +114,8 @@
 /// commits. If fewer than `confirmingReplicas` replicas are unfenced, every acknowledged commit is
 /// on a fenced replica, and the longest log among the fenced ones holds them all. Otherwise the
 /// former primary must be fenced as well, and the candidate's log must reach the end of its log.
+/// A recorded process counts as unfenced until it is heard: a later process under its id holds
+/// nothing of what it confirmed.
 std::optional<UpstreamId> chooseConfirmedCandidate(const ConfirmedChange &change,
                                                    const ConfirmedInput &input);
 
