Continue the fleet view of a node after a restart of all control members

Callers saw: all control members were killed at once and back within a second; a leader was elected 1.3 s after the kill, but writes failed or were in doubt and reads were late for another 8 to 13 s.

Cause: the new controller had no fleet view. Once every node had reported (80 ms after the election) it granted shares of connections from that view, that is none, so owners closed their connections; it published a view of announcements 4 s later, with other owners for all databases. Unknown was treated as none.

Change: an answer asks one reporting node whose view is newer for that view; its next report, sent at once, carries it; the controller continues from it as from its own (databases, owners, limits, version). Until limits are known, connection shares are only renewed. Who is primary stays with the control log. New lines fleet_view_recovered and first_fleet_view. The messages have new optional fields only.

SlotFuzz elects controllers that learn the limits late.

--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -5,14 +5,17 @@
 #include "group_control.h"
 #include "node_shares.h"
 #include "shallotlever/config/codec.h"
+#include "view_recovery.h"
 
 namespace shallotlever {
 
 namespace {
 
-/// Delay after which a controller that was elected without a fleet view publishes one. Nodes need
-/// up to 1.8 s to find a new controller (kControllerTimeout for each of three members), an upstream
-/// renews its announcement within 1 s after that, and the node reports it within 0.5 s.
+/// Delay after which a controller without a fleet view publishes one, although a process that has
+/// not reported yet may have the predecessor's. A view that a node reports is continued at once
+/// (view_recovery.h). Nodes need up to 0.6 s to notice that their controller is silent; upstreams
+/// renew their announcements within 1 s of being able to reach a node again, after a timeout of 1
+/// s, and the node reports them within 0.5 s.
 constexpr Duration kEmptyViewPublishDelay = 4s;
 /// The same delay once every process that may have a fleet view has reported that it has none.
 constexpr Duration kNoViewPublishDelay = 400ms;
@@ -89,15 +92,6 @@
     return true;
 }
 
-/// Whether the node has a newer fleet view than the one that the controller inherited and has not
-/// replaced yet. Such a node may know upstreams that the controller does not know.
-bool hasNewerView(const ControllerState &controller, const NodeReport &report)
-{
-    return report.appliedFleet > controller.inheritedFleetVersion
-        && controller.fleetLog.version == controller.inheritedFleetVersion
-        && report.appliedFleet.controlTerm < controller.controlTerm;
-}
-
 /// Ends the waits for leases of predecessors, as all processes that may hold one are accounted for.
 void endPredecessorWaits(ControllerState &controller, TimePoint now)
 {
@@ -229,6 +223,7 @@
     // The first view of a new controller is often equal to that of its predecessor. Then no view is
     // published from which the limits would be applied.
     applyUpstreamLimits(controller.slots, localFleetLog.state.view);
+    controller.slots.awaitsLimits = localFleetLog.version == FleetVersion();
     // The control term in the upper bits makes share versions higher than those of every earlier
     // controller.
     controller.lastShareVersion = term.value() << 32U;
@@ -271,6 +266,8 @@
                                       TimePoint now)
 {
     std::optional<NodeLease> lease;
+    adoptReportedView(controller, report, now);
+    const bool requestView = shouldRequestView(controller, report, now);
     const LeaseSource source { controller.controlTerm, controller.logIndex, &controller.configLog,
                                &controller.fleetLog };
     for (const NodeReport *nodeReport : flattenReport(report)) {
@@ -293,6 +290,8 @@
     }
     if (lease && hasNewerView(controller, report))
         lease->fleet = { report.appliedFleet, report.appliedFleet, false, {} };
+    if (lease)
+        lease->wantsFleetView = requestView;
     return lease;
 }
 
--- a/src/controller/node_shares.cpp
+++ b/src/controller/node_shares.cpp
@@ -35,8 +35,9 @@
     RateGrant rates = onRateReport(controller.rates, { stamp, report.teams }, now);
     stamp.appliedGrant = applied.slot;
     SlotGrant slots = onSlotReport(controller.slots, { stamp, report.slots }, now);
-    // Both allocators were created at the same time, so either both grants are renewals or neither.
+    // Connection shares are renewed for longer if their limits are not known yet.
     node.shares.renewed = rates.renewal;
+    node.shares.connectionsRenewed = slots.renewal;
     node.shares.version = ++controller.lastShareVersion;
     node.shares.rates = std::move(rates.shares);
     node.shares.slots = std::move(slots.shares);
--- a/src/fleet/distribution.cpp
+++ b/src/fleet/distribution.cpp
@@ -258,6 +258,7 @@
         lease.slots = shares.slots;
     }
     lease.sharesRenewed = shares.renewed;
+    lease.connectionsRenewed = shares.connectionsRenewed;
     lease.wantsAllObservations = wantsAllObservations;
     return lease;
 }
--- a/src/fleet/messages_decode.cpp
+++ b/src/fleet/messages_decode.cpp
@@ -139,6 +139,8 @@
     r.leaving = t.leaving();
     r.processAge = nonNegativeDuration(t.process_age());
     r.knownMembers = t.known_members();
+    if (t.fleet() != nullptr)
+        r.fleet = fleet(*t.fleet());
     r.teams = decodeAll(t.teams(), teamDemandOf);
     r.slots = decodeAll(t.slots(), slotDemandOf);
     r.nodes = decodeAll(t.nodes(), [this](const auto &n) { return report(n, true); });
@@ -264,6 +266,8 @@
     l.slots = decodeAll(t.slots(), slotShareOf);
     l.wantsAllObservations = t.wants_all_observations();
     l.sharesRenewed = t.shares_renewed();
+    l.wantsFleetView = t.wants_fleet_view();
+    l.connectionsRenewed = t.connections_renewed();
     l.controlMembers = decodeAll(t.control_members(), [](const flatbuffers::String &member) {
         return NodeId(member.str());
     });
--- a/src/fleet/messages_encode.cpp
+++ b/src/fleet/messages_encode.cpp
@@ -81,39 +81,6 @@
                                  d.waiting, d.connectionsHeld);
 }
 
-Offset<fbs::NodeReport> packReport(FlatBufferBuilder &b, const NodeReport &r)
-{
-    const auto nodes = packAll<fbs::NodeReport>(b, r.nodes, packReport);
-    const auto announcements =
-        packAll<fbs::HeardAnnouncement>(b, r.announcements, packAnnouncement);
-    const auto observations = packAll<fbs::Observation>(b, r.observations, packObservation);
-    const auto teams = packAll<fbs::TeamDemand>(b, r.teams, packTeamDemand);
-    const auto slots = packAll<fbs::SlotDemand>(b, r.slots, packSlotDemand);
-    const fbs::FleetVersion fleet = packVersion(r.appliedFleet);
-    return fbs::CreateNodeReport(b, packId(b, r.node), r.incarnation.value(), r.number,
-                                 r.age.count(), r.appliedConfig.value(), &fleet, r.appliedShares,
-                                 announcements, observations, r.observationsBase, teams, slots,
-                                 nodes, r.controlOnly, packId(b, r.dataCentre), r.leaving,
-                                 r.processAge.count(), r.knownMembers);
-}
-
-Offset<flatbuffers::Vector<std::uint8_t>> packBytes(FlatBufferBuilder &b, const std::string &bytes)
-{
-    return b.CreateVector(reinterpret_cast<const std::uint8_t *>(bytes.data()), bytes.size());
-}
-
-Offset<fbs::Blob> packBlob(FlatBufferBuilder &b, const std::string &bytes)
-{
-    return fbs::CreateBlob(b, packBytes(b, bytes));
-}
-
-Offset<fbs::ConfigUpdate> packConfig(FlatBufferBuilder &b, const ConfigUpdate &u)
-{
-    const auto full = u.full ? packBytes(b, *u.full) : 0;
-    const auto changes = packAll<fbs::Blob>(b, u.changes, packBlob);
-    return fbs::CreateConfigUpdate(b, u.from.value(), u.to.value(), full, changes);
-}
-
 /// Builds the table of one alternative of FleetChange.
 struct ChangePacker
 {
@@ -174,6 +141,40 @@
     return fbs::CreateFleetUpdate(b, &from, &to, u.full, changes);
 }
 
+Offset<fbs::NodeReport> packReport(FlatBufferBuilder &b, const NodeReport &r)
+{
+    const auto nodes = packAll<fbs::NodeReport>(b, r.nodes, packReport);
+    const auto announcements =
+        packAll<fbs::HeardAnnouncement>(b, r.announcements, packAnnouncement);
+    const auto observations = packAll<fbs::Observation>(b, r.observations, packObservation);
+    const auto teams = packAll<fbs::TeamDemand>(b, r.teams, packTeamDemand);
+    const auto slots = packAll<fbs::SlotDemand>(b, r.slots, packSlotDemand);
+    const fbs::FleetVersion applied = packVersion(r.appliedFleet);
+    const auto fleet = r.fleet ? packFleet(b, *r.fleet) : Offset<fbs::FleetUpdate>(0);
+    return fbs::CreateNodeReport(b, packId(b, r.node), r.incarnation.value(), r.number,
+                                 r.age.count(), r.appliedConfig.value(), &applied, r.appliedShares,
+                                 announcements, observations, r.observationsBase, teams, slots,
+                                 nodes, r.controlOnly, packId(b, r.dataCentre), r.leaving,
+                                 r.processAge.count(), r.knownMembers, fleet);
+}
+
+Offset<flatbuffers::Vector<std::uint8_t>> packBytes(FlatBufferBuilder &b, const std::string &bytes)
+{
+    return b.CreateVector(reinterpret_cast<const std::uint8_t *>(bytes.data()), bytes.size());
+}
+
+Offset<fbs::Blob> packBlob(FlatBufferBuilder &b, const std::string &bytes)
+{
+    return fbs::CreateBlob(b, packBytes(b, bytes));
+}
+
+Offset<fbs::ConfigUpdate> packConfig(FlatBufferBuilder &b, const ConfigUpdate &u)
+{
+    const auto full = u.full ? packBytes(b, *u.full) : 0;
+    const auto changes = packAll<fbs::Blob>(b, u.changes, packBlob);
+    return fbs::CreateConfigUpdate(b, u.from.value(), u.to.value(), full, changes);
+}
+
 Offset<fbs::RateShare> packRate(FlatBufferBuilder &b, const RateShare &s)
 {
     return fbs::CreateRateShare(b, packId(b, s.team), s.ratePerSecond, s.burst, s.tokens,
@@ -196,7 +197,8 @@
     return fbs::CreateNodeLease(b, packId(b, l.node), l.incarnation.value(), l.report,
                                 l.length.count(), l.controlTerm.value(), l.logIndex.value(), config,
                                 fleet, l.shareVersion, l.sharesUnchanged, rates, slots,
-                                l.wantsAllObservations, nodes, l.sharesRenewed, members);
+                                l.wantsAllObservations, nodes, l.sharesRenewed, members,
+                                l.wantsFleetView, l.connectionsRenewed);
 }
 
 std::string finish(FlatBufferBuilder &b, Offset<fbs::FleetMessage> root)
--- a/src/fleet/messages_test.cpp
+++ b/src/fleet/messages_test.cpp
@@ -35,6 +35,7 @@
                             { .upstream = UpstreamId("db2"), .withdrawn = true } };
     report.observationsBase = 11;
     report.knownMembers = 77;
+    report.fleet = { {}, { ControlTerm(2), 17 }, true, { SetDrained { UpstreamId("db1"), true } } };
     report.teams = { { TeamId("t"), 12.5, 0.5 } };
     report.slots = { { UpstreamId("db1"), 1, 2, 3 } };
     return report;
@@ -70,6 +71,8 @@
     lease.rates = { { TeamId("t"), 1.5, 2.5 } };
     lease.slots = { { UpstreamId("db1"), 4 } };
     lease.wantsAllObservations = true;
+    lease.wantsFleetView = true;
+    lease.connectionsRenewed = true;
     lease.controlMembers = { NodeId("10.0.0.1"), NodeId("10.0.0.2") };
     return lease;
 }
--- a/src/include/shallotlever/controller/controller.h
+++ b/src/include/shallotlever/controller/controller.h
@@ -135,6 +135,13 @@
     std::map<NodeId, TimePoint> proposedAt;
 };
 
+/// The last request for the fleet view of a node (NodeLease::wantsFleetView).
+struct ViewRequest
+{
+    FleetVersion version;
+    TimePoint sentAt;
+};
+
 struct ControllerState
 {
     ControlTerm controlTerm;
@@ -145,9 +152,11 @@
     std::map<ServiceId, GroupControl> groups;
     ConfigLog configLog;
     FleetLog fleetLog;
-    /// Version of the local fleet view when the controller was elected. It may be older than the
-    /// views of other nodes, or empty if this process has just started.
+    /// Version of the fleet view that the controller continues from: the local one when it was
+    /// elected, or a newer one that a node reported since. It may be older than the views of other
+    /// nodes, or empty if this process has just started.
     FleetVersion inheritedFleetVersion;
+    ViewRequest viewRequest;
     RateAllocator rates;
     SlotAllocator slots;
     std::map<NodeId, NodeShares> shares;
--- a/src/include/shallotlever/fleet/distribution.h
+++ b/src/include/shallotlever/fleet/distribution.h
@@ -63,6 +63,8 @@
     std::uint64_t version = 0;
     /// See NodeLease::sharesRenewed.
     bool renewed = false;
+    /// See NodeLease::connectionsRenewed.
+    bool connectionsRenewed = false;
     std::vector<RateShare> rates;
     std::vector<SlotShare> slots;
 };
--- a/src/include/shallotlever/fleet/messages.h
+++ b/src/include/shallotlever/fleet/messages.h
@@ -46,55 +46,6 @@
     friend bool operator==(const Observation &, const Observation &) = default;
 };
 
-struct NodeReport
-{
-    NodeId node;
-    Incarnation incarnation;
-    /// Increases by one with each report of this incarnation, starting at 1.
-    std::uint64_t number = 0;
-    /// Time between sending by the node and forwarding by the relay; zero on a direct link.
-    /// Clocks of different machines are never compared, so no absolute time is sent.
-    Duration age { 0 };
-    ConfigVersion appliedConfig;
-    FleetVersion appliedFleet;
-    /// Share version of the last lease applied; 0 if none.
-    std::uint64_t appliedShares = 0;
-    /// The node serves no callers: it needs no shares, and a new controller need not wait for its
-    /// report.
-    bool controlOnly = false;
-    DataCentreId dataCentre;
-    /// The node is stopping.
-    bool leaving = false;
-    /// Time since the process started, or 0 if that is longer ago than matters to anyone.
-    Duration processAge { 0 };
-    /// Digest of the control members that the node knows (see controlMembersDigest); 0 if none.
-    std::uint64_t knownMembers = 0;
-    std::vector<HeardAnnouncement> announcements;
-    /// Observations that changed after report `observationsBase`, or all of them if that is 0.
-    /// Each report renews the unchanged observations.
-    std::vector<Observation> observations;
-    std::uint64_t observationsBase = 0;
-    /// Teams and upstreams without demand are left out.
-    std::vector<TeamDemand> teams;
-    std::vector<SlotDemand> slots;
-    /// In a relay's report: the reports of the nodes in its data centre. Nested one level only.
-    std::vector<NodeReport> nodes;
-    friend bool operator==(const NodeReport &, const NodeReport &) = default;
-};
-
-/// The configuration as full state or as the changes after version `from`. The content is
-/// encoded and decoded by the `config` library.
-struct ConfigUpdate
-{
-    ConfigVersion from;
-    ConfigVersion to;
-    /// Encoded ClusterConfig at version `to`, sent instead of `changes`.
-    std::optional<std::string> full;
-    /// Encoded changes, one for each version from `from` + 1 to `to`.
-    std::vector<std::string> changes;
-    friend bool operator==(const ConfigUpdate &, const ConfigUpdate &) = default;
-};
-
 /// Terms, primary and voting set of a group; creates the group if it is new.
 struct PutGroup
 {
@@ -148,6 +99,57 @@
     friend bool operator==(const FleetUpdate &, const FleetUpdate &) = default;
 };
 
+struct NodeReport
+{
+    NodeId node;
+    Incarnation incarnation;
+    /// Increases by one with each report of this incarnation, starting at 1.
+    std::uint64_t number = 0;
+    /// Time between sending by the node and forwarding by the relay; zero on a direct link.
+    /// Clocks of different machines are never compared, so no absolute time is sent.
+    Duration age { 0 };
+    ConfigVersion appliedConfig;
+    FleetVersion appliedFleet;
+    /// Share version of the last lease applied; 0 if none.
+    std::uint64_t appliedShares = 0;
+    /// The node serves no callers: it needs no shares, and a new controller need not wait for its
+    /// report.
+    bool controlOnly = false;
+    DataCentreId dataCentre;
+    /// The node is stopping.
+    bool leaving = false;
+    /// Time since the process started, or 0 if that is longer ago than matters to anyone.
+    Duration processAge { 0 };
+    /// Digest of the control members that the node knows (see controlMembersDigest); 0 if none.
+    std::uint64_t knownMembers = 0;
+    std::vector<HeardAnnouncement> announcements;
+    /// The node's whole fleet view, at `appliedFleet`, if the last lease asked for it.
+    std::optional<FleetUpdate> fleet;
+    /// Observations that changed after report `observationsBase`, or all of them if that is 0.
+    /// Each report renews the unchanged observations.
+    std::vector<Observation> observations;
+    std::uint64_t observationsBase = 0;
+    /// Teams and upstreams without demand are left out.
+    std::vector<TeamDemand> teams;
+    std::vector<SlotDemand> slots;
+    /// In a relay's report: the reports of the nodes in its data centre. Nested one level only.
+    std::vector<NodeReport> nodes;
+    friend bool operator==(const NodeReport &, const NodeReport &) = default;
+};
+
+/// The configuration as full state or as the changes after version `from`. The content is
+/// encoded and decoded by the `config` library.
+struct ConfigUpdate
+{
+    ConfigVersion from;
+    ConfigVersion to;
+    /// Encoded ClusterConfig at version `to`, sent instead of `changes`.
+    std::optional<std::string> full;
+    /// Encoded changes, one for each version from `from` + 1 to `to`.
+    std::vector<std::string> changes;
+    friend bool operator==(const ConfigUpdate &, const ConfigUpdate &) = default;
+};
+
 struct NodeLease
 {
     /// Node and incarnation whose report the lease answers.
@@ -168,10 +170,14 @@
     /// value, and nothing if its share has expired. Set by a new controller while leases of the
     /// previous one may be live.
     bool sharesRenewed = false;
+    /// The same for `slots` alone. Set by a new controller while it does not know the limits.
+    bool connectionsRenewed = false;
     std::vector<RateShare> rates;
     std::vector<SlotShare> slots;
     /// The controller cannot apply the incremental observations: the next report must contain all.
     bool wantsAllObservations = false;
+    /// The controller has an older fleet view: the node sends its own at once.
+    bool wantsFleetView = false;
     /// In the answer to a relay: the leases of its nodes, without configuration and fleet, which
     /// the relay adds from its own copy.
     std::vector<NodeLease> nodes;
--- a/src/include/shallotlever/policy/slot_allocator.h
+++ b/src/include/shallotlever/policy/slot_allocator.h
@@ -48,6 +48,8 @@
 struct SlotUpstream
 {
     std::uint32_t limit = 0;
+    /// False if only reports named the upstream: its limit is not known yet.
+    bool limitKnown = false;
     std::uint32_t leasedConnections = 0;
     std::uint64_t neededConnections = 0;
     std::uint32_t servingNodes = 0;
@@ -70,6 +72,10 @@
     TimePoint renewalsAllowedFrom;
     /// New or changed shares are granted from this time on.
     TimePoint grantsAllowedFrom;
+    /// The limits are not known yet, or not those of all upstreams: shares in force are renewed, as
+    /// their sum was within the limits of the predecessor, and no others are granted. Cleared by
+    /// applyUpstreamLimits().
+    bool awaitsLimits = false;
     std::map<UpstreamId, SlotUpstream> upstreams;
     std::map<std::pair<NodeId, Incarnation>, SlotNode> nodes;
     TimePoint nextExpiryScan;
--- a/src/node/controller_host.cpp
+++ b/src/node/controller_host.cpp
@@ -34,6 +34,14 @@
     return answer;
 }
 
+std::size_t upstreamCount(const FleetView &view)
+{
+    std::size_t count = 0;
+    for (const auto &[service, group] : view.groups)
+        count += group.upstreams.size();
+    return count;
+}
+
 std::int64_t millisecondsBetween(TimePoint from, TimePoint to)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(to - from).count();
@@ -90,8 +98,10 @@
     m_elected = true;
     m_reportRequestsDue = true;
     m_predecessorWaitEnded = false;
+    m_firstViewLogged = false;
     m_logger.info("controller_elected",
                   { { "control_term", term.value() },
+                    { "has_fleet_view", ownView.version != FleetVersion() },
                     { "nodes_unaccounted", m_controller->records.unaccountedProcesses.size() } });
 }
 
@@ -178,6 +188,32 @@
                     { "nodes_unaccounted", unaccounted } });
 }
 
+/// Nodes keep their shares until the controller has a fleet view, so it is logged where the view
+/// came from.
+void ControllerHost::logRecoveredView(const NodeReport &source, TimePoint now) const
+{
+    m_logger.info("fleet_view_recovered",
+                  { { "source", source.node.value() },
+                    { "incarnation", source.incarnation.value() },
+                    { "view_control_term", source.appliedFleet.controlTerm.value() },
+                    { "view_number", source.appliedFleet.number },
+                    { "upstreams", upstreamCount(m_controller->fleetLog.state.view) },
+                    { "waited_ms", millisecondsBetween(m_controller->electedAt, now) } });
+}
+
+/// Logs the first view of a controller: until then nodes have the view of the predecessor.
+void ControllerHost::logFirstView(TimePoint now)
+{
+    if (std::exchange(m_firstViewLogged, true))
+        return;
+    m_logger.info("first_fleet_view",
+                  { { "control_term", m_controller->controlTerm.value() },
+                    { "upstreams", upstreamCount(m_controller->fleetLog.state.view) },
+                    { "owners", m_controller->publishedOwnership ? "selected" : "kept" },
+                    { "continues_view", m_controller->inheritedFleetVersion != FleetVersion() },
+                    { "waited_ms", millisecondsBetween(m_controller->electedAt, now) } });
+}
+
 void ControllerHost::advance(TimePoint now)
 {
     m_nextAdvance = now + kAdvanceInterval;
@@ -186,6 +222,8 @@
     logShares(now);
     ControllerActions actions = advanceController(*m_controller, m_group.state(), now);
     m_reportRequestsDue |= actions.fleetChanged;
+    if (actions.fleetChanged)
+        logFirstView(now);
     for (const StateChange &change : actions.upstreamStates) {
         const char *state = !change.after               ? "forgotten"
             : *change.after == UpstreamState::Live      ? "live"
@@ -305,7 +343,10 @@
         return std::nullopt;
     // A report may confirm what a change of primary waits for.
     m_advanceDue = true;
+    const FleetVersion inherited = m_controller->inheritedFleetVersion;
     std::optional<NodeLease> lease = onNodeReport(*m_controller, report, now);
+    if (m_controller->inheritedFleetVersion != inherited)
+        logRecoveredView(report, now);
     const std::vector<NodeId> members = controlMembers();
     if (lease && controlMembersDigest(members) != report.knownMembers)
         lease->controlMembers = members;
--- a/src/node/controller_host.h
+++ b/src/node/controller_host.h
@@ -71,6 +71,8 @@
     void advance(TimePoint now);
     void checkPredecessorWait(TimePoint now);
     void logTerm();
+    void logRecoveredView(const NodeReport &source, TimePoint now) const;
+    void logFirstView(TimePoint now);
     void logShares(TimePoint now);
     void logTeams() const;
     void logFullUpstreams() const;
@@ -100,6 +102,7 @@
     ControlTerm m_loggedTerm;
     bool m_elected = false;
     bool m_predecessorWaitEnded = false;
+    bool m_firstViewLogged = false;
     /// Something happened since the last advance.
     bool m_advanceDue = true;
     TimePoint m_nextAdvance;
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -104,7 +104,7 @@
                     reports(ReportReason::ViewApplied), reports(ReportReason::ShareReduced),
                     reports(ReportReason::Observed), reports(ReportReason::Announced),
                     reports(ReportReason::Demand), reports(ReportReason::Relayed),
-                    reports(ReportReason::Leaving) });
+                    reports(ReportReason::FleetViewRequested), reports(ReportReason::Leaving) });
     m_logger.info("summary",
                   { { "peer_messages_sent", counters.messagesSent },
                     { "peer_bytes_sent", counters.bytesSent() },
--- a/src/node/node_publish.cpp
+++ b/src/node/node_publish.cpp
@@ -37,6 +37,8 @@
     // The controller counts a change as in force only once this node has confirmed it.
     if (result.configChanged || result.fleetChanged)
         scheduleReport(m_reportSchedule, now, ReportReason::ViewApplied);
+    if (result.fleetViewRequested)
+        scheduleReport(m_reportSchedule, now, ReportReason::FleetViewRequested);
     fanOutLeases(lease);
     return true;
 }
--- a/src/node/node_view.cpp
+++ b/src/node/node_view.cpp
@@ -1,6 +1,7 @@
 #include "node_view.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "shallotlever/config/codec.h"
 
@@ -115,6 +116,8 @@
     report.observations = observationDifferences(view.reportedObservations, input.reachable);
     view.reportedObservations = std::move(input.reachable);
     view.allObservationsRequested = false;
+    if (std::exchange(view.fleetViewRequested, false))
+        report.fleet = { {}, view.fleet.version, true, diffFleet({}, view.fleet.state) };
     return report;
 }
 
@@ -127,6 +130,8 @@
     if (result.verdict != LeaseVerdict::Applied)
         return result;
     view.allObservationsRequested = lease.wantsAllObservations;
+    view.fleetViewRequested = lease.wantsFleetView;
+    result.fleetViewRequested = lease.wantsFleetView;
     result.configChanged = lease.config.full || view.freshness.appliedConfig != configBefore;
     if (result.configChanged && !applyConfigUpdate(view, lease.config)) {
         // Reporting version 0 requests the full configuration. The lease ends, because the
@@ -139,7 +144,8 @@
     applyFleetUpdate(view.fleet, lease.fleet);
     if (!lease.sharesUnchanged) {
         view.rates = lease.rates;
-        view.slots = lease.sharesRenewed ? renewedSlots(view.slots, lease.slots) : lease.slots;
+        const bool renewed = lease.sharesRenewed || lease.connectionsRenewed;
+        view.slots = renewed ? renewedSlots(view.slots, lease.slots) : lease.slots;
     }
     view.sharesRenewed = lease.sharesRenewed;
     result.sharesUntil = view.freshness.sentAt.at(lease.report) + kShareLeaseDuration;
--- a/src/node/node_view.h
+++ b/src/node/node_view.h
@@ -25,6 +25,8 @@
     std::vector<RateShare> rates;
     std::vector<SlotShare> slots;
     bool allObservationsRequested = true;
+    /// The controller asked for the fleet view in the last lease.
+    bool fleetViewRequested = false;
     /// Observations as of the last report; the next report contains the differences only.
     std::map<UpstreamId, bool> reportedObservations;
 };
@@ -52,6 +54,8 @@
     LeaseVerdict verdict = LeaseVerdict::Expired;
     bool configChanged = false;
     bool fleetChanged = false;
+    /// The next report carries the fleet view, and the controller waits for it.
+    bool fleetViewRequested = false;
     /// Expiry of the shares that came with the lease.
     TimePoint sharesUntil;
 };
--- a/src/node/report_schedule.cpp
+++ b/src/node/report_schedule.cpp
@@ -23,6 +23,8 @@
         return "demand";
     case ReportReason::Relayed:
         return "relayed";
+    case ReportReason::FleetViewRequested:
+        return "fleet_view_requested";
     case ReportReason::Leaving:
         return "leaving";
     case ReportReason::Count:
--- a/src/node/report_schedule.h
+++ b/src/node/report_schedule.h
@@ -25,6 +25,8 @@
     Demand,
     /// Reports of other nodes are ready to be relayed.
     Relayed,
+    /// The controller lacks the fleet view of this node.
+    FleetViewRequested,
     /// The node is stopping; other nodes take over the connections that it holds for them.
     Leaving,
     Count
--- a/src/policy/slot_allocator.cpp
+++ b/src/policy/slot_allocator.cpp
@@ -124,10 +124,12 @@
 SlotShare renewShare(SlotAllocator &allocator, SlotUpstream &upstream, SlotLease &lease,
                      const SlotDemand &demand, TimePoint now)
 {
-    const std::uint32_t capacity = leasableConnections(upstream);
-    const std::uint32_t available =
-        capacity - std::min(capacity, upstream.leasedConnections - lease.leasedConnections);
-    const std::uint32_t renewed = std::min(demand.connectionsHeld, available);
+    std::uint32_t renewed = demand.connectionsHeld;
+    if (upstream.limitKnown) {
+        const std::uint32_t capacity = leasableConnections(upstream);
+        const std::uint32_t others = upstream.leasedConnections - lease.leasedConnections;
+        renewed = std::min(renewed, capacity - std::min(capacity, others));
+    }
     lease.outstandingGrants.push_back({ allocator.nextGrant, renewed, now + kShareLeaseDuration });
     updateLeasedTotal(upstream, lease, now);
     return { demand.upstream, renewed };
@@ -207,10 +209,13 @@
         upstream.limit = 0;
     for (const auto &[service, group] : fleet.groups) {
         for (const auto &[id, info] : group.upstreams) {
-            allocator.upstreams[id].limit = info.connectionLimit;
-            allocator.upstreams[id].owners = info.poolOwners;
+            SlotUpstream &upstream = allocator.upstreams[id];
+            upstream.limit = info.connectionLimit;
+            upstream.limitKnown = true;
+            upstream.owners = info.poolOwners;
         }
     }
+    allocator.awaitsLimits = false;
     std::erase_if(allocator.upstreams, [](const auto &item) {
         const SlotUpstream &u = item.second;
         return u.limit == 0 && u.leasedConnections == 0 && u.neededConnections == 0
@@ -251,22 +256,24 @@
     // acknowledgement says nothing about the grants counted here.
     if (node == nullptr || report.stamp.appliedGrant >= allocator.nextGrant)
         return grant;
+    const bool mayGrant = now >= allocator.grantsAllowedFrom && !allocator.awaitsLimits;
+    grant.number = allocator.nextGrant;
+    grant.renewal = now >= allocator.renewalsAllowedFrom && !mayGrant;
     std::map<UpstreamId, const SlotDemand *> demands;
     for (const SlotDemand &demand : report.demands) {
-        if (allocator.upstreams.contains(demand.upstream)) {
+        if (allocator.upstreams.contains(demand.upstream)
+            || (grant.renewal && demand.connectionsHeld > 0)) {
             node->leases.try_emplace(demand.upstream);
             demands.insert_or_assign(demand.upstream, &demand);
         }
     }
-    grant.number = allocator.nextGrant;
-    grant.renewal = now >= allocator.renewalsAllowedFrom && now < allocator.grantsAllowedFrom;
     for (auto it = node->leases.begin(); it != node->leases.end();) {
         auto &[id, lease] = *it;
         SlotUpstream &upstream = allocator.upstreams[id];
         const auto found = demands.find(id);
         const SlotDemand *demand = found == demands.end() ? nullptr : found->second;
         accountForReport(upstream, lease, demand, report.stamp.appliedGrant, now);
-        if (now >= allocator.grantsAllowedFrom)
+        if (mayGrant)
             grant.shares.push_back(
                 grantShare(allocator, upstream, lease, id, report.stamp.node, now));
         else if (grant.renewal && demand != nullptr && demand->connectionsHeld > 0)
--- a/src/policy/slot_fuzz_test.cpp
+++ b/src/policy/slot_fuzz_test.cpp
@@ -94,7 +94,9 @@
             m_controllers.back().stopTime = stopTime;
         const ControlTerm term(m_controllers.size() + 1);
         m_controllers.push_back({ makeSlotAllocator(term, stopTime, m_faults) });
-        applyUpstreamLimits(m_controllers.back().allocator, m_fleet);
+        // A controller learns the limits later if all control members have restarted.
+        m_controllers.back().allocator.awaitsLimits = true;
+        m_limitsKnownAt = oneIn(2) ? m_now : stopTime + uniformDuration(m_random, 0ms, 5s);
     }
 
     void injectFaults()
@@ -115,6 +117,8 @@
             m_hotNode = uniformBelow(m_random, kNodes);
         if (oneIn(400))
             changeOwners();
+        if (m_now >= m_limitsKnownAt && m_controllers.back().allocator.awaitsLimits)
+            applyUpstreamLimits(m_controllers.back().allocator, m_fleet);
     }
 
     /// Restricts the connections to two nodes, or shares them among all nodes again.
@@ -128,7 +132,8 @@
             for (std::size_t i = 0; i < 2; ++i)
                 owners.push_back(NodeId("n" + std::to_string((first + i) % kNodes)));
         }
-        applyUpstreamLimits(m_controllers.back().allocator, m_fleet);
+        if (m_now >= m_limitsKnownAt)
+            applyUpstreamLimits(m_controllers.back().allocator, m_fleet);
     }
 
     void work(Node &node)
@@ -227,6 +232,8 @@
     std::vector<Node> m_nodes;
     std::vector<Controller> m_controllers;
     TimePoint m_lastStopTime;
+    /// When the last controller learns the connection limit.
+    TimePoint m_limitsKnownAt;
     std::vector<Message> m_messages;
     std::size_t m_hotNode = 0;
 };
