Settle the first election after a restart of all members in one round

Callers saw: leases ran out at all nodes when the control group needed several terms after a restart of all its members (five members in the record: terms 2 to 5 within 1.6 s).

Causes: members promise their vote in a pre-vote to each candidate that asks within the time of two round trips and a write, so several become candidates and split the votes. A candidate asks each member once, and waits 0.5 to 1 s if a request was lost or came before the member could vote.

Why the first requests were late is not traced.

Change: a member that promised its vote leaves the election to that candidate for 200 ms, unless one that precedes it asks; a pre-candidate yields likewise, and gives up its precedence once it is refused. Requests are repeated every 100 ms; repetitions do not prolong a promise, so a candidate that receives nothing cannot hold up others. The loss of one leader is handled as before: the first candidate asks at once.

--- a/src/control/election.cpp
+++ b/src/control/election.cpp
@@ -57,8 +57,10 @@
 
 void ControlMember::Impl::tickElection(TimePoint now)
 {
-    if (now < m_electionDeadline)
+    if (now < m_electionDeadline) {
+        repeatVoteRequests(now);
         return;
+    }
     m_leader.reset();
     resetElectionTimer(now);
     if (!isVoter(m_self))
@@ -69,23 +71,64 @@
         startPreVote(now);
 }
 
-void ControlMember::Impl::requestVotes(bool preVote, bool transfer)
+void ControlMember::Impl::requestVotes(TimePoint now, bool preVote, bool transfer)
 {
     ++m_voteRound;
-    const VoteRequest request { preVote, transfer, m_log.lastIndex(), m_log.lastTerm(),
-                                m_voteRound };
-    const ControlTerm term = preVote ? m_hardState.term.next() : m_hardState.term;
+    m_voteRequest = { preVote, transfer, m_log.lastIndex(), m_log.lastTerm(), m_voteRound };
+    sendVoteRequests(now);
+}
+
+void ControlMember::Impl::sendVoteRequests(TimePoint now)
+{
+    m_nextVoteRequestAt = now + kVoteRequestInterval;
+    const ControlTerm term = m_voteRequest.preVote ? m_hardState.term.next() : m_hardState.term;
     for (const Member &voter : m_log.membership().voters) {
-        if (voter != m_self)
-            sendAtTerm(voter, term, request);
+        if (voter != m_self && !m_votes.contains(voter))
+            sendAtTerm(voter, term, m_voteRequest);
+    }
+}
+
+/// Requests are lost while links are being opened, as after a restart of all members, and a member
+/// that has just started cannot vote yet.
+void ControlMember::Impl::repeatVoteRequests(TimePoint now)
+{
+    const bool waits = m_role == ControlRole::PreCandidate || m_role == ControlRole::Candidate;
+    if (waits && now >= m_nextVoteRequestAt)
+        sendVoteRequests(now);
+}
+
+bool ControlMember::Impl::isPromisedToOther(TimePoint now, const Member &candidate) const
+{
+    return m_preVoteFor && *m_preVoteFor < candidate && now - m_preVoteAt < kPreVoteHold;
+}
+
+/// Leaves the election to the candidate for a moment. Members that start together, as after a
+/// restart of all, would otherwise become candidates one after the other and split the votes.
+void ControlMember::Impl::promiseVote(TimePoint now, const Member &candidate)
+{
+    // Requests are repeated. A candidate that receives no replies must not hold up others for
+    // longer.
+    if (m_preVoteFor == candidate && now - m_preVoteAt < kMaxElectionTimeout)
+        return;
+    m_preVoteFor = candidate;
+    m_preVoteAt = now;
+    if (m_role == ControlRole::PreCandidate) {
+        m_role = ControlRole::Follower;
+        m_votes.clear();
     }
+    // Not by the same time at each member, so that they do not start together if the candidate
+    // fails.
+    m_electionDeadline = std::max(m_electionDeadline,
+                                  now + uniformDuration(m_random, kPreVoteHold, 3 * kPreVoteHold));
 }
 
 void ControlMember::Impl::startPreVote(TimePoint now)
 {
+    m_preVoteFor = m_self;
+    m_preVoteAt = now;
     m_role = ControlRole::PreCandidate;
     m_votes = { m_self };
-    requestVotes(true, false);
+    requestVotes(now, true, false);
     if (hasMajority(m_votes))
         startElection(now, false);
 }
@@ -98,7 +141,7 @@
     m_leader.reset();
     m_votes.clear();
     resetElectionTimer(now);
-    requestVotes(false, transfer);
+    requestVotes(now, false, transfer);
     send(m_self, VoteReply { false, true, m_voteRound });
 }
 
@@ -129,7 +172,10 @@
 {
     const bool canVote = request.transfer || !leaderMayBeAlive(now);
     if (request.preVote) {
-        const bool granted = canVote && m.term > m_hardState.term && upToDate(request);
+        const bool granted = canVote && m.term > m_hardState.term && upToDate(request)
+            && !isPromisedToOther(now, m.from);
+        if (granted)
+            promiseVote(now, m.from);
         sendAtTerm(m.from, granted ? m.term : m_hardState.term,
                    VoteReply { true, granted, request.round });
         return;
@@ -147,6 +193,9 @@
 
 void ControlMember::Impl::handle(TimePoint now, const ControlMessage &m, const VoteReply &reply)
 {
+    // A pre-candidate that was refused leaves the election to others, which may have more success.
+    if (reply.preVote && !reply.granted && reply.round == m_voteRound && m_preVoteFor == m_self)
+        m_preVoteFor.reset();
     const ControlRole role = reply.preVote ? ControlRole::PreCandidate : ControlRole::Candidate;
     const ControlTerm term = reply.preVote ? m_hardState.term.next() : m_hardState.term;
     if (!reply.granted || m_role != role || m.term != term || reply.round != m_voteRound)
--- a/src/control/member_impl.h
+++ b/src/control/member_impl.h
@@ -36,8 +36,13 @@
     void handle(TimePoint now, const ControlMessage &m, const VoteReply &reply);
     void handle(TimePoint now, const ControlMessage &m, const TransferRequest &request);
     void tickElection(TimePoint now);
+    /// Whether another candidate, which precedes `candidate`, has been promised the vote.
+    bool isPromisedToOther(TimePoint now, const Member &candidate) const;
+    void promiseVote(TimePoint now, const Member &candidate);
     void tickLeader(TimePoint now);
-    void requestVotes(bool preVote, bool transfer);
+    void requestVotes(TimePoint now, bool preVote, bool transfer);
+    void sendVoteRequests(TimePoint now);
+    void repeatVoteRequests(TimePoint now);
     void resetElectionTimer(TimePoint now);
     /// Whether a leader was in contact recently enough that votes for another one are refused.
     bool leaderMayBeAlive(TimePoint now) const;
@@ -111,7 +116,13 @@
     TimePoint m_lastLeaderContact;
     TimePoint m_electionDeadline;
     std::uint64_t m_voteRound = 0;
+    /// The request of the current round, and when it is repeated.
+    VoteRequest m_voteRequest;
+    TimePoint m_nextVoteRequestAt;
     std::set<Member> m_votes;
+    /// The last member that was promised a vote in a pre-vote, and when.
+    std::optional<Member> m_preVoteFor;
+    TimePoint m_preVoteAt;
 
     // Leader only.
     std::map<Member, Progress> m_progress;
--- a/src/include/shallotlever/control/member.h
+++ b/src/include/shallotlever/control/member.h
@@ -17,6 +17,11 @@
 constexpr Duration kControlHeartbeatInterval = 100ms;
 constexpr Duration kMinElectionTimeout = 500ms;
 constexpr Duration kMaxElectionTimeout = 1000ms;
+/// A candidate repeats its request to members that have not granted it.
+constexpr Duration kVoteRequestInterval = 100ms;
+/// Time that a member leaves to another one that it has promised its vote in a pre-vote. Covers two
+/// round trips between regions and the writes between them.
+constexpr Duration kPreVoteHold = 200ms;
 /// Shorter than kMinElectionTimeout by 100 ms, so that the lease ends before an election can start
 /// even if the rates of two clocks differ by 20%.
 constexpr Duration kLeaderLeaseDuration = 400ms;
