Give up writes that have no time left for the owner's answer

Callers saw: outcome unknown for writes that no database had received, for ten seconds after a restart of all control members.

Cause: a write that its owners refuse is sent again up to its deadline, with half of the time left if that is short. The last attempt is on its way when the deadline passes, so the write counts as in doubt although the answer, 40 ms later, says that it did not run.

Change: such a write is given up with its last failure when 60 ms or less are left. First attempts, reads and statements of transactions are sent as before.

Test: ForwardedTime.LateWrite; the formula that was used before gives such a write 25 ms.

--- a/src/include/shallotlever/proxy/placement.h
+++ b/src/include/shallotlever/proxy/placement.h
@@ -95,6 +95,13 @@
 /// kPrimaryCostFactor.
 Duration expectedResponseTime(const UpstreamLoad &load, TimePoint now);
 
+/// Another node is given at most this much less time than is left, so that its answer arrives
+/// before the deadline.
+constexpr Duration kMaxAnswerMargin = 60ms;
+/// Time that another node may take for a statement, so that its answer arrives while `timeLeft`
+/// lasts. nullopt if that is too short for a statement whose outcome `mustBeKnown`.
+std::optional<Duration> forwardedTimeLimit(Duration timeLeft, bool mustBeKnown);
+
 /// Database with the shortest expected response time, or nullopt if none can serve. Without
 /// `allowReplicas` only the primary is considered.
 std::optional<UpstreamId> selectUpstream(std::span<const UpstreamLoad> loads, bool allowReplicas,
--- a/src/proxy/placement.cpp
+++ b/src/proxy/placement.cpp
@@ -59,6 +59,13 @@
     return Duration(static_cast<std::int64_t>(static_cast<double>(answer.count()) * cost));
 }
 
+std::optional<Duration> forwardedTimeLimit(Duration timeLeft, bool mustBeKnown)
+{
+    if (mustBeKnown && timeLeft <= kMaxAnswerMargin)
+        return std::nullopt;
+    return timeLeft - std::min(kMaxAnswerMargin, timeLeft / 2);
+}
+
 std::optional<UpstreamId> selectUpstream(std::span<const UpstreamLoad> loads, bool allowReplicas,
                                          const std::set<UpstreamId> &excluded, TimePoint now)
 {
--- a/src/proxy/placement_test.cpp
+++ b/src/proxy/placement_test.cpp
@@ -138,6 +138,33 @@
     EXPECT_GE(sentInSteadyState, 200 * kCapacity * 9 / 10);
 }
 
+struct ForwardedTimeCase
+{
+    const char *name;
+    Duration timeLeft;
+    bool mustBeKnown;
+    std::optional<Duration> limit;
+};
+
+class ForwardedTime : public testing::TestWithParam<ForwardedTimeCase>
+{
+};
+
+// Guards against writes reported as in doubt because they were sent again to a node that could not
+// run them, too late for its answer to arrive.
+TEST_P(ForwardedTime, LeavesTimeForTheAnswer)
+{
+    EXPECT_EQ(forwardedTimeLimit(GetParam().timeLeft, GetParam().mustBeKnown), GetParam().limit);
+}
+
+INSTANTIATE_TEST_SUITE_P(Statements, ForwardedTime,
+                         testing::Values(ForwardedTimeCase { "Write", 1s, true, 940ms },
+                                         ForwardedTimeCase { "LateWrite", 50ms, true,
+                                                             std::nullopt },
+                                         ForwardedTimeCase { "Read", 1s, false, 940ms },
+                                         ForwardedTimeCase { "LateRead", 50ms, false, 25ms }),
+                         [](const auto &info) { return info.param.name; });
+
 TEST(ConcurrencyWindow, ShrinksOncePerIntervalAndKeepsAMinimum)
 {
     ConcurrencyWindow window;
--- a/src/proxy/session_attempt.cpp
+++ b/src/proxy/session_attempt.cpp
@@ -17,9 +17,6 @@
 /// Number of attempts after which the error of a read that databases execute and fail is returned
 /// to the caller.
 constexpr std::uint32_t kMaxReadAttempts = 3;
-/// Another node is given at most this much less time than is left, so that its answer arrives
-/// before the deadline.
-constexpr Duration kMaxAnswerMargin = 60ms;
 /// Round trip assumed for a node to which none has been measured; that of another region, so that
 /// near databases are preferred.
 constexpr Duration kUnknownRoundTrip = 40ms;
@@ -168,6 +165,14 @@
             m_transaction->owner = execution.owner;
         }
     }
+    // The outcome of a write would be unknown, even if the other node turned out unable to run it.
+    const bool mustBeKnown =
+        !m_transaction && execution.attempts > 0 && writes(execution.statement);
+    if (execution.owner != m_state.self
+        && !forwardedTimeLimit(execution.deadline - now, mustBeKnown)) {
+        giveUp(now);
+        return;
+    }
     execution.phase = Phase::Running;
     ++execution.attempts;
     const std::weak_ptr<bool> alive = m_alive;
@@ -211,7 +216,7 @@
         request.ownCommit = m_lastCommit;
     request.timeLeft = m_execution->deadline - now;
     if (m_execution->owner != m_state.self)
-        request.timeLeft -= std::min(kMaxAnswerMargin, request.timeLeft / 2);
+        request.timeLeft = forwardedTimeLimit(request.timeLeft, false).value_or(request.timeLeft);
     return request;
 }
 
