Add a fault soak of real processes

build/bin/soak starts shallotleverd processes on loopback addresses of their own, with databases, a platform, an operator and callers around them, injects faults chosen by a seed, and judges from outside.

--- /dev/null
+++ b/testsuite/soak/checks.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "deployment.h"
+#include "fault_plan.h"
+
+namespace shallotlever::soak {
+
+/// Result of one check.
+struct Finding
+{
+    std::string check;
+    bool broken = false;
+    /// Figures as the members of a JSON object.
+    std::string figures;
+};
+
+/// Judges a run from what callers, databases and the operator saw. `callersStartedAt` is the origin
+/// of the plan's times.
+std::vector<Finding> judge(Deployment &deployment, const FaultPlan &plan, RunTime callersStartedAt);
+
+/// One JSON line for each statement that was cut around an announced stop.
+std::vector<std::string> describeCuts(Deployment &deployment, const FaultPlan &plan,
+                                      RunTime callersStartedAt);
+
+/// One JSON line for each second of the run: operations by the second in which they were sent.
+std::vector<std::string> describeSeconds(const Deployment &deployment, RunTime callersStartedAt);
+
+} // namespace shallotlever::soak
--- /dev/null
+++ b/testsuite/soak/fault_plan.cpp
@@ -0,0 +1,217 @@
+#include "fault_plan.h"
+
+#include <algorithm>
+#include <random>
+
+namespace shallotlever::soak {
+
+namespace {
+
+using Milliseconds = std::chrono::milliseconds;
+
+constexpr RunTime kFirstFault { 8000 };
+/// Upper bound of the time until killed processes start again.
+constexpr Milliseconds kMaxBack { 900 };
+constexpr Milliseconds kMinBack { 600 };
+constexpr Milliseconds kBetweenKills { 26'000 };
+constexpr Milliseconds kStopGap { 1200 };
+constexpr Milliseconds kBackAfterStop { 500 };
+/// From SIGTERM until the process runs again, at most.
+constexpr Milliseconds kStopTime { 7000 };
+constexpr Milliseconds kConfigGap { 500 };
+constexpr Milliseconds kFreezeGap { 150 };
+constexpr Milliseconds kFreezeTime { 700 };
+constexpr int kFreezes = 60;
+constexpr int kConfigsOfAStorm = 10;
+/// Free of unplanned faults, before and after a series of stops.
+constexpr Milliseconds kCalm { 6000 };
+constexpr Milliseconds kBeforeConfigAtFault { 150 };
+
+class Planner
+{
+public:
+    explicit Planner(const SoakOptions &options)
+        : m_options(options)
+        , m_random(options.seed)
+    {
+    }
+
+    void wait(Milliseconds time) { m_now += time; }
+
+    void killControl()
+    {
+        for (const NodeRef &node : controlMembers())
+            kill(node, FaultKind::Kill);
+        m_now += kMaxBack;
+    }
+
+    void killAll(int membersLosingData)
+    {
+        // The last configuration is accepted, or just under way, when everything ends.
+        add(m_now - kBeforeConfigAtFault, FaultKind::InstallConfig, {}, {});
+        std::vector<NodeRef> members = controlMembers();
+        std::shuffle(members.begin(), members.end(), m_random);
+        for (const NodeRef &node : members)
+            kill(node, membersLosingData-- > 0 ? FaultKind::KillAndLoseData : FaultKind::Kill);
+        for (const NodeRef &node : fronts())
+            kill(node, FaultKind::Kill);
+        m_now += kMaxBack;
+    }
+
+    void roll()
+    {
+        m_now += kCalm;
+        std::vector<NodeRef> nodes = fronts();
+        std::shuffle(nodes.begin(), nodes.end(), m_random);
+        // A control member in each fourth step, one at a time.
+        for (std::size_t i = 0; i < nodes.size(); i += 2, m_now += kStopGap) {
+            add(m_now, FaultKind::Stop, nodes[i], kBackAfterStop);
+            if (i + 1 < nodes.size())
+                add(m_now, FaultKind::Stop, nodes[i + 1], kBackAfterStop);
+            if (i % 8 == 6)
+                add(m_now, FaultKind::Stop, controlMembers()[(i / 8) % controlMembers().size()],
+                    kBackAfterStop);
+            add(m_now + kConfigGap, FaultKind::InstallConfig, {}, {});
+        }
+        m_now += kStopTime;
+    }
+
+    void configStorm()
+    {
+        for (int i = 0; i < kConfigsOfAStorm; ++i, m_now += kConfigGap)
+            add(m_now, FaultKind::InstallConfig, {}, {});
+    }
+
+    void freezeInTurns()
+    {
+        std::vector<NodeRef> nodes = controlMembers();
+        for (const NodeRef &node : fronts())
+            nodes.push_back(node);
+        for (int i = 0; i < kFreezes; ++i, m_now += kFreezeGap)
+            add(m_now, FaultKind::Freeze, nodes[m_random() % nodes.size()], kFreezeTime);
+        m_now += kFreezeTime;
+    }
+
+    void mix()
+    {
+        const int first = pick(4);
+        if (first == 0)
+            killControl();
+        else if (first == 1)
+            freezeInTurns();
+        else if (first == 2)
+            configStorm();
+        roll();
+        const int second = pick(3);
+        if (second == 0)
+            killControl();
+        else if (second == 1)
+            configStorm();
+        m_now += Milliseconds(pick(3000));
+        const int last = pick(4);
+        if (last == 0)
+            killControl();
+        else
+            killAll(last == 1 ? m_options.toleratedLosses : 0);
+    }
+
+    FaultPlan plan()
+    {
+        std::stable_sort(m_plan.faults.begin(), m_plan.faults.end(),
+                         [](const Fault &a, const Fault &b) { return a.at < b.at; });
+        for (const Fault &fault : m_plan.faults) {
+            if (fault.kind != FaultKind::InstallConfig)
+                m_plan.lastFaultAt = std::max(m_plan.lastFaultAt, fault.at);
+        }
+        m_plan.allBackAt = m_now;
+        breakIfAsked();
+        return m_plan;
+    }
+
+private:
+    int pick(int bound) { return static_cast<int>(m_random() % static_cast<unsigned>(bound)); }
+
+    void add(RunTime at, FaultKind kind, const NodeRef &node, Milliseconds duration)
+    {
+        m_plan.faults.push_back({ at, kind, node, duration });
+    }
+
+    void kill(const NodeRef &node, FaultKind kind)
+    {
+        const auto spread = static_cast<int>((kMaxBack - kMinBack).count());
+        add(m_now, kind, node, kMinBack + Milliseconds(pick(spread)));
+    }
+
+    static std::vector<NodeRef> nodes(NodeRole role, int count)
+    {
+        std::vector<NodeRef> nodes;
+        for (int i = 0; i < count; ++i)
+            nodes.push_back({ role, static_cast<std::size_t>(i) });
+        return nodes;
+    }
+
+    std::vector<NodeRef> controlMembers() const
+    {
+        return nodes(NodeRole::Control, m_options.controlMembers);
+    }
+
+    std::vector<NodeRef> fronts() const { return nodes(NodeRole::Front, m_options.fronts); }
+
+    void breakIfAsked()
+    {
+        constexpr Milliseconds kNever = std::chrono::hours(1);
+        for (Fault &fault : m_plan.faults) {
+            if (m_options.broken == BrokenVariant::NoRecovery && fault.at == m_plan.lastFaultAt
+                && fault.node.role == NodeRole::Control)
+                fault.duration = kNever;
+        }
+    }
+
+    SoakOptions m_options;
+    std::mt19937_64 m_random;
+    RunTime m_now = kFirstFault;
+    FaultPlan m_plan;
+};
+
+} // namespace
+
+FaultPlan makeFaultPlan(const SoakOptions &options)
+{
+    Planner planner(options);
+    switch (options.plan) {
+    case PlanKind::KillAll:
+        planner.killAll(0);
+        break;
+    case PlanKind::KillAllLoseTwo:
+        planner.killAll(options.toleratedLosses);
+        break;
+    case PlanKind::KillControl:
+        planner.killControl();
+        break;
+    case PlanKind::KillControlThenAll:
+        planner.killControl();
+        planner.wait(kBetweenKills);
+        planner.killAll(options.toleratedLosses);
+        break;
+    case PlanKind::Roll:
+        planner.roll();
+        planner.roll();
+        break;
+    case PlanKind::FreezeThenKillAll:
+        planner.freezeInTurns();
+        planner.killAll(0);
+        break;
+    case PlanKind::Mixed:
+        planner.mix();
+        break;
+    }
+    return planner.plan();
+}
+
+bool isUnplanned(FaultKind kind)
+{
+    return kind == FaultKind::Kill || kind == FaultKind::KillAndLoseData
+        || kind == FaultKind::Freeze;
+}
+
+} // namespace shallotlever::soak
--- /dev/null
+++ b/testsuite/soak/options.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace shallotlever::soak {
+
+/// Time since the start of the run.
+using RunTime = std::chrono::milliseconds;
+
+enum class PlanKind : std::uint8_t {
+    /// All processes are killed at once and start again.
+    KillAll,
+    /// As KillAll, and two control members lose their data directories.
+    KillAllLoseTwo,
+    /// The control members are killed at once and start again.
+    KillControl,
+    /// As KillControl, and KillAllLoseTwo half a minute later.
+    KillControlThenAll,
+    /// Processes are stopped two at a time and start again, while configurations change.
+    Roll,
+    /// Processes are suspended in turns, then all are killed.
+    FreezeThenKillAll,
+    /// A sequence of the above, chosen by the seed.
+    Mixed,
+};
+
+enum class BrokenVariant : std::uint8_t {
+    None,
+    /// The databases lose commits that they have acknowledged.
+    LostCommits,
+    /// The control members don't start again after the last fault.
+    NoRecovery,
+    /// Stopped processes are killed after a tenth of a second.
+    CutAtStop,
+};
+
+struct SoakOptions
+{
+    std::uint64_t seed = 1;
+    PlanKind plan = PlanKind::Mixed;
+    BrokenVariant broken = BrokenVariant::None;
+    int controlMembers = 6;
+    int toleratedLosses = 2;
+    int fronts = 8;
+    int services = 2;
+    int sessions = 60;
+    int ratePerSecond = 200;
+    int dataCentres = 6;
+    /// Second number of all addresses: 127.N.x.y.
+    int subnet = 77;
+    std::string program;
+    /// Logs and data directories.
+    std::string directory;
+};
+
+} // namespace shallotlever::soak
--- /dev/null
+++ b/testsuite/soak/records.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "options.h"
+
+namespace shallotlever::soak {
+
+/// An operation of a caller, from its first attempt to its last answer.
+struct OperationRecord
+{
+    RunTime sentAt { 0 };
+    RunTime endedAt { 0 };
+    /// Empty if the operation was served.
+    std::string failure;
+};
+
+/// A statement whose connection ended before its answer did.
+struct CutRecord
+{
+    /// Address of the node.
+    std::string host;
+    std::string service;
+    std::string statement;
+    RunTime sentAt { 0 };
+    RunTime cutAt { 0 };
+};
+
+/// What callers saw.
+struct CallerRecords
+{
+    std::vector<OperationRecord> operations;
+    std::vector<CutRecord> cuts;
+    /// Statements whose commit was acknowledged, by service.
+    std::map<std::string, std::set<std::string>> acknowledged;
+    int wrongAnswers = 0;
+    /// Reads that did not find an acknowledged write of their session.
+    int missedOwnWrites = 0;
+};
+
+} // namespace shallotlever::soak
--- /dev/null
+++ b/testsuite/soak/soak_run.cpp
@@ -0,0 +1,111 @@
+#include "soak_run.h"
+
+#include <functional>
+
+#include <QEventLoop>
+
+#include <fmt/format.h>
+
+namespace shallotlever::soak {
+
+namespace {
+
+using Milliseconds = std::chrono::milliseconds;
+
+constexpr Milliseconds kStartLimit { 60'000 };
+/// Between the nodes being ready and the first operation.
+constexpr Milliseconds kSettleTime { 2000 };
+/// The operations sent in this time decide whether service is back.
+constexpr Milliseconds kObservation { 23'000 };
+/// The operator reads the configuration repeatedly: a member may answer that it isn't sure.
+constexpr Milliseconds kReadBackLimit { 6000 };
+constexpr Milliseconds kReadBackInterval { 500 };
+constexpr Milliseconds kPollInterval { 50 };
+constexpr Milliseconds kGrace { 6000 };
+constexpr Milliseconds kBrokenGrace { 100 };
+
+void runEvents(Milliseconds time)
+{
+    QEventLoop loop;
+    QTimer::singleShot(time, &loop, &QEventLoop::quit);
+    loop.exec();
+}
+
+bool runEventsUntil(Milliseconds limit, const std::function<bool()> &done)
+{
+    QElapsedTimer timer;
+    timer.start();
+    while (!done()) {
+        if (timer.elapsed() > limit.count())
+            return false;
+        runEvents(kPollInterval);
+    }
+    return true;
+}
+
+void inject(const Fault &fault, const SoakOptions &options, Deployment &deployment)
+{
+    if (fault.kind == FaultKind::InstallConfig) {
+        deployment.installConfig();
+        return;
+    }
+    auto &nodes =
+        fault.node.role == NodeRole::Control ? deployment.controlMembers() : deployment.fronts();
+    NodeProcess &node = *nodes[fault.node.index];
+    switch (fault.kind) {
+    case FaultKind::Kill:
+        node.kill(fault.duration);
+        break;
+    case FaultKind::KillAndLoseData:
+        node.kill(fault.duration, true);
+        break;
+    case FaultKind::Stop:
+        node.stop(options.broken == BrokenVariant::CutAtStop ? kBrokenGrace : kGrace,
+                  fault.duration);
+        break;
+    case FaultKind::Freeze:
+        node.freeze(fault.duration);
+        break;
+    case FaultKind::InstallConfig:
+        break;
+    }
+}
+
+} // namespace
+
+SoakReport runSoak(const SoakOptions &options)
+{
+    Deployment deployment(options);
+    deployment.startNodes();
+    deployment.installConfig();
+    const std::size_t fronts = deployment.fronts().size();
+    const bool started = runEventsUntil(kStartLimit, [&] {
+        return deployment.acceptedVersion() > 0 && deployment.readyFronts() == fronts;
+    });
+    if (!started)
+        return { fmt::format("{} of {} fronts ready", deployment.readyFronts(), fronts), {}, {} };
+    runEvents(kSettleTime);
+    const FaultPlan plan = makeFaultPlan(options);
+    const RunTime origin = deployment.now();
+    deployment.startCallers();
+    for (const Fault &fault : plan.faults) {
+        const RunTime left = origin + fault.at - deployment.now();
+        if (left.count() > 0)
+            runEvents(left);
+        inject(fault, options, deployment);
+    }
+    const RunTime end = origin + plan.allBackAt + kObservation;
+    runEvents(end - deployment.now());
+    deployment.endCallers();
+    runEventsUntil(kReadBackLimit, [&] {
+        deployment.readConfigBack();
+        runEvents(kReadBackInterval);
+        return deployment.versionReadBack() >= deployment.acceptedVersion();
+    });
+    SoakReport report { {}, judge(deployment, plan, origin), describeSeconds(deployment, origin) };
+    for (std::string &line : describeCuts(deployment, plan, origin))
+        report.details.push_back(std::move(line));
+    return report;
+}
+
+} // namespace shallotlever::soak
