--- a/src/include/shallotlever/wire/peer_transport.h
+++ b/src/include/shallotlever/wire/peer_transport.h
@@ -43,6 +43,9 @@
 {
     std::uint64_t messagesSent = 0;
     std::uint64_t messagesReceived = 0;
+    /// The same, indexed by MessageType.
+    std::array<std::uint64_t, kMessageTypeCount> messagesSentByType {};
+    std::array<std::uint64_t, kMessageTypeCount> messagesReceivedByType {};
     /// Frame bytes sent, indexed by MessageType.
     std::array<std::uint64_t, kMessageTypeCount> bytesSentByType {};
     std::uint64_t bytesReceived = 0;
@@ -59,6 +62,12 @@
     {
         return std::accumulate(bytesSentByType.begin(), bytesSentByType.end(), std::uint64_t { 0 });
     }
+    /// Messages sent and received of the type.
+    std::uint64_t messagesOf(MessageType type) const
+    {
+        return messagesSentByType[static_cast<std::size_t>(type)]
+            + messagesReceivedByType[static_cast<std::size_t>(type)];
+    }
     std::uint64_t bytesSentOf(MessageType type) const
     {
         return bytesSentByType[static_cast<std::size_t>(type)];
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-/// Interval of the log lines that summarise the node's traffic.
-constexpr Duration kSummaryInterval = 10s;
 constexpr Duration kForwardTimeout = 3s;
 /// A node reports the age of its process until then. A new controller asks for it to learn since
 /// when earlier processes have spent no tokens; burst depths are refilled sooner than that.
@@ -87,46 +85,6 @@
     advanceDrain();
 }
 
-void Node::Impl::logSummary(TimePoint now)
-{
-    if (now < m_nextSummary)
-        return;
-    m_nextSummary = now + kSummaryInterval;
-    if (m_sessions)
-        m_sessions->logTeamRefusals();
-    const PeerTransportCounters &counters = m_transport->counters();
-    const auto reports = [this](ReportReason reason) -> LogField {
-        return { reportReasonName(reason),
-                 m_reportsSent[static_cast<std::size_t>(reason)]->value() };
-    };
-    m_logger.info("reports",
-                  { reports(ReportReason::Interval), reports(ReportReason::Requested),
-                    reports(ReportReason::ViewApplied), reports(ReportReason::ShareReduced),
-                    reports(ReportReason::Observed), reports(ReportReason::Announced),
-                    reports(ReportReason::Demand), reports(ReportReason::Relayed),
-                    reports(ReportReason::Leaving) });
-    m_logger.info("summary",
-                  { { "peer_messages_sent", counters.messagesSent },
-                    { "peer_bytes_sent", counters.bytesSent() },
-                    { "report_bytes_sent", counters.bytesSentOf(MessageType::NodeReport) },
-                    { "lease_bytes_sent", counters.bytesSentOf(MessageType::NodeLease) },
-                    { "token_bytes_sent",
-                      counters.bytesSentOf(MessageType::TokenRequest)
-                          + counters.bytesSentOf(MessageType::TokenGrant) },
-                    { "statement_bytes_sent",
-                      counters.bytesSentOf(MessageType::StatementRequest)
-                          + counters.bytesSentOf(MessageType::StatementReply)
-                          + counters.bytesSentOf(MessageType::TransactionEnd)
-                          + counters.bytesSentOf(MessageType::PositionRequest)
-                          + counters.bytesSentOf(MessageType::PositionReply) },
-                    { "log_bytes_sent", counters.bytesSentOf(MessageType::Control) },
-                    { "peer_messages_dropped", counters.messagesDropped },
-                    { "reports_sent", m_view.freshness.lastReport },
-                    { "sessions", m_sessions ? m_sessions->openSessions() : 0 },
-                    { "request_lines_left_out", m_sessions ? m_sessions->suppressedLines() : 0 },
-                    { "log_lines_dropped", m_logger.dropped() } });
-}
-
 /// Requests a report, so that a node that starts or was cut off need not search for the controller.
 void Node::Impl::onPeerConnected(const NodeId &peer)
 {
--- a/src/node/node_impl.h
+++ b/src/node/node_impl.h
@@ -159,6 +159,7 @@
     /// Last controller that this relay named to each of its nodes.
     std::map<NodeId, NodeId> m_lastControllerHints;
     Counter &m_relayedReports;
+    Counter &m_wakeups;
     std::map<TeamId, std::shared_ptr<TokenBucket>> m_buckets;
     std::map<ServiceId, std::shared_ptr<ServiceHost>> m_hosts;
     std::vector<std::unique_ptr<QThread>> m_executorThreads;
--- a/src/node/node_start.cpp
+++ b/src/node/node_start.cpp
@@ -1,6 +1,7 @@
 #include <fstream>
 #include <sstream>
 
+#include <QAbstractEventDispatcher>
 #include <QDateTime>
 
 #include <unistd.h>
@@ -55,6 +56,8 @@
     , m_shared(std::make_unique<NodeSnapshot>())
     , m_relayedReports(m_registry.counter("shallotlever_relayed_reports_total",
                                           "Reports of other nodes taken by this relay."))
+    , m_wakeups(m_registry.counter("shallotlever_control_thread_wakeups_total",
+                                   "Times that the control thread waited for events or timers."))
 {
     for (std::size_t i = 0; i < m_reportsSent.size(); ++i)
         m_reportsSent[i] = &m_registry.counter(
@@ -100,6 +103,9 @@
     QObject::connect(&m_timer, &QTimer::timeout, m_context.get(), [this] { tick(); });
     m_timer.setTimerType(Qt::PreciseTimer);
     m_timer.start(kControlTickInterval);
+    if (const QAbstractEventDispatcher *dispatcher = QAbstractEventDispatcher::instance())
+        QObject::connect(dispatcher, &QAbstractEventDispatcher::aboutToBlock, m_context.get(),
+                         [this] { m_wakeups.increment(); });
     m_logger.info("node_started",
                   { { "incarnation", m_incarnation.value() },
                     { "data_centre", m_settings.dataCentre.value() },
--- a/src/wire/peer_link.cpp
+++ b/src/wire/peer_link.cpp
@@ -47,6 +47,7 @@
     }
     m_socket->write(frame->data(), static_cast<qint64>(frame->size()));
     ++m_counters.messagesSent;
+    ++m_counters.messagesSentByType[static_cast<std::size_t>(message.type)];
     m_counters.bytesSentByType[static_cast<std::size_t>(message.type)] += frame->size();
     return true;
 }
@@ -90,6 +91,7 @@
 void PeerLink::handle(PeerMessage message)
 {
     ++m_counters.messagesReceived;
+    ++m_counters.messagesReceivedByType[static_cast<std::size_t>(message.type)];
     if (message.type == MessageType::Hello) {
         acceptHello(message);
         return;
