Wake the control thread when work is due instead of every 10 ms

Suspected: 200 processes that wake up 100 times a second each, most of the time without any work.

Cause (of the wake-ups): the control thread of every node ran its periodic work every 10 ms, and each run scanned all sessions, pools, forwarded statements and teams.

Change: each component says when its tick has something to do (nextTick); before the event loop of the thread waits, the earliest of these times is read again and the timer is set to it. Any event passes there, so none can change a due time unseen. Ticks stay 10 ms apart while something is due, as before; without a due time they are read again after 100 ms, because the timer's clock stands still in a suspended machine. Control members, relays, nodes that stop and nodes with executors of their own databases tick as before. A loop that never waits ticks every 10 ms. A pool searches for a second idle connection of a team only once that can matter.

--- a/src/include/shallotlever/policy/token_bucket.h
+++ b/src/include/shallotlever/policy/token_bucket.h
@@ -5,7 +5,7 @@
 #include <cstdint>
 #include <optional>
 
-#include "shallotlever/base/time.h"
+#include "shallotlever/base/due.h"
 #include "shallotlever/types/shares.h"
 
 namespace shallotlever {
@@ -71,8 +71,11 @@
 
     /// Whether the node should report before the regular interval ends, because the traffic has
     /// stopped and other nodes may need the share. Control thread only; polled every
-    /// kEarlyReportInterval or more often.
+    /// kEarlyReportInterval or more often while requests arrive, and when earlyReportDue() says.
     bool needsEarlyReport(TimePoint now);
+    /// When needsEarlyReport() returns true if no request arrives; kNever if it does not. Control
+    /// thread only.
+    TimePoint earlyReportDue(TimePoint now);
 
 private:
     /// Parameters of one generation of the share. Written before the generation is published in
--- a/src/include/shallotlever/proxy/proxy.h
+++ b/src/include/shallotlever/proxy/proxy.h
@@ -77,8 +77,11 @@
     void applyFleet(const FleetView &fleet, const std::vector<SlotShare> &shares, TimePoint now);
     /// Sets the expiry time of the node's freshness lease.
     void setFreshUntil(TimePoint until);
-    /// Runs timeouts and retries. Must be called every 10 ms.
+    /// Runs timeouts and retries. Must be called when nextTick() says, at most every 10 ms.
     void tick(TimePoint now);
+    /// When tick() has something to do if nothing else happens; kNever if it does not. Ask again
+    /// after each event.
+    TimePoint nextTick(TimePoint now) const;
     ProxyReport report(TimePoint now) const;
     /// Handles a message of another node's proxy.
     void onPeerMessage(const PeerMessage &message, TimePoint now);
--- a/src/node/controller_link.cpp
+++ b/src/node/controller_link.cpp
@@ -78,9 +78,14 @@
         selectController(link, from, now);
 }
 
+TimePoint controllerDeadline(const ControllerLink &link)
+{
+    return link.lastAnswerAt + kControllerTimeout;
+}
+
 bool advanceControllerLink(ControllerLink &link, TimePoint now)
 {
-    if (now < link.lastAnswerAt + kControllerTimeout)
+    if (now < controllerDeadline(link))
         return false;
     link.current = (link.current + 1) % link.members.size();
     link.searching = true;
--- a/src/node/controller_link.h
+++ b/src/node/controller_link.h
@@ -54,6 +54,9 @@
 /// carries the whole configuration, which takes long over a slow link.
 void noteControllerProgress(ControllerLink &link, TimePoint receivedAt);
 
+/// When the current member times out unless it answers or a part of its message arrives.
+TimePoint controllerDeadline(const ControllerLink &link);
+
 /// Switches to the next member if the current one has timed out. Returns true if it did.
 bool advanceControllerLink(ControllerLink &link, TimePoint now);
 
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -36,9 +36,8 @@
 
 } // namespace
 
-void Node::Impl::tick()
+void Node::Impl::tick(TimePoint now)
 {
-    const TimePoint now = monotonicNow();
     if (m_controlGroup) {
         m_controlGroup->tick(now);
         m_controller->tick(m_view.fleet, now);
--- a/src/node/node_impl.h
+++ b/src/node/node_impl.h
@@ -6,7 +6,6 @@
 
 #include <QObject>
 #include <QThread>
-#include <QTimer>
 
 #include "control_group.h"
 #include "controller_host.h"
@@ -24,6 +23,7 @@
 #include "shallotlever/policy/token_grants.h"
 #include "shallotlever/proxy/proxy.h"
 #include "shallotlever/wire/peer_transport.h"
+#include "tick_timer.h"
 
 namespace shallotlever {
 
@@ -77,7 +77,10 @@
     ProxyPeers proxyPeers();
 
     // Periodic work.
-    void tick();
+    void tick(TimePoint now);
+    /// When tick() has something to do if no event comes first.
+    TimePoint nextTick(TimePoint now);
+    bool ticksAlways() const;
     void sendReport(TimePoint now);
     void reportTo(const NodeId &target, const NodeReport &report, TimePoint now);
     void reportToAllMembers(const NodeReport &report, TimePoint now);
@@ -160,6 +163,7 @@
     std::map<NodeId, NodeId> m_lastControllerHints;
     Counter &m_relayedReports;
     Counter &m_wakeups;
+    Counter &m_ticks;
     std::map<TeamId, std::shared_ptr<TokenBucket>> m_buckets;
     std::map<ServiceId, std::shared_ptr<ServiceHost>> m_hosts;
     std::vector<std::unique_ptr<QThread>> m_executorThreads;
@@ -180,7 +184,7 @@
     DrainPhase m_drainPhase = DrainPhase::None;
     /// Context object for timers and for calls queued by other threads.
     std::unique_ptr<QObject> m_context = std::make_unique<QObject>();
-    QTimer m_timer;
+    std::unique_ptr<TickTimer> m_tickTimer;
     std::unique_ptr<ControlGroup> m_controlGroup;
     std::unique_ptr<ControllerHost> m_controller;
     std::unique_ptr<PeerTransport> m_transport;
--- a/src/node/node_start.cpp
+++ b/src/node/node_start.cpp
@@ -1,7 +1,6 @@
 #include <fstream>
 #include <sstream>
 
-#include <QAbstractEventDispatcher>
 #include <QDateTime>
 
 #include <unistd.h>
@@ -14,8 +13,6 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds kControlTickInterval { 10 };
-
 absl::StatusOr<std::string> readText(const std::filesystem::path &path)
 {
     std::ifstream file(path, std::ios::binary);
@@ -58,6 +55,8 @@
                                           "Reports of other nodes taken by this relay."))
     , m_wakeups(m_registry.counter("shallotlever_control_thread_wakeups_total",
                                    "Times that the control thread waited for events or timers."))
+    , m_ticks(m_registry.counter("shallotlever_control_thread_ticks_total",
+                                 "Times that the control thread ran its periodic work."))
 {
     for (std::size_t i = 0; i < m_reportsSent.size(); ++i)
         m_reportsSent[i] = &m_registry.counter(
@@ -76,6 +75,7 @@
 
 Node::Impl::~Impl()
 {
+    m_tickTimer.reset();
     // The listener is destroyed first, so that no request reaches a destroyed executor.
     m_listener.reset();
     m_sessions.reset();
@@ -100,12 +100,11 @@
             return status;
     }
     publishSnapshot();
-    QObject::connect(&m_timer, &QTimer::timeout, m_context.get(), [this] { tick(); });
-    m_timer.setTimerType(Qt::PreciseTimer);
-    m_timer.start(kControlTickInterval);
-    if (const QAbstractEventDispatcher *dispatcher = QAbstractEventDispatcher::instance())
-        QObject::connect(dispatcher, &QAbstractEventDispatcher::aboutToBlock, m_context.get(),
-                         [this] { m_wakeups.increment(); });
+    m_tickTimer = std::make_unique<TickTimer>(
+        TickTimer::Callbacks { [this](TimePoint now) { tick(now); },
+                               [this](TimePoint now) { return nextTick(now); } },
+        m_wakeups, m_ticks);
+    m_tickTimer->start();
     m_logger.info("node_started",
                   { { "incarnation", m_incarnation.value() },
                     { "data_centre", m_settings.dataCentre.value() },
--- a/src/node/node_summary.cpp
+++ b/src/node/node_summary.cpp
@@ -43,6 +43,7 @@
           { "control_log", counters.messagesOf(MessageType::Control) } });
     m_logger.info("summary",
                   { { "wakeups", m_wakeups.value() },
+                    { "ticks", m_ticks.value() },
                     { "peer_messages_sent", counters.messagesSent },
                     { "peer_messages_received", counters.messagesReceived },
                     { "peer_bytes_sent", counters.bytesSent() },
--- a/src/policy/token_bucket.cpp
+++ b/src/policy/token_bucket.cpp
@@ -23,6 +23,8 @@
 /// arrivals a gap of this size is rare (3 in 10,000), and an unnecessary report does no harm.
 constexpr double kMinMissedArrivals = 8;
 constexpr Duration kMinIdleTime = 40ms;
+/// Bounds the time until a slow team's traffic counts as stopped; longer than a share lasts.
+constexpr double kMaxIdleSeconds = 3600;
 
 std::int64_t tokensOf(std::uint64_t word)
 {
@@ -292,6 +294,18 @@
     return demand;
 }
 
+TimePoint TokenBucket::earlyReportDue(TimePoint now)
+{
+    updateIdleState(now);
+    const TimePoint expires = TimePoint(Duration(parametersOf(m_shareState.load()).expires.load()));
+    if (m_lastRate <= 0 || now >= expires)
+        return kNever;
+    const auto missed = std::chrono::ceil<Duration>(
+        std::chrono::duration<double>(std::min(kMinMissedArrivals / m_lastRate, kMaxIdleSeconds)));
+    const TimePoint due = m_idleSince + std::max<Duration>(kMinIdleTime, missed);
+    return due < expires ? due : kNever;
+}
+
 bool TokenBucket::needsEarlyReport(TimePoint now)
 {
     updateIdleState(now);
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -30,33 +30,6 @@
 
 } // namespace
 
-DatabaseRoute *ServiceDatabases::route(const UpstreamId &upstream)
-{
-    const auto found = routes.find(upstream);
-    return found == routes.end() ? nullptr : &found->second;
-}
-
-std::shared_ptr<UpstreamPool> ServiceDatabases::pool(const UpstreamId &upstream) const
-{
-    const auto found = routes.find(upstream);
-    return found == routes.end() ? nullptr : found->second.pool;
-}
-
-void ProxyState::recordHistoryPoint(const ServiceId &service, const UpstreamId &upstream,
-                                    const HistoryPoint &point, TimePoint requestedAt)
-{
-    const auto databases = services.find(service);
-    if (databases == services.end())
-        return;
-    DatabaseRoute *route = databases->second.route(upstream);
-    if (route != nullptr && requestedAt >= route->logEndAt) {
-        route->logEnd = point;
-        route->logEndAt = requestedAt;
-    }
-    if (databases->second.primary == upstream && fresh(requestedAt))
-        recordPosition(databases->second.positions, point, requestedAt);
-}
-
 class SessionProxy::Impl
 {
 public:
@@ -75,6 +48,7 @@
     void onOpenFailed(const UpstreamId &upstream, LinkOpenFailure failure, const std::string &error,
                       Duration waited);
     void tick(TimePoint now);
+    TimePoint nextTick(TimePoint now) const;
 
     ProxyState m_state;
     std::unique_ptr<StatementDispatcher> m_dispatcher;
@@ -132,6 +106,7 @@
         socket->setParent(nullptr);
         m_sessions.emplace_back(m_state, *m_dispatcher, socket, monotonicNow());
     }
+    m_sessionsGauge.set(static_cast<std::int64_t>(m_sessions.size()));
 }
 
 std::shared_ptr<UpstreamPool> SessionProxy::Impl::makePool(const UpstreamInfo &info)
@@ -256,6 +231,19 @@
     m_sessionsGauge.set(static_cast<std::int64_t>(m_sessions.size()));
 }
 
+TimePoint SessionProxy::Impl::nextTick(TimePoint now) const
+{
+    if (m_observationChanged || !m_leaving.empty())
+        return now;
+    TimePoint due = std::min(m_dispatcher->nextTick(now), m_state.nextPoolTick(now));
+    for (const CallerSession &session : m_sessions) {
+        if (m_state.draining && session.idle())
+            return now;
+        due = std::min(due, session.nextTick(now));
+    }
+    return due;
+}
+
 SessionProxy::SessionProxy(std::unique_ptr<Impl> impl)
     : m_impl(std::move(impl))
 {
@@ -332,6 +320,11 @@
     m_impl->tick(now);
 }
 
+TimePoint SessionProxy::nextTick(TimePoint now) const
+{
+    return m_impl->nextTick(now);
+}
+
 ProxyReport SessionProxy::report(TimePoint now) const
 {
     ProxyReport report;
--- a/src/proxy/proxy_state.h
+++ b/src/proxy/proxy_state.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <vector>
 
+#include "shallotlever/base/due.h"
 #include "shallotlever/policy/token_bucket.h"
 #include "shallotlever/proxy/positions.h"
 #include "shallotlever/telemetry/log.h"
@@ -104,6 +105,8 @@
     /// lease covers that time.
     void recordHistoryPoint(const ServiceId &service, const UpstreamId &upstream,
                             const HistoryPoint &point, TimePoint requestedAt);
+    /// When the pools of this node have something to do if no event comes first.
+    TimePoint nextPoolTick(TimePoint now) const;
 };
 
 } // namespace shallotlever
--- a/src/proxy/session.cpp
+++ b/src/proxy/session.cpp
@@ -15,8 +15,6 @@
 /// Maximum wait for a rate token while the team exceeds its rate, and while it does not.
 constexpr Duration kMaxOverRateWait = 150ms;
 constexpr Duration kMaxInsideRateWait = 1500ms;
-/// Time limit for the first message after the connection was accepted.
-constexpr Duration kFirstMessageTimeout = 5s;
 /// Timeout of a statement whose database is not in the configuration.
 constexpr Duration kDefaultStatementTimeout = 1800ms;
 
@@ -401,37 +399,4 @@
                            { "lease_left_ms", ms(m_state.freshUntil - now) } });
 }
 
-void CallerSession::tick(TimePoint now)
-{
-    if (m_awaitingLease && !m_disconnected)
-        answerStart(now);
-    if (!m_started && !m_disconnected && now >= m_openedAt + kFirstMessageTimeout)
-        close();
-    if (m_execution) {
-        switch (m_execution->phase) {
-        case Phase::AwaitingLease:
-            if (m_state.fresh(now) || now >= m_execution->deadline || !m_state.expectsLease(now))
-                admit(now);
-            return;
-        case Phase::AwaitingToken:
-            takeToken(now);
-            return;
-        case Phase::AwaitingUpstream:
-            if (now >= m_execution->deadline)
-                giveUp(now);
-            else if (now >= m_execution->retryAt)
-                startAttempt(now);
-            return;
-        case Phase::Running:
-            if (now >= m_execution->deadline)
-                onDeadline(now);
-            return;
-        }
-    }
-    const auto idleLimit = m_state.config.installed.transactionIdleLimit;
-    if (m_transaction && !m_transaction->lost && !m_transaction->failed && idleLimit.count() > 0
-        && now >= m_transaction->lastActiveAt + idleLimit)
-        abortTransaction(now);
-}
-
 } // namespace shallotlever
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -22,6 +22,8 @@
 
     /// Handles expired timeouts and due retries.
     void tick(TimePoint now);
+    /// When tick() has something to do if nothing else happens; kNever if it does not.
+    TimePoint nextTick(TimePoint now) const;
     /// No statement is being served and no transaction is open.
     bool idle() const { return !m_execution && !m_transaction; }
     /// The connection was closed and no statement of the session is running.
--- a/src/proxy/statement_dispatcher.cpp
+++ b/src/proxy/statement_dispatcher.cpp
@@ -261,8 +261,8 @@
         answer(id, unansweredReply(StatementResult::Unknown, RetryReason::ReadConnectionLost), now);
 }
 
-/// Finds nodes that are suspended or cut off while the links to them appear to be open.
-void StatementDispatcher::checkLiveness(TimePoint now)
+/// For each other node that owes an answer, when the oldest of these statements was sent.
+std::map<NodeId, TimePoint> StatementDispatcher::oldestForwarded() const
 {
     std::map<NodeId, TimePoint> oldest;
     for (const auto &[id, forwarded] : m_forwarded) {
@@ -271,7 +271,13 @@
         const auto entry = oldest.try_emplace(forwarded.owner, forwarded.sentAt).first;
         entry->second = std::min(entry->second, forwarded.sentAt);
     }
-    for (const auto &[peer, sentAt] : oldest) {
+    return oldest;
+}
+
+/// Finds nodes that are suspended or cut off while the links to them appear to be open.
+void StatementDispatcher::checkLiveness(TimePoint now)
+{
+    for (const auto &[peer, sentAt] : oldestForwarded()) {
         PeerLiveness &liveness = m_liveness[peer];
         const TimePoint waitingSince = std::max(sentAt, liveness.lastMessageAt);
         if (!liveness.requestedAt && now >= waitingSince + kLivenessCheckDelay) {
@@ -360,4 +366,39 @@
     requestPositions(now);
 }
 
+TimePoint StatementDispatcher::nextLivenessCheck() const
+{
+    TimePoint due = kNever;
+    for (const auto &[peer, sentAt] : oldestForwarded()) {
+        const auto liveness = m_liveness.find(peer);
+        const bool known = liveness != m_liveness.end();
+        const TimePoint heardAt = known ? liveness->second.lastMessageAt : TimePoint();
+        due = std::min(due,
+                       known && liveness->second.requestedAt
+                           ? *liveness->second.requestedAt + kLivenessTimeout
+                           : std::max(sentAt, heardAt) + kLivenessCheckDelay);
+    }
+    for (const auto &[peer, liveness] : m_liveness) {
+        if (!liveness.responsive)
+            due = std::min(due, *liveness.requestedAt + kPeerResetTimeout);
+    }
+    return due;
+}
+
+/// Positions are requested, and those of the own primaries kept recent, only while reads need them.
+TimePoint StatementDispatcher::nextPositionRequest(TimePoint now) const
+{
+    const bool needed =
+        std::any_of(m_state.services.begin(), m_state.services.end(), [now](const auto &service) {
+            return now < service.second.replicaReadAt + kPositionDemandPeriod
+                || now < service.second.positionRequestedAt + kPositionDemandPeriod;
+        });
+    return needed || !m_positionRequests.empty() ? m_nextPositionRequests : kNever;
+}
+
+TimePoint StatementDispatcher::nextTick(TimePoint now) const
+{
+    return std::min({ m_runner.nextTick(), nextLivenessCheck(), nextPositionRequest(now) });
+}
+
 } // namespace shallotlever
--- a/src/proxy/statement_dispatcher.h
+++ b/src/proxy/statement_dispatcher.h
@@ -49,6 +49,8 @@
     void connectOwners();
     bool usesPeer(const NodeId &peer) const { return m_connected.contains(peer); }
     void tick(TimePoint now);
+    /// When tick() has something to do if nothing else happens; kNever if it does not.
+    TimePoint nextTick(TimePoint now) const;
 
     StatementRunner &runner() { return m_runner; }
     const StatementRunner &runner() const { return m_runner; }
@@ -91,6 +93,9 @@
     void onPositionRequest(const PeerMessage &message, TimePoint now);
     void onPositionReply(const PeerMessage &message);
     void checkLiveness(TimePoint now);
+    std::map<NodeId, TimePoint> oldestForwarded() const;
+    TimePoint nextLivenessCheck() const;
+    TimePoint nextPositionRequest(TimePoint now) const;
     void requestPositions(TimePoint now);
     void sendPositionRequest(const NodeId &peer, const std::vector<ServiceId> &services,
                              TimePoint now);
--- a/src/proxy/statement_runner.cpp
+++ b/src/proxy/statement_runner.cpp
@@ -357,4 +357,19 @@
     }
 }
 
+TimePoint StatementRunner::nextTick() const
+{
+    TimePoint due = kNever;
+    for (const Execution &execution : m_statements)
+        due = std::min({ due, execution.deadline, execution.phaseDeadline });
+    const Duration idleLimit = m_state.config.installed.transactionIdleLimit;
+    if (idleLimit.count() == 0)
+        return due;
+    for (const auto &[key, transaction] : m_transactions) {
+        if (!transaction.running)
+            due = std::min(due, transaction.lastUsedAt + idleLimit + kAbandonedTransactionMargin);
+    }
+    return due;
+}
+
 } // namespace shallotlever
--- a/src/proxy/statement_runner.h
+++ b/src/proxy/statement_runner.h
@@ -38,6 +38,8 @@
     void endTransaction(const PeerProcess &sender, std::uint64_t transaction, TimePoint now);
     /// Handles expired timeouts.
     void tick(TimePoint now);
+    /// When tick() has something to do if nothing else happens; kNever if it does not.
+    TimePoint nextTick() const;
     /// Rolls back the transactions in which no statement is running.
     void abortIdleTransactions(TimePoint now);
 
--- a/src/proxy/upstream_pool.cpp
+++ b/src/proxy/upstream_pool.cpp
@@ -249,6 +249,22 @@
         openForWaiters(now);
 }
 
+TimePoint UpstreamPool::nextTick(TimePoint now) const
+{
+    if (!m_closedLinks.empty() || !m_waiters.empty())
+        return now;
+    TimePoint due = kNever;
+    if (!m_load.reachable && pendingOpens() == 0 && m_load.state != UpstreamState::Leaving)
+        due = m_lastContactAt + kProbeInterval;
+    for (const PooledLink &link : m_links) {
+        if (link.open && !link.busy)
+            due = std::min(due, idleLimit(link, now));
+        if (link.replyDeadline)
+            due = std::min(due, *link.replyDeadline);
+    }
+    return std::min(due, nextPing());
+}
+
 const TeamId &anonymousTeam()
 {
     static const TeamId anonymous("-");
--- a/src/proxy/upstream_pool.h
+++ b/src/proxy/upstream_pool.h
@@ -10,6 +10,7 @@
 #include <variant>
 #include <vector>
 
+#include "shallotlever/base/due.h"
 #include "shallotlever/proxy/placement.h"
 #include "shallotlever/types/shares.h"
 #include "statement_messages.h"
@@ -110,6 +111,8 @@
     /// finish; waiters are cancelled and no new connections are opened.
     void retire();
     void tick(TimePoint now);
+    /// When tick() has something to do if nothing else happens; kNever if it does not.
+    TimePoint nextTick(TimePoint now) const;
 
     const UpstreamInfo &info() const { return m_info; }
     const UpstreamLoad &load() const { return m_load; }
@@ -149,6 +152,8 @@
     bool isSurplus(const PooledLink &link) const;
     void ping(TimePoint now);
     PooledLink *leastRecentlyUsedLink();
+    TimePoint nextPing() const;
+    TimePoint idleLimit(const PooledLink &link, TimePoint now) const;
     void failWaiters(LinkAcquireFailure failure, const TeamId *team = nullptr);
     void setReachable(bool reachable);
     void updateOutstanding();
--- a/src/proxy/upstream_pool_links.cpp
+++ b/src/proxy/upstream_pool_links.cpp
@@ -272,6 +272,19 @@
                      });
 }
 
+/// When ping() can be called with effect; kNever if an event must come first.
+TimePoint UpstreamPool::nextPing() const
+{
+    if (!m_owned || m_load.state == UpstreamState::Leaving)
+        return kNever;
+    const TimePoint due = m_lastContactAt + m_pingInterval;
+    if (m_links.empty())
+        return m_load.leasedConnections > 0 ? std::max(due, m_nextOpenAt) : kNever;
+    const bool idle = std::any_of(m_links.begin(), m_links.end(),
+                                  [](const PooledLink &link) { return link.open && !link.busy; });
+    return idle ? due : kNever;
+}
+
 /// Whether the team has another idle connection that was used more recently.
 bool UpstreamPool::isSurplus(const PooledLink &link) const
 {
@@ -281,6 +294,14 @@
            });
 }
 
+/// When an idle connection is closed. The search for another one of its team is left out until its
+/// result can matter.
+TimePoint UpstreamPool::idleLimit(const PooledLink &link, TimePoint now) const
+{
+    const TimePoint surplusLimit = link.lastUsedAt + kSurplusIdleTimeout;
+    return now < surplusLimit || isSurplus(link) ? surplusLimit : link.lastUsedAt + kIdleTimeout;
+}
+
 /// Closes connections that were idle for too long, and those whose rollback or ping was not
 /// answered: a suspended database would otherwise keep them busy forever.
 void UpstreamPool::closeExpired(TimePoint now)
@@ -288,8 +309,7 @@
     std::vector<PooledLink *> linksToClose;
     bool unanswered = false;
     for (PooledLink &link : m_links) {
-        const bool idle = link.open && !link.busy
-            && now >= link.lastUsedAt + (isSurplus(link) ? kSurplusIdleTimeout : kIdleTimeout);
+        const bool idle = link.open && !link.busy && now >= idleLimit(link, now);
         const bool late = link.replyDeadline && now >= *link.replyDeadline;
         unanswered = unanswered || late;
         if (idle || late)
