--- a/src/proxy/line_socket.cpp
+++ b/src/proxy/line_socket.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "shallotlever/base/due.h"
 #include "shallotlever/wire/socket_end.h"
 
 namespace shallotlever {
@@ -83,6 +84,13 @@
     m_socket->abort();
 }
 
+TimePoint LineSocket::nextTick(TimePoint now) const
+{
+    if (m_stage == Stage::Open || m_stage == Stage::Closed)
+        return kNever;
+    return m_lingerProgress ? now : m_lingerUntil;
+}
+
 bool LineSocket::hasUnreadInput() const
 {
     return shallotlever::hasUnreadInput(*m_socket);
--- a/src/proxy/line_socket.h
+++ b/src/proxy/line_socket.h
@@ -44,6 +44,8 @@
     void closeGracefully(TimePoint now);
     /// Closes the connection if closeGracefully() was called and the peer took too long.
     void tick(TimePoint now);
+    /// When tick() has work, or kNever.
+    TimePoint nextTick(TimePoint now) const;
     bool isOpen() const { return m_stage == Stage::Open; }
     /// Both directions are closed.
     bool isClosed() const { return m_stage == Stage::Closed; }
