--- a/src/node/controller_host.h
+++ b/src/node/controller_host.h
@@ -14,6 +14,12 @@
 
 namespace shallotlever {
 
+/// Whole milliseconds, rounded down, as log lines state times.
+inline std::int64_t millisecondsBetween(TimePoint from, TimePoint to)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(to - from).count();
+}
+
 /// Runs the controller while this node leads the control group: calls upstreams, proposes
 /// decisions, and answers reports and operators. Control thread only.
 class ControllerHost
