--- a/src/control/election_test.cpp
+++ b/src/control/election_test.cpp
@@ -187,5 +187,10 @@
                                          RestartCase { "LinksBeingOpened", 20ms, 200ms, 25 }),
                          [](const auto &info) { return info.param.name; });
 
+// Every second message is lost.
+INSTANTIATE_TEST_SUITE_P(LossyLinks, RestartOfAllMembers,
+                         testing::Values(RestartCase { "HalfLost", 20ms, 200ms, 50 }),
+                         [](const auto &info) { return info.param.name; });
+
 } // namespace
 } // namespace shallotlever
