Answer what was sent ahead before a session ends at the drain limit

What callers saw: at the drain limit a caller with a statement at work got its answer, and none to the statements that it had sent ahead. Cause: the failed statement ended its execution, and that closed the session as one that had become idle, before the refusals were written.

--- a/src/proxy/session.cpp
+++ b/src/proxy/session.cpp
@@ -354,7 +354,8 @@
     }
     m_lastActiveAt = monotonicNow();
     serveQueue();
-    if (m_state.draining && quiescent())
+    // At the drain limit the statements that were sent ahead are refused before the session ends.
+    if (m_state.draining && !m_state.atDrainLimit && quiescent())
         closeForStop(StopClose::AfterStatement);
 }
 
