Count open connections of nodes without a share after an election

What databases saw, by reading: up to as many connections too many as a former owner still had open, once a controller without a view ended its wait for the predecessor early. Cause: until the limits are known only nodes that hold a share were accounted for; connections that are open without one, as at a former owner, were forgotten. Evidence: CountsOpenConnectionsWithoutShare fails without the change.

--- a/src/controller/controller_test.cpp
+++ b/src/controller/controller_test.cpp
@@ -467,6 +467,20 @@
     EXPECT_GT(connections(next), 0U);
 }
 
+// Guards against more connections than a database accepts: a former owner may have some open
+// without a share of them.
+TEST_F(ControllerWithoutView, CountsOpenConnectionsWithoutShare)
+{
+    UpstreamInfo &info = m_known.view.groups[ServiceId("s")].upstreams[UpstreamId("db")];
+    info.poolOwners = { NodeId("b"), NodeId("a") };
+    NodeReport former = reportWithView("a", 7);
+    former.slots.front().connectionsHeld = 0;
+    EXPECT_EQ(connections(leaseFor(former)), 0U);
+    NodeReport answer = reportWithView("b", 7);
+    answer.fleet = { {}, kVersion, true, diffFleet({}, m_known) };
+    EXPECT_LE(connections(leaseFor(answer)), kLimit - kHeld);
+}
+
 struct AskedNodeCase
 {
     const char *name;
--- a/src/policy/slot_allocator.cpp
+++ b/src/policy/slot_allocator.cpp
@@ -261,8 +261,9 @@
     grant.renewal = now >= allocator.renewalsAllowedFrom && !mayGrant;
     std::map<UpstreamId, const SlotDemand *> demands;
     for (const SlotDemand &demand : report.demands) {
+        // A former owner may still have connections open without a share of them.
         if (allocator.upstreams.contains(demand.upstream)
-            || (grant.renewal && demand.connectionsHeld > 0)) {
+            || (grant.renewal && demand.connectionsHeld + demand.connectionsOpen > 0)) {
             node->leases.try_emplace(demand.upstream);
             demands.insert_or_assign(demand.upstream, &demand);
         }
