Do not withhold shares of connections for a view that was lost

What callers would see, by reading: no node gets more connections until the fleet changes. Cause: a node that reports a newer view makes the controller wait for the limits in it. If the node ended before it sent the view, the wait ended only with the next published view, and a view equal to the inherited one isn't published. The limits count as known now once the view has been built. Evidence: GrantsConnectionsAlthoughANewerViewIsLost fails without the change.

--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -76,7 +76,7 @@
         ownership = controller.poolOwnership.revision;
     if (controller.publishedIndex == replicated.cluster.index
         && controller.publishedRevision == controller.registry.revision
-        && controller.publishedOwnership == ownership)
+        && controller.publishedOwnership == ownership && !controller.slots.awaitsLimits)
         return false;
     controller.publishedOwnership = ownership;
     controller.publishedIndex = replicated.cluster.index;
@@ -86,10 +86,10 @@
         assignPoolOwners(controller.poolOwnership, replicated.cluster.config, fleet.view);
     else
         keepPoolOwners(controller.fleetLog.state.view, fleet.view);
-    if (!publishFleet(controller.fleetLog, fleet, controller.controlTerm))
-        return false;
+    const bool published = publishFleet(controller.fleetLog, fleet, controller.controlTerm);
+    // The limits are known now, also if the view is equal to the inherited one.
     applyUpstreamLimits(controller.slots, controller.fleetLog.state.view);
-    return true;
+    return published;
 }
 
 /// Ends the waits for leases of predecessors, as all processes that may hold one are accounted for.
--- a/src/controller/controller_test.cpp
+++ b/src/controller/controller_test.cpp
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include "shallotlever/controller/controller.h"
+#include "shallotlever/policy/pool_owner.h"
 #include "shallotlever/policy/token_grants.h"
 
 namespace shallotlever {
@@ -481,6 +482,28 @@
     EXPECT_LE(connections(leaseFor(answer)), kLimit - kHeld);
 }
 
+// Guards against shares of connections that are withheld for good: the node with a newer view has
+// ended before it sent the view, and the view that the controller builds is equal to its own.
+TEST_F(ControllerWithoutView, GrantsConnectionsAlthoughANewerViewIsLost)
+{
+    const DataCentreId dataCentre("dc");
+    UpstreamInfo &info = m_known.view.groups[ServiceId("s")].upstreams[UpstreamId("db")];
+    const std::vector<PoolOwnerCandidate> nodes { { NodeId("a"), dataCentre, false },
+                                                  { NodeId("b"), dataCentre, false } };
+    info.poolOwners = selectPoolOwners(info.id, info.dataCentre, nodes);
+    m_now = kStart + 1s;
+    NodeReport older = reportWithView("b", 7);
+    older.fleet = { {}, kVersion, true, diffFleet({}, m_known) };
+    leaseFor(older);
+    NodeReport newer = reportWithView("a", 7);
+    newer.appliedFleet.number += 1;
+    leaseFor(newer);
+    EXPECT_TRUE(m_controller.slots.awaitsLimits);
+    m_now = kStart + kAnnouncementLease;
+    EXPECT_FALSE(advanceController(m_controller, m_state, m_now).fleetChanged);
+    EXPECT_FALSE(m_controller.slots.awaitsLimits);
+}
+
 struct AskedNodeCase
 {
     const char *name;
