List promotions behind a replica that can't be promoted as red

A fenced replica that is leaving, suspected or was refused counts as fenced, but the end of its log does not: another one without its commits is promoted. The fix needs a rule for a leaving database that alone holds all commits.

--- a/src/fleet/confirmed_change_test.cpp
+++ b/src/fleet/confirmed_change_test.cpp
@@ -118,6 +118,29 @@
                         kA }),
     [](const auto &info) { return info.param.name; });
 
+class UnpromotableHolder : public testing::TestWithParam<ConfirmedMember>
+{
+};
+
+// Guards against the promotion of a database that lacks commits which a fenced replica holds that
+// can't be promoted itself.
+TEST_P(UnpromotableHolder, NoOtherIsPromotedWithoutItsCommits)
+{
+    ConfirmedInput in = input();
+    in.members = { { kPrimary, member(std::nullopt, kDown) },
+                   { kA, member(status(kReplica, 7, kFence)) },
+                   { kB, GetParam() } };
+    ConfirmedChange change;
+    change.phaseStartedAt = kStart;
+    change.fenceTerm = Term(kFence);
+    EXPECT_NE(chooseConfirmedCandidate(change, in), kA);
+}
+
+INSTANTIATE_TEST_SUITE_P(Replicas, UnpromotableHolder,
+                         testing::Values(member(status(kReplica, 9, kFence), UpstreamState::Live,
+                                                true),
+                                         member(status(kReplica, 9, kFence), kDown)));
+
 ConfirmedMember process(std::uint64_t incarnation, const ConfirmedMember &answered)
 {
     ConfirmedMember m = answered;
