--- /dev/null
+++ b/src/controller/group_control_test.cpp
@@ -0,0 +1,157 @@
+#include "controller_fixture.h"
+
+namespace shallotlever {
+namespace {
+
+/// The controller of a service whose databases confirm commits, which knows a replica.
+class ControllerStatuses : public ControllerNodeRecords
+{
+protected:
+    ControllerStatuses()
+    {
+        ServiceConfig &service = m_state.cluster.config.services[ServiceId("s")];
+        service.id = ServiceId("s");
+        service.confirmsCommits = true;
+        service.confirmingReplicas = 1;
+        m_controller = makeController(ControlTerm(2), m_state, FleetLog(), 1, kStart);
+    }
+
+    void announce(std::uint64_t lifetime)
+    {
+        NodeReport next = report("a", 1, ++m_reports);
+        next.appliedFleet = m_controller.fleetLog.version;
+        HeardAnnouncement heard;
+        heard.announcement.upstream = UpstreamId("db");
+        heard.announcement.service = ServiceId("s");
+        heard.announcement.endpoint = { "10.0.0.1", 5432 };
+        heard.announcement.lifetime = Incarnation(lifetime);
+        next.announcements.push_back(heard);
+        reportGetsLease(next);
+    }
+
+    UpstreamCall statusCall()
+    {
+        m_now += 2s;
+        const ControllerActions actions = advanceController(m_controller, m_state, m_now);
+        EXPECT_FALSE(actions.calls.empty());
+        return actions.calls.empty() ? UpstreamCall() : actions.calls.front();
+    }
+
+    /// Whether a status is used for the process that is announced.
+    bool hasStatus() const
+    {
+        const auto &statuses = m_controller.groups.at(ServiceId("s")).statuses;
+        const auto found = statuses.find(UpstreamId("db"));
+        return found != statuses.end()
+            && found->second.incarnation
+            == m_controller.registry.entries.at(UpstreamId("db")).announcement.lifetime;
+    }
+
+    std::uint64_t m_reports = 0;
+};
+
+// Guards against taking the log end or the fence of an ended process for those of the process that
+// has started under its id with nothing.
+TEST_F(ControllerStatuses, AnswerOfAnEndedProcessDoesNotCount)
+{
+    announce(1);
+    const UpstreamCall call = statusCall();
+    UpstreamAnswer answer;
+    answer.status.emplace();
+    announce(2);
+    onUpstreamAnswer(m_controller, call, answer, m_now, m_now);
+    EXPECT_FALSE(hasStatus());
+    const UpstreamCall next = statusCall();
+    onUpstreamAnswer(m_controller, next, answer, m_now, m_now);
+    EXPECT_TRUE(hasStatus());
+    announce(3);
+    EXPECT_FALSE(hasStatus());
+}
+
+/// A controller that has just started and hears of one replica, while the log records the primary
+/// and another replica.
+class ControllerMembers : public ControllerStatuses
+{
+protected:
+    ControllerMembers()
+    {
+        GroupState &group = m_state.cluster.groups[ServiceId("s")];
+        group.service = ServiceId("s");
+        group.term = group.reservedTerm = Term(1);
+        group.primary = UpstreamId("p");
+        group.primaryIncarnation = Incarnation(1);
+        for (const char *id : { "p", "r", "db" })
+            group.members[{ UpstreamId(id), Incarnation(1) }].endpoint = { id, 5432 };
+        m_controller = makeController(ControlTerm(2), m_state, FleetLog(), 1, kStart);
+    }
+
+    /// Runs the controller, with decisions applied and the replica answering, and returns whether
+    /// it orders a promotion.
+    bool promotes(Duration duration)
+    {
+        for (const TimePoint end = m_now + duration; m_now < end; m_now += 50ms) {
+            announce(1);
+            for (const UpstreamCall &call : step()) {
+                if (call.kind == CallKind::Promote)
+                    return true;
+                UpstreamAnswer answer;
+                answer.status.emplace();
+                answer.status->point = { Term(1), LogPosition(20) };
+                answer.status->newestTerm = Term(1);
+                answer.status->fencedTerm = call.kind == CallKind::Fence ? call.term : m_fence;
+                m_fence = answer.status->fencedTerm;
+                if (m_heard.contains(call.upstream))
+                    onUpstreamAnswer(m_controller, call, answer, m_now, m_now);
+            }
+        }
+        return false;
+    }
+
+    std::vector<UpstreamCall> step()
+    {
+        ControllerActions actions = advanceController(m_controller, m_state, m_now);
+        for (const GroupDecision &decision : actions.proposals) {
+            const LogIndex index = m_state.cluster.index.next();
+            const ChangeResult result = applyCommand(m_state, decision, index, 0);
+            onCommandApplied(m_controller, m_state, decision, result, index, m_now);
+            onOwnDecisionAccepted(m_controller, decision);
+        }
+        return actions.calls;
+    }
+
+    Term m_fence;
+    std::set<UpstreamId> m_heard { UpstreamId("db") };
+};
+
+// Guards against a controller that takes the members which it has not heard of since its start for
+// absent, and promotes a replica that lacks their commits.
+TEST_F(ControllerMembers, MemberNotHeardOfSinceTheElectionMayHoldCommits)
+{
+    EXPECT_FALSE(promotes(20s));
+    const GroupControl &group = m_controller.groups.at(ServiceId("s"));
+    EXPECT_EQ(group.confirmed.reason, ChangeReason::Suspected);
+    const std::vector<MemberId> awaited { { UpstreamId("p"), Incarnation(1) },
+                                          { UpstreamId("r"), Incarnation(1) } };
+    EXPECT_EQ(group.confirmed.awaited, awaited);
+}
+
+// Guards against a change that waits for a process that holds no commit.
+TEST_F(ControllerMembers, MembersThatHaveLeftAreNotAwaited)
+{
+    m_state.cluster.groups[ServiceId("s")].members.erase({ UpstreamId("r"), Incarnation(1) });
+    m_controller = makeController(ControlTerm(2), m_state, FleetLog(), 1, kStart);
+    EXPECT_TRUE(promotes(20s));
+}
+
+// Guards against members that a later controller doesn't know of.
+TEST_F(ControllerMembers, AnnouncedDatabaseIsRecorded)
+{
+    m_state.cluster.groups[ServiceId("s")].members.clear();
+    announce(1);
+    step();
+    EXPECT_TRUE(m_state.cluster.groups.at(ServiceId("s"))
+                    .members.contains({ UpstreamId("db"), Incarnation(1) }));
+}
+
+} // namespace
+} // namespace shallotlever
