Log what a promotion relied on, and each call that changes a database's role

It now has the epoch's control term, the time left of the lease, the fence and for each database its state, role, log end, fence and the age of its last answer. Calls that fence a database, let it step down or lift its fence were not logged unless they failed.

ControlMember::leaseLeft() replaces the computation in holdsLease().

--- a/src/control/member.cpp
+++ b/src/control/member.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <functional>
 
 #include <xxhash.h>
 
@@ -192,13 +193,30 @@
 bool ControlMember::Impl::holdsLease(TimePoint now) const
 {
     // Once the first entry of the term is applied, the owner's state includes all earlier entries.
+    return leaseLeft(now) > Duration(0);
+}
+
+Duration ControlMember::Impl::leaseLeft(TimePoint now) const
+{
     if (m_role != ControlRole::Leader || m_appliedIndex < m_termStartIndex)
-        return false;
+        return Duration(0);
     if (m_options.faults.leaseWithoutQuorum)
-        return true;
-    return majorityOfProgress([now](const Progress &p) {
-        return p.lastAnsweredSentAt && now - *p.lastAnsweredSentAt < kLeaderLeaseDuration;
-    });
+        return kLeaderLeaseDuration;
+    std::vector<Duration> left;
+    for (const Member &voter : m_log.membership().voters) {
+        const auto progress = m_progress.find(voter);
+        if (voter == m_self)
+            left.push_back(kLeaderLeaseDuration);
+        else if (progress != m_progress.end() && progress->second.lastAnsweredSentAt)
+            left.push_back(*progress->second.lastAnsweredSentAt + kLeaderLeaseDuration - now);
+    }
+    const std::size_t majority = m_log.membership().voters.size() / 2 + 1;
+    if (left.size() < majority)
+        return Duration(0);
+    // A majority has answered no earlier than the last one of the latest `majority` answers.
+    const auto last = left.begin() + static_cast<std::ptrdiff_t>(majority - 1);
+    std::nth_element(left.begin(), last, left.end(), std::greater<>());
+    return std::max(*last, Duration(0));
 }
 
 absl::StatusOr<std::unique_ptr<ControlMember>>
@@ -278,6 +296,11 @@
     return m_impl->holdsLease(now);
 }
 
+Duration ControlMember::leaseLeft(TimePoint now) const
+{
+    return m_impl->leaseLeft(now);
+}
+
 std::optional<Member> ControlMember::leader() const
 {
     return m_impl->m_leader;
--- a/src/control/member_impl.h
+++ b/src/control/member_impl.h
@@ -26,6 +26,7 @@
     bool transferLeadership(TimePoint now);
     ControlReady takeReady(TimePoint now);
     bool holdsLease(TimePoint now) const;
+    Duration leaseLeft(TimePoint now) const;
 
     // Election.
     void becomeFollower(TimePoint now, ControlTerm term, std::optional<Member> leader);
--- a/src/include/shallotlever/control/member.h
+++ b/src/include/shallotlever/control/member.h
@@ -134,6 +134,9 @@
     ControlRole role() const;
     /// True only while no other member can be leader.
     bool holdsLease(TimePoint now) const;
+    /// Time until the lease ends unless it is renewed, kLeaderLeaseDuration at most; zero without
+    /// one.
+    Duration leaseLeft(TimePoint now) const;
     /// Leader of the current term, if known.
     std::optional<Member> leader() const;
     Member self() const;
--- a/src/node/controller_host.cpp
+++ b/src/node/controller_host.cpp
@@ -157,6 +157,7 @@
         onUpstreamAnswer(*m_controller, call, upstreamAnswer(call, status), now, monotonicNow());
         m_advanceDue = true;
     };
+    logCall(call, now);
     UpstreamControl &control = controlOf(call);
     switch (call.kind) {
     case CallKind::Status:
@@ -166,10 +167,7 @@
         control.fence(call.term, kCallTimeout, callback);
         break;
     case CallKind::Promote:
-        m_logger.info("promotion_ordered",
-                      { { "service", call.service.value() },
-                        { "upstream", call.upstream.value() },
-                        { "epoch", call.term.value() } });
+        logPromotionOrder(call, now);
         control.promote(call.term, kCallTimeout, callback);
         break;
     case CallKind::StepDown:
--- a/src/node/controller_host.h
+++ b/src/node/controller_host.h
@@ -85,6 +85,8 @@
     void logWaitingChanges(TimePoint now) const;
     void call(const UpstreamCall &call, TimePoint now);
     UpstreamControl &controlOf(const UpstreamCall &call);
+    void logCall(const UpstreamCall &call, TimePoint now) const;
+    void logPromotionOrder(const UpstreamCall &call, TimePoint now) const;
     void propose(const GroupDecision &decision, TimePoint now);
     void logFailedCall(const UpstreamCall &call, const absl::Status &status) const;
     void logPrimaryChange(const CompletedPrimaryChange &changed) const;
--- a/src/node/controller_log.cpp
+++ b/src/node/controller_log.cpp
@@ -21,6 +21,46 @@
     return count;
 }
 
+const char *stateName(const RegistryEntry &entry)
+{
+    if (entry.state == UpstreamState::Suspected)
+        return "suspected";
+    const bool leaving = entry.state == UpstreamState::Leaving || entry.announcement.leaving;
+    return leaving ? "leaving" : "live";
+}
+
+/// One text for all databases of the service: state, role, log end, fence and age of the last
+/// answer of each.
+std::string describeMembers(const ControllerState &controller, const ServiceId &service,
+                            TimePoint now)
+{
+    std::string text;
+    const std::map<UpstreamId, MemberStatus> &statuses = controller.groups.at(service).statuses;
+    for (const auto &[id, entry] : controller.registry.entries) {
+        if (entry.announcement.service != service)
+            continue;
+        text += fmt::format("{}{}/{} {}", text.empty() ? "" : "; ", id.value(),
+                            entry.announcement.lifetime.value(), stateName(entry));
+        const auto known = statuses.find(id);
+        if (known == statuses.end()) {
+            text += " unknown";
+            continue;
+        }
+        const UpstreamStatus &status = known->second.status;
+        text +=
+            fmt::format(" {} end {}.{} fence {} age_ms {}",
+                        status.role == UpstreamRole::Primary ? "primary" : "replica",
+                        status.point.term.value(), status.point.position.value(),
+                        status.fencedTerm.value(), millisecondsBetween(known->second.askedAt, now));
+    }
+    return text;
+}
+
+std::int64_t wholeMilliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 } // namespace
 
 /// Logs each new term, because elections without a winner are not logged otherwise.
@@ -138,6 +178,38 @@
                     { "waited_ms", millisecondsBetween(m_controller->electedAt, now) } });
 }
 
+/// Status queries are not logged, because they are frequent and change nothing.
+void ControllerHost::logCall(const UpstreamCall &call, TimePoint now) const
+{
+    if (call.kind == CallKind::Status || call.kind == CallKind::Promote)
+        return;
+    m_logger.info("upstream_call",
+                  { { "service", call.service.value() },
+                    { "upstream", call.upstream.value() },
+                    { "call", callKindName(call.kind) },
+                    { "term", call.term.value() },
+                    { "control_term", m_controller->controlTerm.value() },
+                    { "lease_left_ms", wholeMilliseconds(m_group.member().leaseLeft(now)) } });
+}
+
+/// Logs what the choice of the candidate relied on.
+void ControllerHost::logPromotionOrder(const UpstreamCall &call, TimePoint now) const
+{
+    const auto group = m_controller->groups.find(call.service);
+    if (group == m_controller->groups.end())
+        return;
+    m_logger.info("promotion_ordered",
+                  { { "service", call.service.value() },
+                    { "upstream", call.upstream.value() },
+                    { "incarnation", call.incarnation.value() },
+                    { "epoch", call.term.value() },
+                    { "attempt", group->second.confirmed.attempts },
+                    { "fence_term", group->second.confirmed.fenceTerm.value() },
+                    { "members", describeMembers(*m_controller, call.service, now) },
+                    { "control_term", m_controller->controlTerm.value() },
+                    { "lease_left_ms", wholeMilliseconds(m_group.member().leaseLeft(now)) } });
+}
+
 /// Not called for status queries, which fail often and without consequence by themselves; the other
 /// calls decide a change of primary.
 void ControllerHost::logFailedCall(const UpstreamCall &call, const absl::Status &status) const
