Do not lift the fences of a predecessor's unfinished change

Callers could see an acknowledged commit lost: a controller that had just been elected lifted fences in the two seconds in which it hears of the databases, although its predecessor had reserved a term, chosen a candidate from these fences and perhaps ordered its promotion. Replicas then accepted commits again that the candidate lacks. Roles are now cleaned up only when no change is unfinished and the registry is complete; the change that follows sets its own fences.

FencesOfAnUnfinishedChangeAreNotLifted failed before: find<Resume>(step()) was not null.

--- a/src/fleet/confirmed_change.cpp
+++ b/src/fleet/confirmed_change.cpp
@@ -88,6 +88,12 @@
     }
 }
 
+/// A change that a predecessor began relies on its fences, and its calls may still be under way.
+bool mayCleanUpRoles(const ConfirmedInput &input)
+{
+    return input.registryComplete && input.group.reservedTerm == input.group.term;
+}
+
 void stepReserving(ConfirmedChange &change, const ConfirmedInput &input, Actions &actions,
                    TimePoint now)
 {
@@ -351,7 +357,7 @@
         const ChangeReason reason = confirmedChangeDue(change, input, now);
         if (reason != ChangeReason::None)
             beginChange(change, input, reason, now);
-        else if (input.group.primary)
+        else if (input.group.primary && mayCleanUpRoles(input))
             cleanUpRoles(change, input, actions, now);
         break;
     }
--- a/src/fleet/confirmed_change_test.cpp
+++ b/src/fleet/confirmed_change_test.cpp
@@ -341,6 +341,18 @@
     EXPECT_EQ(set.term, Term(2));
 }
 
+// Guards against a new controller that lifts the fences on which a change of its predecessor
+// relies.
+TEST_F(ConfirmedChangeTest, FencesOfAnUnfinishedChangeAreNotLifted)
+{
+    m_in.members[kPrimary].state = UpstreamState::Live;
+    m_in.members[kA].status = status(kReplica, 9, kFence);
+    m_in.group.reservedTerm = Term(2);
+    m_in.registryComplete = false;
+    for (int i = 0; i < 10; ++i)
+        EXPECT_EQ(find<Resume>(step()), nullptr);
+}
+
 // Guards against repeating a promotion that the platform refused.
 TEST_F(ConfirmedChangeTest, RefusedPromotionRequiresNewEpoch)
 {
