Confirm fences until the promotion is ordered

Callers could see an acknowledged commit lost: the answer to a fence counted for as long as the change waited for nodes to release the former primary (2 s and more), though a database that restarts loses its fence, and a late call of a former controller may lift it. Such a replica goes on confirming commits, and the candidate was chosen from its earlier log end. Fences are confirmed again every 250 ms and count for 750 ms; one that is not confirmed counts as unfenced.

FencesThatAreNotConfirmedAgainDoNotCount failed before (a promotion was ordered from answers 1 s old). PromotesOnlyAfterAllNodesReleasedPrimary waits one second, so its databases now confirm their fences meanwhile; what it asserts is unchanged.

--- a/src/fleet/confirmed_candidate.cpp
+++ b/src/fleet/confirmed_candidate.cpp
@@ -40,7 +40,8 @@
 bool isFenced(const ConfirmedChange &change, const ConfirmedInput &input, const UpstreamId &id,
               const ConfirmedMember &member)
 {
-    if (change.fenceTerm == Term() || !answeredSince(member, change.phaseStartedAt)
+    const TimePoint since = std::max(change.phaseStartedAt, change.fencesSince);
+    if (change.fenceTerm == Term() || !answeredSince(member, since)
         || member.status->role == UpstreamRole::Primary)
         return false;
     return isFormerPrimary(input, id) || member.status->fencedTerm >= change.fenceTerm;
--- a/src/fleet/confirmed_change.cpp
+++ b/src/fleet/confirmed_change.cpp
@@ -131,8 +131,9 @@
         change.sentAt.clear();
     change.fenceTerm = std::max(change.fenceTerm, newestTerm(input).next());
     for (const auto &[id, member] : input.members) {
-        if (isFenced(change, input, id, member)
-            || !takeDueCall(change, id, kCallRetryInterval, now))
+        const bool confirmed = isFenced(change, input, id, member)
+            && now < member.statusAskedAt + kFenceRefreshInterval;
+        if (confirmed || !takeDueCall(change, id, kCallRetryInterval, now))
             continue;
         if (isFormerPrimary(input, id))
             actions.push_back(StepDown { id, change.fenceTerm });
@@ -187,6 +188,7 @@
         queryMembers(change, input, actions, now);
         return;
     }
+    change.fencesSince = now - kMaxFenceAge;
     fenceMembers(change, input, actions, now);
     change.candidate = chooseConfirmedCandidate(change, input);
     change.awaited = change.candidate ? std::vector<MemberId>() : unfencedProcesses(change, input);
--- a/src/fleet/confirmed_change_test.cpp
+++ b/src/fleet/confirmed_change_test.cpp
@@ -292,9 +292,10 @@
 TEST_F(ConfirmedChangeTest, PromotesOnlyAfterAllNodesReleasedPrimary)
 {
     reserve();
-    fenceReplicas();
-    for (int i = 0; i < 20; ++i)
+    for (int i = 0; i < 20; ++i) {
+        fenceReplicas();
         EXPECT_EQ(find<Promote>(step()), nullptr);
+    }
     m_in.primaryReleased = true;
     step();
     const auto actions = step();
@@ -341,6 +342,22 @@
     EXPECT_EQ(set.term, Term(2));
 }
 
+// Guards against a candidate that was chosen from fences which have been lost since, by a restart
+// or by a late call of a former controller.
+TEST_F(ConfirmedChangeTest, FencesThatAreNotConfirmedAgainDoNotCount)
+{
+    reserve();
+    fenceReplicas();
+    while (m_now < kStart + kMaxFenceAge + 1s)
+        step();
+    m_in.primaryReleased = true;
+    for (int i = 0; i < 5; ++i)
+        EXPECT_EQ(find<Promote>(step()), nullptr);
+    fenceReplicas();
+    step();
+    EXPECT_NE(find<Promote>(step()), nullptr);
+}
+
 // Guards against a new controller that lifts the fences on which a change of its predecessor
 // relies.
 TEST_F(ConfirmedChangeTest, FencesOfAnUnfinishedChangeAreNotLifted)
--- a/src/include/shallotlever/fleet/confirmed_change.h
+++ b/src/include/shallotlever/fleet/confirmed_change.h
@@ -20,6 +20,10 @@
 constexpr Duration kPromotionTimeout = 5s;
 /// Interval of status queries to the candidate during a promotion.
 constexpr Duration kPromotionPollInterval = 100ms;
+/// A fence is confirmed again after kFenceRefreshInterval, and counts no longer than kMaxFenceAge:
+/// a database that restarts loses it.
+constexpr Duration kFenceRefreshInterval = 250ms;
+constexpr Duration kMaxFenceAge = 750ms;
 /// In a planned change, time for in-flight commits to complete after nodes stopped using the
 /// primary.
 constexpr Duration kQuiescePeriod = 60ms;
@@ -58,6 +62,8 @@
     /// Term of the fence, above every term the databases have reported. A fenced database no longer
     /// follows the former primary.
     Term fenceTerm;
+    /// Answers to calls made earlier do not prove a fence any more.
+    TimePoint fencesSince;
     std::map<UpstreamId, TimePoint> sentAt;
     std::optional<UpstreamId> candidate;
     Incarnation candidateIncarnation;
