End calls with the right to make them, and give one promotion order at a time

A call outlived the right to make it: the lease was looked at once a tick, then the order waited for its connection or in the queue of QNetworkAccessManager, a further one was given each 250 ms, and each was given up after 1 s by closing its connection, whereupon the operating system goes on delivering what it holds. So an order of a deposed controller arrived after one of its successor, and took effect on a database that lacked what had been acknowledged since.

- The permit of the present term is asked when the call is about to be written, after its connection is open.
The same for calls that fence, step down and lift a fence, the last of which carries no term.
- A call that is given up, by time or because the controller ends, resets its connection, which discards what has not been delivered.
TCP_USER_TIMEOUT does so while the process stands still.
- One order is under way for a service; the next one withdraws it.
Answers count for their epoch only.
- A promotion whose answer was lost is seen by the database's role, instead of a new epoch after 5 s.

--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -296,13 +296,24 @@
     return lease;
 }
 
+namespace {
+
+PromotionOutcome promotionOutcome(const UpstreamAnswer &answer)
+{
+    if (answer.accepted)
+        return PromotionOutcome::Accepted;
+    return answer.refused ? PromotionOutcome::Refused : PromotionOutcome::Unknown;
+}
+
+} // namespace
+
 void onUpstreamAnswer(ControllerState &controller, const UpstreamCall &call,
                       const UpstreamAnswer &answer, TimePoint askedAt, TimePoint now)
 {
     GroupControl &group = controller.groups[call.service];
     onCallAnswer(group.change, { call.kind, call.upstream, call.term, answer.status }, now);
-    if (call.kind == CallKind::Promote && (answer.refused || answer.accepted))
-        onPromoteAnswer(group.confirmed, call.upstream, answer.accepted, now);
+    if (call.kind == CallKind::Promote)
+        onPromoteAnswer(group.confirmed, call.upstream, call.term, promotionOutcome(answer), now);
     if (!answer.status || askedAt < group.primarySince)
         return;
     // A later process under the id knows nothing of what the answer says.
--- a/src/fleet/confirmed_change.cpp
+++ b/src/fleet/confirmed_change.cpp
@@ -46,6 +46,7 @@
 {
     change.epoch = input.group.reservedTerm.next();
     change.candidate.reset();
+    change.orderedAt.reset();
     change.promotedAt.reset();
     change.primaryReleasedAt.reset();
     change.fenceTerm = Term();
@@ -201,6 +202,26 @@
     enterPhase(change, ConfirmedPhase::Promoting, now);
 }
 
+/// Only one order is under way at a time: orders given together may arrive in any order, and each
+/// may take effect later.
+bool isOrderDue(ConfirmedChange &change, TimePoint now)
+{
+    if (change.orderedAt && now < *change.orderedAt + kPromotionOrderTimeout)
+        return false;
+    return takeDueCall(change, *change.candidate, kCallRetryInterval, now);
+}
+
+/// Whether the candidate leads since it was to be promoted, be it that the answer of the platform
+/// was lost.
+bool leads(const ConfirmedChange &change, const ConfirmedMember &candidate)
+{
+    // A new primary announces its role immediately, whereas a status query may find no free slot.
+    if (change.promotedAt && candidate.announcedRole == UpstreamRole::Primary)
+        return true;
+    return answeredSince(candidate, change.promotedAt.value_or(change.phaseStartedAt))
+        && candidate.status->role == UpstreamRole::Primary;
+}
+
 void stepPromoting(ConfirmedChange &change, const ConfirmedInput &input, Actions &actions,
                    TimePoint now)
 {
@@ -215,21 +236,19 @@
         startAttempt(change, input, now);
         return;
     }
-    if (!change.promotedAt) {
-        if (takeDueCall(change, *change.candidate, kCallRetryInterval, now))
-            actions.push_back(Promote { *change.candidate, change.epoch });
-        return;
+    if (!change.promotedAt && isOrderDue(change, now)) {
+        change.orderedAt = now;
+        actions.push_back(Promote { *change.candidate, change.epoch });
     }
-    const bool answered = !lost && answeredSince(member->second, *change.promotedAt)
-        && member->second.status->role == UpstreamRole::Primary;
-    // A new primary announces its role immediately, whereas a status query may find no free slot.
-    if (answered || (!lost && member->second.announcedRole == UpstreamRole::Primary)) {
+    if (!lost && leads(change, member->second)) {
         change.times.promoted = now;
         change.times.confirmed = now;
         enterPhase(change, ConfirmedPhase::Publishing, now);
         return;
     }
-    if (takeDueCall(change, UpstreamId(), kPromotionPollInterval, now))
+    const bool justOrdered =
+        !change.promotedAt && change.orderedAt && now < *change.orderedAt + kPromotionPollInterval;
+    if (!justOrdered && takeDueCall(change, UpstreamId(), kPromotionPollInterval, now))
         actions.push_back(QueryStatus { *change.candidate });
 }
 
@@ -339,14 +358,16 @@
                                                                    : ChangeReason::None;
 }
 
-void onPromoteAnswer(ConfirmedChange &change, const UpstreamId &upstream, bool accepted,
-                     TimePoint now)
+void onPromoteAnswer(ConfirmedChange &change, const UpstreamId &upstream, Term epoch,
+                     PromotionOutcome outcome, TimePoint now)
 {
-    if (change.phase != ConfirmedPhase::Promoting || change.candidate != upstream)
+    if (change.phase != ConfirmedPhase::Promoting || change.candidate != upstream
+        || change.epoch != epoch)
         return;
-    if (!accepted)
+    change.orderedAt.reset();
+    if (outcome == PromotionOutcome::Refused)
         change.refusedCandidates.insert(upstream);
-    else if (!change.promotedAt)
+    else if (outcome == PromotionOutcome::Accepted && !change.promotedAt)
         change.promotedAt = now;
 }
 
--- a/src/fleet/confirmed_change_test.cpp
+++ b/src/fleet/confirmed_change_test.cpp
@@ -283,6 +283,16 @@
         }
     }
 
+    /// Goes on until the promotion of kA is ordered.
+    void promote()
+    {
+        reserve();
+        fenceReplicas();
+        m_in.primaryReleased = true;
+        step();
+        ASSERT_NE(find<Promote>(step()), nullptr);
+    }
+
     ConfirmedInput m_in;
     ConfirmedChange m_change;
     TimePoint m_now = kStart;
@@ -330,7 +340,7 @@
     m_in.primaryReleased = true;
     step();
     step();
-    onPromoteAnswer(m_change, kA, true, m_now);
+    onPromoteAnswer(m_change, kA, Term(2), PromotionOutcome::Accepted, m_now);
     EXPECT_EQ(find<Propose>(step()), nullptr);
     m_in.members[kA].announcedRole = UpstreamRole::Primary;
     step();
@@ -342,6 +352,40 @@
     EXPECT_EQ(set.term, Term(2));
 }
 
+// Guards against orders that are under way together: a late one of an earlier epoch takes effect
+// after a later one.
+TEST_F(ConfirmedChangeTest, OneOrderIsUnderWayAtATime)
+{
+    promote();
+    for (TimePoint end = m_now + kPromotionOrderTimeout - 50ms; m_now < end;)
+        EXPECT_EQ(find<Promote>(step()), nullptr);
+    EXPECT_NE(find<Promote>(step()), nullptr);
+    onPromoteAnswer(m_change, kA, Term(2), PromotionOutcome::Unknown, m_now);
+    bool repeated = false;
+    for (int i = 0; i < 6; ++i)
+        repeated = repeated || find<Promote>(step()) != nullptr;
+    EXPECT_TRUE(repeated);
+}
+
+// Guards against taking the answer to the order of an earlier epoch for one to the present order.
+TEST_F(ConfirmedChangeTest, AnswerOfAnEarlierEpochIsIgnored)
+{
+    promote();
+    onPromoteAnswer(m_change, kA, Term(1), PromotionOutcome::Accepted, m_now);
+    EXPECT_FALSE(m_change.promotedAt);
+}
+
+// Guards against a group that stays without a primary because the answer to the promotion was lost.
+TEST_F(ConfirmedChangeTest, PromotionWithoutAnAnswerIsSeenByTheRole)
+{
+    promote();
+    step();
+    m_in.members[kA].status = status(UpstreamRole::Primary, 9);
+    m_in.members[kA].statusAskedAt = m_now;
+    step();
+    EXPECT_EQ(m_change.phase, ConfirmedPhase::Publishing);
+}
+
 // Guards against a candidate that was chosen from fences which have been lost since, by a restart
 // or by a late call of a former controller.
 TEST_F(ConfirmedChangeTest, FencesThatAreNotConfirmedAgainDoNotCount)
@@ -378,7 +422,7 @@
     m_in.primaryReleased = true;
     step();
     step();
-    onPromoteAnswer(m_change, kA, false, m_now);
+    onPromoteAnswer(m_change, kA, Term(2), PromotionOutcome::Refused, m_now);
     step();
     const auto actions = step();
     const auto *propose = find<Propose>(actions);
@@ -421,7 +465,7 @@
     m_in.primaryReleased = true;
     step();
     step();
-    onPromoteAnswer(m_change, kA, true, m_now);
+    onPromoteAnswer(m_change, kA, Term(2), PromotionOutcome::Accepted, m_now);
     m_in.members[kA].incarnation = Incarnation(2);
     m_in.members[kA].announcedRole = UpstreamRole::Primary;
     step();
--- a/src/include/shallotlever/fleet/confirmed_change.h
+++ b/src/include/shallotlever/fleet/confirmed_change.h
@@ -18,6 +18,8 @@
 
 /// A candidate that has not become primary after this time is abandoned.
 constexpr Duration kPromotionTimeout = 5s;
+/// An order to promote that is not answered for this long is withdrawn and given again.
+constexpr Duration kPromotionOrderTimeout = 1s;
 /// Interval of status queries to the candidate during a promotion.
 constexpr Duration kPromotionPollInterval = 100ms;
 /// A fence is confirmed again after kFenceRefreshInterval, and counts no longer than kMaxFenceAge:
@@ -67,6 +69,9 @@
     std::map<UpstreamId, TimePoint> sentAt;
     std::optional<UpstreamId> candidate;
     Incarnation candidateIncarnation;
+    /// When the order that is under way was given.
+    std::optional<TimePoint> orderedAt;
+    /// When the platform accepted the promotion.
     std::optional<TimePoint> promotedAt;
     /// Databases that the platform refused to promote.
     std::set<UpstreamId> refusedCandidates;
@@ -125,10 +130,17 @@
 std::optional<UpstreamId> chooseConfirmedCandidate(const ConfirmedChange &change,
                                                    const ConfirmedInput &input);
 
-/// Records the platform's reply to Promote. `accepted` is false if the platform refused because the
-/// database does not run.
-void onPromoteAnswer(ConfirmedChange &change, const UpstreamId &upstream, bool accepted,
-                     TimePoint now);
+enum class PromotionOutcome : std::uint8_t {
+    Accepted,
+    /// The platform refused because the database does not run.
+    Refused,
+    /// The order was not given, or it is not known whether it has taken effect.
+    Unknown
+};
+
+/// Records the end of the order that was given with Promote.
+void onPromoteAnswer(ConfirmedChange &change, const UpstreamId &upstream, Term epoch,
+                     PromotionOutcome outcome, TimePoint now);
 
 /// Advances the change and returns the actions to execute. Call every 50 ms and after each reply.
 std::vector<ConfirmedAction> stepConfirmedChange(ConfirmedChange &change,
--- a/src/include/shallotlever/proxy/proxy.h
+++ b/src/include/shallotlever/proxy/proxy.h
@@ -122,14 +122,38 @@
     std::unique_ptr<Impl> m_impl;
 };
 
+struct PromotionOrder
+{
+    ServiceId service;
+    UpstreamId upstream;
+    Term epoch;
+    /// After this time without an answer the order is withdrawn.
+    Duration timeout {};
+    CallPermit permit;
+};
+
+/// A promotion that was ordered and not answered yet. Its destruction withdraws it: what has not
+/// reached the platform is discarded, and the callback is not called any more.
+class PendingPromotion
+{
+public:
+    PendingPromotion() = default;
+    virtual ~PendingPromotion() = default;
+    PendingPromotion(const PendingPromotion &) = delete;
+    PendingPromotion &operator=(const PendingPromotion &) = delete;
+};
+
 /// Promotes a database through the platform. The callback receives OK, FailedPrecondition if the
-/// database is not running, or another error if the outcome is unknown.
-using PromoteFunction = std::function<void(const ServiceId &, const UpstreamId &, Term epoch,
-                                           std::function<void(const absl::Status &)>)>;
+/// database is not running, Aborted if the permit had ended and nothing was sent, or another error
+/// if the outcome is unknown. It is called once, from the event loop.
+using PromoteFunction = std::function<std::unique_ptr<PendingPromotion>(
+    const PromotionOrder &, std::function<void(const absl::Status &)>)>;
 
-/// Creates the control calls of a database, sent over a session opened as `user`.
+/// Creates the control calls of a database, sent over a session opened as `user` while `permit`
+/// holds. A call without a permit fails with Aborted.
 UpstreamControl makeSessionControl(const SessionProtocol &protocol, const ServiceId &service,
                                    const UpstreamId &upstream, const Endpoint &endpoint,
-                                   const std::string &user, PromoteFunction promote);
+                                   const std::string &user, PromoteFunction promote,
+                                   CallPermit permit);
 
 } // namespace shallotlever
--- a/src/include/shallotlever/upstream/control.h
+++ b/src/include/shallotlever/upstream/control.h
@@ -30,6 +30,11 @@
 /// INTERNAL: the answer is malformed.
 using StatusCallback = std::function<void(absl::StatusOr<UpstreamStatus>)>;
 
+/// Whether the right to make a call still holds. Asked when the call is about to leave the process,
+/// which may be long after it was decided: a connection has to be opened, or the process stood
+/// still.
+using CallPermit = std::function<bool(TimePoint now)>;
+
 /// Control calls to one database: status, fencing and promotion. Copies share one connection. Calls
 /// run in order. Each callback is called exactly once, from the event loop of the thread that
 /// created the struct, unless all copies are destroyed first.
@@ -40,7 +45,8 @@
     std::function<void(Term, Duration timeout, StatusCallback)> promote;
     /// stepDown and resume are set only for groups that confirm commits themselves (see
     /// ServiceConfig::confirmsCommits). In these groups `promote` takes an epoch instead of a term,
-    /// and the status it returns says only that the promotion was accepted.
+    /// and the status it returns says only that the promotion was accepted. At most one promotion
+    /// is under way: a further one withdraws it, as does the destruction of all copies.
     std::function<void(Term, Duration timeout, StatusCallback)> stepDown;
     std::function<void(Duration timeout, StatusCallback)> resume;
 };
--- a/src/include/shallotlever/wire/socket_options.h
+++ b/src/include/shallotlever/wire/socket_options.h
@@ -19,4 +19,15 @@
     setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &value, sizeof(value));
 }
 
+/// Closing the connection from now on resets it, and discards what has been written and not yet
+/// delivered. By default the operating system goes on delivering it after the close.
+inline void discardUnsentOnClose(const QTcpSocket &socket)
+{
+    const auto descriptor = static_cast<int>(socket.socketDescriptor());
+    if (descriptor < 0)
+        return;
+    const linger immediately { .l_onoff = 1, .l_linger = 0 };
+    setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &immediately, sizeof(immediately));
+}
+
 } // namespace shallotlever
--- a/src/node/controller_host.cpp
+++ b/src/node/controller_host.cpp
@@ -54,7 +54,7 @@
     const bool isController = m_group.isController(now);
     const bool sameTerm = m_controller && m_controller->controlTerm == m_group.member().term();
     if (m_controller && (!isController || !sameTerm))
-        stopController();
+        stopController(now);
     if (isController && !m_controller)
         startController(ownView, now);
     if (m_controller && (m_advanceDue || now >= m_nextAdvance))
@@ -76,11 +76,14 @@
                     { "nodes_unaccounted", m_controller->records.unaccountedProcesses.size() } });
 }
 
-void ControllerHost::stopController()
+void ControllerHost::stopController(TimePoint now)
 {
     m_logger.info("controller_stepped_down",
                   { { "control_term", m_controller->controlTerm.value() } });
     m_controller.reset();
+    for (const auto &[service, promotion] : std::exchange(m_promotions, {}))
+        withdrawPromotion(service, promotion, now);
+    // Withdraws the other calls that are under way.
     m_links.clear();
     for (const Waiter &waiter : std::exchange(m_waiters, {}))
         waiter.callback(ChangeResponse { waiter.result, false, {} });
@@ -139,11 +142,65 @@
 {
     ControlLink &link = m_links[call.upstream];
     if (!link.control.status || link.endpoint != call.endpoint) {
-        link = { call.endpoint, m_makeControl(call.service, call.upstream, call.endpoint) };
+        link = { call.endpoint,
+                 m_makeControl(call.service, call.upstream, call.endpoint, permitOfTerm()) };
     }
     return link.control;
 }
 
+/// The right to call databases and the platform: the leader lease of the present term.
+CallPermit ControllerHost::permitOfTerm() const
+{
+    const std::weak_ptr<bool> alive = m_alive;
+    return [this, alive, term = m_controller->controlTerm](TimePoint now) {
+        return !alive.expired() && m_controller && m_controller->controlTerm == term
+            && m_group.member().term() == term && m_group.isController(now);
+    };
+}
+
+void ControllerHost::promote(const UpstreamCall &call, const StatusCallback &callback,
+                             TimePoint now)
+{
+    // An earlier order must not arrive after this one.
+    if (const auto earlier = m_promotions.find(call.service); earlier != m_promotions.end())
+        withdrawPromotion(call.service, earlier->second, now);
+    m_promotions[call.service] = { call.upstream, call.term, now };
+    logPromotionOrder(call, now);
+    controlOf(call).promote(call.term, kPromotionOrderTimeout, callback);
+}
+
+void ControllerHost::withdrawPromotion(const ServiceId &service, const OrderedPromotion &promotion,
+                                       TimePoint now)
+{
+    if (promotion.answered)
+        return;
+    m_links.erase(promotion.upstream);
+    m_logger.warning("promotion_withdrawn",
+                     { { "service", service.value() },
+                       { "upstream", promotion.upstream.value() },
+                       { "epoch", promotion.epoch.value() },
+                       { "waited_ms", millisecondsBetween(promotion.orderedAt, now) } });
+}
+
+void ControllerHost::noteAnswer(const UpstreamCall &call, const UpstreamAnswer &answer,
+                                TimePoint now)
+{
+    const auto promotion = m_promotions.find(call.service);
+    if (call.kind != CallKind::Promote || promotion == m_promotions.end()
+        || promotion->second.upstream != call.upstream || promotion->second.epoch != call.term)
+        return;
+    promotion->second.answered = true;
+    m_logger.info("promotion_answered",
+                  { { "service", call.service.value() },
+                    { "upstream", call.upstream.value() },
+                    { "epoch", call.term.value() },
+                    { "outcome",
+                      answer.accepted      ? "accepted"
+                          : answer.refused ? "refused"
+                                           : "unknown" },
+                    { "waited_ms", millisecondsBetween(promotion->second.orderedAt, now) } });
+}
+
 void ControllerHost::call(const UpstreamCall &call, TimePoint now)
 {
     const std::weak_ptr<bool> alive = m_alive;
@@ -154,27 +211,28 @@
             return;
         if (!status.ok() && call.kind != CallKind::Status)
             logFailedCall(call, status.status());
-        onUpstreamAnswer(*m_controller, call, upstreamAnswer(call, status), now, monotonicNow());
+        const UpstreamAnswer answer = upstreamAnswer(call, status);
+        const TimePoint answeredAt = monotonicNow();
+        noteAnswer(call, answer, answeredAt);
+        onUpstreamAnswer(*m_controller, call, answer, now, answeredAt);
         m_advanceDue = true;
     };
     logCall(call, now);
-    UpstreamControl &control = controlOf(call);
     switch (call.kind) {
     case CallKind::Status:
-        control.status(kCallTimeout, callback);
+        controlOf(call).status(kCallTimeout, callback);
         break;
     case CallKind::Fence:
-        control.fence(call.term, kCallTimeout, callback);
+        controlOf(call).fence(call.term, kCallTimeout, callback);
         break;
     case CallKind::Promote:
-        logPromotionOrder(call, now);
-        control.promote(call.term, kCallTimeout, callback);
+        promote(call, callback, now);
         break;
     case CallKind::StepDown:
-        control.stepDown(call.term, kCallTimeout, callback);
+        controlOf(call).stepDown(call.term, kCallTimeout, callback);
         break;
     case CallKind::Resume:
-        control.resume(kCallTimeout, callback);
+        controlOf(call).resume(kCallTimeout, callback);
         break;
     }
 }
--- a/src/node/controller_host.h
+++ b/src/node/controller_host.h
@@ -25,9 +25,9 @@
 class ControllerHost
 {
 public:
-    /// Creates the control calls of one database.
-    using MakeControl =
-        std::function<UpstreamControl(const ServiceId &, const UpstreamId &, const Endpoint &)>;
+    /// Creates the control calls of one database. A call leaves only while the permit holds.
+    using MakeControl = std::function<UpstreamControl(const ServiceId &, const UpstreamId &,
+                                                      const Endpoint &, CallPermit)>;
     using ForwardCallback = std::function<void(OperatorReply)>;
 
     /// `group` and `logger` must outlive the host.
@@ -66,6 +66,13 @@
         TimePoint deadline;
         ForwardCallback callback;
     };
+    struct OrderedPromotion
+    {
+        UpstreamId upstream;
+        Term epoch;
+        TimePoint orderedAt;
+        bool answered = false;
+    };
     struct ControlLink
     {
         Endpoint endpoint;
@@ -73,7 +80,7 @@
     };
 
     void startController(const FleetLog &ownView, TimePoint now);
-    void stopController();
+    void stopController(TimePoint now);
     void advance(TimePoint now);
     void checkPredecessorWait(TimePoint now);
     void logTerm();
@@ -84,10 +91,15 @@
     void logFullUpstreams() const;
     void logWaitingChanges(TimePoint now) const;
     void call(const UpstreamCall &call, TimePoint now);
+    void promote(const UpstreamCall &call, const StatusCallback &callback, TimePoint now);
+    void noteAnswer(const UpstreamCall &call, const UpstreamAnswer &answer, TimePoint now);
+    void withdrawPromotion(const ServiceId &service, const OrderedPromotion &promotion,
+                           TimePoint now);
     UpstreamControl &controlOf(const UpstreamCall &call);
+    CallPermit permitOfTerm() const;
+    void propose(const GroupDecision &decision, TimePoint now);
     void logCall(const UpstreamCall &call, TimePoint now) const;
     void logPromotionOrder(const UpstreamCall &call, TimePoint now) const;
-    void propose(const GroupDecision &decision, TimePoint now);
     void logFailedCall(const UpstreamCall &call, const absl::Status &status) const;
     void logPrimaryChange(const CompletedPrimaryChange &changed) const;
     void proposeInstall(const InstallRequest &request, ForwardCallback callback, TimePoint now);
@@ -106,6 +118,8 @@
     LatencyHistogram &m_primaryChangeTime;
     std::optional<ControllerState> m_controller;
     std::map<UpstreamId, ControlLink> m_links;
+    /// The last promotion that was ordered, by service.
+    std::map<ServiceId, OrderedPromotion> m_promotions;
     std::vector<Waiter> m_waiters;
     bool m_reportRequestsDue = false;
     ControlTerm m_loggedTerm;
--- a/src/node/node_impl.h
+++ b/src/node/node_impl.h
@@ -130,7 +130,7 @@
     void adoptControlMembers(const std::vector<NodeId> &members);
     void addGroupMembers();
     UpstreamControl controlOf(const ServiceId &service, const UpstreamId &upstream,
-                              const Endpoint &endpoint) const;
+                              const Endpoint &endpoint, CallPermit permit) const;
 
     // Publication.
     bool applyLease(const NodeLease &lease, TimePoint now);
--- a/src/node/node_start.cpp
+++ b/src/node/node_start.cpp
@@ -206,8 +206,9 @@
                     { "voters", member.membership().voters.size() } });
     m_controller = std::make_unique<ControllerHost>(
         *m_controlGroup, m_logger, m_registry,
-        [this](const ServiceId &service, const UpstreamId &upstream, const Endpoint &endpoint) {
-            return controlOf(service, upstream, endpoint);
+        [this](const ServiceId &service, const UpstreamId &upstream, const Endpoint &endpoint,
+               CallPermit permit) {
+            return controlOf(service, upstream, endpoint, std::move(permit));
         },
         m_settings.idsAreAddresses);
     return absl::OkStatus();
@@ -281,11 +282,11 @@
 }
 
 UpstreamControl Node::Impl::controlOf(const ServiceId &service, const UpstreamId &upstream,
-                                      const Endpoint &endpoint) const
+                                      const Endpoint &endpoint, CallPermit permit) const
 {
     if (m_platform.protocol != nullptr)
         return makeSessionControl(*m_platform.protocol, service, upstream, endpoint,
-                                  m_settings.nodeId.value(), m_platform.promote);
+                                  m_settings.nodeId.value(), m_platform.promote, std::move(permit));
     ConnectionParams params;
     params.endpoint = endpoint;
     params.user = std::string(kControlUser);
--- a/src/proxy/session_control.cpp
+++ b/src/proxy/session_control.cpp
@@ -15,11 +15,15 @@
 class SessionControl : public std::enable_shared_from_this<SessionControl>
 {
 public:
-    SessionControl(const SessionProtocol &protocol, LinkTarget target)
+    SessionControl(const SessionProtocol &protocol, LinkTarget target, CallPermit permit)
         : m_protocol(protocol)
         , m_target(std::move(target))
+        , m_permit(std::move(permit))
     {
     }
+    ~SessionControl();
+    SessionControl(const SessionControl &) = delete;
+    SessionControl &operator=(const SessionControl &) = delete;
 
     void call(std::string text, Duration timeout, StatusCallback callback);
 
@@ -39,6 +43,7 @@
 
     const SessionProtocol &m_protocol;
     LinkTarget m_target;
+    CallPermit m_permit;
     std::unique_ptr<UpstreamLink> m_link;
     /// Number of the current connection; incremented for each new one.
     std::uint64_t m_generation = 0;
@@ -55,6 +60,12 @@
         once(result);
 }
 
+SessionControl::~SessionControl()
+{
+    if (m_link)
+        m_link->discardUnsent();
+}
+
 void SessionControl::call(std::string text, Duration timeout, StatusCallback callback)
 {
     const Call call { std::move(text), std::make_shared<StatusCallback>(std::move(callback)) };
@@ -100,14 +111,18 @@
         if (const auto control = self.lock())
             control->reset();
     };
-    m_link = std::make_unique<UpstreamLink>(m_protocol, m_target, timeout, timeout,
-                                            std::move(callbacks));
+    m_link = std::make_unique<UpstreamLink>(
+        m_protocol, m_target, LinkTimeouts { timeout, timeout, timeout }, std::move(callbacks));
 }
 
 void SessionControl::send(const Call &call)
 {
     if (!*call.callback)
         return;
+    if (!m_permit(monotonicNow())) {
+        finish(call.callback, absl::AbortedError("the right to call has ended"));
+        return;
+    }
     const auto decode = m_protocol.decodeStatus;
     m_link->send(
         "", call.text,
@@ -141,6 +156,8 @@
 /// Destroys the connection from the event loop, because reset() may run in one of its callbacks.
 void SessionControl::reset()
 {
+    if (m_link)
+        m_link->discardUnsent();
     std::shared_ptr<UpstreamLink> old = std::move(m_link);
     QTimer::singleShot(0, [old] {});
 }
@@ -149,10 +166,11 @@
 
 UpstreamControl makeSessionControl(const SessionProtocol &protocol, const ServiceId &service,
                                    const UpstreamId &upstream, const Endpoint &endpoint,
-                                   const std::string &user, PromoteFunction promote)
+                                   const std::string &user, PromoteFunction promote,
+                                   CallPermit permit)
 {
     const auto control = std::make_shared<SessionControl>(
-        protocol, LinkTarget { service, upstream, endpoint, user });
+        protocol, LinkTarget { service, upstream, endpoint, user }, permit);
     const SessionProtocol *encoder = &protocol;
     UpstreamControl calls;
     calls.status = [control, encoder](Duration timeout, StatusCallback callback) {
@@ -167,12 +185,18 @@
     calls.resume = [control, encoder](Duration timeout, StatusCallback callback) {
         control->call(encoder->systemText(SystemStatement::Resume), timeout, std::move(callback));
     };
-    calls.promote = [service, upstream, promote = std::move(promote)](Term epoch, Duration,
-                                                                      const StatusCallback &done) {
-        promote(service, upstream, epoch, [done](const absl::Status &status) {
-            done(status.ok() ? absl::StatusOr<UpstreamStatus>(UpstreamStatus {})
-                             : absl::StatusOr<UpstreamStatus>(status));
-        });
+    // Shared by the copies of `calls`, so that the last one withdraws the order.
+    const auto pending = std::make_shared<std::unique_ptr<PendingPromotion>>();
+    calls.promote = [service, upstream, pending, promote = std::move(promote),
+                     permit = std::move(permit)](Term epoch, Duration timeout,
+                                                 const StatusCallback &done) {
+        // An earlier order must not arrive after this one.
+        pending->reset();
+        *pending = promote({ service, upstream, epoch, timeout, permit },
+                           [done](const absl::Status &status) {
+                               done(status.ok() ? absl::StatusOr<UpstreamStatus>(UpstreamStatus {})
+                                                : absl::StatusOr<UpstreamStatus>(status));
+                           });
     };
     return calls;
 }
--- a/src/proxy/upstream_link.cpp
+++ b/src/proxy/upstream_link.cpp
@@ -9,13 +9,6 @@
 
 namespace shallotlever {
 
-namespace {
-
-/// A connection whose peer acknowledges no data for this long is closed.
-constexpr std::chrono::milliseconds kUserTimeout = 3s;
-
-} // namespace
-
 std::string_view linkOpenFailureName(LinkOpenFailure failure)
 {
     switch (failure) {
@@ -34,11 +27,11 @@
 }
 
 UpstreamLink::UpstreamLink(const SessionProtocol &protocol, const LinkTarget &target,
-                           Duration connectTimeout, Duration handshakeTimeout, Callbacks callbacks)
+                           const LinkTimeouts &timeouts, Callbacks callbacks)
     : m_protocol(protocol)
     , m_target(target)
     , m_callbacks(std::move(callbacks))
-    , m_handshakeTimeout(handshakeTimeout)
+    , m_timeouts(timeouts)
     , m_startedAt(monotonicNow())
     , m_socket(new QTcpSocket)
     , m_lines(std::make_unique<LineSocket>(
@@ -49,7 +42,7 @@
     QObject::connect(m_socket, &QTcpSocket::connected, m_socket, [this] { onConnected(); });
     QObject::connect(&m_openTimer, &QTimer::timeout, &m_openTimer, [this] { onOpenTimeout(); });
     m_openTimer.setSingleShot(true);
-    m_openTimer.start(std::chrono::duration_cast<std::chrono::milliseconds>(connectTimeout));
+    m_openTimer.start(std::chrono::duration_cast<std::chrono::milliseconds>(timeouts.connect));
     m_socket->connectToHost(QHostAddress(QString::fromStdString(target.endpoint.host)),
                             target.endpoint.port);
 }
@@ -58,13 +51,20 @@
 
 void UpstreamLink::onConnected()
 {
-    setUserTimeout(*m_socket, kUserTimeout);
+    setUserTimeout(
+        *m_socket,
+        std::chrono::duration_cast<std::chrono::milliseconds>(m_timeouts.unacknowledged));
     m_roundTrip = monotonicNow() - m_startedAt;
     m_state = State::Handshake;
-    m_openTimer.start(std::chrono::duration_cast<std::chrono::milliseconds>(m_handshakeTimeout));
+    m_openTimer.start(std::chrono::duration_cast<std::chrono::milliseconds>(m_timeouts.handshake));
     m_lines->write(m_protocol.start(m_target.service, m_target.user, m_target.upstream));
 }
 
+void UpstreamLink::discardUnsent()
+{
+    discardUnsentOnClose(*m_socket);
+}
+
 void UpstreamLink::send(std::string_view id, std::string_view text, ReplyCallback callback)
 {
     UpstreamReply reply;
--- a/src/proxy/upstream_link.h
+++ b/src/proxy/upstream_link.h
@@ -59,6 +59,16 @@
     std::string user;
 };
 
+struct LinkTimeouts
+{
+    /// TCP connect.
+    Duration connect {};
+    /// First response of the database.
+    Duration handshake {};
+    /// A connection whose peer acknowledges no data for this long is closed.
+    Duration unacknowledged = 3s;
+};
+
 /// One connection to a database. Requests are pipelined and answered in order.
 class UpstreamLink
 {
@@ -74,15 +84,15 @@
         std::function<void()> closed;
     };
 
-    /// `connectTimeout` limits the TCP connect, `handshakeTimeout` the subsequent response of the
-    /// database.
-    UpstreamLink(const SessionProtocol &protocol, const LinkTarget &target, Duration connectTimeout,
-                 Duration handshakeTimeout, Callbacks callbacks);
+    UpstreamLink(const SessionProtocol &protocol, const LinkTarget &target,
+                 const LinkTimeouts &timeouts, Callbacks callbacks);
     ~UpstreamLink();
     UpstreamLink(const UpstreamLink &) = delete;
     UpstreamLink &operator=(const UpstreamLink &) = delete;
 
     void send(std::string_view id, std::string_view text, ReplyCallback callback);
+    /// The destruction of the link discards requests that have not reached the database.
+    void discardUnsent();
     bool isOpen() const { return m_state == State::Open; }
     std::size_t pending() const { return m_pending.size(); }
     /// Network round trip, measured as the duration of the TCP connect.
@@ -108,7 +118,7 @@
     LinkTarget m_target;
     Callbacks m_callbacks;
     State m_state = State::Connecting;
-    Duration m_handshakeTimeout;
+    LinkTimeouts m_timeouts;
     TimePoint m_startedAt;
     Duration m_roundTrip { 0 };
     std::optional<UpstreamError> m_handshakeError;
