Choose among the longest fenced logs before looking at who can lead

The bound "fewer than k replicas unfenced" says that the longest fenced log holds all commits. The choice first dropped databases that are suspected or leaving and took the longest log of the rest: a replica at 7 instead of a fenced one at 9. Now the log ends of all fenced replicas count. Among the databases that hold everything, a usable one is preferred, then one that isn't the former primary, which was stepped down for a reason; unconfirmed commits of the former primary alone don't make it the candidate.

A suspected or leaving candidate answered the fence, so it runs and is not "lost" while it is ordered; one that becomes so only then is still replaced. A primary that a predecessor promoted is published though it leaves: a fence would never take effect on it.

--- a/src/fleet/confirmed_candidate.cpp
+++ b/src/fleet/confirmed_candidate.cpp
@@ -1,6 +1,7 @@
 #include "confirmed_candidate.h"
 
 #include <algorithm>
+#include <compare>
 
 namespace shallotlever {
 
@@ -19,6 +20,51 @@
             && end >= change.highestPoint);
 }
 
+/// What the fenced databases tell about the log that holds every acknowledged commit.
+struct AcknowledgedBound
+{
+    HistoryPoint longestReplica;
+    /// Every acknowledged commit is on a fenced replica.
+    bool replicasHoldAll = false;
+    /// End of the former primary's log, if it is fenced and has kept it.
+    std::optional<HistoryPoint> primaryEnd;
+
+    /// Whether a fenced log with this end holds every acknowledged commit.
+    bool isReachedBy(const HistoryPoint &end) const
+    {
+        return end >= longestReplica && (replicasHoldAll || (primaryEnd && end >= *primaryEnd));
+    }
+};
+
+AcknowledgedBound acknowledgedBound(const ConfirmedChange &change, const ConfirmedInput &input)
+{
+    AcknowledgedBound bound;
+    for (const auto &[id, member] : input.members) {
+        if (!isFenced(change, input, id, member))
+            continue;
+        if (!isFormerPrimary(input, id))
+            bound.longestReplica = std::max(bound.longestReplica, member.status->point);
+        else if (holdsPrimaryLog(change, input, member))
+            bound.primaryEnd = member.status->point;
+    }
+    const auto unfenced =
+        std::ranges::count_if(unfencedProcesses(change, input), [&](const MemberId &process) {
+            return !isFormerPrimary(input, process.upstream);
+        });
+    // Without confirming replicas no replica is certain to hold a commit, so all must be fenced.
+    bound.replicasHoldAll = unfenced < std::max<std::uint32_t>(input.confirmingReplicas, 1);
+    return bound;
+}
+
+/// Order of preference among databases that hold every acknowledged commit.
+struct CandidateRank
+{
+    bool usable = false;
+    /// The former primary is replaced for a reason.
+    bool isReplica = false;
+    friend auto operator<=>(const CandidateRank &, const CandidateRank &) = default;
+};
+
 } // namespace
 
 bool answeredSince(const ConfirmedMember &member, TimePoint since)
@@ -75,7 +121,7 @@
     return highest;
 }
 
-bool canBecomePrimary(const ConfirmedMember &member)
+bool isUsable(const ConfirmedMember &member)
 {
     return member.state == UpstreamState::Live && !member.leaving;
 }
@@ -83,29 +129,20 @@
 std::optional<UpstreamId> chooseConfirmedCandidate(const ConfirmedChange &change,
                                                    const ConfirmedInput &input)
 {
-    const auto unfenced =
-        std::ranges::count_if(unfencedProcesses(change, input), [&](const MemberId &process) {
-            return !isFormerPrimary(input, process.upstream);
-        });
+    const AcknowledgedBound bound = acknowledgedBound(change, input);
     std::optional<UpstreamId> best;
-    HistoryPoint bestPoint;
-    std::optional<HistoryPoint> primaryEnd;
+    CandidateRank bestRank;
     for (const auto &[id, member] : input.members) {
-        const bool former = isFormerPrimary(input, id);
-        const bool fenced = isFenced(change, input, id, member);
-        if (former && fenced && holdsPrimaryLog(change, input, member))
-            primaryEnd = member.status->point;
-        if (!fenced || !canBecomePrimary(member) || change.refusedCandidates.contains(id))
+        if (!isFenced(change, input, id, member) || !bound.isReachedBy(member.status->point)
+            || change.refusedCandidates.contains(id))
             continue;
-        if (!best || member.status->point > bestPoint) {
+        const CandidateRank rank { isUsable(member), !isFormerPrimary(input, id) };
+        if (!best || rank > bestRank) {
             best = id;
-            bestPoint = member.status->point;
+            bestRank = rank;
         }
     }
-    // Without confirming replicas no replica is certain to hold a commit, so all must be fenced.
-    const bool fencedHoldCommits = unfenced < std::max<std::uint32_t>(input.confirmingReplicas, 1);
-    const bool reachesEnd = primaryEnd && bestPoint >= *primaryEnd;
-    return best && (fencedHoldCommits || reachesEnd) ? best : std::nullopt;
+    return best;
 }
 
 } // namespace shallotlever
--- a/src/fleet/confirmed_candidate.h
+++ b/src/fleet/confirmed_candidate.h
@@ -25,6 +25,7 @@
 /// Highest log end that any process of the group has reported.
 HistoryPoint highestPoint(const ConfirmedInput &input);
 
-bool canBecomePrimary(const ConfirmedMember &member);
+/// Whether the database is expected to go on running: it is neither suspected nor leaving.
+bool isUsable(const ConfirmedMember &member);
 
 } // namespace shallotlever
--- a/src/fleet/confirmed_change.cpp
+++ b/src/fleet/confirmed_change.cpp
@@ -111,7 +111,7 @@
     for (const auto &[id, member] : input.members) {
         if (!isFormerPrimary(input, id) && answeredSince(member, change.phaseStartedAt)
             && member.status->role == UpstreamRole::Primary
-            && newestTermOf(*member.status) == newest && canBecomePrimary(member))
+            && newestTermOf(*member.status) == newest)
             return id;
     }
     return std::nullopt;
@@ -188,7 +188,9 @@
     if (!change.candidate || !input.primaryReleased
         || !(graceElapsed || allLiveFenced(change, input)))
         return;
-    change.candidateIncarnation = input.members.at(*change.candidate).incarnation;
+    const ConfirmedMember &candidate = input.members.at(*change.candidate);
+    change.candidateIncarnation = candidate.incarnation;
+    change.candidateWasUsable = isUsable(candidate);
     change.times.fenced = now;
     enterPhase(change, ConfirmedPhase::Promoting, now);
 }
@@ -197,7 +199,9 @@
                    TimePoint now)
 {
     const auto member = input.members.find(*change.candidate);
-    const bool lost = member == input.members.end() || !canBecomePrimary(member->second);
+    // One that was chosen although it is suspected or leaving still runs: it answered the fence.
+    const bool lost =
+        member == input.members.end() || (change.candidateWasUsable && !isUsable(member->second));
     // A later process under the id lacks what made its predecessor the candidate.
     const bool replaced =
         member != input.members.end() && member->second.incarnation != change.candidateIncarnation;
@@ -250,10 +254,10 @@
             input.group.service, change.epoch, *change.candidate, change.candidateIncarnation } });
 }
 
-bool otherCanBecomePrimary(const ConfirmedInput &input)
+bool otherIsUsable(const ConfirmedInput &input)
 {
     return std::any_of(input.members.begin(), input.members.end(), [&](const auto &item) {
-        return !isFormerPrimary(input, item.first) && canBecomePrimary(item.second);
+        return !isFormerPrimary(input, item.first) && isUsable(item.second);
     });
 }
 
@@ -295,7 +299,7 @@
 {
     return std::ranges::count_if(input.members,
                                  [](const auto &item) {
-                                     return canBecomePrimary(item.second)
+                                     return isUsable(item.second)
                                          && item.second.announcedRole == UpstreamRole::Primary;
                                  })
         == 1;
@@ -317,7 +321,7 @@
     // Another process under the id may lack the commits that the one in office acknowledged.
     if (heard && !isInOffice(input, primary->second))
         return ChangeReason::Restarted;
-    if (!otherCanBecomePrimary(input))
+    if (!otherIsUsable(input))
         return ChangeReason::None;
     // A primary that has not announced itself since the controller's election has not said that it
     // leaves.
--- a/src/include/shallotlever/fleet/confirmed_change.h
+++ b/src/include/shallotlever/fleet/confirmed_change.h
@@ -61,6 +61,8 @@
     std::map<UpstreamId, TimePoint> sentAt;
     std::optional<UpstreamId> candidate;
     Incarnation candidateIncarnation;
+    /// The candidate was neither suspected nor leaving when it was chosen.
+    bool candidateWasUsable = true;
     std::optional<TimePoint> promotedAt;
     /// Databases that the platform refused to promote.
     std::set<UpstreamId> refusedCandidates;
@@ -114,6 +116,10 @@
 /// commits. If fewer than `confirmingReplicas` replicas are unfenced, every acknowledged commit is
 /// on a fenced replica, and the longest log among the fenced ones holds them all. Otherwise the
 /// former primary must be fenced as well, and the candidate's log must reach the end of its log.
+/// In both cases the candidate's log is as long as that of each fenced replica, whether or not that
+/// replica can be promoted. Commits that only the former primary holds were not acknowledged.
+/// Among the databases that qualify, one that is neither suspected nor leaving is preferred, then
+/// one that is not the former primary. One that was refused lately is not chosen.
 /// A recorded process counts as unfenced until it is heard: a later process under its id holds
 /// nothing of what it confirmed.
 std::optional<UpstreamId> chooseConfirmedCandidate(const ConfirmedChange &change,
