Ask a database again whose promotion was refused once

A refusal may only mean that the database did not run at that moment. It excluded the database for the whole change, so that a shorter log was promoted. Refusals are now kept by process and forgotten after kRefusedPromotionRetryInterval (500 ms); each new attempt needs a new answer to the fence anyway. Meanwhile another database with the same log is promoted, or the change waits.

A waiting change names each process with its reason, unfenced or refused, in primary_change_waits, in the status and in the operator's table.

--- a/src/controller/group_control_test.cpp
+++ b/src/controller/group_control_test.cpp
@@ -130,8 +130,10 @@
     EXPECT_FALSE(promotes(20s));
     const GroupControl &group = m_controller.groups.at(ServiceId("s"));
     EXPECT_EQ(group.confirmed.reason, ChangeReason::Suspected);
-    const std::vector<MemberId> awaited { { UpstreamId("p"), Incarnation(1) },
-                                          { UpstreamId("r"), Incarnation(1) } };
+    const std::vector<AwaitedProcess> awaited {
+        { { UpstreamId("p"), Incarnation(1) }, AwaitReason::Unfenced },
+        { { UpstreamId("r"), Incarnation(1) }, AwaitReason::Unfenced }
+    };
     EXPECT_EQ(group.confirmed.awaited, awaited);
 }
 
--- a/src/fleet/confirmed_candidate.cpp
+++ b/src/fleet/confirmed_candidate.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <compare>
+#include <set>
 
 namespace shallotlever {
 
@@ -126,6 +127,33 @@
     return member.state == UpstreamState::Live && !member.leaving;
 }
 
+std::vector<AwaitedProcess> awaitedProcesses(const ConfirmedChange &change,
+                                             const ConfirmedInput &input)
+{
+    std::vector<AwaitedProcess> awaited;
+    for (const MemberId &process : unfencedProcesses(change, input))
+        awaited.push_back({ process, AwaitReason::Unfenced });
+    const AcknowledgedBound bound = acknowledgedBound(change, input);
+    for (const auto &[id, member] : input.members) {
+        const MemberId process { id, member.incarnation };
+        if (isFenced(change, input, id, member) && bound.isReachedBy(member.status->point)
+            && change.refusedCandidates.contains(process))
+            awaited.push_back({ process, AwaitReason::Refused });
+    }
+    return awaited;
+}
+
+std::string_view awaitReasonName(AwaitReason reason)
+{
+    switch (reason) {
+    case AwaitReason::Unfenced:
+        return "unfenced";
+    case AwaitReason::Refused:
+        return "refused";
+    }
+    return "unfenced";
+}
+
 std::optional<UpstreamId> chooseConfirmedCandidate(const ConfirmedChange &change,
                                                    const ConfirmedInput &input)
 {
@@ -134,7 +162,7 @@
     CandidateRank bestRank;
     for (const auto &[id, member] : input.members) {
         if (!isFenced(change, input, id, member) || !bound.isReachedBy(member.status->point)
-            || change.refusedCandidates.contains(id))
+            || change.refusedCandidates.contains({ id, member.incarnation }))
             continue;
         const CandidateRank rank { isUsable(member), !isFormerPrimary(input, id) };
         if (!best || rank > bestRank) {
--- a/src/fleet/confirmed_candidate.h
+++ b/src/fleet/confirmed_candidate.h
@@ -28,4 +28,9 @@
 /// Whether the database is expected to go on running: it is neither suspected nor leaving.
 bool isUsable(const ConfirmedMember &member);
 
+/// Returns the processes without which no database can be promoted: those that are unfenced, and
+/// those that hold all commits but were refused lately.
+std::vector<AwaitedProcess> awaitedProcesses(const ConfirmedChange &change,
+                                             const ConfirmedInput &input);
+
 } // namespace shallotlever
--- a/src/fleet/confirmed_candidate_test.cpp
+++ b/src/fleet/confirmed_candidate_test.cpp
@@ -175,6 +175,48 @@
     std::set<UpstreamId> m_silent;
 };
 
+// Guards against a shorter log that is promoted because the platform once refused the database with
+// the longest one.
+TEST_F(LongestHolder, IsAskedAgainAfterARefusal)
+{
+    auto order = nextOrder(5s);
+    ASSERT_TRUE(order);
+    EXPECT_EQ(order->upstream, kB);
+    const Term refused = order->term;
+    onPromoteAnswer(m_change, kB, false, m_now);
+    order = nextOrder(5s);
+    ASSERT_TRUE(order);
+    EXPECT_EQ(order->upstream, kB);
+    EXPECT_GT(order->term, refused);
+}
+
+// Guards against an operator who isn't told that a change waits for a database that the platform
+// refuses to promote.
+TEST_F(LongestHolder, IsNamedWhileItIsRefused)
+{
+    ASSERT_TRUE(nextOrder(5s));
+    onPromoteAnswer(m_change, kB, false, m_now);
+    EXPECT_FALSE(nextOrder(kRefusedPromotionRetryInterval - 50ms));
+    const std::vector<AwaitedProcess> awaited {
+        { { kPrimary, Incarnation() }, AwaitReason::Unfenced },
+        { { kB, Incarnation() }, AwaitReason::Refused },
+    };
+    EXPECT_EQ(m_change.awaited, awaited);
+}
+
+// Guards against a wait for a database that is refused while another one holds all commits.
+TEST_F(LongestHolder, IsNotAwaitedIfAnotherHoldsTheSame)
+{
+    m_in.members[kA].status = status(kReplica, 9);
+    auto order = nextOrder(5s);
+    ASSERT_TRUE(order);
+    const UpstreamId refused = order->upstream;
+    onPromoteAnswer(m_change, refused, false, m_now);
+    order = nextOrder(kRefusedPromotionRetryInterval - 50ms);
+    ASSERT_TRUE(order);
+    EXPECT_NE(order->upstream, refused);
+}
+
 // Guards against a change that starts over for ever instead of promoting a database which runs
 // although it is suspected or leaving.
 TEST_F(LongestHolder, IsOrderedWhileSuspectedOrLeaving)
--- a/src/fleet/confirmed_change.cpp
+++ b/src/fleet/confirmed_change.cpp
@@ -135,6 +135,13 @@
     }
 }
 
+void forgetRefusals(ConfirmedChange &change, TimePoint now)
+{
+    std::erase_if(change.refusedCandidates, [&](const auto &refusal) {
+        return now >= refusal.second + kRefusedPromotionRetryInterval;
+    });
+}
+
 bool allLiveFenced(const ConfirmedChange &change, const ConfirmedInput &input)
 {
     return std::all_of(input.members.begin(), input.members.end(), [&](const auto &item) {
@@ -182,8 +189,10 @@
         return;
     }
     fenceMembers(change, input, actions, now);
+    forgetRefusals(change, now);
     change.candidate = chooseConfirmedCandidate(change, input);
-    change.awaited = change.candidate ? std::vector<MemberId>() : unfencedProcesses(change, input);
+    change.awaited =
+        change.candidate ? std::vector<AwaitedProcess>() : awaitedProcesses(change, input);
     const bool graceElapsed = now >= change.phaseStartedAt + kFenceGrace;
     if (!change.candidate || !input.primaryReleased
         || !(graceElapsed || allLiveFenced(change, input)))
@@ -205,7 +214,8 @@
     // A later process under the id lacks what made its predecessor the candidate.
     const bool replaced =
         member != input.members.end() && member->second.incarnation != change.candidateIncarnation;
-    const bool refused = change.refusedCandidates.contains(*change.candidate);
+    const bool refused =
+        change.refusedCandidates.contains({ *change.candidate, change.candidateIncarnation });
     if (refused || replaced || now >= change.phaseStartedAt + kPromotionTimeout
         || (lost && !change.promotedAt)) {
         startAttempt(change, input, now);
@@ -341,7 +351,7 @@
     if (change.phase != ConfirmedPhase::Promoting || change.candidate != upstream)
         return;
     if (!accepted)
-        change.refusedCandidates.insert(upstream);
+        change.refusedCandidates[{ upstream, change.candidateIncarnation }] = now;
     else if (!change.promotedAt)
         change.promotedAt = now;
 }
--- a/src/include/shallotlever/fleet/confirmed_change.h
+++ b/src/include/shallotlever/fleet/confirmed_change.h
@@ -3,7 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -18,6 +18,9 @@
 
 /// A candidate that has not become primary after this time is abandoned.
 constexpr Duration kPromotionTimeout = 5s;
+/// A database whose promotion was refused, which may only mean that it did not run at that moment,
+/// is not ordered to lead again before this time.
+constexpr Duration kRefusedPromotionRetryInterval = 500ms;
 /// Interval of status queries to the candidate during a promotion.
 constexpr Duration kPromotionPollInterval = 100ms;
 /// In a planned change, time for in-flight commits to complete after nodes stopped using the
@@ -45,6 +48,23 @@
     TimePoint statusAskedAt;
 };
 
+enum class AwaitReason : std::uint8_t {
+    /// It may still accept commits, or took those that it confirmed with it.
+    Unfenced,
+    /// It holds all commits, and the platform refused to promote it.
+    Refused,
+};
+
+std::string_view awaitReasonName(AwaitReason reason);
+
+/// A process without which a change of primary can't go on.
+struct AwaitedProcess
+{
+    MemberId process;
+    AwaitReason reason = AwaitReason::Unfenced;
+    friend bool operator==(const AwaitedProcess &, const AwaitedProcess &) = default;
+};
+
 struct ConfirmedChange
 {
     ConfirmedPhase phase = ConfirmedPhase::Idle;
@@ -64,8 +84,9 @@
     /// The candidate was neither suspected nor leaving when it was chosen.
     bool candidateWasUsable = true;
     std::optional<TimePoint> promotedAt;
-    /// Databases that the platform refused to promote.
-    std::set<UpstreamId> refusedCandidates;
+    /// Processes that the platform refused to promote within kRefusedPromotionRetryInterval, and
+    /// when.
+    std::map<MemberId, TimePoint> refusedCandidates;
     std::uint32_t attempts = 0;
     /// Since when the primary has reported the replica role.
     std::optional<TimePoint> demotedSince;
@@ -74,8 +95,8 @@
     TimePoint lastReplicationProgressAt;
     /// Highest log end that a process has reported since the last change.
     HistoryPoint highestPoint;
-    /// While fencing without a candidate: the processes whose fence or return is waited for.
-    std::vector<MemberId> awaited;
+    /// While fencing without a candidate: the processes that are waited for.
+    std::vector<AwaitedProcess> awaited;
     ChangeTimes times;
 };
 
--- a/src/node/controller_log.cpp
+++ b/src/node/controller_log.cpp
@@ -92,9 +92,10 @@
             || ++logged > kMaxShareLogLines)
             continue;
         std::string awaited;
-        for (const MemberId &process : change.awaited)
-            awaited += fmt::format("{}{}/{}", awaited.empty() ? "" : " ", process.upstream.value(),
-                                   process.incarnation.value());
+        for (const auto &[process, reason] : change.awaited)
+            awaited +=
+                fmt::format("{}{}/{}/{}", awaited.empty() ? "" : " ", process.upstream.value(),
+                            process.incarnation.value(), awaitReasonName(reason));
         m_logger.warning("primary_change_waits",
                          { { "service", service.value() },
                            { "awaited", awaited },
--- a/src/node/status_document.cpp
+++ b/src/node/status_document.cpp
@@ -81,6 +81,13 @@
              { "incarnation", QString::number(process.incarnation.value()) } };
 }
 
+QJsonObject awaitedObject(const MemberId &process, AwaitReason reason)
+{
+    QJsonObject object = processObject(process);
+    object.insert("reason", QString::fromStdString(std::string(awaitReasonName(reason))));
+    return object;
+}
+
 /// The recorded members of a group, and the processes for which its change of primary waits.
 QJsonObject memberObject(const GroupState &state, const ControllerState &controller, TimePoint now)
 {
@@ -93,8 +100,8 @@
         return object;
     const ConfirmedChange &change = group->second.confirmed;
     QJsonArray awaited;
-    for (const MemberId &process : change.awaited)
-        awaited.append(processObject(process));
+    for (const auto &[process, reason] : change.awaited)
+        awaited.append(awaitedObject(process, reason));
     object.insert("awaited", awaited);
     object.insert("awaited_ms",
                   static_cast<qint64>(std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/src/operator/query_commands.cpp
+++ b/src/operator/query_commands.cpp
@@ -119,9 +119,15 @@
 QString processNames(const QJsonArray &processes)
 {
     QStringList names;
-    for (const QJsonValue &process : processes)
-        names << QStringLiteral("%1/%2").arg(process[QLatin1String("id")].toString(),
-                                             process[QLatin1String("incarnation")].toString());
+    for (const QJsonValue &process : processes) {
+        QString name =
+            QStringLiteral("%1/%2").arg(process[QLatin1String("id")].toString(),
+                                        process[QLatin1String("incarnation")].toString());
+        const QString reason = process[QLatin1String("reason")].toString();
+        if (!reason.isEmpty())
+            name += QLatin1Char('/') + reason;
+        names << name;
+    }
     return names.join(QLatin1Char(' '));
 }
 
