Model a replica that is passed over because it can't be promoted

group_members.pml gets the broken variant SKIP_UNUSABLE: one replica is suspected or leaving, and its log isn't looked at.

--- a/testsuite/model/group_members.pml
+++ b/testsuite/model/group_members.pml
@@ -8,6 +8,7 @@
  *   REBORN_HOLDS             a replica that started again counts for its predecessor
  *   LEAVE_AT_ONCE            an ended member leaves before others hold its commits
  *   REBORN_PRIMARY_IN_OFFICE the log of a primary that started again counts as the primary's
+ *   SKIP_UNUSABLE            the log of a replica that is suspected or leaving is not looked at
  */
 #ifndef LENGTH
 #define LENGTH 2
@@ -52,7 +53,15 @@
 #endif
 #endif
 
-#define LONGEST(i, j) (!heard[j] || !fenced[j] || length[i] >= length[j])
+/* One replica may be suspected or leaving. It is promoted like any other. */
+#ifdef SKIP_UNUSABLE
+byte unusable;
+#define USABLE(i) (unusable != i)
+#else
+#define USABLE(i) true
+#endif
+
+#define LONGEST(i, j) (!heard[j] || !fenced[j] || !USABLE(j) || length[i] >= length[j])
 
 /* Whether the primary's log is known to be the whole one, and to end. */
 #ifdef REBORN_PRIMARY_IN_OFFICE
@@ -65,6 +74,9 @@
 active proctype group()
 {
     byte i;
+#ifdef SKIP_UNUSABLE
+    select(unusable : 0 .. 2);
+#endif
     do
     :: promoted -> break
     /* The primary. */
@@ -101,13 +113,15 @@
                 barrierKnown[1] = false; barrierKnown[2] = false }
     :: atomic { !changing -> changing = true }
     :: atomic { changing && heard[0] && up -> leads = false }
-    :: atomic { (changing && !promoted && heard[1] && fenced[1] && LONGEST(1, 2)
+    :: atomic { (changing && !promoted && heard[1] && fenced[1] && USABLE(1) && LONGEST(1, 2)
                 && ((!UNFENCED(1) && !UNFENCED(2)) || (PRIMARY_LOG && length[1] >= length[0]))) ->
                 promote(1) }
-    :: atomic { (changing && !promoted && heard[2] && fenced[2] && LONGEST(2, 1)
+    :: atomic { (changing && !promoted && heard[2] && fenced[2] && USABLE(2) && LONGEST(2, 1)
                 && ((!UNFENCED(1) && !UNFENCED(2)) || (PRIMARY_LOG && length[2] >= length[0]))) ->
                 promote(2) }
-    :: atomic { changing && !promoted && PRIMARY_LOG && LONGEST(0, 1) && LONGEST(0, 2) ->
+    :: atomic { (changing && !promoted && heard[0] && up && !leads
+                && LONGEST(0, 1) && LONGEST(0, 2)
+                && ((!UNFENCED(1) && !UNFENCED(2)) || PRIMARY_LOG)) ->
                 promote(0) }
     od
 }
