--- a/src/fleet/confirmed_change.cpp
+++ b/src/fleet/confirmed_change.cpp
@@ -118,7 +118,7 @@
     for (const auto &[id, member] : input.members) {
         if (!isFormerPrimary(input, id) && answeredSince(member, change.phaseStartedAt)
             && member.status->role == UpstreamRole::Primary
-            && newestTermOf(*member.status) == newest && canBecomePrimary(member))
+            && newestTermOf(*member.status) == newest)
             return id;
     }
     return std::nullopt;
@@ -143,6 +143,13 @@
     }
 }
 
+void forgetRefusals(ConfirmedChange &change, TimePoint now)
+{
+    std::erase_if(change.refusedCandidates, [&](const auto &refusal) {
+        return now >= refusal.second + kRefusedPromotionRetryInterval;
+    });
+}
+
 bool allLiveFenced(const ConfirmedChange &change, const ConfirmedInput &input)
 {
     return std::all_of(input.members.begin(), input.members.end(), [&](const auto &item) {
@@ -191,13 +198,17 @@
     }
     change.fencesSince = now - kMaxFenceAge;
     fenceMembers(change, input, actions, now);
+    forgetRefusals(change, now);
     change.candidate = chooseConfirmedCandidate(change, input);
-    change.awaited = change.candidate ? std::vector<MemberId>() : unfencedProcesses(change, input);
+    change.awaited =
+        change.candidate ? std::vector<AwaitedProcess>() : awaitedProcesses(change, input);
     const bool graceElapsed = now >= change.phaseStartedAt + kFenceGrace;
     if (!change.candidate || !input.primaryReleased
         || !(graceElapsed || allLiveFenced(change, input)))
         return;
-    change.candidateIncarnation = input.members.at(*change.candidate).incarnation;
+    const ConfirmedMember &candidate = input.members.at(*change.candidate);
+    change.candidateIncarnation = candidate.incarnation;
+    change.candidateWasUsable = isUsable(candidate);
     change.times.fenced = now;
     enterPhase(change, ConfirmedPhase::Promoting, now);
 }
@@ -226,11 +237,14 @@
                    TimePoint now)
 {
     const auto member = input.members.find(*change.candidate);
-    const bool lost = member == input.members.end() || !canBecomePrimary(member->second);
+    // One that was chosen although it is suspected or leaving still runs: it answered the fence.
+    const bool lost =
+        member == input.members.end() || (change.candidateWasUsable && !isUsable(member->second));
     // A later process under the id lacks what made its predecessor the candidate.
     const bool replaced =
         member != input.members.end() && member->second.incarnation != change.candidateIncarnation;
-    const bool refused = change.refusedCandidates.contains(*change.candidate);
+    const bool refused =
+        change.refusedCandidates.contains({ *change.candidate, change.candidateIncarnation });
     if (refused || replaced || now >= change.phaseStartedAt + kPromotionTimeout
         || (lost && !change.promotedAt)) {
         startAttempt(change, input, now);
@@ -277,10 +291,10 @@
             input.group.service, change.epoch, *change.candidate, change.candidateIncarnation } });
 }
 
-bool otherCanBecomePrimary(const ConfirmedInput &input)
+bool otherIsUsable(const ConfirmedInput &input)
 {
     return std::any_of(input.members.begin(), input.members.end(), [&](const auto &item) {
-        return !isFormerPrimary(input, item.first) && canBecomePrimary(item.second);
+        return !isFormerPrimary(input, item.first) && isUsable(item.second);
     });
 }
 
@@ -322,7 +336,7 @@
 {
     return std::ranges::count_if(input.members,
                                  [](const auto &item) {
-                                     return canBecomePrimary(item.second)
+                                     return isUsable(item.second)
                                          && item.second.announcedRole == UpstreamRole::Primary;
                                  })
         == 1;
@@ -344,7 +358,7 @@
     // Another process under the id may lack the commits that the one in office acknowledged.
     if (heard && !isInOffice(input, primary->second))
         return ChangeReason::Restarted;
-    if (!otherCanBecomePrimary(input))
+    if (!otherIsUsable(input))
         return ChangeReason::None;
     // A primary that has not announced itself since the controller's election has not said that it
     // leaves.
@@ -366,7 +380,7 @@
         return;
     change.orderedAt.reset();
     if (outcome == PromotionOutcome::Refused)
-        change.refusedCandidates.insert(upstream);
+        change.refusedCandidates[{ upstream, change.candidateIncarnation }] = now;
     else if (outcome == PromotionOutcome::Accepted && !change.promotedAt)
         change.promotedAt = now;
 }
