--- a/src/fleet/confirmed_change.cpp
+++ b/src/fleet/confirmed_change.cpp
@@ -46,6 +46,7 @@
 {
     change.epoch = input.group.reservedTerm.next();
     change.candidate.reset();
+    change.orderedAt.reset();
     change.promotedAt.reset();
     change.primaryReleasedAt.reset();
     change.fenceTerm = Term();
@@ -88,6 +89,12 @@
     }
 }
 
+/// A change that a predecessor began relies on its fences, and its calls may still be under way.
+bool mayCleanUpRoles(const ConfirmedInput &input)
+{
+    return input.registryComplete && input.group.reservedTerm == input.group.term;
+}
+
 void stepReserving(ConfirmedChange &change, const ConfirmedInput &input, Actions &actions,
                    TimePoint now)
 {
@@ -111,7 +118,7 @@
     for (const auto &[id, member] : input.members) {
         if (!isFormerPrimary(input, id) && answeredSince(member, change.phaseStartedAt)
             && member.status->role == UpstreamRole::Primary
-            && newestTermOf(*member.status) == newest && canBecomePrimary(member))
+            && newestTermOf(*member.status) == newest)
             return id;
     }
     return std::nullopt;
@@ -125,8 +132,9 @@
         change.sentAt.clear();
     change.fenceTerm = std::max(change.fenceTerm, newestTerm(input).next());
     for (const auto &[id, member] : input.members) {
-        if (isFenced(change, input, id, member)
-            || !takeDueCall(change, id, kCallRetryInterval, now))
+        const bool confirmed = isFenced(change, input, id, member)
+            && now < member.statusAskedAt + kFenceRefreshInterval;
+        if (confirmed || !takeDueCall(change, id, kCallRetryInterval, now))
             continue;
         if (isFormerPrimary(input, id))
             actions.push_back(StepDown { id, change.fenceTerm });
@@ -135,6 +143,13 @@
     }
 }
 
+void forgetRefusals(ConfirmedChange &change, TimePoint now)
+{
+    std::erase_if(change.refusedCandidates, [&](const auto &refusal) {
+        return now >= refusal.second + kRefusedPromotionRetryInterval;
+    });
+}
+
 bool allLiveFenced(const ConfirmedChange &change, const ConfirmedInput &input)
 {
     return std::all_of(input.members.begin(), input.members.end(), [&](const auto &item) {
@@ -181,47 +196,73 @@
         queryMembers(change, input, actions, now);
         return;
     }
+    change.fencesSince = now - kMaxFenceAge;
     fenceMembers(change, input, actions, now);
+    forgetRefusals(change, now);
     change.candidate = chooseConfirmedCandidate(change, input);
-    change.awaited = change.candidate ? std::vector<MemberId>() : unfencedProcesses(change, input);
+    change.awaited =
+        change.candidate ? std::vector<AwaitedProcess>() : awaitedProcesses(change, input);
     const bool graceElapsed = now >= change.phaseStartedAt + kFenceGrace;
     if (!change.candidate || !input.primaryReleased
         || !(graceElapsed || allLiveFenced(change, input)))
         return;
-    change.candidateIncarnation = input.members.at(*change.candidate).incarnation;
+    const ConfirmedMember &candidate = input.members.at(*change.candidate);
+    change.candidateIncarnation = candidate.incarnation;
+    change.candidateWasUsable = isUsable(candidate);
     change.times.fenced = now;
     enterPhase(change, ConfirmedPhase::Promoting, now);
 }
 
+/// Only one order is under way at a time: orders given together may arrive in any order, and each
+/// may take effect later.
+bool isOrderDue(ConfirmedChange &change, TimePoint now)
+{
+    if (change.orderedAt && now < *change.orderedAt + kPromotionOrderTimeout)
+        return false;
+    return takeDueCall(change, *change.candidate, kCallRetryInterval, now);
+}
+
+/// Whether the candidate leads since it was to be promoted, be it that the answer of the platform
+/// was lost.
+bool leads(const ConfirmedChange &change, const ConfirmedMember &candidate)
+{
+    // A new primary announces its role immediately, whereas a status query may find no free slot.
+    if (change.promotedAt && candidate.announcedRole == UpstreamRole::Primary)
+        return true;
+    return answeredSince(candidate, change.promotedAt.value_or(change.phaseStartedAt))
+        && candidate.status->role == UpstreamRole::Primary;
+}
+
 void stepPromoting(ConfirmedChange &change, const ConfirmedInput &input, Actions &actions,
                    TimePoint now)
 {
     const auto member = input.members.find(*change.candidate);
-    const bool lost = member == input.members.end() || !canBecomePrimary(member->second);
+    // One that was chosen although it is suspected or leaving still runs: it answered the fence.
+    const bool lost =
+        member == input.members.end() || (change.candidateWasUsable && !isUsable(member->second));
     // A later process under the id lacks what made its predecessor the candidate.
     const bool replaced =
         member != input.members.end() && member->second.incarnation != change.candidateIncarnation;
-    const bool refused = change.refusedCandidates.contains(*change.candidate);
+    const bool refused =
+        change.refusedCandidates.contains({ *change.candidate, change.candidateIncarnation });
     if (refused || replaced || now >= change.phaseStartedAt + kPromotionTimeout
         || (lost && !change.promotedAt)) {
         startAttempt(change, input, now);
         return;
     }
-    if (!change.promotedAt) {
-        if (takeDueCall(change, *change.candidate, kCallRetryInterval, now))
-            actions.push_back(Promote { *change.candidate, change.epoch });
-        return;
+    if (!change.promotedAt && isOrderDue(change, now)) {
+        change.orderedAt = now;
+        actions.push_back(Promote { *change.candidate, change.epoch });
     }
-    const bool answered = !lost && answeredSince(member->second, *change.promotedAt)
-        && member->second.status->role == UpstreamRole::Primary;
-    // A new primary announces its role immediately, whereas a status query may find no free slot.
-    if (answered || (!lost && member->second.announcedRole == UpstreamRole::Primary)) {
+    if (!lost && leads(change, member->second)) {
         change.times.promoted = now;
         change.times.confirmed = now;
         enterPhase(change, ConfirmedPhase::Publishing, now);
         return;
     }
-    if (takeDueCall(change, UpstreamId(), kPromotionPollInterval, now))
+    const bool justOrdered =
+        !change.promotedAt && change.orderedAt && now < *change.orderedAt + kPromotionPollInterval;
+    if (!justOrdered && takeDueCall(change, UpstreamId(), kPromotionPollInterval, now))
         actions.push_back(QueryStatus { *change.candidate });
 }
 
@@ -250,10 +291,10 @@
             input.group.service, change.epoch, *change.candidate, change.candidateIncarnation } });
 }
 
-bool otherCanBecomePrimary(const ConfirmedInput &input)
+bool otherIsUsable(const ConfirmedInput &input)
 {
     return std::any_of(input.members.begin(), input.members.end(), [&](const auto &item) {
-        return !isFormerPrimary(input, item.first) && canBecomePrimary(item.second);
+        return !isFormerPrimary(input, item.first) && isUsable(item.second);
     });
 }
 
@@ -295,7 +336,7 @@
 {
     return std::ranges::count_if(input.members,
                                  [](const auto &item) {
-                                     return canBecomePrimary(item.second)
+                                     return isUsable(item.second)
                                          && item.second.announcedRole == UpstreamRole::Primary;
                                  })
         == 1;
@@ -317,7 +358,7 @@
     // Another process under the id may lack the commits that the one in office acknowledged.
     if (heard && !isInOffice(input, primary->second))
         return ChangeReason::Restarted;
-    if (!otherCanBecomePrimary(input))
+    if (!otherIsUsable(input))
         return ChangeReason::None;
     // A primary that has not announced itself since the controller's election has not said that it
     // leaves.
@@ -331,14 +372,16 @@
                                                                    : ChangeReason::None;
 }
 
-void onPromoteAnswer(ConfirmedChange &change, const UpstreamId &upstream, bool accepted,
-                     TimePoint now)
+void onPromoteAnswer(ConfirmedChange &change, const UpstreamId &upstream, Term epoch,
+                     PromotionOutcome outcome, TimePoint now)
 {
-    if (change.phase != ConfirmedPhase::Promoting || change.candidate != upstream)
+    if (change.phase != ConfirmedPhase::Promoting || change.candidate != upstream
+        || change.epoch != epoch)
         return;
-    if (!accepted)
-        change.refusedCandidates.insert(upstream);
-    else if (!change.promotedAt)
+    change.orderedAt.reset();
+    if (outcome == PromotionOutcome::Refused)
+        change.refusedCandidates[{ upstream, change.candidateIncarnation }] = now;
+    else if (outcome == PromotionOutcome::Accepted && !change.promotedAt)
         change.promotedAt = now;
 }
 
@@ -351,7 +394,7 @@
         const ChangeReason reason = confirmedChangeDue(change, input, now);
         if (reason != ChangeReason::None)
             beginChange(change, input, reason, now);
-        else if (input.group.primary)
+        else if (input.group.primary && mayCleanUpRoles(input))
             cleanUpRoles(change, input, actions, now);
         break;
     }
--- a/src/include/shallotlever/fleet/confirmed_change.h
+++ b/src/include/shallotlever/fleet/confirmed_change.h
@@ -3,7 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -18,8 +18,17 @@
 
 /// A candidate that has not become primary after this time is abandoned.
 constexpr Duration kPromotionTimeout = 5s;
+/// A database whose promotion was refused, which may only mean that it did not run at that moment,
+/// is not ordered to lead again before this time.
+constexpr Duration kRefusedPromotionRetryInterval = 500ms;
+/// An order to promote that is not answered for this long is withdrawn and given again.
+constexpr Duration kPromotionOrderTimeout = 1s;
 /// Interval of status queries to the candidate during a promotion.
 constexpr Duration kPromotionPollInterval = 100ms;
+/// A fence is confirmed again after kFenceRefreshInterval, and counts no longer than kMaxFenceAge:
+/// a database that restarts loses it.
+constexpr Duration kFenceRefreshInterval = 250ms;
+constexpr Duration kMaxFenceAge = 750ms;
 /// In a planned change, time for in-flight commits to complete after nodes stopped using the
 /// primary.
 constexpr Duration kQuiescePeriod = 60ms;
@@ -45,6 +54,23 @@
     TimePoint statusAskedAt;
 };
 
+enum class AwaitReason : std::uint8_t {
+    /// It may still accept commits, or took those that it confirmed with it.
+    Unfenced,
+    /// It holds all commits, and the platform refused to promote it.
+    Refused,
+};
+
+std::string_view awaitReasonName(AwaitReason reason);
+
+/// A process without which a change of primary can't go on.
+struct AwaitedProcess
+{
+    MemberId process;
+    AwaitReason reason = AwaitReason::Unfenced;
+    friend bool operator==(const AwaitedProcess &, const AwaitedProcess &) = default;
+};
+
 struct ConfirmedChange
 {
     ConfirmedPhase phase = ConfirmedPhase::Idle;
@@ -58,12 +84,20 @@
     /// Term of the fence, above every term the databases have reported. A fenced database no longer
     /// follows the former primary.
     Term fenceTerm;
+    /// Answers to calls made earlier do not prove a fence any more.
+    TimePoint fencesSince;
     std::map<UpstreamId, TimePoint> sentAt;
     std::optional<UpstreamId> candidate;
     Incarnation candidateIncarnation;
+    /// The candidate was neither suspected nor leaving when it was chosen.
+    bool candidateWasUsable = true;
+    /// When the order that is under way was given.
+    std::optional<TimePoint> orderedAt;
+    /// When the platform accepted the promotion.
     std::optional<TimePoint> promotedAt;
-    /// Databases that the platform refused to promote.
-    std::set<UpstreamId> refusedCandidates;
+    /// Processes that the platform refused to promote within kRefusedPromotionRetryInterval, and
+    /// when.
+    std::map<MemberId, TimePoint> refusedCandidates;
     std::uint32_t attempts = 0;
     /// Since when the primary has reported the replica role.
     std::optional<TimePoint> demotedSince;
@@ -72,8 +106,8 @@
     TimePoint lastReplicationProgressAt;
     /// Highest log end that a process has reported since the last change.
     HistoryPoint highestPoint;
-    /// While fencing without a candidate: the processes whose fence or return is waited for.
-    std::vector<MemberId> awaited;
+    /// While fencing without a candidate: the processes that are waited for.
+    std::vector<AwaitedProcess> awaited;
     ChangeTimes times;
 };
 
@@ -114,15 +148,26 @@
 /// commits. If fewer than `confirmingReplicas` replicas are unfenced, every acknowledged commit is
 /// on a fenced replica, and the longest log among the fenced ones holds them all. Otherwise the
 /// former primary must be fenced as well, and the candidate's log must reach the end of its log.
+/// In both cases the candidate's log is as long as that of each fenced replica, whether or not that
+/// replica can be promoted. Commits that only the former primary holds were not acknowledged.
+/// Among the databases that qualify, one that is neither suspected nor leaving is preferred, then
+/// one that is not the former primary. One that was refused lately is not chosen.
 /// A recorded process counts as unfenced until it is heard: a later process under its id holds
 /// nothing of what it confirmed.
 std::optional<UpstreamId> chooseConfirmedCandidate(const ConfirmedChange &change,
                                                    const ConfirmedInput &input);
 
-/// Records the platform's reply to Promote. `accepted` is false if the platform refused because the
-/// database does not run.
-void onPromoteAnswer(ConfirmedChange &change, const UpstreamId &upstream, bool accepted,
-                     TimePoint now);
+enum class PromotionOutcome : std::uint8_t {
+    Accepted,
+    /// The platform refused because the database does not run.
+    Refused,
+    /// The order was not given, or it is not known whether it has taken effect.
+    Unknown
+};
+
+/// Records the end of the order that was given with Promote.
+void onPromoteAnswer(ConfirmedChange &change, const UpstreamId &upstream, Term epoch,
+                     PromotionOutcome outcome, TimePoint now);
 
 /// Advances the change and returns the actions to execute. Call every 50 ms and after each reply.
 std::vector<ConfirmedAction> stepConfirmedChange(ConfirmedChange &change,
