Step an earlier primary down while another one is replaced

A database that leads an earlier term and isn't the former primary got only fences, which have no effect on a primary: it stayed unfenced and the change waited for it for ever.

Before: FAILED LongestHolder.IsPromotedAfterAnEarlierPrimaryStepsDown Value of: order, Actual: false, Expected: true (nothing ordered within 5 s)

--- a/src/fleet/confirmed_candidate_test.cpp
+++ b/src/fleet/confirmed_candidate_test.cpp
@@ -131,20 +131,28 @@
 
     void answer(const UpstreamId &id, Term fence)
     {
+        UpstreamStatus &status = *m_in.members[id].status;
         if (m_silent.contains(id))
             return;
-        m_in.members[id].status->fencedTerm = fence;
+        if (status.role == UpstreamRole::Replica)
+            status.fencedTerm = fence;
         m_in.members[id].statusAskedAt = m_now;
     }
 
+    void stepDown(const UpstreamId &id)
+    {
+        if (!m_in.members[id].status)
+            return;
+        m_in.members[id].status->role = UpstreamRole::Replica;
+        answer(id, m_in.members[id].status->fencedTerm);
+    }
+
     void execute(const ConfirmedAction &action)
     {
         if (const auto *fence = std::get_if<Fence>(&action))
             answer(fence->upstream, fence->term);
-        if (const auto *stepDown = std::get_if<StepDown>(&action)) {
-            if (m_in.members[stepDown->upstream].status)
-                answer(stepDown->upstream, stepDown->term);
-        }
+        if (const auto *order = std::get_if<StepDown>(&action))
+            stepDown(order->upstream);
         if (const auto *query = std::get_if<QueryStatus>(&action)) {
             if (m_in.members[query->upstream].status)
                 answer(query->upstream, m_in.members[query->upstream].status->fencedTerm);
@@ -244,6 +252,18 @@
     EXPECT_EQ(m_change.candidate, kB);
 }
 
+// Guards against a change that waits for ever for a primary of an earlier term, on which a fence
+// has no effect.
+TEST_F(LongestHolder, IsPromotedAfterAnEarlierPrimaryStepsDown)
+{
+    m_in.members[kA].status = status(UpstreamRole::Primary, 7);
+    m_in.members[kA].status->newestTerm = Term(2);
+    m_in.members[kA].status->point.term = Term(2);
+    const auto order = nextOrder(5s);
+    ASSERT_TRUE(order);
+    EXPECT_EQ(order->upstream, kB);
+}
+
 // Guards against a database that is leaving and stays primary although another one can lead.
 TEST_F(LongestHolder, IsReplacedAfterItLeadsWhileLeaving)
 {
--- a/src/fleet/confirmed_change.cpp
+++ b/src/fleet/confirmed_change.cpp
@@ -117,6 +117,14 @@
     return std::nullopt;
 }
 
+/// Whether the database leads an earlier term, because it did not hear of its replacement. One that
+/// leads the newest term was promoted by a predecessor and is not fenced.
+bool leadsEarlierTerm(const ConfirmedChange &change, const ConfirmedMember &member)
+{
+    return answeredSince(member, change.phaseStartedAt)
+        && member.status->role == UpstreamRole::Primary;
+}
+
 void fenceMembers(ConfirmedChange &change, const ConfirmedInput &input, Actions &actions,
                   TimePoint now)
 {
@@ -128,7 +136,7 @@
         if (isFenced(change, input, id, member)
             || !takeDueCall(change, id, kCallRetryInterval, now))
             continue;
-        if (isFormerPrimary(input, id))
+        if (isFormerPrimary(input, id) || leadsEarlierTerm(change, member))
             actions.push_back(StepDown { id, change.fenceTerm });
         else
             actions.push_back(Fence { id, change.fenceTerm });
