--- a/src/fleet/confirmed_change.cpp
+++ b/src/fleet/confirmed_change.cpp
@@ -124,6 +124,14 @@
     return std::nullopt;
 }
 
+/// Whether the database leads an earlier term, because it did not hear of its replacement. One that
+/// leads the newest term was promoted by a predecessor and is not fenced.
+bool leadsEarlierTerm(const ConfirmedChange &change, const ConfirmedMember &member)
+{
+    return answeredSince(member, change.phaseStartedAt)
+        && member.status->role == UpstreamRole::Primary;
+}
+
 void fenceMembers(ConfirmedChange &change, const ConfirmedInput &input, Actions &actions,
                   TimePoint now)
 {
@@ -136,7 +144,7 @@
             && now < member.statusAskedAt + kFenceRefreshInterval;
         if (confirmed || !takeDueCall(change, id, kCallRetryInterval, now))
             continue;
-        if (isFormerPrimary(input, id))
+        if (isFormerPrimary(input, id) || leadsEarlierTerm(change, member))
             actions.push_back(StepDown { id, change.fenceTerm });
         else
             actions.push_back(Fence { id, change.fenceTerm });
