Give an order again only from fences that are confirmed

Callers could see an acknowledged commit lost: fences were confirmed up to the choice of the candidate, and orders were then repeated for five seconds without another look at them. A replica that restarted meanwhile follows the former primary, which open transactions still commit at.

An order is given only if the answers of the last 750 ms still choose the candidate; otherwise the replicas are fenced again under the same epoch. OrderIsNotRepeatedWithoutConfirmedFences guards it; the two conditions under which fences may be lifted have a test each.

--- a/src/fleet/confirmed_candidate.cpp
+++ b/src/fleet/confirmed_candidate.cpp
@@ -87,8 +87,7 @@
 bool isFenced(const ConfirmedChange &change, const ConfirmedInput &input, const UpstreamId &id,
               const ConfirmedMember &member)
 {
-    const TimePoint since = std::max(change.phaseStartedAt, change.fencesSince);
-    if (change.fenceTerm == Term() || !answeredSince(member, since)
+    if (change.fenceTerm == Term() || !answeredSince(member, change.fencesSince)
         || member.status->role == UpstreamRole::Primary)
         return false;
     return isFormerPrimary(input, id) || member.status->fencedTerm >= change.fenceTerm;
--- a/src/fleet/confirmed_change.cpp
+++ b/src/fleet/confirmed_change.cpp
@@ -204,7 +204,7 @@
         queryMembers(change, input, actions, now);
         return;
     }
-    change.fencesSince = now - kMaxFenceAge;
+    change.fencesSince = std::max(change.phaseStartedAt, now - kMaxFenceAge);
     fenceMembers(change, input, actions, now);
     forgetRefusals(change, now);
     change.candidate = chooseConfirmedCandidate(change, input);
@@ -230,6 +230,21 @@
     return takeDueCall(change, *change.candidate, kCallRetryInterval, now);
 }
 
+/// Whether the answers to the fences, from which the candidate was chosen, still choose it.
+bool isStillChosen(ConfirmedChange &change, const ConfirmedInput &input, TimePoint now)
+{
+    change.fencesSince = std::max(change.fencesSince, now - kMaxFenceAge);
+    return chooseConfirmedCandidate(change, input) == change.candidate;
+}
+
+/// Goes on under the same epoch.
+void fenceAgain(ConfirmedChange &change, TimePoint now)
+{
+    change.candidate.reset();
+    change.fenceTerm = Term();
+    enterPhase(change, ConfirmedPhase::Fencing, now);
+}
+
 /// Whether the candidate leads since it was to be promoted, be it that the answer of the platform
 /// was lost.
 bool leads(const ConfirmedChange &change, const ConfirmedMember &candidate)
@@ -258,16 +273,20 @@
         startAttempt(change, input, now);
         return;
     }
-    if (!change.promotedAt && isOrderDue(change, now)) {
-        change.orderedAt = now;
-        actions.push_back(Promote { *change.candidate, change.epoch });
-    }
     if (!lost && leads(change, member->second)) {
         change.times.promoted = now;
         change.times.confirmed = now;
         enterPhase(change, ConfirmedPhase::Publishing, now);
         return;
     }
+    if (!change.promotedAt && isOrderDue(change, now)) {
+        if (!isStillChosen(change, input, now)) {
+            fenceAgain(change, now);
+            return;
+        }
+        change.orderedAt = now;
+        actions.push_back(Promote { *change.candidate, change.epoch });
+    }
     const bool justOrdered =
         !change.promotedAt && change.orderedAt && now < *change.orderedAt + kPromotionPollInterval;
     if (!justOrdered && takeDueCall(change, UpstreamId(), kPromotionPollInterval, now))
--- a/src/fleet/confirmed_change_test.cpp
+++ b/src/fleet/confirmed_change_test.cpp
@@ -359,8 +359,8 @@
     promote();
     for (TimePoint end = m_now + kPromotionOrderTimeout - 50ms; m_now < end;)
         EXPECT_EQ(find<Promote>(step()), nullptr);
-    EXPECT_NE(find<Promote>(step()), nullptr);
     onPromoteAnswer(m_change, kA, Term(2), PromotionOutcome::Unknown, m_now);
+    fenceReplicas();
     bool repeated = false;
     for (int i = 0; i < 6; ++i)
         repeated = repeated || find<Promote>(step()) != nullptr;
@@ -402,6 +402,23 @@
     EXPECT_NE(find<Promote>(step()), nullptr);
 }
 
+// Guards against an order that is given again, long after the first one, from fences that have been
+// lost since.
+TEST_F(ConfirmedChangeTest, OrderIsNotRepeatedWithoutConfirmedFences)
+{
+    promote();
+    for (TimePoint end = m_now + kPromotionOrderTimeout; m_now < end;)
+        step();
+    onPromoteAnswer(m_change, kA, Term(2), PromotionOutcome::Unknown, m_now);
+    for (int i = 0; i < 20; ++i)
+        EXPECT_EQ(find<Promote>(step()), nullptr);
+    EXPECT_EQ(m_change.phase, ConfirmedPhase::Fencing);
+    EXPECT_EQ(m_change.epoch, Term(2));
+    fenceReplicas();
+    step();
+    EXPECT_NE(find<Promote>(step()), nullptr);
+}
+
 // Guards against a new controller that lifts the fences on which a change of its predecessor
 // relies.
 TEST_F(ConfirmedChangeTest, FencesOfAnUnfinishedChangeAreNotLifted)
@@ -409,9 +426,21 @@
     m_in.members[kPrimary].state = UpstreamState::Live;
     m_in.members[kA].status = status(kReplica, 9, kFence);
     m_in.group.reservedTerm = Term(2);
+    m_change.notBefore = m_now + 10s;
+    for (int i = 0; i < 10; ++i)
+        EXPECT_EQ(find<Resume>(step()), nullptr);
+}
+
+// Guards against a new controller that lifts fences before it has heard of the databases.
+TEST_F(ConfirmedChangeTest, FencesAreNotLiftedWithAnIncompleteRegistry)
+{
+    m_in.members[kPrimary].state = UpstreamState::Live;
+    m_in.members[kA].status = status(kReplica, 9, kFence);
     m_in.registryComplete = false;
     for (int i = 0; i < 10; ++i)
         EXPECT_EQ(find<Resume>(step()), nullptr);
+    m_in.registryComplete = true;
+    EXPECT_NE(find<Resume>(step()), nullptr);
 }
 
 // Guards against repeating a promotion that the platform refused.
--- a/src/include/shallotlever/fleet/confirmed_change.h
+++ b/src/include/shallotlever/fleet/confirmed_change.h
@@ -84,7 +84,7 @@
     /// Term of the fence, above every term the databases have reported. A fenced database no longer
     /// follows the former primary.
     Term fenceTerm;
-    /// Answers to calls made earlier do not prove a fence any more.
+    /// Answers to calls made earlier do not prove a fence.
     TimePoint fencesSince;
     std::map<UpstreamId, TimePoint> sentAt;
     std::optional<UpstreamId> candidate;
