Do not take an earlier announcement of the former primary for its promotion

Callers could get READONLY for some hundred ms: a former primary that is stepped down and promoted again had announced the role before, and was published at once.

--- a/src/fleet/confirmed_change.cpp
+++ b/src/fleet/confirmed_change.cpp
@@ -247,10 +247,13 @@
 
 /// Whether the candidate leads since it was to be promoted, be it that the answer of the platform
 /// was lost.
-bool leads(const ConfirmedChange &change, const ConfirmedMember &candidate)
+bool leads(const ConfirmedChange &change, const ConfirmedInput &input,
+           const ConfirmedMember &candidate)
 {
     // A new primary announces its role immediately, whereas a status query may find no free slot.
-    if (change.promotedAt && candidate.announcedRole == UpstreamRole::Primary)
+    // The former primary may have announced the role before it stepped down.
+    if (change.promotedAt && !isFormerPrimary(input, *change.candidate)
+        && candidate.announcedRole == UpstreamRole::Primary)
         return true;
     return answeredSince(candidate, change.promotedAt.value_or(change.phaseStartedAt))
         && candidate.status->role == UpstreamRole::Primary;
@@ -273,7 +276,7 @@
         startAttempt(change, input, now);
         return;
     }
-    if (!lost && leads(change, member->second)) {
+    if (!lost && leads(change, input, member->second)) {
         change.times.promoted = now;
         change.times.confirmed = now;
         enterPhase(change, ConfirmedPhase::Publishing, now);
--- a/src/fleet/confirmed_change_test.cpp
+++ b/src/fleet/confirmed_change_test.cpp
@@ -419,6 +419,22 @@
     EXPECT_NE(find<Promote>(step()), nullptr);
 }
 
+// Guards against publishing a former primary that was stepped down and doesn't lead again yet.
+TEST_F(ConfirmedChangeTest, EarlierAnnouncementOfTheFormerPrimaryDoesNotCount)
+{
+    m_in.members[kPrimary] = member(status(kReplica, 10));
+    m_in.members[kPrimary].announcedRole = UpstreamRole::Primary;
+    m_change.phase = ConfirmedPhase::Promoting;
+    m_change.candidate = kPrimary;
+    m_change.phaseStartedAt = m_change.promotedAt.emplace(m_now);
+    step();
+    EXPECT_EQ(m_change.phase, ConfirmedPhase::Promoting);
+    m_in.members[kPrimary].status = status(UpstreamRole::Primary, 10);
+    m_in.members[kPrimary].statusAskedAt = m_now;
+    step();
+    EXPECT_EQ(m_change.phase, ConfirmedPhase::Publishing);
+}
+
 // Guards against a new controller that lifts the fences on which a change of its predecessor
 // relies.
 TEST_F(ConfirmedChangeTest, FencesOfAnUnfinishedChangeAreNotLifted)
