Discard calls that are not delivered also when the process is killed

Linger was set when a call was withdrawn, so the operating system went on delivering the calls of a controller that was killed. It is set when the connection is open.

--- a/src/proxy/session_control.cpp
+++ b/src/proxy/session_control.cpp
@@ -21,9 +21,6 @@
         , m_permit(std::move(permit))
     {
     }
-    ~SessionControl();
-    SessionControl(const SessionControl &) = delete;
-    SessionControl &operator=(const SessionControl &) = delete;
 
     void call(std::string text, Duration timeout, StatusCallback callback);
 
@@ -60,12 +57,6 @@
         once(result);
 }
 
-SessionControl::~SessionControl()
-{
-    if (m_link)
-        m_link->discardUnsent();
-}
-
 void SessionControl::call(std::string text, Duration timeout, StatusCallback callback)
 {
     const Call call { std::move(text), std::make_shared<StatusCallback>(std::move(callback)) };
@@ -92,27 +83,34 @@
 
 void SessionControl::open(Duration timeout)
 {
-    const std::weak_ptr<SessionControl> self = weak_from_this();
+    // A connection that was given up lives on until the event loop destroys it.
+    const auto current = [self = weak_from_this(),
+                          generation = m_generation]() -> std::shared_ptr<SessionControl> {
+        const auto control = self.lock();
+        return control && control->m_link && control->m_generation == generation ? control
+                                                                                 : nullptr;
+    };
     UpstreamLink::Callbacks callbacks;
-    callbacks.opened = [self](std::optional<HistoryPoint>, TimePoint) {
-        if (const auto control = self.lock()) {
+    callbacks.opened = [current](std::optional<HistoryPoint>, TimePoint) {
+        if (const auto control = current()) {
             control->m_openedAt = monotonicNow();
             for (const Call &call : std::exchange(control->m_waiting, {}))
                 control->send(call);
         }
     };
-    callbacks.failed = [self](LinkOpenFailure, const std::optional<UpstreamError> &) {
-        if (const auto control = self.lock()) {
+    callbacks.failed = [current](LinkOpenFailure, const std::optional<UpstreamError> &) {
+        if (const auto control = current()) {
             control->failPendingCalls(absl::UnavailableError("cannot connect"));
             control->reset();
         }
     };
-    callbacks.closed = [self] {
-        if (const auto control = self.lock())
+    callbacks.closed = [current] {
+        if (const auto control = current())
             control->reset();
     };
-    m_link = std::make_unique<UpstreamLink>(
-        m_protocol, m_target, LinkTimeouts { timeout, timeout, timeout }, std::move(callbacks));
+    m_link = std::make_unique<UpstreamLink>(m_protocol, m_target,
+                                            LinkOptions { timeout, timeout, timeout, true },
+                                            std::move(callbacks));
 }
 
 void SessionControl::send(const Call &call)
@@ -156,8 +154,6 @@
 /// Destroys the connection from the event loop, because reset() may run in one of its callbacks.
 void SessionControl::reset()
 {
-    if (m_link)
-        m_link->discardUnsent();
     std::shared_ptr<UpstreamLink> old = std::move(m_link);
     QTimer::singleShot(0, [old] {});
 }
--- a/src/proxy/upstream_link.cpp
+++ b/src/proxy/upstream_link.cpp
@@ -27,11 +27,11 @@
 }
 
 UpstreamLink::UpstreamLink(const SessionProtocol &protocol, const LinkTarget &target,
-                           const LinkTimeouts &timeouts, Callbacks callbacks)
+                           const LinkOptions &options, Callbacks callbacks)
     : m_protocol(protocol)
     , m_target(target)
     , m_callbacks(std::move(callbacks))
-    , m_timeouts(timeouts)
+    , m_options(options)
     , m_startedAt(monotonicNow())
     , m_socket(new QTcpSocket)
     , m_lines(std::make_unique<LineSocket>(
@@ -42,7 +42,7 @@
     QObject::connect(m_socket, &QTcpSocket::connected, m_socket, [this] { onConnected(); });
     QObject::connect(&m_openTimer, &QTimer::timeout, &m_openTimer, [this] { onOpenTimeout(); });
     m_openTimer.setSingleShot(true);
-    m_openTimer.start(std::chrono::duration_cast<std::chrono::milliseconds>(timeouts.connect));
+    m_openTimer.start(std::chrono::duration_cast<std::chrono::milliseconds>(options.connect));
     m_socket->connectToHost(QHostAddress(QString::fromStdString(target.endpoint.host)),
                             target.endpoint.port);
 }
@@ -51,20 +51,16 @@
 
 void UpstreamLink::onConnected()
 {
-    setUserTimeout(
-        *m_socket,
-        std::chrono::duration_cast<std::chrono::milliseconds>(m_timeouts.unacknowledged));
+    setUserTimeout(*m_socket,
+                   std::chrono::duration_cast<std::chrono::milliseconds>(m_options.unacknowledged));
+    if (m_options.discardUnsent)
+        discardUnsentOnClose(*m_socket);
     m_roundTrip = monotonicNow() - m_startedAt;
     m_state = State::Handshake;
-    m_openTimer.start(std::chrono::duration_cast<std::chrono::milliseconds>(m_timeouts.handshake));
+    m_openTimer.start(std::chrono::duration_cast<std::chrono::milliseconds>(m_options.handshake));
     m_lines->write(m_protocol.start(m_target.service, m_target.user, m_target.upstream));
 }
 
-void UpstreamLink::discardUnsent()
-{
-    discardUnsentOnClose(*m_socket);
-}
-
 void UpstreamLink::send(std::string_view id, std::string_view text, ReplyCallback callback)
 {
     UpstreamReply reply;
--- a/src/proxy/upstream_link.h
+++ b/src/proxy/upstream_link.h
@@ -59,7 +59,7 @@
     std::string user;
 };
 
-struct LinkTimeouts
+struct LinkOptions
 {
     /// TCP connect.
     Duration connect {};
@@ -67,6 +67,9 @@
     Duration handshake {};
     /// A connection whose peer acknowledges no data for this long is closed.
     Duration unacknowledged = 3s;
+    /// Closing the connection, also by the end of this process, discards requests that have not
+    /// reached the database.
+    bool discardUnsent = false;
 };
 
 /// One connection to a database. Requests are pipelined and answered in order.
@@ -85,14 +88,12 @@
     };
 
     UpstreamLink(const SessionProtocol &protocol, const LinkTarget &target,
-                 const LinkTimeouts &timeouts, Callbacks callbacks);
+                 const LinkOptions &options, Callbacks callbacks);
     ~UpstreamLink();
     UpstreamLink(const UpstreamLink &) = delete;
     UpstreamLink &operator=(const UpstreamLink &) = delete;
 
     void send(std::string_view id, std::string_view text, ReplyCallback callback);
-    /// The destruction of the link discards requests that have not reached the database.
-    void discardUnsent();
     bool isOpen() const { return m_state == State::Open; }
     std::size_t pending() const { return m_pending.size(); }
     /// Network round trip, measured as the duration of the TCP connect.
@@ -118,7 +119,7 @@
     LinkTarget m_target;
     Callbacks m_callbacks;
     State m_state = State::Connecting;
-    LinkTimeouts m_timeouts;
+    LinkOptions m_options;
     TimePoint m_startedAt;
     Duration m_roundTrip { 0 };
     std::optional<UpstreamError> m_handshakeError;
