Withdraw orders whose attempt has ended, for platform promotions only

An order stayed under way while the next attempt was reserved and fenced. A drain is acknowledged only under the lease.

--- a/src/node/controller_host.cpp
+++ b/src/node/controller_host.cpp
@@ -126,6 +126,7 @@
     }
     for (const CompletedPrimaryChange &changed : actions.changes)
         logPrimaryChange(changed);
+    withdrawEndedPromotions(now);
     for (const UpstreamCall &upstreamCall : actions.calls)
         call(upstreamCall, now);
     // A lost proposal is made again after a later report of the node.
@@ -161,6 +162,11 @@
 void ControllerHost::promote(const UpstreamCall &call, const StatusCallback &callback,
                              TimePoint now)
 {
+    const ServiceConfig &service = m_group.state().cluster.config.services.at(call.service);
+    if (!service.confirmsCommits) {
+        controlOf(call).promote(call.term, kCallTimeout, callback);
+        return;
+    }
     // An earlier order must not arrive after this one.
     if (const auto earlier = m_promotions.find(call.service); earlier != m_promotions.end())
         withdrawPromotion(call.service, earlier->second, now);
@@ -169,6 +175,18 @@
     controlOf(call).promote(call.term, kPromotionOrderTimeout, callback);
 }
 
+/// Withdraws the orders of attempts that have ended.
+void ControllerHost::withdrawEndedPromotions(TimePoint now)
+{
+    for (auto &[service, promotion] : m_promotions) {
+        const ConfirmedChange &change = m_controller->groups[service].confirmed;
+        if (change.phase == ConfirmedPhase::Promoting && change.epoch == promotion.epoch)
+            continue;
+        withdrawPromotion(service, promotion, now);
+        promotion.answered = true;
+    }
+}
+
 void ControllerHost::withdrawPromotion(const ServiceId &service, const OrderedPromotion &promotion,
                                        TimePoint now)
 {
@@ -324,6 +342,10 @@
     } else if (const auto *change = std::get_if<ChangeRequest>(&request)) {
         proposeChange(*change, std::move(callback), now);
     } else if (const auto *drain = std::get_if<DrainRequest>(&request)) {
+        if (!m_group.isController(now)) {
+            callback(Error { ErrorKind::NoController, {}, std::nullopt });
+            return;
+        }
         setDrained(m_controller->registry, drain->upstream.value_or(UpstreamId()), !drain->cancel);
         callback(AckResponse {});
     } else if (std::holds_alternative<StatusRequest>(request)) {
--- a/src/node/controller_host.h
+++ b/src/node/controller_host.h
@@ -92,6 +92,7 @@
     void logWaitingChanges(TimePoint now) const;
     void call(const UpstreamCall &call, TimePoint now);
     void promote(const UpstreamCall &call, const StatusCallback &callback, TimePoint now);
+    void withdrawEndedPromotions(TimePoint now);
     void noteAnswer(const UpstreamCall &call, const UpstreamAnswer &answer, TimePoint now);
     void withdrawPromotion(const ServiceId &service, const OrderedPromotion &promotion,
                            TimePoint now);
