Let the database that got the former primary's log stand for it

A later process at the former primary's endpoint counts as the holder of its log under the condition that holds for a later process under its id: the log isn't empty and is as long as every one heard of.

PrimarySuccessor/GotTheLog failed before; the other four cases guard against taking any later process for it.

--- a/src/fleet/confirmed_candidate.cpp
+++ b/src/fleet/confirmed_candidate.cpp
@@ -8,17 +8,38 @@
 
 namespace {
 
-/// Whether the log of the fenced former primary ends where the commits end that it acknowledged. A
-/// later process under its id may have kept the log or have started with nothing. Since nobody
-/// leads, it has received nothing since its start, so that a log as long as every one that was
-/// heard of is the one it kept.
+/// Whether the log of a process that started after the end of the former primary is the one that
+/// the primary left. Since nobody leads, the process has received nothing since its start, so that
+/// a log as long as every one that was heard of is the one it started with.
+bool keptLog(const ConfirmedChange &change, const ConfirmedInput &input,
+             const ConfirmedMember &later)
+{
+    const HistoryPoint &end = later.status->point;
+    return end.position != LogPosition() && end >= highestPoint(input)
+        && end >= change.highestPoint;
+}
+
+/// Whether the process started at the endpoint of the former primary, which has ended: a database
+/// that leaves hands its log to the next one there.
+bool succeedsPrimary(const ConfirmedInput &input, const ConfirmedMember &member)
+{
+    if (!input.group.primary)
+        return false;
+    const Incarnation inOffice = input.group.primaryIncarnation;
+    const auto primary = input.group.members.find({ *input.group.primary, inOffice });
+    return primary != input.group.members.end() && inOffice != Incarnation()
+        && member.incarnation > inOffice && primary->second.endpoint.port != 0
+        && primary->second.endpoint == member.record.endpoint;
+}
+
+/// Whether the log of the fenced database ends where the commits end that the former primary
+/// acknowledged. A later process under its id may have kept the log or have started with nothing.
 bool holdsPrimaryLog(const ConfirmedChange &change, const ConfirmedInput &input,
-                     const ConfirmedMember &primary)
+                     const UpstreamId &id, const ConfirmedMember &member)
 {
-    const HistoryPoint &end = primary.status->point;
-    return isInOffice(input, primary)
-        || (end.position != LogPosition() && end >= highestPoint(input)
-            && end >= change.highestPoint);
+    if (isFormerPrimary(input, id))
+        return isInOffice(input, member) || keptLog(change, input, member);
+    return succeedsPrimary(input, member) && keptLog(change, input, member);
 }
 
 /// What the fenced databases tell about the log that holds every acknowledged commit.
@@ -27,7 +48,7 @@
     HistoryPoint longestReplica;
     /// Every acknowledged commit is on a fenced replica.
     bool replicasHoldAll = false;
-    /// End of the former primary's log, if it is fenced and has kept it.
+    /// End of the former primary's log, if a fenced database has kept it.
     std::optional<HistoryPoint> primaryEnd;
 
     /// Whether a fenced log with this end holds every acknowledged commit.
@@ -45,7 +66,7 @@
             continue;
         if (!isFormerPrimary(input, id))
             bound.longestReplica = std::max(bound.longestReplica, member.status->point);
-        else if (holdsPrimaryLog(change, input, member))
+        if (holdsPrimaryLog(change, input, id, member))
             bound.primaryEnd = member.status->point;
     }
     const auto unfenced =
--- a/src/fleet/confirmed_candidate_test.cpp
+++ b/src/fleet/confirmed_candidate_test.cpp
@@ -303,5 +303,52 @@
     EXPECT_FALSE(m_change.awaited.empty());
 }
 
+struct SuccessorCase
+{
+    const char *name;
+    Endpoint endpoint;
+    std::uint64_t incarnation;
+    std::uint64_t position;
+    std::optional<UpstreamId> expected;
+};
+
+class PrimarySuccessor : public testing::TestWithParam<SuccessorCase>
+{
+};
+
+// Guards against a group that stays without a primary for ever after the primary and a replica have
+// left in order, and against taking any later database for the one that got the primary's log.
+TEST_P(PrimarySuccessor, HoldsThePrimarysLog)
+{
+    const Endpoint primaryEndpoint { "10.0.0.1", 7000 };
+    const UpstreamId successor("y");
+    ConfirmedInput in;
+    in.confirmingReplicas = 1;
+    in.group.primary = kPrimary;
+    in.group.term = in.group.reservedTerm = Term(1);
+    in.group.primaryIncarnation = Incarnation(2);
+    in.group.members[{ kPrimary, Incarnation(2) }].endpoint = primaryEndpoint;
+    in.group.members[{ kA, Incarnation(1) }].endpoint = { "10.0.0.2", 7000 };
+    in.group.members[{ kB, Incarnation(1) }].endpoint = { "10.0.0.3", 7000 };
+    in.members[kB] = fenced(7);
+    in.members[kB].incarnation = Incarnation(1);
+    in.members[successor] = fenced(GetParam().position);
+    in.members[successor].incarnation = Incarnation(GetParam().incarnation);
+    in.members[successor].record.endpoint = GetParam().endpoint;
+    ConfirmedChange change;
+    change.fenceTerm = kFence;
+    EXPECT_EQ(chooseConfirmedCandidate(change, in), GetParam().expected);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Databases, PrimarySuccessor,
+    testing::Values(SuccessorCase { "GotTheLog", { "10.0.0.1", 7000 }, 3, 9, UpstreamId("y") },
+                    SuccessorCase { "StartedEmpty", { "10.0.0.1", 7000 }, 3, 0, std::nullopt },
+                    SuccessorCase {
+                        "IsShorterThanAReplica", { "10.0.0.1", 7000 }, 3, 6, std::nullopt },
+                    SuccessorCase { "RunsElsewhere", { "10.0.0.9", 7000 }, 3, 9, std::nullopt },
+                    SuccessorCase { "StartedEarlier", { "10.0.0.1", 7000 }, 1, 9, std::nullopt }),
+    [](const auto &info) { return info.param.name; });
+
 } // namespace
 } // namespace shallotlever
