Let links open late in the test of an election after a restart

LinksBeingOpened lost a quarter of all messages from the start on and was said to pass with and without repeated vote requests. Links between members are now closed until a random time of up to 1 s, as after a restart, and the quarter is lost after that.

--- a/src/control/election_test.cpp
+++ b/src/control/election_test.cpp
@@ -23,6 +23,8 @@
     std::uint64_t lostPercent = 0;
     /// The member with the lowest id sends but receives nothing.
     bool lowestIsDeaf = false;
+    /// Each link is opened at a random time until then. What is sent over it earlier is lost.
+    Duration linksOpenWithin = Duration(0);
 };
 
 /// A group whose members exchange messages over links with latency and wait for their disks. All of
@@ -50,6 +52,8 @@
             m_startAt[i] =
                 m_now + uniformDuration(m_random, Duration(0), restart.startSpread + 1ms);
         }
+        if (restart.linksOpenWithin > Duration(0))
+            chooseLinkTimes();
     }
 
     /// Terms used until a member leads, at most until `limit` has passed.
@@ -79,6 +83,17 @@
         std::uint64_t sequence = 0;
     };
 
+    void chooseLinkTimes()
+    {
+        for (const NodeId &one : m_names) {
+            for (const NodeId &other : m_names) {
+                if (one < other)
+                    m_linkOpensAt[std::minmax(one, other)] =
+                        m_now + uniformDuration(m_random, Duration(0), m_links.linksOpenWithin);
+            }
+        }
+    }
+
     void step(std::size_t i)
     {
         if (m_now < m_startAt[i])
@@ -118,12 +133,18 @@
     void post(const ControlMessage &message)
     {
         const bool lost = uniformBelow(m_random, 100) < m_links.lostPercent;
-        if (!lost && !isDeaf(message.to.node))
+        if (!lost && !isDeaf(message.to.node) && isLinkOpen(message))
             m_packets.push_back({ m_now + m_links.latency, message });
     }
 
     bool isDeaf(const NodeId &node) const { return m_links.lowestIsDeaf && node == m_names[0]; }
 
+    bool isLinkOpen(const ControlMessage &message) const
+    {
+        const auto opens = m_linkOpensAt.find(std::minmax(message.from.node, message.to.node));
+        return opens == m_linkOpensAt.end() || m_now >= opens->second;
+    }
+
     ControlOptions options(std::size_t i)
     {
         ControlOptions options;
@@ -139,6 +160,7 @@
     std::vector<NodeId> m_names;
     std::map<std::size_t, RecoveredState> m_disks;
     std::map<std::size_t, TimePoint> m_startAt;
+    std::map<std::pair<NodeId, NodeId>, TimePoint> m_linkOpensAt;
     std::map<std::size_t, std::unique_ptr<ControlMember>> m_members;
     std::map<std::size_t, std::vector<Write>> m_writes;
     std::vector<Packet> m_packets;
@@ -185,7 +207,8 @@
                                          RestartCase { "RegionsAtOnce", 20ms, 0ms },
                                          RestartCase { "SlowLinks", 40ms, 200ms },
                                          RestartCase { "BusyMembers", 100ms, 200ms },
-                                         RestartCase { "LinksBeingOpened", 20ms, 200ms, 25 }),
+                                         RestartCase { "LinksBeingOpened", 20ms, 200ms, 25, false,
+                                                       1s }),
                          [](const auto &info) { return info.param.name; });
 
 // Every second message is lost.
