Log when the control thread or a control write is late

Change: control_thread_delayed when the timer of the control thread runs 200 ms or more late, control_write_delayed when a write of the control log becomes durable that late, each with delay_ms.

Test: TickDelay.LongDelayIsLogged (new function).

--- a/src/node/control_group.cpp
+++ b/src/node/control_group.cpp
@@ -2,6 +2,7 @@
 
 #include "shallotlever/base/clock.h"
 #include "shallotlever/control/codec.h"
+#include "tick_schedule.h"
 
 namespace shallotlever {
 
@@ -54,9 +55,7 @@
                         m_callbacks.failed(status);
                         return;
                     }
-                    const TimePoint completedAt = monotonicNow();
-                    m_member->persisted(completedAt, sequence);
-                    processReady(completedAt);
+                    handlePersisted(sequence, monotonicNow());
                 },
                 Qt::QueuedConnection);
         },
@@ -115,7 +114,7 @@
     for (ControlReady ready = m_member->takeReady(now); !ready.empty();
          ready = m_member->takeReady(now)) {
         if (!ready.write.empty())
-            m_storage->submit(std::move(ready.write));
+            submitWrite(std::move(ready.write), now);
         for (const ControlMessage &message : ready.messages)
             m_callbacks.send(message.to.node, encodeControlMessage(message));
         if (ready.restore) {
@@ -128,6 +127,24 @@
     compactIfDue();
 }
 
+void ControlGroup::submitWrite(DurableWrite write, TimePoint now)
+{
+    m_outstandingWrites.emplace(write.sequence, now);
+    m_storage->submit(std::move(write));
+}
+
+void ControlGroup::handlePersisted(std::uint64_t sequence, TimePoint now)
+{
+    const auto end = m_outstandingWrites.upper_bound(sequence);
+    if (end != m_outstandingWrites.begin()) {
+        if (const auto delay = loggedDelay(m_outstandingWrites.begin()->second, now))
+            m_callbacks.writeDelayed(*delay);
+    }
+    m_outstandingWrites.erase(m_outstandingWrites.begin(), end);
+    m_member->persisted(now, sequence);
+    processReady(now);
+}
+
 void ControlGroup::applyEntry(const LogEntry &entry)
 {
     m_lastAppliedTerm = entry.term;
@@ -163,9 +180,10 @@
     if (applied.value() < m_member->snapshotIndex().value() + kEntriesPerSnapshot)
         return;
     if (m_member->compact(applied, encodeState(m_state)).ok()) {
-        ControlReady ready = m_member->takeReady(monotonicNow());
+        const TimePoint now = monotonicNow();
+        ControlReady ready = m_member->takeReady(now);
         if (!ready.write.empty())
-            m_storage->submit(std::move(ready.write));
+            submitWrite(std::move(ready.write), now);
         for (const ControlMessage &message : ready.messages)
             m_callbacks.send(message.to.node, encodeControlMessage(message));
     }
--- a/src/node/control_group.h
+++ b/src/node/control_group.h
@@ -32,6 +32,8 @@
         /// The disk became full, or has room again. While it is full, this member confirms nothing
         /// new; the others may go on without it.
         std::function<void(bool full)> diskFullChanged;
+        /// A write became durable late. Heartbeats and votes are answered only then.
+        std::function<void(Duration delay)> writeDelayed;
         /// Storage failed; the member has stopped and the process must exit.
         std::function<void(const absl::Status &)> failed;
     };
@@ -65,6 +67,8 @@
     explicit ControlGroup(Callbacks callbacks);
     absl::Status start(const ControlGroupOptions &options, TimePoint now);
     void processReady(TimePoint now);
+    void submitWrite(DurableWrite write, TimePoint now);
+    void handlePersisted(std::uint64_t sequence, TimePoint now);
     void applyEntry(const LogEntry &entry);
     void answerProposal(const LogEntry &entry, const ChangeResult &result);
     void compactIfDue();
@@ -73,6 +77,8 @@
     ReplicatedState m_state;
     std::map<LogIndex, PendingProposal> m_pendingProposals;
     ControlTerm m_lastAppliedTerm;
+    /// When the writes that are not durable yet were submitted, by sequence.
+    std::map<std::uint64_t, TimePoint> m_outstandingWrites;
     std::unique_ptr<ControlMember> m_member;
     /// Context object for completions from the storage thread.
     std::unique_ptr<QObject> m_context = std::make_unique<QObject>();
--- a/src/node/node_impl.h
+++ b/src/node/node_impl.h
@@ -92,6 +92,8 @@
     void onPeerConnected(const NodeId &peer);
     void logController();
     void logSummary(TimePoint now);
+    /// Logs what may cost this node its lease, or a member of the control group its leadership.
+    void logDelay(std::string_view event, Duration delay);
     ReportInput reportInput(TimePoint now);
     void expireForwarded(TimePoint now);
 
--- a/src/node/node_start.cpp
+++ b/src/node/node_start.cpp
@@ -101,8 +101,9 @@
     }
     publishSnapshot();
     m_tickTimer = std::make_unique<TickTimer>(
-        TickTimer::Callbacks { [this](TimePoint now) { tick(now); },
-                               [this](TimePoint now) { return nextTick(now); } },
+        TickTimer::Callbacks {
+            [this](TimePoint now) { tick(now); }, [this](TimePoint now) { return nextTick(now); },
+            [this](Duration delay) { logDelay("control_thread_delayed", delay); } },
         m_wakeups, m_ticks);
     m_tickTimer->start();
     m_logger.info("node_started",
@@ -191,6 +192,7 @@
         else
             m_logger.info("disk_writable", {});
     };
+    callbacks.writeDelayed = [this](Duration delay) { logDelay("control_write_delayed", delay); };
     callbacks.failed = [this](const absl::Status &status) {
         m_logger.error("storage_failed", { { "error", std::string(status.message()) } });
         finish(1);
--- a/src/node/node_summary.cpp
+++ b/src/node/node_summary.cpp
@@ -67,4 +67,9 @@
                     { "log_lines_dropped", m_logger.dropped() } });
 }
 
+void Node::Impl::logDelay(std::string_view event, Duration delay)
+{
+    m_logger.warning(event, { { "delay_ms", millisecondsBetween(TimePoint(), TimePoint(delay)) } });
+}
+
 } // namespace shallotlever
--- a/src/node/tick_schedule.cpp
+++ b/src/node/tick_schedule.cpp
@@ -24,4 +24,11 @@
     return true;
 }
 
+std::optional<Duration> loggedDelay(TimePoint expected, TimePoint now)
+{
+    if (now < expected + kLoggedDelay)
+        return std::nullopt;
+    return now - expected;
+}
+
 } // namespace shallotlever
--- a/src/node/tick_schedule.h
+++ b/src/node/tick_schedule.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <optional>
+
 #include "shallotlever/base/due.h"
 
 /// When the periodic work of a node runs. Sans-I/O.
@@ -12,6 +14,8 @@
 constexpr Duration kMaxTickWait = 100ms;
 /// The due times are not read more often than this, because that costs about as much as a tick.
 constexpr Duration kMinPlanInterval = 5ms;
+/// Delays from this on are logged: half the lease of a leader of the control group.
+constexpr Duration kLoggedDelay = 200ms;
 
 struct TickSchedule
 {
@@ -37,4 +41,7 @@
 /// Whether to tick now, with `due` as above. If so, records the tick.
 bool takeTick(TickSchedule &schedule, TimePoint due, TimePoint now);
 
+/// How much later than `expected` it is, if that is worth a log line.
+std::optional<Duration> loggedDelay(TimePoint expected, TimePoint now);
+
 } // namespace shallotlever
--- a/src/node/tick_schedule_test.cpp
+++ b/src/node/tick_schedule_test.cpp
@@ -66,5 +66,29 @@
     EXPECT_TRUE(takeTick(schedule, kStart, kStart + kMinTickInterval));
 }
 
+struct DelayCase
+{
+    const char *name;
+    Duration late;
+    std::optional<Duration> logged;
+};
+
+class TickDelay : public testing::TestWithParam<DelayCase>
+{
+};
+
+// Guards against a thread that stands still without a trace, and against a line for each tick.
+TEST_P(TickDelay, LongDelayIsLogged)
+{
+    EXPECT_EQ(loggedDelay(kStart, kStart + GetParam().late), GetParam().logged);
+}
+
+INSTANTIATE_TEST_SUITE_P(Delays, TickDelay,
+                         testing::Values(DelayCase { "Early", -1s, std::nullopt },
+                                         DelayCase { "Usual", 15ms, std::nullopt },
+                                         DelayCase { "Long", kLoggedDelay, kLoggedDelay },
+                                         DelayCase { "Stall", 3s, 3s }),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 } // namespace
 } // namespace shallotlever
--- a/src/node/tick_timer.cpp
+++ b/src/node/tick_timer.cpp
@@ -20,7 +20,7 @@
 
 void TickTimer::start()
 {
-    m_timer.start(std::chrono::duration_cast<std::chrono::milliseconds>(kMinTickInterval));
+    startTimer(monotonicNow(), kMinTickInterval);
     if (const QAbstractEventDispatcher *dispatcher = QAbstractEventDispatcher::instance())
         QObject::connect(dispatcher, &QAbstractEventDispatcher::aboutToBlock, &m_context,
                          [this] { onAboutToWait(); });
@@ -28,10 +28,12 @@
 
 void TickTimer::onTimeout()
 {
+    const TimePoint now = monotonicNow();
+    if (const std::optional<Duration> delay = loggedDelay(m_timeoutExpectedAt, now))
+        m_callbacks.delayed(*delay);
     // Until the loop is about to wait; it may be one that never waits.
-    m_timer.start(std::chrono::duration_cast<std::chrono::milliseconds>(kMinTickInterval));
+    startTimer(now, kMinTickInterval);
     m_timerSetTo = TimePoint();
-    const TimePoint now = monotonicNow();
     if (!takeTick(m_schedule, m_callbacks.due(now), now))
         return;
     m_ticks.increment();
@@ -50,8 +52,13 @@
     if (m_schedule.wakeAt == m_timerSetTo)
         return;
     m_timerSetTo = m_schedule.wakeAt;
-    m_timer.start(std::chrono::ceil<std::chrono::milliseconds>(
-        std::max(m_schedule.wakeAt - now, Duration(0))));
+    startTimer(now, std::max(m_schedule.wakeAt - now, Duration(0)));
+}
+
+void TickTimer::startTimer(TimePoint now, Duration interval)
+{
+    m_timeoutExpectedAt = now + interval;
+    m_timer.start(std::chrono::ceil<std::chrono::milliseconds>(interval));
 }
 
 } // namespace shallotlever
--- a/src/node/tick_timer.h
+++ b/src/node/tick_timer.h
@@ -23,6 +23,9 @@
         std::function<void(TimePoint now)> tick;
         /// When tick has something to do if no event comes first; kNever if it does not.
         std::function<TimePoint(TimePoint now)> due;
+        /// The thread could not run the timer in time, as the process or the machine stood still or
+        /// an event took long.
+        std::function<void(Duration delay)> delayed;
     };
 
     /// Counts in `wakeups` how often the event loop waited, and in `ticks` the calls of tick.
@@ -35,6 +38,7 @@
 private:
     void onTimeout();
     void onAboutToWait();
+    void startTimer(TimePoint now, Duration interval);
 
     Callbacks m_callbacks;
     Counter &m_wakeups;
@@ -42,6 +46,8 @@
     TickSchedule m_schedule;
     /// What m_timer is set to.
     TimePoint m_timerSetTo;
+    /// When m_timer fires if nothing delays it.
+    TimePoint m_timeoutExpectedAt;
     /// Context of the connections; destroyed before the members that they access.
     QObject m_context;
     QTimer m_timer;
