Log what the statements wait for at the owner of a database's connections

Callers are served badly for ten seconds after a restart of everything, and no line says what statements wait for at an owner: for a slot of the database, for an open, or for an eviction. pool_queue has the queue, the connections and the work of the last second of each pool at which a statement has waited for 250 ms; statement_not_run has the same figures of the pool and the time that the statement still had.

--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -9,6 +9,7 @@
 #include <QTcpServer>
 
 #include "absl/strings/str_cat.h"
+#include "pool_queue_log.h"
 #include "session.h"
 #include "shallotlever/base/clock.h"
 
@@ -55,6 +56,7 @@
 
     ProxyState m_state;
     std::unique_ptr<StatementDispatcher> m_dispatcher;
+    PoolQueueLog m_poolQueueLog;
     std::array<Counter *, static_cast<std::size_t>(LinkOpenFailure::Count)> m_openFailures {};
     Gauge &m_sessionsGauge;
     std::list<CallerSession> m_sessions;
@@ -223,6 +225,7 @@
                 route.pool->tick(now);
         }
     }
+    logPoolQueues(m_poolQueueLog, m_state, now);
     m_dispatcher->tick(now);
     std::erase_if(m_leaving, [now](const std::shared_ptr<UpstreamPool> &pool) {
         pool->tick(now);
--- a/src/proxy/statement_runner.cpp
+++ b/src/proxy/statement_runner.cpp
@@ -311,6 +311,7 @@
             return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
         };
         const UpstreamPool *pool = execution.pool.get();
+        const PoolOccupancy occupancy = pool == nullptr ? PoolOccupancy() : pool->occupancy(now);
         m_state.logger->info("statement_not_run",
                              { { "request", execution.request.id },
                                { "sender", execution.sender.node.value() },
@@ -318,6 +319,11 @@
                                { "team", execution.request.team.value() },
                                { "reason", retryReasonName(reason) },
                                { "waited_ms", ms(now - execution.receivedAt) },
+                               { "time_left_ms", ms(execution.deadline - now) },
+                               { "waiting", occupancy.waiting },
+                               { "running", occupancy.running },
+                               { "connections", occupancy.open },
+                               { "opening", occupancy.opening },
                                { "outstanding", pool == nullptr ? 0U : pool->load().outstanding },
                                { "leased", pool == nullptr ? 0U : pool->load().leasedConnections },
                                { "lease_left_ms", ms(m_state.freshUntil - now) } });
--- a/src/proxy/upstream_pool.cpp
+++ b/src/proxy/upstream_pool.cpp
@@ -68,6 +68,7 @@
     if (link != nullptr) {
         link->busy = true;
         link->lastUsedAt = now;
+        ++m_acquired;
         updateOutstanding();
         callback(link);
         return id;
@@ -75,7 +76,7 @@
     const auto position =
         std::find_if(m_waiters.begin(), m_waiters.end(),
                      [&](const Waiter &waiter) { return waiter.priority > priority; });
-    m_waiters.insert(position, { id, priority, team, variables, std::move(callback) });
+    m_waiters.insert(position, { id, priority, team, variables, std::move(callback), now });
     updateOutstanding();
     openForWaiters(now);
     return id;
@@ -176,6 +177,7 @@
         m_waiters.erase(m_waiters.begin() + static_cast<std::ptrdiff_t>(i));
         link->busy = true;
         link->lastUsedAt = now;
+        ++m_acquired;
         updateOutstanding();
         callback(link);
         // The callback may have changed the queue.
@@ -297,6 +299,26 @@
     return demand;
 }
 
+PoolOccupancy UpstreamPool::occupancy(TimePoint now) const
+{
+    PoolOccupancy occupancy;
+    occupancy.waiting = static_cast<std::uint32_t>(m_waiters.size());
+    for (const Waiter &waiter : m_waiters)
+        occupancy.longestWait = std::max(occupancy.longestWait, now - waiter.since);
+    occupancy.opening = pendingOpens();
+    occupancy.open = static_cast<std::uint32_t>(m_links.size()) - occupancy.opening;
+    occupancy.running = runningStatements();
+    occupancy.window = m_window.size;
+    occupancy.held = static_cast<std::uint32_t>(
+        std::count_if(m_links.begin(), m_links.end(), [](const PooledLink &link) {
+            return link.busy && link.link->pending() == 0;
+        }));
+    occupancy.requested = m_lastWaiterId;
+    occupancy.acquired = m_acquired;
+    occupancy.opened = m_opened;
+    return occupancy;
+}
+
 bool UpstreamPool::hasBusyLink() const
 {
     return std::any_of(m_links.begin(), m_links.end(),
--- a/src/proxy/upstream_pool.h
+++ b/src/proxy/upstream_pool.h
@@ -54,6 +54,26 @@
     Cancelled,
 };
 
+/// Queue and connections of a pool at one moment, and its work since it was created.
+struct PoolOccupancy
+{
+    /// Statements that wait for a connection, and for how long the first of them has waited.
+    std::uint32_t waiting = 0;
+    Duration longestWait { 0 };
+    /// Connections that are ready for use or in use, and those that are being opened.
+    std::uint32_t open = 0;
+    std::uint32_t opening = 0;
+    /// Statements that were sent to the database and not answered, and the limit of these.
+    std::uint32_t running = 0;
+    double window = 0;
+    /// Connections that transactions hold between two statements.
+    std::uint32_t held = 0;
+    /// Connections that were requested, that were handed out, and that were opened.
+    std::uint64_t requested = 0;
+    std::uint64_t acquired = 0;
+    std::uint64_t opened = 0;
+};
+
 /// A connection, or the reason why none was acquired.
 using LinkResult = std::variant<PooledLink *, LinkAcquireFailure>;
 
@@ -119,6 +139,7 @@
     /// Load as seen by one more statement of the team.
     UpstreamLoad loadFor(const TeamId &team) const;
     SlotDemand demand(TimePoint now) const;
+    PoolOccupancy occupancy(TimePoint now) const;
     bool hasBusyLink() const;
     bool hasLinks() const { return !m_links.empty(); }
     /// Whether the database was contacted recently enough to report its reachability.
@@ -132,6 +153,7 @@
         TeamId team;
         SessionVariables variables;
         LinkCallback callback;
+        TimePoint since;
     };
 
     PooledLink *idleLink(const TeamId &team, const SessionVariables &variables);
@@ -171,6 +193,8 @@
     std::deque<Waiter> m_waiters;
     std::uint64_t m_lastWaiterId = 0;
     std::uint64_t m_lastLinkId = 0;
+    std::uint64_t m_acquired = 0;
+    std::uint64_t m_opened = 0;
     std::uint32_t m_consecutiveTimeouts = 0;
     std::uint32_t m_consecutiveOpenFailures = 0;
     ConcurrencyWindow m_window;
--- a/src/proxy/upstream_pool_links.cpp
+++ b/src/proxy/upstream_pool_links.cpp
@@ -176,6 +176,7 @@
                             TimePoint requestedAt)
 {
     link->open = true;
+    ++m_opened;
     const Duration roundTrip = link->link->roundTrip();
     m_load.openTime = monotonicNow() - requestedAt;
     m_load.roundTrip =
