Keep idle connections when a statement times out at a busy database

Cause: a statement whose deadline passed while it ran counted as a sign that the database was dead, and all idle connections of the pool were closed, though the database had answered others a moment before. Each had to be opened again, which takes a slot; so the queue grew, more statements ran out of their time, and the next ones closed the connections again.

Change: a timeout closes idle connections, and counts towards an unreachable database, only if the database has not responded to another request in the last 300 ms. The connection of the statement itself is discarded as before.

--- a/src/proxy/pool_queue_log_test.cpp
+++ b/src/proxy/pool_queue_log_test.cpp
@@ -27,10 +27,10 @@
         UpstreamInfo info;
         info.id = kUpstream;
         info.service = kService;
-        const UpstreamPool::Callbacks callbacks { [](const HistoryPoint &, TimePoint) {},
-                                                  [](bool) {},
-                                                  [](LinkOpenFailure, const std::string &,
-                                                     Duration) {} };
+        const UpstreamPool::Callbacks callbacks {
+            [](const HistoryPoint &, TimePoint) {}, [](bool) {},
+            [](LinkOpenFailure, const std::string &, Duration) {}
+        };
         DatabaseRoute &route = m_state.services[kService].routes[kUpstream];
         route.info = info;
         route.pool = std::make_shared<UpstreamPool>(m_protocol, info, callbacks);
--- a/src/proxy/upstream_pool.cpp
+++ b/src/proxy/upstream_pool.cpp
@@ -188,6 +188,9 @@
 
 void UpstreamPool::recordTimeout(TimePoint now)
 {
+    m_lastContactAt = now;
+    if (recentlyResponsive(now))
+        return;
     std::vector<PooledLink *> idle;
     for (PooledLink &link : m_links) {
         if (link.open && !link.busy)
@@ -197,7 +200,6 @@
         remove(link);
     if (++m_consecutiveTimeouts >= kTimeoutsUntilUnreachable)
         setReachable(false);
-    m_lastContactAt = now;
 }
 
 void UpstreamPool::recordResponse(Duration elapsed, TimePoint now)
--- a/src/proxy/upstream_pool.h
+++ b/src/proxy/upstream_pool.h
@@ -114,7 +114,8 @@
     void rollBack(PooledLink *link, TimePoint now);
     /// Closes the connection, aborting any statement that runs on it.
     void discard(PooledLink *link, TimePoint now);
-    /// Records a response timeout. Closes idle connections, which may be dead as well.
+    /// Records a response timeout. Closes idle connections, which may be dead as well, unless the
+    /// database has just responded to another request.
     void recordTimeout(TimePoint now);
     void recordResponse(Duration elapsed, TimePoint now);
     /// Records that the database refused or failed a statement; `full` if no slot was free.
