Check the fences and the logs of promotions in the soak

The check 'one' finds a lower fence after a higher one for a service, and a fence that two holders use. The check 'lost_at_promotion' finds commits acknowledged before a promotion took effect that the promoted log lacks, and says how many of them another database held that wasn't dark. Callers note when a commit was acknowledged; the databases note what each log held.

--- a/testsuite/soak/caller.cpp
+++ b/testsuite/soak/caller.cpp
@@ -168,7 +168,7 @@
     if (result.outcome != StatementOutcome::Done)
         return handleFailure(result, result.outcome != StatementOutcome::NotRun);
     m_ownValue = m_lastValue;
-    m_records.acknowledged[m_profile.service].insert(statement);
+    m_records.acknowledged[m_profile.service][statement] = m_surroundings.clock();
     finish({});
 }
 
--- a/testsuite/soak/checks.cpp
+++ b/testsuite/soak/checks.cpp
@@ -3,9 +3,12 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <set>
 
 #include <fmt/format.h>
 
+#include "promotion_checks.h"
+
 namespace shallotlever::soak {
 
 namespace {
@@ -70,7 +73,7 @@
         acknowledged += statements.size();
         missing += static_cast<std::size_t>(
             std::count_if(statements.begin(), statements.end(),
-                          [&](const std::string &id) { return !committed.contains(id); }));
+                          [&](const auto &entry) { return !committed.contains(entry.first); }));
     }
     return { "commits", missing > 0,
              fmt::format(R"("acknowledged":{},"missing":{})", acknowledged, missing) };
@@ -160,6 +163,8 @@
     return { judgeRecovery(records, plan, callersStartedAt),
              judgeConfig(deployment),
              judgeCommits(deployment),
+             judgeFences(deployment),
+             judgePromotedLogs(deployment),
              judgeStops(deployment, plan, callersStartedAt),
              judgeEnds(deployment),
              { "own_writes", records.missedOwnWrites > 0,
--- a/testsuite/soak/deployment.cpp
+++ b/testsuite/soak/deployment.cpp
@@ -1,7 +1,6 @@
 #include "deployment.h"
 
 #include <algorithm>
-#include <stdexcept>
 
 #include <QDir>
 
@@ -52,8 +51,8 @@
         m_teams.push_back({ fmt::format("team{}", i), fmt::format("key-of-team-{:04}", i),
                             static_cast<std::uint32_t>(rate) });
     }
-    servePromotions();
     createGroups();
+    servePromotions();
     createNodes();
     createCallers();
     QObject::connect(&m_probeTimer, &QTimer::timeout, &m_probeTimer, [this] { probeFronts(); });
@@ -191,7 +190,8 @@
         const std::uint64_t seed = m_random();
         m_groups[service] = std::make_unique<GroupThread>([&](HttpCalls &calls) {
             return std::make_unique<DatabaseGroup>(service, places, options, seed,
-                                                   m_controlEndpoints, calls);
+                                                   m_controlEndpoints, calls,
+                                                   [this] { return now(); });
         });
         m_routes.push_back({ "db" + service, service, DatabaseKind::Primary });
         m_routes.push_back({ "old" + service, service, DatabaseKind::BoundedStaleness });
@@ -201,20 +201,19 @@
 
 void Deployment::servePromotions()
 {
-    auto endpoint = HttpEndpoint::create(
-        { host(kPlatformBlock, 0), kPlatformPort },
-        [this](const EndpointRequest &request, const HttpEndpoint::Respond &respond) {
-            const PromotionOrder order = decodePromotion(request.body);
-            const auto group = m_groups.find(order.service);
+    const PromotionServer::Callbacks callbacks {
+        [this] { return now(); },
+        [this](const PromotionCall &call) {
+            const auto group = m_groups.find(call.service);
             bool done = false;
             if (group != m_groups.end())
                 group->second->call(
-                    [&](DatabaseGroup &databases) { done = databases.promote(order.database); });
-            respond({ done ? 200 : 409, "{}" });
-        });
-    if (!endpoint.ok())
-        throw std::runtime_error(std::string(endpoint.status().message()));
-    m_promotions = *std::move(endpoint);
+                    [&](DatabaseGroup &databases) { done = databases.promote(call.database); });
+            return done;
+        },
+    };
+    m_promotions = std::make_unique<PromotionServer>(
+        Endpoint { host(kPlatformBlock, 0), kPlatformPort }, m_options.seed, callbacks);
 }
 
 void Deployment::probeFronts()
--- a/testsuite/soak/deployment.h
+++ b/testsuite/soak/deployment.h
@@ -10,7 +10,7 @@
 #include "config_document.h"
 #include "group_thread.h"
 #include "node_process.h"
-#include "shallotlever/edge/http_endpoint.h"
+#include "promotion_server.h"
 
 namespace shallotlever::soak {
 
@@ -32,6 +32,8 @@
 
     std::vector<std::unique_ptr<NodeProcess>> &controlMembers() { return m_controlMembers; }
     std::vector<std::unique_ptr<NodeProcess>> &fronts() { return m_fronts; }
+    PromotionServer &platform() { return *m_promotions; }
+    const PromotionServer &platform() const { return *m_promotions; }
     /// Databases by service.
     const std::map<std::string, std::unique_ptr<GroupThread>> &groups() const { return m_groups; }
     const CallerRecords &records() const { return m_records; }
@@ -79,7 +81,7 @@
     RunTime m_lastTick { 0 };
     std::map<std::int64_t, RunTime> m_stalls;
     std::map<std::string, std::unique_ptr<GroupThread>> m_groups;
-    std::unique_ptr<HttpEndpoint> m_promotions;
+    std::unique_ptr<PromotionServer> m_promotions;
     std::vector<DatabaseRoute> m_routes;
     std::vector<TeamEntry> m_teams;
     CallerRecords m_records;
--- a/testsuite/soak/records.h
+++ b/testsuite/soak/records.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -34,8 +33,8 @@
 {
     std::vector<OperationRecord> operations;
     std::vector<CutRecord> cuts;
-    /// Statements whose commit was acknowledged, by service.
-    std::map<std::string, std::set<std::string>> acknowledged;
+    /// When each acknowledged commit was acknowledged, by service and statement.
+    std::map<std::string, std::map<std::string, RunTime>> acknowledged;
     int wrongAnswers = 0;
     /// Reads that did not find an acknowledged write of their session.
     int missedOwnWrites = 0;
--- a/testsuite/soak/soak_run.cpp
+++ b/testsuite/soak/soak_run.cpp
@@ -6,6 +6,8 @@
 
 #include <fmt/format.h>
 
+#include "promotion_checks.h"
+
 namespace shallotlever::soak {
 
 namespace {
@@ -105,6 +107,8 @@
     SoakReport report { {}, judge(deployment, plan, origin), describeSeconds(deployment, origin) };
     for (std::string &line : describeCuts(deployment, plan, origin))
         report.details.push_back(std::move(line));
+    for (std::string &line : describePromotions(deployment))
+        report.details.push_back(std::move(line));
     return report;
 }
 
