Add the plan 'deciders' and the broken variants of its checks to the soak

No plan let the primary, the controller and the platform fail at the same time.

In the plan 'deciders', primaries go dark or leave, replicas receive nothing, restart or leave, the controller is suspended or killed, and the platform is slow, down or cut off, from all or from the controller only. The controller is found in the logs of the members. The variants 'late-promotion' and 'shortest-log' must be found by the checks 'one' and 'lost_at_promotion'.

--- a/testsuite/soak/deployment.cpp
+++ b/testsuite/soak/deployment.cpp
@@ -6,6 +6,8 @@
 
 #include <fmt/format.h>
 
+#include "node_log.h"
+
 namespace shallotlever::soak {
 
 namespace {
@@ -175,12 +177,22 @@
     m_probes.resize(m_fronts.size());
 }
 
+NodeProcess &Deployment::controller()
+{
+    const auto latest = std::max_element(
+        m_controlMembers.begin(), m_controlMembers.end(), [](const auto &a, const auto &b) {
+            return controlTermOf(a->command().logFile) < controlTermOf(b->command().logFile);
+        });
+    return **latest;
+}
+
 // Databases and the platform.
 
 void Deployment::createGroups()
 {
     DatabaseOptions options;
     options.losesCommits = m_options.broken == BrokenVariant::LostCommits;
+    options.promotesShortest = m_options.broken == BrokenVariant::ShortestLog;
     for (int s = 0; s < m_options.services; ++s) {
         const std::string service = fmt::format("service{}", s);
         std::vector<DatabasePlace> places;
@@ -214,6 +226,8 @@
     };
     m_promotions = std::make_unique<PromotionServer>(
         Endpoint { host(kPlatformBlock, 0), kPlatformPort }, m_options.seed, callbacks);
+    if (m_options.broken == BrokenVariant::LatePromotion)
+        m_promotions->repeatLate();
 }
 
 void Deployment::probeFronts()
--- a/testsuite/soak/deployment.h
+++ b/testsuite/soak/deployment.h
@@ -32,6 +32,9 @@
 
     std::vector<std::unique_ptr<NodeProcess>> &controlMembers() { return m_controlMembers; }
     std::vector<std::unique_ptr<NodeProcess>> &fronts() { return m_fronts; }
+    /// Member that is the controller according to the logs of the members; the first one if no log
+    /// names one.
+    NodeProcess &controller();
     PromotionServer &platform() { return *m_promotions; }
     const PromotionServer &platform() const { return *m_promotions; }
     /// Databases by service.
--- a/testsuite/soak/fault_plan.cpp
+++ b/testsuite/soak/fault_plan.cpp
@@ -1,6 +1,7 @@
 #include "fault_plan.h"
 
 #include <algorithm>
+#include <array>
 #include <random>
 
 namespace shallotlever::soak {
@@ -27,6 +28,29 @@
 constexpr Milliseconds kCalm { 6000 };
 constexpr Milliseconds kBeforeConfigAtFault { 150 };
 
+// Of the plan that disturbs deciders.
+constexpr int kRounds = 4;
+constexpr Milliseconds kRoundTime { 14'000 };
+/// Within this time of a round, the replacement of a primary is usually decided.
+constexpr Milliseconds kDecisionTime { 5000 };
+constexpr Milliseconds kSpread { 2000 };
+constexpr Milliseconds kMaxDisturbance { 7000 };
+constexpr Milliseconds kMinDark { 3000 };
+constexpr Milliseconds kMaxDark { 8000 };
+constexpr Milliseconds kMinRestart { 300 };
+constexpr Milliseconds kMaxRestart { 1500 };
+constexpr Milliseconds kMinPause { 1000 };
+constexpr Milliseconds kMaxPause { 4000 };
+constexpr Milliseconds kMinSlow { 200 };
+constexpr Milliseconds kMaxSlow { 1500 };
+constexpr Milliseconds kMinCut { 3000 };
+constexpr Milliseconds kMaxUntilPause { 1500 };
+constexpr int kCutControllerPercent = 50;
+constexpr int kLeavingPercent = 30;
+constexpr int kDeafPercent = 50;
+constexpr int kRestartPercent = 40;
+constexpr int kKillPercent = 25;
+
 class Planner
 {
 public:
@@ -115,6 +139,19 @@
             killAll(last == 1 ? m_options.toleratedLosses : 0);
     }
 
+    void disturbDeciders()
+    {
+        for (int round = 0; round < kRounds; ++round, m_now += kRoundTime) {
+            for (int service = 0; service < m_options.services; ++service)
+                replacePrimary(static_cast<std::size_t>(service));
+            disturbController(m_now + between(Milliseconds(0), kDecisionTime));
+            if (chance(kCutControllerPercent))
+                cutController(m_now + between(kSpread, kDecisionTime));
+            else
+                disturbPlatform(m_now + between(Milliseconds(0), kDecisionTime));
+        }
+    }
+
     FaultPlan plan()
     {
         std::stable_sort(m_plan.faults.begin(), m_plan.faults.end(),
@@ -136,6 +173,69 @@
         m_plan.faults.push_back({ at, kind, node, duration });
     }
 
+    bool chance(int percent) { return pick(100) < percent; }
+
+    Milliseconds between(Milliseconds least, Milliseconds most)
+    {
+        return least + Milliseconds(pick(static_cast<int>((most - least).count())));
+    }
+
+    void addDatabaseFault(RunTime at, DatabaseFault kind, std::size_t service,
+                          Milliseconds duration)
+    {
+        Fault fault { at, FaultKind::Database, {}, duration };
+        fault.database = kind;
+        fault.service = service;
+        fault.choice = m_random();
+        m_plan.faults.push_back(fault);
+    }
+
+    /// The primary of a service ends, and at about the same time some of its replicas are
+    /// disturbed.
+    void replacePrimary(std::size_t service)
+    {
+        const RunTime at = m_now + between(Milliseconds(0), kSpread);
+        if (chance(kDeafPercent))
+            addDatabaseFault(at - between(Milliseconds(0), kSpread), DatabaseFault::DeafReplica,
+                             service, between(kSpread, kMaxDisturbance));
+        if (chance(kLeavingPercent))
+            addDatabaseFault(at, DatabaseFault::LeavingPrimary, service, {});
+        else
+            addDatabaseFault(at, DatabaseFault::DarkPrimary, service, between(kMinDark, kMaxDark));
+        if (chance(kRestartPercent))
+            addDatabaseFault(at + between(Milliseconds(0), kMaxDisturbance),
+                             DatabaseFault::DarkReplica, service,
+                             between(kMinRestart, kMaxRestart));
+        else if (chance(kLeavingPercent))
+            addDatabaseFault(at + between(Milliseconds(0), kSpread), DatabaseFault::LeavingReplica,
+                             service, {});
+    }
+
+    void disturbController(RunTime at)
+    {
+        if (chance(kKillPercent))
+            add(at, FaultKind::KillController, {}, between(kMinBack, kMaxBack));
+        else
+            add(at, FaultKind::FreezeController, {}, between(kMinPause, kMaxPause));
+    }
+
+    /// What the controller sends is held up, and it is suspended while promotions are due.
+    void cutController(RunTime at)
+    {
+        add(at, FaultKind::CutController, {}, between(kMinCut, kMaxDisturbance));
+        disturbController(at + between(Milliseconds(0), kMaxUntilPause));
+    }
+
+    void disturbPlatform(RunTime at)
+    {
+        constexpr std::array kKinds { FaultKind::PlatformSlow, FaultKind::PlatformDown,
+                                      FaultKind::PlatformCutOff };
+        const FaultKind kind = kKinds[static_cast<std::size_t>(pick(kKinds.size()))];
+        Fault fault { at, kind, {}, between(kSpread, kMaxDisturbance) };
+        fault.delay = between(kMinSlow, kMaxSlow);
+        m_plan.faults.push_back(fault);
+    }
+
     void kill(const NodeRef &node, FaultKind kind)
     {
         const auto spread = static_cast<int>((kMaxBack - kMinBack).count());
@@ -201,6 +301,9 @@
         planner.freezeInTurns();
         planner.killAll(0);
         break;
+    case PlanKind::Deciders:
+        planner.disturbDeciders();
+        break;
     case PlanKind::Mixed:
         planner.mix();
         break;
@@ -211,7 +314,8 @@
 bool isUnplanned(FaultKind kind)
 {
     return kind == FaultKind::Kill || kind == FaultKind::KillAndLoseData
-        || kind == FaultKind::Freeze;
+        || kind == FaultKind::Freeze || kind == FaultKind::KillController
+        || kind == FaultKind::FreezeController || kind == FaultKind::Database;
 }
 
 } // namespace shallotlever::soak
--- a/testsuite/soak/fault_plan.h
+++ b/testsuite/soak/fault_plan.h
@@ -2,11 +2,27 @@
 
 #include <vector>
 
+#include "database_group.h"
 #include "options.h"
 
 namespace shallotlever::soak {
 
-enum class FaultKind : std::uint8_t { Kill, KillAndLoseData, Stop, Freeze, InstallConfig };
+enum class FaultKind : std::uint8_t {
+    Kill,
+    KillAndLoseData,
+    Stop,
+    Freeze,
+    InstallConfig,
+    /// Of the controller at that moment.
+    KillController,
+    FreezeController,
+    /// Between the controller at that moment and the platform.
+    CutController,
+    Database,
+    PlatformSlow,
+    PlatformDown,
+    PlatformCutOff,
+};
 
 enum class NodeRole : std::uint8_t { Control, Front };
 
@@ -22,8 +38,14 @@
     RunTime at { 0 };
     FaultKind kind = FaultKind::Kill;
     NodeRef node;
-    /// Kill, Stop: until the process starts again. Freeze: until it goes on.
+    /// Kill, Stop: until the process starts again. Others: until it is over.
     std::chrono::milliseconds duration { 0 };
+    /// PlatformSlow: from the arrival of a call to its effect.
+    std::chrono::milliseconds delay { 0 };
+    DatabaseFault database = DatabaseFault::DarkPrimary;
+    std::size_t service = 0;
+    /// Selects one of the replicas.
+    std::size_t choice = 0;
 };
 
 /// What is done to the nodes and when; ordered by time.
--- a/testsuite/soak/main.cpp
+++ b/testsuite/soak/main.cpp
@@ -32,9 +32,9 @@
   --seed=N          First seed [default: 1].
   --runs=N          Runs, each with the next seed [default: 1].
   --plan=NAME       kill-all, kill-all-lose-two, kill-control, kill-control-then-all, roll,
-                    freeze-then-kill-all or mixed [default: mixed].
+                    freeze-then-kill-all, deciders or mixed [default: mixed].
   --broken=NAME     Broken variant that must be detected in one of the runs: lost-commits,
-                    no-recovery or cut-at-stop.
+                    no-recovery, cut-at-stop, late-promotion or shortest-log.
   --control=N       Control members [default: 6].
   --losses=N        Control members that may lose their data at once [default: 2].
   --fronts=N        Nodes that accept callers [default: 8].
@@ -50,7 +50,7 @@
 )";
 
 template <typename T>
-using Names = std::array<std::pair<std::string_view, T>, 7>;
+using Names = std::array<std::pair<std::string_view, T>, 8>;
 
 constexpr Names<PlanKind> kPlans { { { "kill-all", PlanKind::KillAll },
                                      { "kill-all-lose-two", PlanKind::KillAllLoseTwo },
@@ -58,12 +58,15 @@
                                      { "kill-control-then-all", PlanKind::KillControlThenAll },
                                      { "roll", PlanKind::Roll },
                                      { "freeze-then-kill-all", PlanKind::FreezeThenKillAll },
+                                     { "deciders", PlanKind::Deciders },
                                      { "mixed", PlanKind::Mixed } } };
 
-constexpr std::array<std::pair<std::string_view, BrokenVariant>, 3> kVariants {
+constexpr std::array<std::pair<std::string_view, BrokenVariant>, 5> kVariants {
     { { "lost-commits", BrokenVariant::LostCommits },
       { "no-recovery", BrokenVariant::NoRecovery },
-      { "cut-at-stop", BrokenVariant::CutAtStop } }
+      { "cut-at-stop", BrokenVariant::CutAtStop },
+      { "late-promotion", BrokenVariant::LatePromotion },
+      { "shortest-log", BrokenVariant::ShortestLog } }
 };
 
 template <typename T, std::size_t n>
--- a/testsuite/soak/options.h
+++ b/testsuite/soak/options.h
@@ -24,6 +24,9 @@
     FreezeThenKillAll,
     /// A sequence of the above, chosen by the seed.
     Mixed,
+    /// Primaries go dark or leave, the controller is suspended or killed, and the platform is slow,
+    /// down or cut off, all at about the same time.
+    Deciders,
 };
 
 enum class BrokenVariant : std::uint8_t {
@@ -34,6 +37,10 @@
     NoRecovery,
     /// Stopped processes are killed after a tenth of a second.
     CutAtStop,
+    /// A promotion with an old fence arrives at the platform once more.
+    LatePromotion,
+    /// The platform promotes the database with the shortest log.
+    ShortestLog,
 };
 
 struct SoakOptions
--- a/testsuite/soak/promotion_checks.cpp
+++ b/testsuite/soak/promotion_checks.cpp
@@ -75,8 +75,9 @@
     const PromotionEffect &promotion = loss.promotion;
     std::string logs;
     for (const auto &[database, log] : promotion.logs)
-        logs +=
-            fmt::format(R"({}"{}":{})", logs.empty() ? "" : ",", database, log.statements.size());
+        logs += fmt::format(R"({}"{}":"{}{}{}, fence {}")", logs.empty() ? "" : ",", database,
+                            log.statements.size(), log.isDark ? ", dark" : "",
+                            log.isDraining ? ", leaving" : "", log.fencedTerm);
     return fmt::format(
         R"({{"promoted":"{}","term":{},"at_ms":{},"logs":{{{}}},"lost":{},"held_elsewhere":{}}})",
         promotion.database, promotion.term, promotion.at.count(), logs, loss.statements.size(),
--- a/testsuite/soak/soak_run.cpp
+++ b/testsuite/soak/soak_run.cpp
@@ -1,6 +1,7 @@
 #include "soak_run.h"
 
 #include <functional>
+#include <iterator>
 
 #include <QEventLoop>
 
@@ -45,19 +46,9 @@
     return true;
 }
 
-void inject(const Fault &fault, const SoakOptions &options, Deployment &deployment)
+void signalNode(const Fault &fault, const SoakOptions &options, NodeProcess &node)
 {
-    if (fault.kind == FaultKind::InstallConfig) {
-        deployment.installConfig();
-        return;
-    }
-    auto &nodes =
-        fault.node.role == NodeRole::Control ? deployment.controlMembers() : deployment.fronts();
-    NodeProcess &node = *nodes[fault.node.index];
     switch (fault.kind) {
-    case FaultKind::Kill:
-        node.kill(fault.duration);
-        break;
     case FaultKind::KillAndLoseData:
         node.kill(fault.duration, true);
         break;
@@ -66,10 +57,56 @@
                   fault.duration);
         break;
     case FaultKind::Freeze:
+    case FaultKind::FreezeController:
         node.freeze(fault.duration);
         break;
+    default:
+        node.kill(fault.duration);
+        break;
+    }
+}
+
+void disturbDatabase(const Fault &fault, Deployment &deployment)
+{
+    const auto group =
+        std::next(deployment.groups().begin(), static_cast<std::ptrdiff_t>(fault.service));
+    group->second->call([&](DatabaseGroup &databases) {
+        databases.inject(fault.database, fault.choice, fault.duration);
+    });
+}
+
+void inject(const Fault &fault, const SoakOptions &options, Deployment &deployment)
+{
+    const RunTime until = deployment.now() + fault.duration;
+    switch (fault.kind) {
     case FaultKind::InstallConfig:
+        deployment.installConfig();
+        break;
+    case FaultKind::Database:
+        disturbDatabase(fault, deployment);
+        break;
+    case FaultKind::PlatformSlow:
+        deployment.platform().beSlow(fault.delay, until);
         break;
+    case FaultKind::PlatformDown:
+        deployment.platform().beDown(until);
+        break;
+    case FaultKind::PlatformCutOff:
+        deployment.platform().cutOff(until);
+        break;
+    case FaultKind::CutController:
+        deployment.platform().cutOff(until, deployment.controller().command().host);
+        break;
+    case FaultKind::KillController:
+    case FaultKind::FreezeController:
+        signalNode(fault, options, deployment.controller());
+        break;
+    default: {
+        auto &nodes = fault.node.role == NodeRole::Control ? deployment.controlMembers()
+                                                           : deployment.fronts();
+        signalNode(fault, options, *nodes[fault.node.index]);
+        break;
+    }
     }
 }
 
