Name each fault of a soak and what it hit, and disturb when promotions are due

Injection is a module of its own now and gives a line for each fault. A call says whether its sender had closed the connection before it arrived.

Most disturbances of the plan came before the promotions, which are due 4 to 8 s after the start of a round.

--- a/testsuite/soak/fault_plan.cpp
+++ b/testsuite/soak/fault_plan.cpp
@@ -31,8 +31,9 @@
 // Of the plan that disturbs deciders.
 constexpr int kRounds = 4;
 constexpr Milliseconds kRoundTime { 14'000 };
-/// Within this time of a round, the replacement of a primary is usually decided.
-constexpr Milliseconds kDecisionTime { 5000 };
+/// In this part of a round, the replacement of a primary is usually decided.
+constexpr Milliseconds kDecisionStart { 2000 };
+constexpr Milliseconds kDecisionEnd { 8000 };
 constexpr Milliseconds kSpread { 2000 };
 constexpr Milliseconds kMaxDisturbance { 7000 };
 constexpr Milliseconds kMinDark { 3000 };
@@ -144,11 +145,11 @@
         for (int round = 0; round < kRounds; ++round, m_now += kRoundTime) {
             for (int service = 0; service < m_options.services; ++service)
                 replacePrimary(static_cast<std::size_t>(service));
-            disturbController(m_now + between(Milliseconds(0), kDecisionTime));
+            disturbController(m_now + between(kDecisionStart, kDecisionEnd));
             if (chance(kCutControllerPercent))
-                cutController(m_now + between(kSpread, kDecisionTime));
+                cutController(m_now + between(kDecisionStart, kDecisionEnd));
             else
-                disturbPlatform(m_now + between(Milliseconds(0), kDecisionTime));
+                disturbPlatform(m_now + between(kDecisionStart, kDecisionEnd));
         }
     }
 
--- a/testsuite/soak/promotion_checks.cpp
+++ b/testsuite/soak/promotion_checks.cpp
@@ -65,9 +65,9 @@
 std::string describeCall(const PromotionCall &call)
 {
     return fmt::format(
-        R"({{"promotion_call":"{}","database":"{}","holder":"{}","fence":{},"arrived_ms":{},"status":{}}})",
+        R"({{"promotion_call":"{}","database":"{}","holder":"{}","fence":{},"arrived_ms":{},"sender_gone":{},"status":{}}})",
         call.service, call.database, call.holder, call.fence, call.arrivedAt.count(),
-        call.status.value_or(0));
+        call.senderGone, call.status.value_or(0));
 }
 
 std::string describeEffect(const LostCommits &loss)
--- a/testsuite/soak/soak_run.cpp
+++ b/testsuite/soak/soak_run.cpp
@@ -1,12 +1,12 @@
 #include "soak_run.h"
 
 #include <functional>
-#include <iterator>
 
 #include <QEventLoop>
 
 #include <fmt/format.h>
 
+#include "fault_injection.h"
 #include "promotion_checks.h"
 
 namespace shallotlever::soak {
@@ -24,8 +24,6 @@
 constexpr Milliseconds kReadBackLimit { 6000 };
 constexpr Milliseconds kReadBackInterval { 500 };
 constexpr Milliseconds kPollInterval { 50 };
-constexpr Milliseconds kGrace { 6000 };
-constexpr Milliseconds kBrokenGrace { 100 };
 
 void runEvents(Milliseconds time)
 {
@@ -46,70 +44,6 @@
     return true;
 }
 
-void signalNode(const Fault &fault, const SoakOptions &options, NodeProcess &node)
-{
-    switch (fault.kind) {
-    case FaultKind::KillAndLoseData:
-        node.kill(fault.duration, true);
-        break;
-    case FaultKind::Stop:
-        node.stop(options.broken == BrokenVariant::CutAtStop ? kBrokenGrace : kGrace,
-                  fault.duration);
-        break;
-    case FaultKind::Freeze:
-    case FaultKind::FreezeController:
-        node.freeze(fault.duration);
-        break;
-    default:
-        node.kill(fault.duration);
-        break;
-    }
-}
-
-void disturbDatabase(const Fault &fault, Deployment &deployment)
-{
-    const auto group =
-        std::next(deployment.groups().begin(), static_cast<std::ptrdiff_t>(fault.service));
-    group->second->call([&](DatabaseGroup &databases) {
-        databases.inject(fault.database, fault.choice, fault.duration);
-    });
-}
-
-void inject(const Fault &fault, const SoakOptions &options, Deployment &deployment)
-{
-    const RunTime until = deployment.now() + fault.duration;
-    switch (fault.kind) {
-    case FaultKind::InstallConfig:
-        deployment.installConfig();
-        break;
-    case FaultKind::Database:
-        disturbDatabase(fault, deployment);
-        break;
-    case FaultKind::PlatformSlow:
-        deployment.platform().beSlow(fault.delay, until);
-        break;
-    case FaultKind::PlatformDown:
-        deployment.platform().beDown(until);
-        break;
-    case FaultKind::PlatformCutOff:
-        deployment.platform().cutOff(until);
-        break;
-    case FaultKind::CutController:
-        deployment.platform().cutOff(until, deployment.controller().command().host);
-        break;
-    case FaultKind::KillController:
-    case FaultKind::FreezeController:
-        signalNode(fault, options, deployment.controller());
-        break;
-    default: {
-        auto &nodes = fault.node.role == NodeRole::Control ? deployment.controlMembers()
-                                                           : deployment.fronts();
-        signalNode(fault, options, *nodes[fault.node.index]);
-        break;
-    }
-    }
-}
-
 } // namespace
 
 SoakReport runSoak(const SoakOptions &options)
@@ -127,11 +61,12 @@
     const FaultPlan plan = makeFaultPlan(options);
     const RunTime origin = deployment.now();
     deployment.startCallers();
+    std::vector<std::string> faults;
     for (const Fault &fault : plan.faults) {
         const RunTime left = origin + fault.at - deployment.now();
         if (left.count() > 0)
             runEvents(left);
-        inject(fault, options, deployment);
+        faults.push_back(inject(fault, options, deployment));
     }
     const RunTime end = origin + plan.allBackAt + kObservation;
     runEvents(end - deployment.now());
@@ -146,6 +81,8 @@
         report.details.push_back(std::move(line));
     for (std::string &line : describePromotions(deployment))
         report.details.push_back(std::move(line));
+    for (std::string &line : faults)
+        report.details.push_back(std::move(line));
     return report;
 }
 
