--- a/testsuite/soak/fault_plan.cpp
+++ b/testsuite/soak/fault_plan.cpp
@@ -29,11 +29,10 @@
 constexpr Milliseconds kBeforeConfigAtFault { 150 };
 
 // Of the plan that disturbs deciders.
-constexpr int kRounds = 4;
 constexpr Milliseconds kRoundTime { 14'000 };
-/// In this part of a round, the replacement of a primary is usually decided.
-constexpr Milliseconds kDecisionStart { 2000 };
-constexpr Milliseconds kDecisionEnd { 8000 };
+/// In this part of a round, the replacements of primaries are usually decided.
+constexpr Milliseconds kDecisionStart { 1000 };
+constexpr Milliseconds kDecisionEnd { 4500 };
 constexpr Milliseconds kSpread { 2000 };
 constexpr Milliseconds kMaxDisturbance { 7000 };
 constexpr Milliseconds kMinDark { 3000 };
@@ -45,7 +44,6 @@
 constexpr Milliseconds kMinSlow { 200 };
 constexpr Milliseconds kMaxSlow { 1500 };
 constexpr Milliseconds kMinCut { 3000 };
-constexpr Milliseconds kMaxUntilPause { 1500 };
 constexpr int kCutControllerPercent = 50;
 constexpr int kLeavingPercent = 30;
 constexpr int kDeafPercent = 50;
@@ -142,14 +140,14 @@
 
     void disturbDeciders()
     {
-        for (int round = 0; round < kRounds; ++round, m_now += kRoundTime) {
+        for (int round = 0; round < m_options.rounds; ++round, m_now += kRoundTime) {
             for (int service = 0; service < m_options.services; ++service)
                 replacePrimary(static_cast<std::size_t>(service));
             disturbController(m_now + between(kDecisionStart, kDecisionEnd));
             if (chance(kCutControllerPercent))
-                cutController(m_now + between(kDecisionStart, kDecisionEnd));
+                cutController(m_now + between(Milliseconds(0), kDecisionStart));
             else
-                disturbPlatform(m_now + between(kDecisionStart, kDecisionEnd));
+                disturbPlatform(m_now + between(Milliseconds(0), kDecisionStart));
         }
     }
 
@@ -224,7 +222,7 @@
     void cutController(RunTime at)
     {
         add(at, FaultKind::CutController, {}, between(kMinCut, kMaxDisturbance));
-        disturbController(at + between(Milliseconds(0), kMaxUntilPause));
+        disturbController(m_now + between(kDecisionStart, kDecisionEnd));
     }
 
     void disturbPlatform(RunTime at)
--- a/testsuite/soak/main.cpp
+++ b/testsuite/soak/main.cpp
@@ -26,7 +26,7 @@
 Usage:
   soak [--seed=N] [--runs=N] [--plan=NAME] [--broken=NAME] [--control=N] [--losses=N] [--fronts=N]
        [--services=N] [--sessions=N] [--rate=N] [--data-centres=N] [--subnet=N] [--program=PATH]
-       [--directory=DIR] [--details] [--keep]
+       [--directory=DIR] [--rounds=N] [--details] [--keep]
 
 Options:
   --seed=N          First seed [default: 1].
@@ -35,6 +35,7 @@
                     freeze-then-kill-all, deciders or mixed [default: mixed].
   --broken=NAME     Broken variant that must be detected in one of the runs: lost-commits,
                     no-recovery, cut-at-stop, late-promotion or shortest-log.
+  --rounds=N        Rounds of the plan deciders [default: 4].
   --control=N       Control members [default: 6].
   --losses=N        Control members that may lose their data at once [default: 2].
   --fronts=N        Nodes that accept callers [default: 8].
@@ -96,6 +97,7 @@
             return std::nullopt;
         options.broken = *variant;
     }
+    options.rounds = number("--rounds");
     options.controlMembers = number("--control");
     options.toleratedLosses = number("--losses");
     options.fronts = number("--fronts");
--- a/testsuite/soak/options.h
+++ b/testsuite/soak/options.h
@@ -48,6 +48,8 @@
     std::uint64_t seed = 1;
     PlanKind plan = PlanKind::Mixed;
     BrokenVariant broken = BrokenVariant::None;
+    /// Of the plan Deciders.
+    int rounds = 4;
     int controlMembers = 6;
     int toleratedLosses = 2;
     int fronts = 8;
