Count the late calls whose sender had closed the connection

Each lower fence came on a connection that its holder had already closed: the figure tells these calls from those of a process that is still suspended.

--- a/testsuite/soak/promotion_checks.cpp
+++ b/testsuite/soak/promotion_checks.cpp
@@ -91,17 +91,23 @@
     const std::vector<PromotionCall> calls = deployment.platform().calls();
     std::map<std::string, FencesSeen> services;
     int lower = 0;
+    int lowerOfGone = 0;
     int shared = 0;
     for (const PromotionCall &call : calls) {
         FencesSeen &seen = services[call.service];
-        lower += call.fence < seen.highest ? 1 : 0;
+        const bool isLower = call.fence < seen.highest;
+        lower += isLower ? 1 : 0;
+        lowerOfGone += isLower && call.senderGone ? 1 : 0;
         seen.highest = std::max(seen.highest, call.fence);
         const auto [holder, isNew] = seen.holders.try_emplace(call.fence, call.holder);
         shared += !isNew && holder->second != call.holder ? 1 : 0;
     }
-    return { "one", lower > 0 || shared > 0,
-             fmt::format(R"("calls":{},"lower_after_higher":{},"shared_by_holders":{})",
-                         calls.size(), lower, shared) };
+    return {
+        "one", lower > 0 || shared > 0,
+        fmt::format(
+            R"("calls":{},"lower_after_higher":{},"of_closed_connections":{},"shared_by_holders":{})",
+            calls.size(), lower, lowerOfGone, shared)
+    };
 }
 
 Finding judgePromotedLogs(const Deployment &deployment)
