--- a/testsuite/soak/checks.cpp
+++ b/testsuite/soak/checks.cpp
@@ -165,6 +165,7 @@
              judgeCommits(deployment),
              judgeFences(deployment),
              judgePromotedLogs(deployment),
+             judgePrimaries(deployment),
              judgeStops(deployment, plan, callersStartedAt),
              judgeEnds(deployment),
              { "own_writes", records.missedOwnWrites > 0,
--- a/testsuite/soak/deployment.cpp
+++ b/testsuite/soak/deployment.cpp
@@ -217,8 +217,8 @@
         [this] { return now(); },
         [this](const PromotionCall &call) {
             const auto group = m_groups.find(call.service);
-            bool done = false;
-            if (group != m_groups.end())
+            bool done = m_options.broken == BrokenVariant::NoPromotion;
+            if (group != m_groups.end() && !done)
                 group->second->call(
                     [&](DatabaseGroup &databases) { done = databases.promote(call.database); });
             return done;
--- a/testsuite/soak/main.cpp
+++ b/testsuite/soak/main.cpp
@@ -34,7 +34,8 @@
   --plan=NAME       kill-all, kill-all-lose-two, kill-control, kill-control-then-all, roll,
                     freeze-then-kill-all, deciders or mixed [default: mixed].
   --broken=NAME     Broken variant that must be detected in one of the runs: lost-commits,
-                    no-recovery, cut-at-stop, late-promotion or shortest-log.
+                    no-recovery, cut-at-stop, late-promotion, shortest-log or
+                    no-promotion.
   --rounds=N        Rounds of the plan deciders [default: 4].
   --control=N       Control members [default: 6].
   --losses=N        Control members that may lose their data at once [default: 2].
@@ -62,12 +63,13 @@
                                      { "deciders", PlanKind::Deciders },
                                      { "mixed", PlanKind::Mixed } } };
 
-constexpr std::array<std::pair<std::string_view, BrokenVariant>, 5> kVariants {
+constexpr std::array<std::pair<std::string_view, BrokenVariant>, 6> kVariants {
     { { "lost-commits", BrokenVariant::LostCommits },
       { "no-recovery", BrokenVariant::NoRecovery },
       { "cut-at-stop", BrokenVariant::CutAtStop },
       { "late-promotion", BrokenVariant::LatePromotion },
-      { "shortest-log", BrokenVariant::ShortestLog } }
+      { "shortest-log", BrokenVariant::ShortestLog },
+      { "no-promotion", BrokenVariant::NoPromotion } }
 };
 
 template <typename T, std::size_t n>
--- a/testsuite/soak/options.h
+++ b/testsuite/soak/options.h
@@ -41,6 +41,8 @@
     LatePromotion,
     /// The platform promotes the database with the shortest log.
     ShortestLog,
+    /// The platform accepts calls for promotions and promotes nothing.
+    NoPromotion,
 };
 
 struct SoakOptions
--- a/testsuite/soak/promotion_checks.cpp
+++ b/testsuite/soak/promotion_checks.cpp
@@ -124,6 +124,17 @@
                          heldElsewhere) };
 }
 
+Finding judgePrimaries(const Deployment &deployment)
+{
+    int without = 0;
+    for (const auto &[service, group] : deployment.groups())
+        group->call(
+            [&](const DatabaseGroup &databases) { without += databases.hasPrimary() ? 0 : 1; });
+    return { "primaries", without > 0,
+             fmt::format(R"("services":{},"without_primary":{})", deployment.groups().size(),
+                         without) };
+}
+
 std::vector<std::string> describePromotions(const Deployment &deployment)
 {
     std::vector<std::string> lines;
--- a/testsuite/soak/promotion_checks.h
+++ b/testsuite/soak/promotion_checks.h
@@ -15,6 +15,9 @@
 /// have acknowledgements of.
 Finding judgePromotedLogs(const Deployment &deployment);
 
+/// At the end of a run, each service has a primary.
+Finding judgePrimaries(const Deployment &deployment);
+
 /// One JSON line for each call for a promotion, each promotion that took effect, and each commit
 /// that a promotion lost.
 std::vector<std::string> describePromotions(const Deployment &deployment);
