--- a/testsuite/soak/main.cpp
+++ b/testsuite/soak/main.cpp
@@ -26,15 +26,17 @@
 Usage:
   soak [--seed=N] [--runs=N] [--plan=NAME] [--broken=NAME] [--control=N] [--losses=N] [--fronts=N]
        [--services=N] [--sessions=N] [--rate=N] [--data-centres=N] [--subnet=N] [--program=PATH]
-       [--directory=DIR] [--details] [--keep]
+       [--directory=DIR] [--rounds=N] [--details] [--keep]
 
 Options:
   --seed=N          First seed [default: 1].
   --runs=N          Runs, each with the next seed [default: 1].
   --plan=NAME       kill-all, kill-all-lose-two, kill-control, kill-control-then-all, roll,
-                    freeze-then-kill-all or mixed [default: mixed].
+                    freeze-then-kill-all, deciders or mixed [default: mixed].
   --broken=NAME     Broken variant that must be detected in one of the runs: lost-commits,
-                    no-recovery or cut-at-stop.
+                    no-recovery, cut-at-stop, late-promotion, shortest-log or
+                    no-promotion.
+  --rounds=N        Rounds of the plan deciders [default: 4].
   --control=N       Control members [default: 6].
   --losses=N        Control members that may lose their data at once [default: 2].
   --fronts=N        Nodes that accept callers [default: 8].
@@ -50,7 +52,7 @@
 )";
 
 template <typename T>
-using Names = std::array<std::pair<std::string_view, T>, 7>;
+using Names = std::array<std::pair<std::string_view, T>, 8>;
 
 constexpr Names<PlanKind> kPlans { { { "kill-all", PlanKind::KillAll },
                                      { "kill-all-lose-two", PlanKind::KillAllLoseTwo },
@@ -58,12 +60,16 @@
                                      { "kill-control-then-all", PlanKind::KillControlThenAll },
                                      { "roll", PlanKind::Roll },
                                      { "freeze-then-kill-all", PlanKind::FreezeThenKillAll },
+                                     { "deciders", PlanKind::Deciders },
                                      { "mixed", PlanKind::Mixed } } };
 
-constexpr std::array<std::pair<std::string_view, BrokenVariant>, 3> kVariants {
+constexpr std::array<std::pair<std::string_view, BrokenVariant>, 6> kVariants {
     { { "lost-commits", BrokenVariant::LostCommits },
       { "no-recovery", BrokenVariant::NoRecovery },
-      { "cut-at-stop", BrokenVariant::CutAtStop } }
+      { "cut-at-stop", BrokenVariant::CutAtStop },
+      { "late-promotion", BrokenVariant::LatePromotion },
+      { "shortest-log", BrokenVariant::ShortestLog },
+      { "no-promotion", BrokenVariant::NoPromotion } }
 };
 
 template <typename T, std::size_t n>
@@ -93,6 +99,7 @@
             return std::nullopt;
         options.broken = *variant;
     }
+    options.rounds = number("--rounds");
     options.controlMembers = number("--control");
     options.toleratedLosses = number("--losses");
     options.fronts = number("--fronts");
--- a/testsuite/soak/options.h
+++ b/testsuite/soak/options.h
@@ -24,6 +24,9 @@
     FreezeThenKillAll,
     /// A sequence of the above, chosen by the seed.
     Mixed,
+    /// Primaries go dark or leave, the controller is suspended or killed, and the platform is slow,
+    /// down or cut off, all at about the same time.
+    Deciders,
 };
 
 enum class BrokenVariant : std::uint8_t {
@@ -34,6 +37,12 @@
     NoRecovery,
     /// Stopped processes are killed after a tenth of a second.
     CutAtStop,
+    /// A promotion with an old fence arrives at the platform once more.
+    LatePromotion,
+    /// The platform promotes the database with the shortest log.
+    ShortestLog,
+    /// The platform accepts calls for promotions and promotes nothing.
+    NoPromotion,
 };
 
 struct SoakOptions
@@ -41,6 +50,8 @@
     std::uint64_t seed = 1;
     PlanKind plan = PlanKind::Mixed;
     BrokenVariant broken = BrokenVariant::None;
+    /// Of the plan Deciders.
+    int rounds = 4;
     int controlMembers = 6;
     int toleratedLosses = 2;
     int fronts = 8;
--- a/testsuite/soak/soak_run.cpp
+++ b/testsuite/soak/soak_run.cpp
@@ -6,6 +6,9 @@
 
 #include <fmt/format.h>
 
+#include "fault_injection.h"
+#include "promotion_checks.h"
+
 namespace shallotlever::soak {
 
 namespace {
@@ -21,8 +24,6 @@
 constexpr Milliseconds kReadBackLimit { 6000 };
 constexpr Milliseconds kReadBackInterval { 500 };
 constexpr Milliseconds kPollInterval { 50 };
-constexpr Milliseconds kGrace { 6000 };
-constexpr Milliseconds kBrokenGrace { 100 };
 
 void runEvents(Milliseconds time)
 {
@@ -43,34 +44,6 @@
     return true;
 }
 
-void inject(const Fault &fault, const SoakOptions &options, Deployment &deployment)
-{
-    if (fault.kind == FaultKind::InstallConfig) {
-        deployment.installConfig();
-        return;
-    }
-    auto &nodes =
-        fault.node.role == NodeRole::Control ? deployment.controlMembers() : deployment.fronts();
-    NodeProcess &node = *nodes[fault.node.index];
-    switch (fault.kind) {
-    case FaultKind::Kill:
-        node.kill(fault.duration);
-        break;
-    case FaultKind::KillAndLoseData:
-        node.kill(fault.duration, true);
-        break;
-    case FaultKind::Stop:
-        node.stop(options.broken == BrokenVariant::CutAtStop ? kBrokenGrace : kGrace,
-                  fault.duration);
-        break;
-    case FaultKind::Freeze:
-        node.freeze(fault.duration);
-        break;
-    case FaultKind::InstallConfig:
-        break;
-    }
-}
-
 } // namespace
 
 SoakReport runSoak(const SoakOptions &options)
@@ -88,11 +61,12 @@
     const FaultPlan plan = makeFaultPlan(options);
     const RunTime origin = deployment.now();
     deployment.startCallers();
+    std::vector<std::string> faults;
     for (const Fault &fault : plan.faults) {
         const RunTime left = origin + fault.at - deployment.now();
         if (left.count() > 0)
             runEvents(left);
-        inject(fault, options, deployment);
+        faults.push_back(inject(fault, options, deployment));
     }
     const RunTime end = origin + plan.allBackAt + kObservation;
     runEvents(end - deployment.now());
@@ -105,6 +79,10 @@
     SoakReport report { {}, judge(deployment, plan, origin), describeSeconds(deployment, origin) };
     for (std::string &line : describeCuts(deployment, plan, origin))
         report.details.push_back(std::move(line));
+    for (std::string &line : describePromotions(deployment))
+        report.details.push_back(std::move(line));
+    for (std::string &line : faults)
+        report.details.push_back(std::move(line));
     return report;
 }
 
