Start each seed of a soak from an empty directory

A run that is expected to be broken keeps its directory. Played again, its control members read the control log of the earlier run, which names other addresses, and joined whichever soak used these then: soak_detects_late_promotion passed for a wrong reason (334 of 334 commits missing, no call for a promotion), two cases didn't begin (0 of 4 fronts ready), and the run of another soak was disturbed (nodes of 127.64 in the logs of 127.69).

From empty directories, the three variants are found by the checks that they are for: 'one' 10 lower fences, 'lost_at_promotion' 17 commits, 'primaries' 2 services.

--- a/testsuite/soak/main.cpp
+++ b/testsuite/soak/main.cpp
@@ -132,6 +132,8 @@
 /// could not begin.
 std::optional<bool> playSeed(const SoakOptions &options, const Arguments &args)
 {
+    // The nodes must not find the control log of an earlier run, which names other addresses.
+    QDir(QString::fromStdString(options.directory)).removeRecursively();
     const SoakReport report = runSoak(options);
     if (!report.notRun.empty()) {
         fmt::print(R"({{"seed":{},"not_run":"{}"}})"
