--- a/src/include/shallotlever/proxy/proxy.h
+++ b/src/include/shallotlever/proxy/proxy.h
@@ -145,7 +145,7 @@
 
 /// Promotes a database through the platform. The callback receives OK, FailedPrecondition if the
 /// database is not running, Aborted if the permit had ended and nothing was sent, or another error
-/// if the outcome is unknown. It is called once, from the event loop.
+/// if the outcome is unknown. It is called at most once, and possibly before the function returns.
 using PromoteFunction = std::function<std::unique_ptr<PendingPromotion>(
     const PromotionOrder &, std::function<void(const absl::Status &)>)>;
 
