Log what the name of a prepared statement stands for on a connection

The logs couldn't tell whether a wrong shape came from the name, from a refused PARSE, whose answer was ignored, or from another node. statement_prepared names connection, name and the hash of the definition, prepare_failed the answer.

--- a/src/proxy/statement_runner.cpp
+++ b/src/proxy/statement_runner.cpp
@@ -40,6 +40,9 @@
 
 StatementRunner::StatementRunner(ProxyState &state)
     : m_state(state)
+    , m_prepareFailures(state.metrics->registry().counter(
+          "shallotlever_prepare_failures_total",
+          "Statements that a database did not prepare on a connection."))
 {
     for (const RetryReasonRow &row : retryReasonTable())
         m_returned.push_back(
--- a/src/proxy/statement_runner.h
+++ b/src/proxy/statement_runner.h
@@ -105,6 +105,8 @@
     void onBegun(std::uint64_t id, const UpstreamReply &reply);
     void send(Execution &execution, TimePoint now);
     std::string statementText(Execution &execution);
+    void logPrepared(const Execution &execution, std::string_view name);
+    void onPrepared(std::uint64_t id, const UpstreamReply &reply);
     void onReply(std::uint64_t id, const UpstreamReply &reply);
     void onError(Execution &execution, const UpstreamReply &reply, TimePoint now);
     void onLost(Execution &execution, RetryReason reason, TimePoint now);
@@ -124,6 +126,7 @@
     std::uint64_t m_lastId = 0;
     /// Statements returned unrun, by RetryReason.
     std::vector<Counter *> m_returned;
+    Counter &m_prepareFailures;
 };
 
 } // namespace shallotlever
--- a/src/proxy/statement_setup.cpp
+++ b/src/proxy/statement_setup.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <xxhash.h>
+
 #include "shallotlever/base/clock.h"
 #include "statement_runner.h"
 
@@ -16,6 +18,9 @@
 /// Maximum wait for a connection of a statement that another database may run as well.
 constexpr Duration kLinkAcquireTimeout = 300ms;
 
+/// A longer name is cut in a log line.
+constexpr std::size_t kMaxLoggedNameBytes = 64;
+
 /// Name of a prepared statement on a database connection. Sessions share connections, so the name
 /// is derived from the statement's content.
 std::string sharedStatementName(const PreparedStatement &prepared)
@@ -187,11 +192,14 @@
     std::string text = request.text;
     if (request.prepared) {
         const std::string name = sharedStatementName(*request.prepared);
-        if (execution.link->prepared.emplace(name, *request.prepared).second)
+        if (execution.link->prepared.emplace(name, *request.prepared).second) {
+            logPrepared(execution, name);
             // If this fails, the Execute that follows fails with UnknownPrepared and the statement
             // is prepared again.
-            execution.link->link->send("", protocol.prepareText(name, *request.prepared),
-                                       [](const UpstreamReply &) {});
+            execution.link->link->send(
+                "", protocol.prepareText(name, *request.prepared),
+                [this, id = execution.id](const UpstreamReply &reply) { onPrepared(id, reply); });
+        }
         text = protocol.executeText(name, request.text);
     }
     const bool single = request.transaction == 0;
@@ -200,6 +208,38 @@
         : text;
 }
 
+/// Tells which statement a name stands for on which connection, without the statement's text.
+void StatementRunner::logPrepared(const Execution &execution, std::string_view name)
+{
+    if (!acquireLogToken(m_state.logRateLimiter, LogTopic::Retry, monotonicNow()))
+        return;
+    const std::string &shape = execution.request.prepared->shape;
+    m_state.logger->info("statement_prepared",
+                         { { "request", execution.request.id },
+                           { "upstream", execution.request.upstream.value() },
+                           { "connection", execution.link->id },
+                           { "name", name.substr(0, kMaxLoggedNameBytes) },
+                           { "writes", execution.request.prepared->writes },
+                           { "shape_hash", XXH3_64bits(shape.data(), shape.size()) },
+                           { "shape_bytes", shape.size() } });
+}
+
+void StatementRunner::onPrepared(std::uint64_t id, const UpstreamReply &reply)
+{
+    if (reply.lost || reply.succeeded())
+        return;
+    m_prepareFailures.increment();
+    const Execution *execution = find(id);
+    if (execution == nullptr
+        || !acquireLogToken(m_state.logRateLimiter, LogTopic::Failure, monotonicNow()))
+        return;
+    m_state.logger->info("prepare_failed",
+                         { { "request", execution->request.id },
+                           { "upstream", execution->request.upstream.value() },
+                           { "connection", execution->link->id },
+                           { "reason", reply.error ? reply.error->message : std::string() } });
+}
+
 Duration StatementRunner::attemptTimeout(const Execution &execution, TimePoint now) const
 {
     const UpstreamLoad &load = execution.pool->load();
