Name prepared statements by numbers, and encode fields as fields

Cause: the name of a prepared statement on a shared connection was its shape, put into a line in which a name ends at the first blank. Nothing made sure that what is read out of a line is what was put in.

Change: a connection gives each different statement a number, never again to another one, and keeps a bounded set of them. Lines to databases are built from fields; a field that a line can't represent makes the message fail, and nothing is sent: such a statement is refused as request_too_large, a service or team that can't be named as unusable_name, at once and with a log line at each configuration. No blank is added behind a name without arguments. A failed PARSE is counted, ends after three attempts as prepare_failed, and leaves the others prepared; a connection that has forgotten a statement, or that reports an open transaction after a single statement, is closed or rolled back instead of being lent to the next session.

--- a/src/base/errors.cpp
+++ b/src/base/errors.cpp
@@ -47,6 +47,8 @@
     ErrorRow { ErrorKind::InvalidChange, "invalid_change", 422, Outcome::NotRun, false, 0ms },
     ErrorRow { ErrorKind::NoController, "no_controller", 503, Outcome::NotRun, true, 500ms },
     ErrorRow { ErrorKind::Internal, "internal", 500, Outcome::Unknown, false, 0ms },
+    ErrorRow { ErrorKind::PrepareFailed, "prepare_failed", 503, Outcome::NotRun, true, 200ms },
+    ErrorRow { ErrorKind::UnusableName, "unusable_name", 422, Outcome::NotRun, false, 0ms },
 };
 
 } // namespace
--- a/src/base/errors_test.cpp
+++ b/src/base/errors_test.cpp
@@ -9,7 +9,7 @@
 TEST(ErrorTable, RowsFollowEnumOrder)
 {
     const auto table = errorTable();
-    ASSERT_EQ(table.size(), static_cast<std::size_t>(ErrorKind::Internal) + 1);
+    ASSERT_EQ(table.size(), static_cast<std::size_t>(ErrorKind::UnusableName) + 1);
     for (std::size_t i = 0; i < table.size(); ++i)
         EXPECT_EQ(static_cast<std::size_t>(table[i].kind), i) << table[i].name;
 }
--- a/src/base/retry_reason.cpp
+++ b/src/base/retry_reason.cpp
@@ -27,6 +27,7 @@
     RetryReasonRow { RetryReason::PreparedUnknown, "prepared_unknown", true, false },
     RetryReasonRow { RetryReason::IdempotentRepeat, "idempotent_repeat", false, false },
     RetryReasonRow { RetryReason::OwnerUnavailable, "owner_unavailable", true, false },
+    RetryReasonRow { RetryReason::Unsendable, "unsendable", true, false },
 };
 
 } // namespace
--- a/src/include/shallotlever/base/errors.h
+++ b/src/include/shallotlever/base/errors.h
@@ -42,6 +42,8 @@
     InvalidChange,
     NoController,
     Internal,
+    PrepareFailed,
+    UnusableName,
 };
 
 /// Whether the request took effect.
--- a/src/include/shallotlever/base/retry_reason.h
+++ b/src/include/shallotlever/base/retry_reason.h
@@ -47,6 +47,8 @@
     /// or
     /// is not reachable.
     OwnerUnavailable,
+    /// No message to the database can represent the statement. Another attempt would fail as well.
+    Unsendable,
 };
 
 struct RetryReasonRow
--- a/src/include/shallotlever/proxy/protocol.h
+++ b/src/include/shallotlever/proxy/protocol.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <variant>
 
+#include "absl/status/statusor.h"
 #include "shallotlever/base/errors.h"
 #include "shallotlever/base/ids.h"
 #include "shallotlever/types/fleet.h"
@@ -51,9 +52,12 @@
     bool writes = false;
     /// Definition of the statement, forwarded to the database unchanged.
     std::string shape;
-    friend bool operator==(const PreparedStatement &, const PreparedStatement &) = default;
+    friend auto operator<=>(const PreparedStatement &, const PreparedStatement &) = default;
 };
 
+/// Names a prepared statement on one connection to a database.
+using PreparedNumber = Number<struct PreparedNumberTag>;
+
 struct Statement
 {
     /// Assigned by the caller and forwarded to the database.
@@ -63,8 +67,9 @@
     std::string text;
     /// Set, Prepare, Execute, Deallocate: name of the session variable or prepared statement.
     std::string name;
-    /// Set: value of the variable. Execute: arguments.
-    std::string arguments;
+    /// Set: value of the variable. Execute: arguments; nullopt if there is no field for them, which
+    /// differs from an empty one.
+    std::optional<std::string> arguments;
     /// Prepare only.
     PreparedStatement prepared;
 };
@@ -151,16 +156,23 @@
     std::string (*complete)();
     std::string (*error)(const Error &error);
 
-    // Messages to databases; each function returns a complete line. An empty id marks a statement
-    // that was not sent by a caller.
-    std::string (*start)(const ServiceId &service, std::string_view user, const UpstreamId &id);
-    std::string (*request)(std::string_view id, std::string_view text);
+    // Messages to databases; each function returns a complete line, or an error if the line can't
+    // represent a field or would be too long. An empty id marks a statement that was not sent by a
+    // caller.
+    absl::StatusOr<std::string> (*start)(const ServiceId &service, std::string_view user,
+                                         const UpstreamId &id);
+    absl::StatusOr<std::string> (*request)(std::string_view id, std::string_view text);
+    /// Whether a service or a user with this name can be named to a database.
+    bool (*isName)(std::string_view name);
 
-    // Statement texts.
+    // Statement texts, or an error if the text can't represent a field.
     std::string (*systemText)(SystemStatement statement);
-    std::string (*setText)(std::string_view name, std::string_view value);
-    std::string (*prepareText)(std::string_view name, const PreparedStatement &prepared);
-    std::string (*executeText)(std::string_view name, std::string_view arguments);
+    absl::StatusOr<std::string> (*setText)(std::string_view name, std::string_view value);
+    absl::StatusOr<std::string> (*prepareText)(PreparedNumber number,
+                                               const PreparedStatement &prepared);
+    absl::StatusOr<std::string> (*executeText)(PreparedNumber number,
+                                               const std::optional<std::string> &arguments);
+    std::string (*deallocateText)(PreparedNumber number);
     /// Statement text with the condition that the log of the database has reached `point`; a
     /// database that lags behind it refuses the statement.
     std::string (*requirePositionText)(const HistoryPoint &point, std::string_view text);
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -49,6 +49,8 @@
     void logOwners(const UpstreamInfo &info) const;
     std::shared_ptr<UpstreamPool> makePool(const UpstreamInfo &info);
     void onReachable(const UpstreamId &upstream, bool reachable);
+    /// Names that databases can't be told, which a valid configuration may hold.
+    void logUnusableNames(const ClusterConfig &config) const;
     void onOpenFailed(const UpstreamId &upstream, LinkOpenFailure failure, const std::string &error,
                       Duration waited);
     void tick(TimePoint now);
@@ -117,6 +119,18 @@
     m_sessionsGauge.set(static_cast<std::int64_t>(m_sessions.size()));
 }
 
+void SessionProxy::Impl::logUnusableNames(const ClusterConfig &config) const
+{
+    const auto log = [this](const char *kind, const std::string &name) {
+        if (!m_state.protocol->isName(name))
+            m_state.logger->warning("name_unusable", { { "kind", kind }, { "name", name } });
+    };
+    for (const auto &[id, service] : config.services)
+        log("service", id.value());
+    for (const auto &[id, team] : config.teams)
+        log("team", id.value());
+}
+
 std::shared_ptr<UpstreamPool> SessionProxy::Impl::makePool(const UpstreamInfo &info)
 {
     UpstreamPool::Callbacks callbacks;
@@ -276,6 +290,8 @@
                                const std::map<TeamId, std::shared_ptr<TokenBucket>> &buckets)
 {
     ProxyState &state = m_impl->m_state;
+    if (config.installed.number != state.config.installed.number)
+        m_impl->logUnusableNames(config);
     state.config = config;
     state.teamsByKey.clear();
     for (const auto &[id, key] : config.keys) {
--- a/src/proxy/session.cpp
+++ b/src/proxy/session.cpp
@@ -73,7 +73,7 @@
     } else if (std::holds_alternative<SessionEnd>(message)) {
         m_socket->closeGracefully(now);
         onClosed();
-    } else if (!m_started && std::holds_alternative<Statement>(message)) {
+    } else if (!m_started) {
         refuseStart(ErrorKind::MalformedRequest);
     } else {
         enqueue(std::move(message));
@@ -142,7 +142,7 @@
     }
     switch (statement.kind) {
     case StatementKind::Set:
-        m_variables.insert_or_assign(statement.name, statement.arguments);
+        m_variables.insert_or_assign(statement.name, statement.arguments.value_or(""));
         break;
     case StatementKind::Prepare:
         m_prepared.insert_or_assign(statement.name, statement.prepared);
@@ -191,7 +191,7 @@
 void CallerSession::admit(TimePoint now)
 {
     m_execution->phase = Phase::AwaitingUpstream;
-    if (const auto refused = unauthorized(now)) {
+    if (const auto refused = refusalReason(now)) {
         fail(*refused, now);
         return;
     }
@@ -292,7 +292,7 @@
         return;
     }
     // A transaction does not continue once its key or the fleet view may be out of date.
-    if (const auto refused = unauthorized(now)) {
+    if (const auto refused = refusalReason(now)) {
         fail(*refused == ErrorKind::InvalidKey ? *refused : ErrorKind::TransactionLost, now);
         return;
     }
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -77,7 +77,8 @@
     void commit(Statement statement, TimePoint now);
     void rollback(TimePoint now);
     bool insideRate(TimePoint now) const;
-    std::optional<ErrorKind> unauthorized(TimePoint now) const;
+    /// Why the caller's operations can't be run, whatever they are; nullopt if they can.
+    std::optional<ErrorKind> refusalReason(TimePoint now) const;
     TeamId teamOfKey() const;
     /// Admits the statement for the team that holds the key now. A transaction is lost instead,
     /// because it was begun for the other team.
--- a/src/proxy/session_attempt.cpp
+++ b/src/proxy/session_attempt.cpp
@@ -17,6 +17,8 @@
 /// Number of attempts after which the error of a read that databases execute and fail is returned
 /// to the caller.
 constexpr std::uint32_t kMaxReadAttempts = 3;
+/// Number of attempts after which a statement is refused that databases do not prepare.
+constexpr std::uint32_t kMaxPrepareAttempts = 3;
 /// Round trip assumed for a node to which none has been measured; that of another region, so that
 /// near databases are preferred.
 constexpr Duration kUnknownRoundTrip = 40ms;
@@ -134,7 +136,7 @@
 void CallerSession::startAttempt(TimePoint now)
 {
     Execution &execution = *m_execution;
-    if (const auto refused = unauthorized(now)) {
+    if (const auto refused = refusalReason(now)) {
         fail(*refused, now);
         return;
     }
@@ -201,7 +203,8 @@
     request.text = statement.text;
     if (statement.kind == StatementKind::Execute) {
         request.prepared = m_prepared.at(statement.name);
-        request.text = statement.arguments;
+        request.text = statement.arguments.value_or("");
+        request.hasArguments = statement.arguments.has_value();
     }
     request.writes = writes(statement);
     request.commits = statement.kind == StatementKind::Commit;
@@ -256,6 +259,11 @@
     const UpstreamErrorKind kind = reply.error->kind;
     const bool commits = m_execution->statement.kind == StatementKind::Commit;
     const bool restartable = !m_transaction || (!m_transaction->hasExecuted && !commits);
+    if (kind == UpstreamErrorKind::UnknownPrepared
+        && (!restartable || m_execution->attempts >= kMaxPrepareAttempts)) {
+        fail(m_transaction ? ErrorKind::TransactionLost : ErrorKind::PrepareFailed, now);
+        return;
+    }
     const bool repeatable = provesNotRun(kind)
         || (!m_transaction && !writes(m_execution->statement)
             && m_execution->attempts < kMaxReadAttempts);
@@ -279,6 +287,10 @@
     const bool commits = m_execution->statement.kind == StatementKind::Commit;
     const bool write = writes(m_execution->statement);
     m_execution->mayHaveRun = m_execution->mayHaveRun || sent;
+    if (reason == RetryReason::Unsendable) {
+        fail(ErrorKind::RequestTooLarge, now);
+        return;
+    }
     if (m_transaction) {
         // The database keeps nothing of a transaction unless its commit was sent.
         const bool repeatable = !m_transaction->hasExecuted && !(commits && sent);
--- a/src/proxy/session_control.cpp
+++ b/src/proxy/session_control.cpp
@@ -127,6 +127,8 @@
         [decode, callback = call.callback, openedAt = m_openedAt](const UpstreamReply &reply) {
             if (reply.lost) {
                 finish(callback, absl::UnavailableError("connection lost"));
+            } else if (!reply.notSent.ok()) {
+                finish(callback, reply.notSent);
             } else if (!reply.succeeded()) {
                 finish(callback,
                        absl::UnavailableError(reply.error ? reply.error->message : "refused"));
--- a/src/proxy/session_start.cpp
+++ b/src/proxy/session_start.cpp
@@ -42,7 +42,7 @@
         refuseStart(ErrorKind::ConfigStale);
     } else if (database == m_state.config.databases.end()) {
         refuseStart(ErrorKind::UnknownService);
-    } else if (const auto refused = unauthorized(now)) {
+    } else if (const auto refused = refusalReason(now)) {
         refuseStart(*refused);
     } else {
         m_team = teamOfKey();
@@ -58,7 +58,7 @@
     return team == m_state.teamsByKey.end() ? anonymousTeam() : team->second;
 }
 
-std::optional<ErrorKind> CallerSession::unauthorized(TimePoint now) const
+std::optional<ErrorKind> CallerSession::refusalReason(TimePoint now) const
 {
     if (!m_state.fresh(now))
         return ErrorKind::ConfigStale;
@@ -66,7 +66,10 @@
     const bool open = database != m_state.config.databases.end() && database->second.open;
     if (!open && !m_state.teamsByKey.contains(m_key))
         return ErrorKind::InvalidKey;
-    return std::nullopt;
+    const auto &isName = m_state.protocol->isName;
+    const bool nameable = database == m_state.config.databases.end()
+        || (isName(database->second.service.value()) && isName(teamOfKey().value()));
+    return nameable ? std::nullopt : std::optional(ErrorKind::UnusableName);
 }
 
 } // namespace shallotlever
--- a/src/proxy/statement_messages.cpp
+++ b/src/proxy/statement_messages.cpp
@@ -81,7 +81,7 @@
         b, service, upstream, team, request.priority, variables, id, text, prepared, request.writes,
         request.commits, request.transaction, request.readOnlyTransaction, request.transactionBegun,
         request.primaryOnly, request.maxStaleness.count(), request.ownCommit ? &ownCommit : nullptr,
-        request.timeLeft.count()));
+        request.timeLeft.count(), !request.hasArguments));
     return finishedBytes(b);
 }
 
@@ -104,6 +104,7 @@
     request.text = statement->text()->str();
     if (const fbs::Prepared *prepared = statement->prepared())
         request.prepared = { prepared->writes(), prepared->shape()->str() };
+    request.hasArguments = !statement->no_arguments();
     request.writes = statement->writes();
     request.commits = statement->commits();
     request.transaction = statement->transaction();
--- a/src/proxy/statement_messages.h
+++ b/src/proxy/statement_messages.h
@@ -33,6 +33,8 @@
     std::string text;
     /// The prepared statement to execute.
     std::optional<PreparedStatement> prepared;
+    /// Execute: there is a field for arguments, though it may be empty.
+    bool hasArguments = true;
     bool writes = false;
     bool commits = false;
     /// Number of the session's transaction, unique within the sending process; 0 for a single
--- a/src/proxy/statement_runner.cpp
+++ b/src/proxy/statement_runner.cpp
@@ -166,6 +166,10 @@
         onLost(*execution, RetryReason::ReadConnectionLost, now);
         return;
     }
+    if (!reply.notSent.ok()) {
+        onUnsendable(*execution, now);
+        return;
+    }
     const StatementRequest &request = execution->request;
     if (reply.point)
         m_state.recordHistoryPoint(request.service, request.upstream, *reply.point, reply.sentAt);
@@ -174,11 +178,12 @@
         return;
     }
     execution->pool->recordResponse(now - reply.sentAt, now);
-    if (request.transaction == 0) {
-        execution->pool->release(execution->link, now);
-    } else if (request.commits) {
+    if (request.transaction == 0 || request.commits) {
         m_transactions.erase(transactionKey(*execution));
-        execution->pool->release(execution->link, now);
+        if (reply.state == TransactionState::None)
+            execution->pool->release(execution->link, now);
+        else
+            execution->pool->rollBack(execution->link, now);
     } else {
         keepTransactionOpen(*execution, now);
     }
@@ -188,7 +193,7 @@
 void StatementRunner::keepTransactionOpen(Execution &execution, TimePoint now)
 {
     if (execution.abandoned) {
-        rollBackLink(execution, now);
+        rollBackLink(execution, TransactionState::Open, now);
         return;
     }
     Transaction &transaction = m_transactions.at(transactionKey(execution));
@@ -199,10 +204,14 @@
 void StatementRunner::onError(Execution &execution, const UpstreamReply &reply, TimePoint now)
 {
     const UpstreamErrorKind kind = reply.error ? reply.error->kind : UpstreamErrorKind::Other;
-    if (kind == UpstreamErrorKind::UnknownPrepared)
-        execution.link->prepared.clear();
     execution.pool->recordRefusal(kind == UpstreamErrorKind::Busy, now);
-    rollBackLink(execution, now);
+    const bool forgotten =
+        kind == UpstreamErrorKind::UnknownPrepared && execution.prepareFailure.ok();
+    if (forgotten)
+        // The state of the connection is not what this node believes.
+        discardLink(execution, now);
+    else
+        rollBackLink(execution, reply.state, now);
     StatementReply answer = answeredReply(reply);
     answer.error = reply.error.value_or(UpstreamError {});
     finish(execution, std::move(answer));
@@ -212,14 +221,26 @@
 void StatementRunner::onLost(Execution &execution, RetryReason reason, TimePoint now)
 {
     const bool sent = execution.phase == Phase::Running;
-    m_transactions.erase(transactionKey(execution));
-    execution.pool->discard(std::exchange(execution.link, nullptr), now);
+    discardLink(execution, now);
     if (sent)
         finish(execution, unansweredReply(StatementResult::Unknown, reason));
     else
         notRun(execution, RetryReason::UpstreamLostBeforeSend, now);
 }
 
+void StatementRunner::onUnsendable(Execution &execution, TimePoint now)
+{
+    // A part of the setup may have been sent.
+    discardLink(execution, now);
+    notRun(execution, RetryReason::Unsendable, now);
+}
+
+void StatementRunner::discardLink(Execution &execution, TimePoint now)
+{
+    m_transactions.erase(transactionKey(execution));
+    execution.pool->discard(std::exchange(execution.link, nullptr), now);
+}
+
 void StatementRunner::onTimeout(Execution &execution, TimePoint now)
 {
     if (execution.phase == Phase::AwaitingLink) {
@@ -237,14 +258,14 @@
     onLost(execution, RetryReason::ReadTimedOut, now);
 }
 
-void StatementRunner::rollBackLink(Execution &execution, TimePoint now)
+void StatementRunner::rollBackLink(Execution &execution, TransactionState state, TimePoint now)
 {
     PooledLink *link = std::exchange(execution.link, nullptr);
     const auto open = m_transactions.find(transactionKey(execution));
     const bool begun = execution.request.transaction != 0 && open != m_transactions.end();
     if (open != m_transactions.end())
         m_transactions.erase(open);
-    if (begun)
+    if (begun || state != TransactionState::None)
         execution.pool->rollBack(link, now);
     else if (link->link->pending() == 0)
         execution.pool->release(link, now);
--- a/src/proxy/statement_runner.h
+++ b/src/proxy/statement_runner.h
@@ -83,6 +83,10 @@
         PooledLink *link = nullptr;
         std::size_t pendingSetupReplies = 0;
         bool setupFailed = false;
+        /// No message can represent a part of the setup.
+        bool unsendable = false;
+        /// Not OK if the database has not prepared the statement.
+        absl::Status prepareFailure;
         /// The session has ended the transaction: it is rolled back once the statement is answered.
         bool abandoned = false;
         /// Position that the database must have reached.
@@ -104,16 +108,22 @@
     void beginTransaction(Execution &execution, TimePoint now);
     void onBegun(std::uint64_t id, const UpstreamReply &reply);
     void send(Execution &execution, TimePoint now);
-    std::string statementText(Execution &execution);
-    void logPrepared(const Execution &execution, std::string_view name);
+    absl::StatusOr<std::string> statementText(Execution &execution);
+    absl::StatusOr<std::string> executeText(Execution &execution);
+    void logPrepared(const Execution &execution, PreparedNumber number);
     void onPrepared(std::uint64_t id, const UpstreamReply &reply);
     void onReply(std::uint64_t id, const UpstreamReply &reply);
     void onError(Execution &execution, const UpstreamReply &reply, TimePoint now);
     void onLost(Execution &execution, RetryReason reason, TimePoint now);
+    /// No message can represent the statement or its setup; it was not sent.
+    void onUnsendable(Execution &execution, TimePoint now);
     void onTimeout(Execution &execution, TimePoint now);
     Duration attemptTimeout(const Execution &execution, TimePoint now) const;
-    /// Rolls back and releases the connection of the statement and its transaction, if any.
-    void rollBackLink(Execution &execution, TimePoint now);
+    /// Rolls back and releases the connection of the statement and its transaction, if any. `state`
+    /// is that of the connection as the database last reported it.
+    void rollBackLink(Execution &execution, TransactionState state, TimePoint now);
+    /// Closes the connection of the statement, and with it the transaction.
+    void discardLink(Execution &execution, TimePoint now);
     void onTransactionConnectionLost(const TransactionKey &key);
     void keepTransactionOpen(Execution &execution, TimePoint now);
     void rollBack(std::map<TransactionKey, Transaction>::iterator entry, TimePoint now);
--- a/src/proxy/statement_setup.cpp
+++ b/src/proxy/statement_setup.cpp
@@ -18,16 +18,6 @@
 /// Maximum wait for a connection of a statement that another database may run as well.
 constexpr Duration kLinkAcquireTimeout = 300ms;
 
-/// A longer name is cut in a log line.
-constexpr std::size_t kMaxLoggedNameBytes = 64;
-
-/// Name of a prepared statement on a database connection. Sessions share connections, so the name
-/// is derived from the statement's content.
-std::string sharedStatementName(const PreparedStatement &prepared)
-{
-    return (prepared.writes ? "w_" : "r_") + prepared.shape;
-}
-
 } // namespace
 
 void StatementRunner::acquireLink(Execution &execution, TimePoint now)
@@ -83,11 +73,11 @@
     const bool hasStaleValues =
         std::any_of(link.variables.begin(), link.variables.end(),
                     [&](const auto &value) { return !variables.contains(value.first); });
-    std::vector<std::string> texts;
+    std::vector<absl::StatusOr<std::string>> texts;
     if (hasStaleValues) {
-        texts.push_back(protocol.systemText(SystemStatement::Discard));
+        texts.emplace_back(protocol.systemText(SystemStatement::Discard));
         link.variables.clear();
-        link.prepared.clear();
+        clearPrepared(link.prepared);
     }
     for (const auto &[name, value] : variables) {
         const auto current = link.variables.find(name);
@@ -97,7 +87,7 @@
     link.variables = variables;
     execution.pendingSetupReplies = texts.size();
     UpstreamLink &connection = *link.link;
-    for (const std::string &text : texts) {
+    for (const absl::StatusOr<std::string> &text : texts) {
         connection.send("", text, [this, id = execution.id](const UpstreamReply &reply) {
             onSetupReply(id, reply);
         });
@@ -115,9 +105,12 @@
         return;
     }
     execution->setupFailed = execution->setupFailed || !reply.succeeded();
+    execution->unsendable = execution->unsendable || !reply.notSent.ok();
     if (--execution->pendingSetupReplies > 0)
         return;
-    if (execution->setupFailed)
+    if (execution->unsendable)
+        onUnsendable(*execution, now);
+    else if (execution->setupFailed)
         // The values of the session variables on the connection are unknown.
         onLost(*execution, RetryReason::UpstreamLostBeforeSend, now);
     else
@@ -171,45 +164,56 @@
     if (!m_state.fresh(now) || primaryLost) {
         const RetryReason reason =
             primaryLost ? RetryReason::NotPrimary : RetryReason::OwnerUnavailable;
-        rollBackLink(execution, now);
+        rollBackLink(execution, TransactionState::None, now);
         notRun(execution, reason, now);
         return;
     }
     execution.phase = Phase::Running;
     execution.phaseDeadline = now + attemptTimeout(execution, now);
-    const std::string text = statementText(execution);
     UpstreamLink &link = *execution.link->link;
+    const absl::StatusOr<std::string> text = statementText(execution);
     link.send(execution.request.id, text,
               [this, id = execution.id](const UpstreamReply &reply) { onReply(id, reply); });
 }
 
-/// Returns the text to send. Prepares the statement first if it is executed by name and not yet
-/// prepared on the connection.
-std::string StatementRunner::statementText(Execution &execution)
+/// Returns the text to send, or an error if no message can represent it.
+absl::StatusOr<std::string> StatementRunner::statementText(Execution &execution)
 {
     const SessionProtocol &protocol = *m_state.protocol;
     const StatementRequest &request = execution.request;
-    std::string text = request.text;
-    if (request.prepared) {
-        const std::string name = sharedStatementName(*request.prepared);
-        if (execution.link->prepared.emplace(name, *request.prepared).second) {
-            logPrepared(execution, name);
-            // If this fails, the Execute that follows fails with UnknownPrepared and the statement
-            // is prepared again.
-            execution.link->link->send(
-                "", protocol.prepareText(name, *request.prepared),
-                [this, id = execution.id](const UpstreamReply &reply) { onPrepared(id, reply); });
-        }
-        text = protocol.executeText(name, request.text);
-    }
+    absl::StatusOr<std::string> text = request.prepared ? executeText(execution) : request.text;
     const bool single = request.transaction == 0;
-    return single && execution.minPosition
-        ? protocol.requirePositionText(*execution.minPosition, text)
+    return text.ok() && single && execution.minPosition
+        ? protocol.requirePositionText(*execution.minPosition, *text)
         : text;
 }
 
-/// Tells which statement a name stands for on which connection, without the statement's text.
-void StatementRunner::logPrepared(const Execution &execution, std::string_view name)
+/// Prepares the statement first if it is not yet prepared on the connection. The answer to that is
+/// not waited for: if it fails, the Execute that follows fails with UnknownPrepared.
+absl::StatusOr<std::string> StatementRunner::executeText(Execution &execution)
+{
+    const SessionProtocol &protocol = *m_state.protocol;
+    const StatementRequest &request = execution.request;
+    const PreparedStatement &statement = *request.prepared;
+    PooledLink &link = *execution.link;
+    std::optional<PreparedNumber> number = findPrepared(link.prepared, statement);
+    if (!number) {
+        for (const PreparedNumber dropped : makeRoomFor(link.prepared, statement))
+            link.link->send("", protocol.deallocateText(dropped), [](const UpstreamReply &) {});
+        number = addPrepared(link.prepared, statement);
+        logPrepared(execution, *number);
+        link.link->send(
+            "", protocol.prepareText(*number, statement),
+            [this, id = execution.id](const UpstreamReply &reply) { onPrepared(id, reply); });
+        if (!execution.prepareFailure.ok())
+            return execution.prepareFailure;
+    }
+    return protocol.executeText(*number,
+                                request.hasArguments ? std::optional(request.text) : std::nullopt);
+}
+
+/// Tells which statement a number stands for on which connection, without the statement's text.
+void StatementRunner::logPrepared(const Execution &execution, PreparedNumber number)
 {
     if (!acquireLogToken(m_state.logRateLimiter, LogTopic::Retry, monotonicNow()))
         return;
@@ -218,7 +222,7 @@
                          { { "request", execution.request.id },
                            { "upstream", execution.request.upstream.value() },
                            { "connection", execution.link->id },
-                           { "name", name.substr(0, kMaxLoggedNameBytes) },
+                           { "number", number },
                            { "writes", execution.request.prepared->writes },
                            { "shape_hash", XXH3_64bits(shape.data(), shape.size()) },
                            { "shape_bytes", shape.size() } });
@@ -226,18 +230,22 @@
 
 void StatementRunner::onPrepared(std::uint64_t id, const UpstreamReply &reply)
 {
-    if (reply.lost || reply.succeeded())
+    // The answer to the statement itself follows, so that its execution holds the connection.
+    Execution *execution = find(id);
+    if (execution == nullptr || reply.lost || reply.succeeded())
         return;
+    removePrepared(execution->link->prepared, *execution->request.prepared);
+    const std::string reason =
+        reply.error ? reply.error->message : std::string(reply.notSent.message());
+    execution->prepareFailure = absl::UnavailableError(reason);
     m_prepareFailures.increment();
-    const Execution *execution = find(id);
-    if (execution == nullptr
-        || !acquireLogToken(m_state.logRateLimiter, LogTopic::Failure, monotonicNow()))
+    if (!acquireLogToken(m_state.logRateLimiter, LogTopic::Failure, monotonicNow()))
         return;
     m_state.logger->info("prepare_failed",
                          { { "request", execution->request.id },
                            { "upstream", execution->request.upstream.value() },
                            { "connection", execution->link->id },
-                           { "reason", reply.error ? reply.error->message : std::string() } });
+                           { "reason", reason } });
 }
 
 Duration StatementRunner::attemptTimeout(const Execution &execution, TimePoint now) const
--- a/src/proxy/upstream_link.cpp
+++ b/src/proxy/upstream_link.cpp
@@ -20,6 +20,8 @@
         return "reset";
     case LinkOpenFailure::Refused:
         return "refused";
+    case LinkOpenFailure::Unnameable:
+        return "unnameable";
     case LinkOpenFailure::Count:
         break;
     }
@@ -58,10 +60,15 @@
     m_roundTrip = monotonicNow() - m_startedAt;
     m_state = State::Handshake;
     m_openTimer.start(std::chrono::duration_cast<std::chrono::milliseconds>(m_options.handshake));
-    m_lines->write(m_protocol.start(m_target.service, m_target.user, m_target.upstream));
+    const auto start = m_protocol.start(m_target.service, m_target.user, m_target.upstream);
+    if (start.ok())
+        m_lines->write(*start);
+    else
+        failOpening(LinkOpenFailure::Unnameable, std::nullopt);
 }
 
-void UpstreamLink::send(std::string_view id, std::string_view text, ReplyCallback callback)
+void UpstreamLink::send(std::string_view id, const absl::StatusOr<std::string> &text,
+                        ReplyCallback callback)
 {
     UpstreamReply reply;
     reply.sentAt = monotonicNow();
@@ -70,8 +77,14 @@
         callback(reply);
         return;
     }
+    const absl::StatusOr<std::string> message = text.ok() ? m_protocol.request(id, *text) : text;
+    if (!message.ok()) {
+        reply.notSent = message.status();
+        callback(reply);
+        return;
+    }
     m_pending.push_back({ std::move(callback), std::move(reply) });
-    m_lines->write(m_protocol.request(id, text));
+    m_lines->write(*message);
 }
 
 void UpstreamLink::onLine(std::string_view line)
--- a/src/proxy/upstream_link.h
+++ b/src/proxy/upstream_link.h
@@ -20,6 +20,8 @@
 {
     /// The connection was closed or a malformed line was received before the response was complete.
     bool lost = false;
+    /// Not OK if the request was not sent, because no message can represent it.
+    absl::Status notSent;
     /// Lines to forward to the caller: rows, then the completion or the error.
     std::string lines;
     bool completed = false;
@@ -30,7 +32,7 @@
     std::optional<HistoryPoint> point;
     TimePoint sentAt;
 
-    bool succeeded() const { return !lost && completed && !error; }
+    bool succeeded() const { return !lost && notSent.ok() && completed && !error; }
 };
 
 /// Why a connection could not be opened.
@@ -44,6 +46,9 @@
     Reset,
     /// The database responded with an error or an unexpected message.
     Refused,
+    /// No message can represent the name of the service, the user or the database. Nothing was
+    /// sent.
+    Unnameable,
     Count
 };
 
@@ -93,7 +98,8 @@
     UpstreamLink(const UpstreamLink &) = delete;
     UpstreamLink &operator=(const UpstreamLink &) = delete;
 
-    void send(std::string_view id, std::string_view text, ReplyCallback callback);
+    /// Calls back at once if the request can't be sent.
+    void send(std::string_view id, const absl::StatusOr<std::string> &text, ReplyCallback callback);
     bool isOpen() const { return m_state == State::Open; }
     std::size_t pending() const { return m_pending.size(); }
     /// Network round trip, measured as the duration of the TCP connect.
--- a/src/proxy/upstream_pool.h
+++ b/src/proxy/upstream_pool.h
@@ -10,6 +10,7 @@
 #include <variant>
 #include <vector>
 
+#include "prepared_statements.h"
 #include "shallotlever/base/due.h"
 #include "shallotlever/proxy/placement.h"
 #include "shallotlever/types/shares.h"
@@ -32,8 +33,7 @@
     bool open = false;
     bool busy = false;
     SessionVariables variables;
-    /// Prepared statements by their shared name on the connection.
-    std::map<std::string, PreparedStatement> prepared;
+    PreparedStatements prepared;
     TimePoint lastUsedAt;
     /// Set while a rollback or a ping is pending. The connection is closed if no response arrives
     /// by then.
--- a/src/proxy/upstream_pool_links.cpp
+++ b/src/proxy/upstream_pool_links.cpp
@@ -197,6 +197,11 @@
     const TeamId team = link->team;
     m_callbacks.openFailed(failure, error ? error->message : std::string(), now - link->lastUsedAt);
     remove(link);
+    if (failure == LinkOpenFailure::Unnameable) {
+        // This tells nothing of the database, and other teams can connect.
+        failWaiters(LinkAcquireFailure::Refused, &team);
+        return;
+    }
     const std::uint32_t doublings = std::min(m_consecutiveOpenFailures++, kMaxOpenBackoffDoublings);
     m_nextOpenAt = now + kOpenBackoff * (1U << doublings);
     if (failure == LinkOpenFailure::Unreachable
@@ -250,7 +255,7 @@
     link->busy = true;
     link->replyDeadline = now + kPingTimeout;
     link->variables.clear();
-    link->prepared.clear();
+    clearPrepared(link->prepared);
     updateOutstanding();
     link->link->send("", m_protocol.systemText(SystemStatement::Discard),
                      [this, id = link->id](const UpstreamReply &reply) {
