--- a/src/proxy/session.cpp
+++ b/src/proxy/session.cpp
@@ -140,15 +140,16 @@
         refuse(ErrorKind::MalformedRequest, statement.id);
         return true;
     }
+    bool kept = true;
     switch (statement.kind) {
     case StatementKind::Set:
-        m_variables.insert_or_assign(statement.name, statement.arguments.value_or(""));
+        kept = setVariable(m_sessionState, statement.name, statement.arguments.value_or(""));
         break;
     case StatementKind::Prepare:
-        m_prepared.insert_or_assign(statement.name, statement.prepared);
+        kept = prepare(m_sessionState, statement.name, statement.prepared);
         break;
     case StatementKind::Deallocate:
-        m_prepared.erase(statement.name);
+        deallocate(m_sessionState, statement.name);
         break;
     case StatementKind::Rollback:
         rollback(now);
@@ -158,13 +159,17 @@
     }
     if (m_transaction)
         m_transaction->lastActiveAt = now;
+    if (!kept) {
+        refuse(ErrorKind::RequestTooLarge, statement.id);
+        return true;
+    }
     answer(protocol.complete() + protocol.ready(state()));
     return true;
 }
 
 bool CallerSession::resolvePrepared(const Statement &statement)
 {
-    if (m_prepared.contains(statement.name))
+    if (m_sessionState.prepared.contains(statement.name))
         return true;
     if (m_transaction)
         m_transaction->failed = true;
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -5,6 +5,7 @@
 
 #include "line_socket.h"
 #include "session_execution.h"
+#include "session_state.h"
 
 namespace shallotlever {
 
@@ -129,8 +130,7 @@
     KeyHash m_key {};
     /// Team that the current operation, or the last one, was admitted for.
     TeamId m_team;
-    SessionVariables m_variables;
-    std::map<std::string, PreparedStatement> m_prepared;
+    SessionState m_sessionState;
     /// Log position of the session's last commit, for read-your-writes consistency.
     std::optional<HistoryPoint> m_lastCommit;
     std::optional<Execution> m_execution;
--- a/src/proxy/session_attempt.cpp
+++ b/src/proxy/session_attempt.cpp
@@ -97,8 +97,8 @@
 bool CallerSession::writes(const Statement &statement) const
 {
     if (statement.kind == StatementKind::Execute) {
-        const auto prepared = m_prepared.find(statement.name);
-        return prepared != m_prepared.end() && prepared->second.writes;
+        const auto prepared = m_sessionState.prepared.find(statement.name);
+        return prepared != m_sessionState.prepared.end() && prepared->second.writes;
     }
     return statement.kind == StatementKind::Write;
 }
@@ -198,11 +198,11 @@
     request.upstream = m_execution->upstream;
     request.team = m_team;
     request.priority = database().priority;
-    request.variables = m_variables;
+    request.variables = m_sessionState.variables;
     request.id = statement.id;
     request.text = statement.text;
     if (statement.kind == StatementKind::Execute) {
-        request.prepared = m_prepared.at(statement.name);
+        request.prepared = m_sessionState.prepared.at(statement.name);
         request.text = statement.arguments.value_or("");
         request.hasArguments = statement.arguments.has_value();
     }
