--- a/src/proxy/prepared_statements.h
+++ b/src/proxy/prepared_statements.h
@@ -10,7 +10,7 @@
 
 /// Limits of what one connection keeps prepared; beyond them the least recently used statement is
 /// dropped. A single larger statement is kept until another one is prepared.
-constexpr std::size_t kMaxPreparedStatements = 64;
+constexpr std::size_t kMaxPreparedStatements = 256;
 constexpr std::size_t kMaxPreparedBytes = 128 * 1024;
 
 /// Statements that are prepared on one connection to a database. Sessions share connections, so a
