Count what an entry of a session costs besides its text

A session with a million empty values kept within its limit by text alone, and took 130 MB. Found by the review; test: BoundsTheNumberOfEntries.

--- a/src/proxy/session_state.cpp
+++ b/src/proxy/session_state.cpp
@@ -4,6 +4,9 @@
 
 namespace {
 
+/// Memory of an entry besides its name and value, in bytes.
+constexpr std::size_t kEntryOverhead = 128;
+
 std::size_t lengthOf(const std::string &value)
 {
     return value.size();
@@ -14,15 +17,20 @@
     return statement.shape.size();
 }
 
+template <typename Value>
+std::size_t entrySize(const std::string &name, const Value &value)
+{
+    return kEntryOverhead + name.size() + lengthOf(value);
+}
+
 /// Replaces the entry if the session then keeps no more than it may.
 template <typename Value>
 bool replace(SessionState &state, std::map<std::string, Value> &entries, const std::string &name,
              const Value &value)
 {
     const auto former = entries.find(name);
-    const std::size_t replaced =
-        former == entries.end() ? 0 : name.size() + lengthOf(former->second);
-    const std::size_t bytes = state.bytes - replaced + name.size() + lengthOf(value);
+    const std::size_t replaced = former == entries.end() ? 0 : entrySize(name, former->second);
+    const std::size_t bytes = state.bytes - replaced + entrySize(name, value);
     if (bytes > kMaxSessionStateBytes)
         return false;
     state.bytes = bytes;
@@ -47,7 +55,7 @@
     const auto found = state.prepared.find(name);
     if (found == state.prepared.end())
         return;
-    state.bytes -= name.size() + lengthOf(found->second);
+    state.bytes -= entrySize(name, found->second);
     state.prepared.erase(found);
 }
 
--- a/src/proxy/session_state.h
+++ b/src/proxy/session_state.h
@@ -7,8 +7,8 @@
 
 namespace shallotlever {
 
-/// Limit of what one session may keep: names, values and definitions, in bytes. Room for three
-/// definitions of the maximum size of a message.
+/// Limit of the memory that one session may keep for names, values and definitions, in bytes. Room
+/// for three definitions of the maximum size of a message.
 constexpr std::size_t kMaxSessionStateBytes = 4U << 20U;
 
 /// What a session has set and prepared.
@@ -16,7 +16,7 @@
 {
     SessionVariables variables;
     std::map<std::string, PreparedStatement> prepared;
-    /// Length of all names, values and definitions.
+    /// Memory of all entries.
     std::size_t bytes = 0;
 };
 
