Judge a refused prepare by its own answer, and connections by their state

Tests: PrepareFailure, BusyAttemptsAreNoFailuresToPrepare; the freed connection and the reported states have none yet.

--- a/src/proxy/session_attempt.cpp
+++ b/src/proxy/session_attempt.cpp
@@ -260,7 +260,7 @@
     const bool commits = m_execution->statement.kind == StatementKind::Commit;
     const bool restartable = !m_transaction || (!m_transaction->hasExecuted && !commits);
     if (kind == UpstreamErrorKind::UnknownPrepared
-        && (!restartable || m_execution->attempts >= kMaxPrepareAttempts)) {
+        && (!restartable || ++m_execution->prepareFailures >= kMaxPrepareAttempts)) {
         fail(m_transaction ? ErrorKind::TransactionLost : ErrorKind::PrepareFailed, now);
         return;
     }
--- a/src/proxy/session_execution.h
+++ b/src/proxy/session_execution.h
@@ -31,6 +31,8 @@
     TimePoint phaseDeadline;
     TimePoint retryAt;
     std::uint32_t attempts = 0;
+    /// Attempts in which a database did not know or not prepare the prepared statement.
+    std::uint32_t prepareFailures = 0;
     /// Databases not selected again after a failed attempt; cleared when no other one can serve.
     std::set<UpstreamId> excluded;
     /// Likewise for the owners of databases.
--- a/src/proxy/statement_runner.cpp
+++ b/src/proxy/statement_runner.cpp
@@ -184,6 +184,10 @@
             execution->pool->release(execution->link, now);
         else
             execution->pool->rollBack(execution->link, now);
+    } else if (reply.state != TransactionState::Open) {
+        // The transaction has ended, and what follows would not run in one.
+        onLost(*execution, RetryReason::ReadConnectionLost, now);
+        return;
     } else {
         keepTransactionOpen(*execution, now);
     }
@@ -214,6 +218,9 @@
         rollBackLink(execution, reply.state, now);
     StatementReply answer = answeredReply(reply);
     answer.error = reply.error.value_or(UpstreamError {});
+    // In a transaction the database answers as in any that has failed.
+    if (!execution.prepareFailure.ok())
+        answer.error->kind = UpstreamErrorKind::UnknownPrepared;
     finish(execution, std::move(answer));
 }
 
--- a/src/proxy/statement_runner.h
+++ b/src/proxy/statement_runner.h
@@ -85,6 +85,8 @@
         bool setupFailed = false;
         /// No message can represent a part of the setup.
         bool unsendable = false;
+        /// Execute: the statement's number on the connection.
+        PreparedNumber preparedNumber;
         /// Not OK if the database has not prepared the statement.
         absl::Status prepareFailure;
         /// The session has ended the transaction: it is rolled back once the statement is answered.
@@ -108,9 +110,9 @@
     void beginTransaction(Execution &execution, TimePoint now);
     void onBegun(std::uint64_t id, const UpstreamReply &reply);
     void send(Execution &execution, TimePoint now);
-    absl::StatusOr<std::string> statementText(Execution &execution);
-    absl::StatusOr<std::string> executeText(Execution &execution);
-    void logPrepared(const Execution &execution, PreparedNumber number);
+    absl::StatusOr<std::string> statementText(const Execution &execution) const;
+    void prepareStatement(Execution &execution);
+    void logPrepared(const Execution &execution);
     void onPrepared(std::uint64_t id, const UpstreamReply &reply);
     void onReply(std::uint64_t id, const UpstreamReply &reply);
     void onError(Execution &execution, const UpstreamReply &reply, TimePoint now);
--- a/src/proxy/statement_setup.cpp
+++ b/src/proxy/statement_setup.cpp
@@ -148,6 +148,11 @@
         onError(*execution, reply, now);
         return;
     }
+    if (reply.state != TransactionState::Open) {
+        // What follows would not run in a transaction.
+        onLost(*execution, RetryReason::UpstreamLostBeforeSend, now);
+        return;
+    }
     const TransactionKey key = transactionKey(*execution);
     m_transactions[key] = { execution->pool, execution->link, now, true };
     execution->link->onConnectionLost = [this, key] { onTransactionConnectionLost(key); };
@@ -168,78 +173,99 @@
         notRun(execution, reason, now);
         return;
     }
-    execution.phase = Phase::Running;
-    execution.phaseDeadline = now + attemptTimeout(execution, now);
-    UpstreamLink &link = *execution.link->link;
-    const absl::StatusOr<std::string> text = statementText(execution);
-    link.send(execution.request.id, text,
-              [this, id = execution.id](const UpstreamReply &reply) { onReply(id, reply); });
+    const std::uint64_t id = execution.id;
+    prepareStatement(execution);
+    // A failed send may have answered the statement.
+    Execution *prepared = find(id);
+    if (prepared == nullptr)
+        return;
+    prepared->phase = Phase::Running;
+    prepared->phaseDeadline = now + attemptTimeout(*prepared, now);
+    UpstreamLink &link = *prepared->link->link;
+    link.send(prepared->request.id, statementText(*prepared),
+              [this, id](const UpstreamReply &reply) { onReply(id, reply); });
 }
 
-/// Returns the text to send, or an error if no message can represent it.
-absl::StatusOr<std::string> StatementRunner::statementText(Execution &execution)
+/// Returns the text to send, or an error if it can't be sent.
+absl::StatusOr<std::string> StatementRunner::statementText(const Execution &execution) const
 {
     const SessionProtocol &protocol = *m_state.protocol;
     const StatementRequest &request = execution.request;
-    absl::StatusOr<std::string> text = request.prepared ? executeText(execution) : request.text;
+    if (!execution.prepareFailure.ok())
+        return execution.prepareFailure;
+    absl::StatusOr<std::string> text = request.text;
+    if (request.prepared)
+        text =
+            protocol.executeText(execution.preparedNumber,
+                                 request.hasArguments ? std::optional(request.text) : std::nullopt);
     const bool single = request.transaction == 0;
     return text.ok() && single && execution.minPosition
         ? protocol.requirePositionText(*execution.minPosition, *text)
         : text;
 }
 
-/// Prepares the statement first if it is not yet prepared on the connection. The answer to that is
-/// not waited for: if it fails, the Execute that follows fails with UnknownPrepared.
-absl::StatusOr<std::string> StatementRunner::executeText(Execution &execution)
+/// Prepares the statement on the connection if it is executed by name and not prepared there. The
+/// answer is not waited for: if it is an error, the statement that follows fails as well.
+void StatementRunner::prepareStatement(Execution &execution)
 {
+    if (!execution.request.prepared)
+        return;
     const SessionProtocol &protocol = *m_state.protocol;
-    const StatementRequest &request = execution.request;
-    const PreparedStatement &statement = *request.prepared;
-    PooledLink &link = *execution.link;
-    std::optional<PreparedNumber> number = findPrepared(link.prepared, statement);
-    if (!number) {
-        for (const PreparedNumber dropped : makeRoomFor(link.prepared, statement))
-            link.link->send("", protocol.deallocateText(dropped), [](const UpstreamReply &) {});
-        number = addPrepared(link.prepared, statement);
-        logPrepared(execution, *number);
-        link.link->send(
-            "", protocol.prepareText(*number, statement),
-            [this, id = execution.id](const UpstreamReply &reply) { onPrepared(id, reply); });
-        if (!execution.prepareFailure.ok())
-            return execution.prepareFailure;
+    const PreparedStatement &statement = *execution.request.prepared;
+    PreparedStatements &prepared = execution.link->prepared;
+    if (const auto number = findPrepared(prepared, statement)) {
+        execution.preparedNumber = *number;
+        return;
     }
-    return protocol.executeText(*number,
-                                request.hasArguments ? std::optional(request.text) : std::nullopt);
+    std::vector<absl::StatusOr<std::string>> texts;
+    for (const PreparedNumber dropped : makeRoomFor(prepared, statement))
+        texts.emplace_back(protocol.deallocateText(dropped));
+    execution.preparedNumber = addPrepared(prepared, statement);
+    texts.push_back(protocol.prepareText(execution.preparedNumber, statement));
+    logPrepared(execution);
+    // The connection object outlives its failure until the next tick, the execution may not.
+    UpstreamLink &connection = *execution.link->link;
+    for (const absl::StatusOr<std::string> &text : texts)
+        connection.send("", text, [this, id = execution.id](const UpstreamReply &reply) {
+            onPrepared(id, reply);
+        });
 }
 
 /// Tells which statement a number stands for on which connection, without the statement's text.
-void StatementRunner::logPrepared(const Execution &execution, PreparedNumber number)
+void StatementRunner::logPrepared(const Execution &execution)
 {
-    if (!acquireLogToken(m_state.logRateLimiter, LogTopic::Retry, monotonicNow()))
+    if (!acquireLogToken(m_state.logRateLimiter, LogTopic::Preparation, monotonicNow()))
         return;
     const std::string &shape = execution.request.prepared->shape;
     m_state.logger->info("statement_prepared",
                          { { "request", execution.request.id },
                            { "upstream", execution.request.upstream.value() },
                            { "connection", execution.link->id },
-                           { "number", number },
+                           { "number", execution.preparedNumber },
                            { "writes", execution.request.prepared->writes },
                            { "shape_hash", XXH3_64bits(shape.data(), shape.size()) },
                            { "shape_bytes", shape.size() } });
 }
 
+/// Handles the answer to the preparation, or to the end of an earlier one that makes room for it.
 void StatementRunner::onPrepared(std::uint64_t id, const UpstreamReply &reply)
 {
     // The answer to the statement itself follows, so that its execution holds the connection.
     Execution *execution = find(id);
-    if (execution == nullptr || reply.lost || reply.succeeded())
+    if (execution == nullptr || reply.succeeded())
         return;
+    const TimePoint now = monotonicNow();
+    if (reply.lost) {
+        if (execution->phase == Phase::Preparing)
+            onLost(*execution, RetryReason::UpstreamLostBeforeSend, now);
+        return;
+    }
     removePrepared(execution->link->prepared, *execution->request.prepared);
     const std::string reason =
         reply.error ? reply.error->message : std::string(reply.notSent.message());
     execution->prepareFailure = absl::UnavailableError(reason);
     m_prepareFailures.increment();
-    if (!acquireLogToken(m_state.logRateLimiter, LogTopic::Failure, monotonicNow()))
+    if (!acquireLogToken(m_state.logRateLimiter, LogTopic::Failure, now))
         return;
     m_state.logger->info("prepare_failed",
                          { { "request", execution->request.id },
