Judge in the soak what databases run of what callers ask

Its callers sent READ, WRITE, BEGIN and COMMIT only, and its databases knew of a prepared name no more than whether it writes.

Change: callers draw SET, PARSE, EXECUTE, CLOSE, ROLLBACK and read-only transactions too, with names, shapes and values that collide between sessions and when cut at a blank, and leave some transactions open. A caller notes each statement with the state that its session has acknowledged; databases keep per connection what they read, answer NOSTMT for an unknown name, and note each run. After the run StatementJudge compares both: check "statements". A run without any execution to compare is broken (check "judged").

A broken variant now counts as detected only if the check that is meant for it is broken; before, any check sufficed, so that "judged" or "recover" could have stood in for it. New variants: wrong-shape and kept-values.

--- a/testsuite/soak/caller.cpp
+++ b/testsuite/soak/caller.cpp
@@ -11,10 +11,10 @@
 constexpr std::chrono::milliseconds kDeadline { 4000 };
 constexpr std::chrono::milliseconds kRetryDelay { 100 };
 constexpr int kMaxAttempts = 3;
-constexpr double kWriteShare = 0.2;
-constexpr double kTransactionShare = 0.15;
 /// Share of operations after which a caller leaves its session.
 constexpr double kLeaveShare = 0.03;
+/// Share of the steps of a transaction behind which a caller leaves its session.
+constexpr double kLeaveTransactionShare = 0.01;
 
 std::string failureText(const StatementResult &result)
 {
@@ -37,6 +37,7 @@
     , m_surroundings(std::move(surroundings))
     , m_records(records)
     , m_random(seed)
+    , m_session(records.asked)
 {
     m_pause.setSingleShot(true);
     m_deadline.setSingleShot(true);
@@ -74,11 +75,7 @@
 
 void Caller::begin()
 {
-    m_kind = OperationKind::Read;
-    if (!m_profile.readsOnly && chance(kWriteShare))
-        m_kind = OperationKind::Write;
-    else if (!m_profile.readsOnly && chance(kTransactionShare))
-        m_kind = OperationKind::Transaction;
+    m_kind = drawOperation(m_profile.readsOnly, m_random);
     m_operation = { m_surroundings.clock(), {}, {} };
     m_attempts = 0;
     m_deadline.start(kDeadline);
@@ -93,7 +90,8 @@
         return;
     }
     m_ownValue = 0;
-    m_session.open(m_surroundings.chooseNode(), m_profile.database, m_profile.key,
+    m_session.open({ m_surroundings.chooseNode(), m_profile.database, m_profile.key, m_profile.team,
+                     m_surroundings.nextSession() },
                    [this](const StatementResult &result) { handleOpened(result); });
 }
 
@@ -107,69 +105,49 @@
 
 void Caller::runOperation()
 {
-    switch (m_kind) {
-    case OperationKind::Read:
-        return runRead();
-    case OperationKind::Write:
-        return runWrite();
-    case OperationKind::Transaction:
-        return runTransaction();
-    }
-}
-
-void Caller::runRead()
-{
-    m_session.read(send(), fmt::format("{}.{}", m_item, m_itemGeneration),
-                   [this](const StatementResult &result) { handleRead(result); });
-}
-
-void Caller::handleRead(const StatementResult &result)
-{
-    if (result.outcome != StatementOutcome::Done)
-        return handleFailure(result, false);
-    if (std::strtoull(result.value.c_str(), nullptr, 10) < m_ownValue)
-        ++m_records.missedOwnWrites;
-    finish({});
+    m_steps = drawSteps(m_kind, m_random);
+    runStep();
 }
 
-void Caller::runWrite()
+void Caller::runStep()
 {
-    const std::string statement = send();
-    m_session.write(
-        statement, fmt::format("{}.{}", m_item, m_itemGeneration), std::to_string(++m_lastValue),
-        [this, statement](const StatementResult &result) { handleCommitted(statement, result); });
+    if (m_steps.empty())
+        return finish({});
+    const StepKind step = m_steps.front();
+    m_steps.pop_front();
+    if (step == StepKind::Write)
+        ++m_lastValue;
+    const StatementText statement =
+        drawStatement(step, m_session.model(), fmt::format("{}.{}", m_item, m_itemGeneration),
+                      std::to_string(m_lastValue), m_random);
+    m_statementSentAt = m_surroundings.clock();
+    m_session.query(m_surroundings.nextStatement(), statement.text,
+                    [this, step, readsItem = statement.readsItem](const StatementResult &result) {
+                        handleStep(step, readsItem, result);
+                    });
 }
 
-void Caller::runTransaction()
+bool Caller::commits(StepKind step) const
 {
-    const auto onDone = [this](auto next) {
-        return [this, next](const StatementResult &result) {
-            if (result.outcome == StatementOutcome::Done)
-                next();
-            else
-                handleFailure(result, false);
-        };
-    };
-    const auto commit = [this] {
-        const std::string statement = send();
-        m_session.commit(statement, [this, statement](const StatementResult &result) {
-            handleCommitted(statement, result);
-        });
-    };
-    const auto write = [this, onDone, commit] {
-        m_session.write(send(), fmt::format("{}.{}", m_item, m_itemGeneration),
-                        std::to_string(++m_lastValue), onDone(commit));
-    };
-    m_session.begin(send(), onDone(write));
+    return (step == StepKind::Write && m_kind == OperationKind::Write)
+        || (step == StepKind::Commit && m_kind == OperationKind::Transaction);
 }
 
-void Caller::handleCommitted(const std::string &statement, const StatementResult &result)
+void Caller::handleStep(StepKind step, bool readsItem, const StatementResult &result)
 {
     if (result.outcome != StatementOutcome::Done)
-        return handleFailure(result, result.outcome != StatementOutcome::NotRun);
-    m_ownValue = m_lastValue;
-    m_records.acknowledged[m_profile.service][statement] = m_surroundings.clock();
-    finish({});
+        return handleFailure(result, commits(step) && result.outcome != StatementOutcome::NotRun);
+    if (commits(step)) {
+        m_ownValue = m_lastValue;
+        m_records.acknowledged[m_profile.service][result.statement] = m_surroundings.clock();
+    }
+    if (readsItem && std::strtoull(result.value.c_str(), nullptr, 10) < m_ownValue)
+        ++m_records.missedOwnWrites;
+    if (m_session.isInTransaction() && chance(kLeaveTransactionShare)) {
+        m_session.reset();
+        m_steps.clear();
+    }
+    runStep();
 }
 
 void Caller::handleFailure(const StatementResult &result, bool mayHaveEffect)
@@ -178,6 +156,7 @@
         noteCut(result.statement);
     if (result.outcome == StatementOutcome::WrongAnswer)
         ++m_records.wrongAnswers;
+    m_records.unknownStatements += result.isUnknownStatement ? 1 : 0;
     if (mayHaveEffect)
         ++m_itemGeneration;
     // A repetition goes to another node, as does the next operation.
@@ -207,12 +186,6 @@
     pause();
 }
 
-std::string Caller::send()
-{
-    m_statementSentAt = m_surroundings.clock();
-    return m_surroundings.nextStatement();
-}
-
 bool Caller::chance(double probability)
 {
     return std::uniform_real_distribution<double>(0, 1)(m_random) < probability;
--- a/testsuite/soak/caller.h
+++ b/testsuite/soak/caller.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <random>
 #include <string>
@@ -7,6 +8,7 @@
 #include <QTimer>
 
 #include "caller_session.h"
+#include "operations.h"
 #include "records.h"
 
 namespace shallotlever::soak {
@@ -17,6 +19,8 @@
     std::string service;
     std::string database;
     std::string key;
+    /// The team whose key it is.
+    std::string team;
     /// Only reads, without a promise to find its own writes.
     bool readsOnly = false;
     std::chrono::milliseconds meanPause { 1000 };
@@ -34,6 +38,7 @@
         /// Node that accepts a new session.
         std::function<Endpoint()> chooseNode;
         std::function<std::string()> nextStatement;
+        std::function<std::uint64_t()> nextSession;
     };
 
     Caller(std::string item, CallerProfile profile, std::uint64_t seed, Surroundings surroundings,
@@ -44,23 +49,19 @@
     void end();
 
 private:
-    enum class OperationKind : std::uint8_t { Read, Write, Transaction };
-
     void pause();
     void begin();
     void attempt();
     void runOperation();
-    void runRead();
-    void runWrite();
-    void runTransaction();
+    void runStep();
+    /// Whether the step makes writes permanent.
+    bool commits(StepKind step) const;
     void handleOpened(const StatementResult &result);
-    void handleRead(const StatementResult &result);
-    void handleCommitted(const std::string &statement, const StatementResult &result);
+    void handleStep(StepKind step, bool readsItem, const StatementResult &result);
     /// Notes a result that isn't Done, and repeats the operation if that is permitted.
     void handleFailure(const StatementResult &result, bool mayHaveEffect);
     void noteCut(const std::string &statement);
     void finish(const std::string &failure);
-    std::string send();
     bool chance(double probability);
 
     std::string m_item;
@@ -72,6 +73,8 @@
     QTimer m_pause;
     QTimer m_deadline;
     OperationKind m_kind = OperationKind::Read;
+    /// Remaining steps of the attempt.
+    std::deque<StepKind> m_steps;
     OperationRecord m_operation;
     RunTime m_statementSentAt { 0 };
     int m_attempts = 0;
--- a/testsuite/soak/checks.cpp
+++ b/testsuite/soak/checks.cpp
@@ -4,10 +4,12 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 
 #include <fmt/format.h>
 
 #include "promotion_checks.h"
+#include "statement_checks.h"
 
 namespace shallotlever::soak {
 
@@ -160,18 +162,21 @@
 std::vector<Finding> judge(Deployment &deployment, const FaultPlan &plan, RunTime callersStartedAt)
 {
     const CallerRecords &records = deployment.records();
-    return { judgeRecovery(records, plan, callersStartedAt),
-             judgeConfig(deployment),
-             judgeCommits(deployment),
-             judgeFences(deployment),
-             judgePromotedLogs(deployment),
-             judgePrimaries(deployment),
-             judgeStops(deployment, plan, callersStartedAt),
-             judgeEnds(deployment),
-             { "own_writes", records.missedOwnWrites > 0,
-               fmt::format(R"("missed":{})", records.missedOwnWrites) },
-             { "answers", records.wrongAnswers > 0,
-               fmt::format(R"("wrong":{})", records.wrongAnswers) } };
+    std::vector<Finding> findings { judgeRecovery(records, plan, callersStartedAt),
+                                    judgeConfig(deployment),
+                                    judgeCommits(deployment),
+                                    judgeFences(deployment),
+                                    judgePromotedLogs(deployment),
+                                    judgePrimaries(deployment),
+                                    judgeStops(deployment, plan, callersStartedAt),
+                                    judgeEnds(deployment),
+                                    { "own_writes", records.missedOwnWrites > 0,
+                                      fmt::format(R"("missed":{})", records.missedOwnWrites) },
+                                    { "answers", records.wrongAnswers > 0,
+                                      fmt::format(R"("wrong":{})", records.wrongAnswers) } };
+    for (Finding &finding : judgeStatements(deployment))
+        findings.push_back(std::move(finding));
+    return findings;
 }
 
 std::vector<std::string> describeCuts(Deployment &deployment, const FaultPlan &plan,
--- a/testsuite/soak/deployment.cpp
+++ b/testsuite/soak/deployment.cpp
@@ -193,6 +193,8 @@
     DatabaseOptions options;
     options.losesCommits = m_options.broken == BrokenVariant::LostCommits;
     options.promotesShortest = m_options.broken == BrokenVariant::ShortestLog;
+    options.confusesShapes = m_options.broken == BrokenVariant::WrongShape;
+    options.keepsValues = m_options.broken == BrokenVariant::KeptValues;
     for (int s = 0; s < m_options.services; ++s) {
         const std::string service = fmt::format("service{}", s);
         std::vector<DatabasePlace> places;
@@ -318,14 +320,19 @@
         [this] { return now(); },
         [this] { return chooseFront(); },
         [this] { return fmt::format("{:08x}{:08x}", m_options.seed, ++m_lastStatement); },
+        [this] { return ++m_lastSession; },
     };
     const std::chrono::milliseconds pause(1000 * m_options.sessions / m_options.ratePerSecond);
     for (int i = 0; i < m_options.sessions; ++i) {
         const auto index = static_cast<std::size_t>(i);
         const DatabaseRoute &route = m_routes[index % m_routes.size()];
-        const CallerProfile profile { route.service, route.name,
-                                      m_teams[index % m_teams.size()].key,
-                                      route.kind == DatabaseKind::BoundedStaleness, pause };
+        const TeamEntry &team = m_teams[index % m_teams.size()];
+        const CallerProfile profile { route.service,
+                                      route.name,
+                                      team.key,
+                                      team.name,
+                                      route.kind == DatabaseKind::BoundedStaleness,
+                                      pause };
         m_callers.push_back(std::make_unique<Caller>(fmt::format("item{}", i), profile, m_random(),
                                                      surroundings, m_records));
     }
--- a/testsuite/soak/deployment.h
+++ b/testsuite/soak/deployment.h
@@ -90,6 +90,7 @@
     CallerRecords m_records;
     std::vector<std::unique_ptr<Caller>> m_callers;
     std::uint64_t m_lastStatement = 0;
+    std::uint64_t m_lastSession = 0;
     std::uint64_t m_sentVersion = 0;
     std::uint64_t m_acceptedVersion = 0;
     std::uint64_t m_versionReadBack = 0;
--- a/testsuite/soak/main.cpp
+++ b/testsuite/soak/main.cpp
@@ -34,8 +34,8 @@
   --plan=NAME       kill-all, kill-all-lose-two, kill-control, kill-control-then-all, roll,
                     freeze-then-kill-all, deciders or mixed [default: mixed].
   --broken=NAME     Broken variant that must be detected in one of the runs: lost-commits,
-                    no-recovery, cut-at-stop, late-promotion, shortest-log or
-                    no-promotion.
+                    no-recovery, cut-at-stop, late-promotion, shortest-log, no-promotion,
+                    wrong-shape or kept-values.
   --rounds=N        Rounds of the plan deciders [default: 4].
   --control=N       Control members [default: 6].
   --losses=N        Control members that may lose their data at once [default: 2].
@@ -63,13 +63,22 @@
                                      { "deciders", PlanKind::Deciders },
                                      { "mixed", PlanKind::Mixed } } };
 
-constexpr std::array<std::pair<std::string_view, BrokenVariant>, 6> kVariants {
-    { { "lost-commits", BrokenVariant::LostCommits },
-      { "no-recovery", BrokenVariant::NoRecovery },
-      { "cut-at-stop", BrokenVariant::CutAtStop },
-      { "late-promotion", BrokenVariant::LatePromotion },
-      { "shortest-log", BrokenVariant::ShortestLog },
-      { "no-promotion", BrokenVariant::NoPromotion } }
+struct Variant
+{
+    BrokenVariant variant = BrokenVariant::None;
+    /// Check that has to notice it.
+    std::string_view check;
+};
+
+constexpr std::array<std::pair<std::string_view, Variant>, 8> kVariants {
+    { { "lost-commits", { BrokenVariant::LostCommits, "commits" } },
+      { "no-recovery", { BrokenVariant::NoRecovery, "recover" } },
+      { "cut-at-stop", { BrokenVariant::CutAtStop, "stops" } },
+      { "late-promotion", { BrokenVariant::LatePromotion, "one" } },
+      { "shortest-log", { BrokenVariant::ShortestLog, "lost_at_promotion" } },
+      { "no-promotion", { BrokenVariant::NoPromotion, "primaries" } },
+      { "wrong-shape", { BrokenVariant::WrongShape, "statements" } },
+      { "kept-values", { BrokenVariant::KeptValues, "statements" } } }
 };
 
 template <typename T, std::size_t n>
@@ -97,7 +106,8 @@
         const auto variant = byName(kVariants, args.at("--broken").asString());
         if (!variant)
             return std::nullopt;
-        options.broken = *variant;
+        options.broken = variant->variant;
+        options.detectedBy = variant->check;
     }
     options.rounds = number("--rounds");
     options.controlMembers = number("--control");
@@ -128,8 +138,8 @@
     return std::nullopt;
 }
 
-/// Plays one seed and prints a line for each check. True if a check is broken, nullopt if the run
-/// could not begin.
+/// Plays one seed and prints a line for each check. True if a check is broken, with a broken
+/// variant if the check that has to notice it is. nullopt if the run could not begin.
 std::optional<bool> playSeed(const SoakOptions &options, const Arguments &args)
 {
     // The nodes must not find the control log of an earlier run, which names other addresses.
@@ -146,17 +156,19 @@
             fmt::print("{}\n", line);
     }
     bool broken = false;
+    bool detected = false;
     for (const Finding &finding : report.findings) {
         fmt::print(R"({{"seed":{},"plan":"{}","check":"{}","broken":{},{}}})"
                    "\n",
                    options.seed, args.at("--plan").asString(), finding.check, finding.broken,
                    finding.figures);
         broken = broken || finding.broken;
+        detected = detected || (finding.broken && finding.check == options.detectedBy);
     }
     std::fflush(stdout);
     if (!broken && !args.at("--keep").asBool())
         QDir(QString::fromStdString(options.directory)).removeRecursively();
-    return broken;
+    return options.detectedBy.empty() ? broken : detected;
 }
 
 } // namespace
--- a/testsuite/soak/options.h
+++ b/testsuite/soak/options.h
@@ -43,6 +43,10 @@
     ShortestLog,
     /// The platform accepts calls for promotions and promotes nothing.
     NoPromotion,
+    /// The databases run a prepared statement as another one.
+    WrongShape,
+    /// The databases keep the session variables of a connection's former session.
+    KeptValues,
 };
 
 struct SoakOptions
@@ -50,6 +54,8 @@
     std::uint64_t seed = 1;
     PlanKind plan = PlanKind::Mixed;
     BrokenVariant broken = BrokenVariant::None;
+    /// Check that has to notice the broken variant; empty without one.
+    std::string detectedBy;
     /// Of the plan Deciders.
     int rounds = 4;
     int controlMembers = 6;
--- a/testsuite/soak/records.h
+++ b/testsuite/soak/records.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "options.h"
+#include "statement_judge.h"
 
 namespace shallotlever::soak {
 
@@ -35,7 +36,11 @@
     std::vector<CutRecord> cuts;
     /// When each acknowledged commit was acknowledged, by service and statement.
     std::map<std::string, std::map<std::string, RunTime>> acknowledged;
+    /// What was sent, in order.
+    std::vector<reference::AskedStatement> asked;
     int wrongAnswers = 0;
+    /// Executions of a name whose preparation was acknowledged, and that was reported as unknown.
+    int unknownStatements = 0;
     /// Reads that did not find an acknowledged write of their session.
     int missedOwnWrites = 0;
 };
--- a/testsuite/soak/soak_run.cpp
+++ b/testsuite/soak/soak_run.cpp
@@ -8,6 +8,7 @@
 
 #include "fault_injection.h"
 #include "promotion_checks.h"
+#include "statement_checks.h"
 
 namespace shallotlever::soak {
 
@@ -81,6 +82,8 @@
         report.details.push_back(std::move(line));
     for (std::string &line : describePromotions(deployment))
         report.details.push_back(std::move(line));
+    for (std::string &line : describeStatements(deployment))
+        report.details.push_back(std::move(line));
     for (std::string &line : faults)
         report.details.push_back(std::move(line));
     return report;
