Detect in the soak that transactions run outside of their own

Change: a broken variant "no-transactions", in which databases acknowledge BEGIN and begin nothing; the check "statements" has to notice it.

--- a/testsuite/soak/deployment.cpp
+++ b/testsuite/soak/deployment.cpp
@@ -194,6 +194,7 @@
     options.losesCommits = m_options.broken == BrokenVariant::LostCommits;
     options.promotesShortest = m_options.broken == BrokenVariant::ShortestLog;
     options.confusesShapes = m_options.broken == BrokenVariant::WrongShape;
+    options.ignoresBegin = m_options.broken == BrokenVariant::NoTransactions;
     options.keepsValues = m_options.broken == BrokenVariant::KeptValues;
     for (int s = 0; s < m_options.services; ++s) {
         const std::string service = fmt::format("service{}", s);
--- a/testsuite/soak/main.cpp
+++ b/testsuite/soak/main.cpp
@@ -35,7 +35,7 @@
                     freeze-then-kill-all, deciders or mixed [default: mixed].
   --broken=NAME     Broken variant that must be detected in one of the runs: lost-commits,
                     no-recovery, cut-at-stop, late-promotion, shortest-log, no-promotion,
-                    wrong-shape or kept-values.
+                    wrong-shape, kept-values or no-transactions.
   --rounds=N        Rounds of the plan deciders [default: 4].
   --control=N       Control members [default: 6].
   --losses=N        Control members that may lose their data at once [default: 2].
@@ -70,7 +70,7 @@
     std::string_view check;
 };
 
-constexpr std::array<std::pair<std::string_view, Variant>, 8> kVariants {
+constexpr std::array<std::pair<std::string_view, Variant>, 9> kVariants {
     { { "lost-commits", { BrokenVariant::LostCommits, "commits" } },
       { "no-recovery", { BrokenVariant::NoRecovery, "recover" } },
       { "cut-at-stop", { BrokenVariant::CutAtStop, "stops" } },
@@ -78,7 +78,8 @@
       { "shortest-log", { BrokenVariant::ShortestLog, "lost_at_promotion" } },
       { "no-promotion", { BrokenVariant::NoPromotion, "primaries" } },
       { "wrong-shape", { BrokenVariant::WrongShape, "statements" } },
-      { "kept-values", { BrokenVariant::KeptValues, "statements" } } }
+      { "kept-values", { BrokenVariant::KeptValues, "statements" } },
+      { "no-transactions", { BrokenVariant::NoTransactions, "statements" } } }
 };
 
 template <typename T, std::size_t n>
--- a/testsuite/soak/options.h
+++ b/testsuite/soak/options.h
@@ -47,6 +47,8 @@
     WrongShape,
     /// The databases keep the session variables of a connection's former session.
     KeptValues,
+    /// The databases run the statements of transactions outside of any.
+    NoTransactions,
 };
 
 struct SoakOptions
