Let findings of the soak name what stood still and where statements were lost

Change: 'recover', 'config' and 'stops' name the longest stalls in the time that they judge, of the soak's own thread and of the nodes concerned (control_thread_delayed, control_write_delayed). 'config' also lists elections, lost leases and the answers to its reads since everything runs again. 'stops' says how many of the statements were sent after the node's close had arrived at the soak, how many arrived at the node after the end of their session (by id, from statement_unanswered), and the counts of sessions_closed. No check or bound changes.

--- a/testsuite/soak/caller.cpp
+++ b/testsuite/soak/caller.cpp
@@ -175,7 +175,7 @@
 void Caller::handleFailure(const StatementResult &result, bool mayHaveEffect)
 {
     if (result.outcome == StatementOutcome::NoAnswer && !result.statement.empty())
-        noteCut(result.statement);
+        noteCut(result);
     if (result.outcome == StatementOutcome::WrongAnswer)
         ++m_records.wrongAnswers;
     if (mayHaveEffect)
@@ -190,10 +190,10 @@
         finish(failureText(result));
 }
 
-void Caller::noteCut(const std::string &statement)
+void Caller::noteCut(const StatementResult &result)
 {
-    m_records.cuts.push_back({ m_session.node().host, m_profile.service, statement,
-                               m_statementSentAt, m_surroundings.clock() });
+    m_records.cuts.push_back({ m_session.node().host, m_profile.service, result.statement,
+                               m_statementSentAt, m_surroundings.clock(), result.sentAfterEnd });
 }
 
 void Caller::finish(const std::string &failure)
--- a/testsuite/soak/caller.h
+++ b/testsuite/soak/caller.h
@@ -58,7 +58,7 @@
     void handleCommitted(const std::string &statement, const StatementResult &result);
     /// Notes a result that isn't Done, and repeats the operation if that is permitted.
     void handleFailure(const StatementResult &result, bool mayHaveEffect);
-    void noteCut(const std::string &statement);
+    void noteCut(const StatementResult &result);
     void finish(const std::string &failure);
     std::string send();
     bool chance(double probability);
--- a/testsuite/soak/checks.cpp
+++ b/testsuite/soak/checks.cpp
@@ -1,6 +1,7 @@
 #include "checks.h"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <optional>
 #include <set>
@@ -8,6 +9,7 @@
 #include <fmt/format.h>
 
 #include "promotion_checks.h"
+#include "run_logs.h"
 
 namespace shallotlever::soak {
 
@@ -39,8 +41,10 @@
     bool atLeastQuarter() const { return asked > 0 && served * 4 >= asked; }
 };
 
-Finding judgeRecovery(const CallerRecords &records, const FaultPlan &plan, RunTime origin)
+Finding judgeRecovery(const Deployment &deployment, const RunLogs &logs, const FaultPlan &plan,
+                      RunTime origin)
 {
+    const CallerRecords &records = deployment.records();
     Served before;
     Served after;
     for (const OperationRecord &operation : records.operations) {
@@ -50,16 +54,24 @@
             after.count(operation);
     }
     return { "recover", before.atLeastQuarter() && !after.atLeastQuarter(),
-             fmt::format(R"("before":{},"served_before":{},"after":{},"served_after":{})",
-                         before.asked, before.served, after.asked, after.served) };
+             fmt::format(R"("before":{},"served_before":{},"after":{},"served_after":{},{})",
+                         before.asked, before.served, after.asked, after.served,
+                         describeStalls(logs, { origin + plan.allBackAt, deployment.now() })) };
 }
 
-Finding judgeConfig(const Deployment &deployment)
+Finding judgeConfig(const Deployment &deployment, const RunLogs &logs, const FaultPlan &plan,
+                    RunTime origin)
 {
     const bool broken = deployment.versionReadBack() < deployment.acceptedVersion();
+    std::string reads;
+    for (const auto &[status, count] : deployment.configReads())
+        reads += fmt::format(R"({}"{}":{})", reads.empty() ? "" : ",", status, count);
+    const Span sinceBack { origin + plan.allBackAt, deployment.now() };
     return { "config", broken,
-             fmt::format(R"("accepted":{},"read_back":{})", deployment.acceptedVersion(),
-                         deployment.versionReadBack()) };
+             fmt::format(R"("accepted":{},"read_back":{},"reads":{{{}}},"back_ms":{},{},{})",
+                         deployment.acceptedVersion(), deployment.versionReadBack(), reads,
+                         sinceBack.from.count(), describeControl(logs, sinceBack),
+                         describeStalls(logs, sinceBack)) };
 }
 
 Finding judgeCommits(const Deployment &deployment)
@@ -107,11 +119,15 @@
     /// A database received the statement.
     bool received = false;
 
+    /// By the log of the node, the statement arrived after the end of its session.
+    bool arrivedAfterEnd = false;
+
     /// Whether the node must have read the statement.
     bool wasRead() const { return received || cut.cutAt - cut.sentAt > kReadTime; }
 };
 
-std::vector<StopCut> stopCuts(Deployment &deployment, const FaultPlan &plan, RunTime origin)
+std::vector<StopCut> stopCuts(Deployment &deployment, const RunLogs &logs, const FaultPlan &plan,
+                              RunTime origin)
 {
     std::vector<StopCut> cuts;
     for (const CutRecord &cut : deployment.records().cuts) {
@@ -122,21 +138,53 @@
         deployment.groups().at(cut.service)->call([&](const DatabaseGroup &databases) {
             received = databases.received(cut.statement);
         });
-        cuts.push_back({ cut, stop->at, received });
+        cuts.push_back({ cut, stop->at, received,
+                         logs.nodes.at(cut.host).unansweredStatements.contains(cut.statement) });
     }
     return cuts;
 }
 
-Finding judgeStops(Deployment &deployment, const FaultPlan &plan, RunTime origin)
+/// Where the statements that were cut were lost, and what stood still between the stops and the
+/// cuts, as members of a JSON object.
+std::string describeLosses(const std::vector<StopCut> &cuts, const RunLogs &logs)
+{
+    int sentAfterEnd = 0;
+    int arrivedAfterEnd = 0;
+    ClosedSessions closed;
+    std::set<std::string> hosts;
+    Span span { RunTime::max(), RunTime(0) };
+    for (const StopCut &cut : cuts) {
+        sentAfterEnd += cut.cut.sentAfterEnd ? 1 : 0;
+        arrivedAfterEnd += cut.arrivedAfterEnd ? 1 : 0;
+        hosts.insert(cut.cut.host);
+        span.from = std::min(span.from, cut.stoppedAt);
+        span.until = std::max(span.until, cut.cut.cutAt);
+    }
+    for (const std::string &host : hosts) {
+        for (const ClosedSessions &stop : logs.nodes.at(host).closedSessions) {
+            closed.unread += stop.unread;
+            closed.unanswered += stop.unanswered;
+        }
+    }
+    return fmt::format(
+        R"("sent_after_end":{},"arrived_after_end":{},"closed_unread":{},"unanswered":{},{})",
+        sentAfterEnd, arrivedAfterEnd, closed.unread, closed.unanswered,
+        describeStalls(logs, span, hosts));
+}
+
+Finding judgeStops(Deployment &deployment, const RunLogs &logs, const FaultPlan &plan,
+                   RunTime origin)
 {
-    const std::vector<StopCut> cuts = stopCuts(deployment, plan, origin);
-    const auto read =
-        std::count_if(cuts.begin(), cuts.end(), [](const StopCut &cut) { return cut.wasRead(); });
+    const std::vector<StopCut> cuts = stopCuts(deployment, logs, plan, origin);
+    std::vector<StopCut> read;
+    std::copy_if(cuts.begin(), cuts.end(), std::back_inserter(read),
+                 [](const StopCut &cut) { return cut.wasRead(); });
     std::size_t stops = 0;
     for (const auto &front : deployment.fronts())
         stops += front->plannedStops().size();
-    return { "stops", read > 0,
-             fmt::format(R"("stops":{},"cut":{},"cut_after_read":{})", stops, cuts.size(), read) };
+    return { "stops", !read.empty(),
+             fmt::format(R"("stops":{},"cut":{},"cut_after_read":{},{})", stops, cuts.size(),
+                         read.size(), describeLosses(read.empty() ? cuts : read, logs)) };
 }
 
 Finding judgeEnds(Deployment &deployment)
@@ -157,16 +205,17 @@
 
 } // namespace
 
-std::vector<Finding> judge(Deployment &deployment, const FaultPlan &plan, RunTime callersStartedAt)
+std::vector<Finding> judge(Deployment &deployment, const FaultPlan &plan, RunTime origin)
 {
     const CallerRecords &records = deployment.records();
-    return { judgeRecovery(records, plan, callersStartedAt),
-             judgeConfig(deployment),
+    const RunLogs logs = readRunLogs(deployment);
+    return { judgeRecovery(deployment, logs, plan, origin),
+             judgeConfig(deployment, logs, plan, origin),
              judgeCommits(deployment),
              judgeFences(deployment),
              judgePromotedLogs(deployment),
              judgePrimaries(deployment),
-             judgeStops(deployment, plan, callersStartedAt),
+             judgeStops(deployment, logs, plan, origin),
              judgeEnds(deployment),
              { "own_writes", records.missedOwnWrites > 0,
                fmt::format(R"("missed":{})", records.missedOwnWrites) },
@@ -174,19 +223,21 @@
                fmt::format(R"("wrong":{})", records.wrongAnswers) } };
 }
 
-std::vector<std::string> describeCuts(Deployment &deployment, const FaultPlan &plan,
-                                      RunTime callersStartedAt)
+std::vector<std::string> describeCuts(Deployment &deployment, const FaultPlan &plan, RunTime origin)
 {
+    const RunLogs logs = readRunLogs(deployment);
     std::vector<std::string> lines;
-    for (const StopCut &cut : stopCuts(deployment, plan, callersStartedAt))
+    for (const StopCut &cut : stopCuts(deployment, logs, plan, origin))
         lines.push_back(fmt::format(
-            R"({{"cut":"{}","node":"{}","stop_ms":{},"sent_ms":{},"cut_ms":{},"received":{}}})",
+            R"({{"cut":"{}","node":"{}","stop_ms":{},"sent_ms":{},"cut_ms":{},"received":{},)"
+            R"("sent_after_end":{},"arrived_after_end":{},{}}})",
             cut.cut.statement, cut.cut.host, cut.stoppedAt.count(), cut.cut.sentAt.count(),
-            cut.cut.cutAt.count(), cut.received));
+            cut.cut.cutAt.count(), cut.received, cut.cut.sentAfterEnd, cut.arrivedAfterEnd,
+            describeStalls(logs, { cut.cut.sentAt, cut.cut.cutAt }, { cut.cut.host })));
     return lines;
 }
 
-std::vector<std::string> describeSeconds(const Deployment &deployment, RunTime callersStartedAt)
+std::vector<std::string> describeSeconds(const Deployment &deployment, RunTime origin)
 {
     struct Second
     {
@@ -194,10 +245,10 @@
         std::map<std::string, int> failures;
     };
     // Whole seconds of the run, so that the stalls fit.
-    const std::int64_t origin = callersStartedAt.count() / 1000;
+    const std::int64_t firstSecond = origin.count() / 1000;
     std::map<std::int64_t, Second> seconds;
     for (const OperationRecord &operation : deployment.records().operations) {
-        Second &second = seconds[operation.sentAt.count() / 1000 - origin];
+        Second &second = seconds[operation.sentAt.count() / 1000 - firstSecond];
         second.operations.count(operation);
         if (!operation.failure.empty())
             ++second.failures[operation.failure];
@@ -207,8 +258,9 @@
         std::string failures;
         for (const auto &[text, count] : second.failures)
             failures += fmt::format(R"({}"{}":{})", failures.empty() ? "" : ",", text, count);
-        const auto stall = deployment.stalls().find(number + origin);
-        const RunTime stalled = stall == deployment.stalls().end() ? RunTime(0) : stall->second;
+        const auto stall = deployment.stalls().find(number + firstSecond);
+        const RunTime stalled =
+            stall == deployment.stalls().end() ? RunTime(0) : stall->second.length;
         lines.push_back(fmt::format(
             R"({{"second":{},"asked":{},"served":{},"stall_ms":{},"failures":{{{}}}}})", number,
             second.operations.asked, second.operations.served, stalled.count(), failures));
--- a/testsuite/soak/checks.h
+++ b/testsuite/soak/checks.h
@@ -17,15 +17,15 @@
     std::string figures;
 };
 
-/// Judges a run from what callers, databases and the operator saw. `callersStartedAt` is the origin
-/// of the plan's times.
-std::vector<Finding> judge(Deployment &deployment, const FaultPlan &plan, RunTime callersStartedAt);
+/// Judges a run from what callers, databases and the operator saw, with what explains it from the
+/// logs of the nodes. `origin` is that of the plan's times.
+std::vector<Finding> judge(Deployment &deployment, const FaultPlan &plan, RunTime origin);
 
 /// One JSON line for each statement that was cut around an announced stop.
 std::vector<std::string> describeCuts(Deployment &deployment, const FaultPlan &plan,
-                                      RunTime callersStartedAt);
+                                      RunTime origin);
 
 /// One JSON line for each second of the run: operations by the second in which they were sent.
-std::vector<std::string> describeSeconds(const Deployment &deployment, RunTime callersStartedAt);
+std::vector<std::string> describeSeconds(const Deployment &deployment, RunTime origin);
 
 } // namespace shallotlever::soak
--- a/testsuite/soak/deployment.cpp
+++ b/testsuite/soak/deployment.cpp
@@ -45,6 +45,7 @@
     , m_random(options.seed)
 {
     m_clock.start();
+    m_startedAt = QDateTime::currentDateTimeUtc();
     for (int i = 0; i < options.controlMembers; ++i)
         m_controlEndpoints.push_back(
             { host(kControlBlock, static_cast<std::size_t>(i)), kControlPort });
@@ -248,8 +249,10 @@
 void Deployment::noteStall()
 {
     const RunTime tick = now();
-    RunTime &longest = m_stalls[tick.count() / 1000];
-    longest = std::max(longest, tick - m_lastTick - kStallTick);
+    const RunTime delay = tick - m_lastTick - kStallTick;
+    Stall &longest = m_stalls[tick.count() / 1000];
+    if (delay > longest.length)
+        longest = { kSoakName, {}, tick, delay };
     m_lastTick = tick;
 }
 
@@ -304,6 +307,7 @@
 {
     for (const Endpoint &endpoint : m_controlEndpoints) {
         m_calls.call("GET", endpoint, kConfigPath, {}, [this](int status, const std::string &body) {
+            ++m_configReads[status];
             if (status == 200)
                 m_versionReadBack = std::max(m_versionReadBack, configVersion(body));
         });
--- a/testsuite/soak/deployment.h
+++ b/testsuite/soak/deployment.h
@@ -4,6 +4,7 @@
 #include <random>
 #include <vector>
 
+#include <QDateTime>
 #include <QElapsedTimer>
 
 #include "caller.h"
@@ -22,6 +23,8 @@
     explicit Deployment(const SoakOptions &options);
 
     RunTime now() const { return RunTime(m_clock.elapsed()); }
+    /// Origin of now().
+    const QDateTime &startedAt() const { return m_startedAt; }
     void startNodes();
     void startCallers();
     void endCallers();
@@ -44,9 +47,11 @@
     /// Newest version that was read back; 0 if there was no answer.
     std::uint64_t versionReadBack() const { return m_versionReadBack; }
     std::size_t readyFronts() const;
+    /// Reads of the configuration by the status of their answer; 0 stands for no answer.
+    const std::map<int, int> &configReads() const { return m_configReads; }
     /// Longest delay of a timer of the soak itself, by second of the run. With long ones, the soak
     /// and not the nodes may be what is slow.
-    const std::map<std::int64_t, RunTime> &stalls() const { return m_stalls; }
+    const std::map<std::int64_t, Stall> &stalls() const { return m_stalls; }
 
 private:
     struct Probe
@@ -73,6 +78,7 @@
 
     SoakOptions m_options;
     QElapsedTimer m_clock;
+    QDateTime m_startedAt;
     std::mt19937_64 m_random;
     HttpCalls m_calls;
     std::vector<Endpoint> m_controlEndpoints;
@@ -82,7 +88,7 @@
     QTimer m_probeTimer;
     QTimer m_stallTimer;
     RunTime m_lastTick { 0 };
-    std::map<std::int64_t, RunTime> m_stalls;
+    std::map<std::int64_t, Stall> m_stalls;
     std::map<std::string, std::unique_ptr<GroupThread>> m_groups;
     std::unique_ptr<PromotionServer> m_promotions;
     std::vector<DatabaseRoute> m_routes;
@@ -93,6 +99,7 @@
     std::uint64_t m_sentVersion = 0;
     std::uint64_t m_acceptedVersion = 0;
     std::uint64_t m_versionReadBack = 0;
+    std::map<int, int> m_configReads;
 };
 
 } // namespace shallotlever::soak
--- a/testsuite/soak/node_log.cpp
+++ b/testsuite/soak/node_log.cpp
@@ -6,6 +6,45 @@
 
 namespace shallotlever::soak {
 
+namespace {
+
+bool isStall(const QString &event)
+{
+    return event == "control_thread_delayed" || event == "control_write_delayed";
+}
+
+bool isControlEvent(const QString &event)
+{
+    return event == "controller_elected" || event == "controller_stepped_down"
+        || event == "lease_lost";
+}
+
+} // namespace
+
+NodeLog readNodeLog(const std::string &node, const std::string &logFile, const QDateTime &startedAt)
+{
+    NodeLog log;
+    QFile file(QString::fromStdString(logFile));
+    if (!file.open(QIODevice::ReadOnly))
+        return log;
+    while (!file.atEnd()) {
+        const QJsonObject line = QJsonDocument::fromJson(file.readLine()).object();
+        const QString event = line["event"].toString();
+        const QDateTime time = QDateTime::fromString(line["ts"].toString(), Qt::ISODateWithMs);
+        const RunTime at(startedAt.msecsTo(time));
+        if (isStall(event))
+            log.stalls.push_back(
+                { node, event.toStdString(), at, RunTime(line["delay_ms"].toInteger()) });
+        else if (isControlEvent(event))
+            log.controlEvents.push_back({ event.toStdString(), at });
+        else if (event == "sessions_closed")
+            log.closedSessions.push_back({ line["unread"].toInt(), line["unanswered"].toInt() });
+        else if (event == "statement_unanswered")
+            log.unansweredStatements.insert(line["request"].toString().toStdString());
+    }
+    return log;
+}
+
 std::uint64_t controlTermOf(const std::string &logFile)
 {
     QFile file(QString::fromStdString(logFile));
--- a/testsuite/soak/records.h
+++ b/testsuite/soak/records.h
@@ -17,6 +17,19 @@
     std::string failure;
 };
 
+/// A time in which a process did not run, or its disk did not write, as the process noticed it.
+struct Stall
+{
+    /// Name of the node, or kSoakName.
+    std::string process;
+    /// Event of the node's log; empty for the soak.
+    std::string event;
+    RunTime endedAt { 0 };
+    RunTime length { 0 };
+};
+
+constexpr const char *kSoakName = "soak";
+
 /// A statement whose connection ended before its answer did.
 struct CutRecord
 {
@@ -26,6 +39,9 @@
     std::string statement;
     RunTime sentAt { 0 };
     RunTime cutAt { 0 };
+    /// The node closed the connection while nothing was outstanding and no transaction open, and
+    /// that had arrived at the soak when it sent the statement.
+    bool sentAfterEnd = false;
 };
 
 /// What callers saw.
