Begin the faults of a soak when every service acknowledges commits

Cause: the faults began 8 s after the callers, whether anything was served or not. A run without service can't show what a broken variant does.

Change: the times of the plan begin when a commit of each service was acknowledged. If that takes more than 15 s, the bound that is stated for service after a fault, the run ends with the new check 'start', which is broken and names the stalls. It counts as a broken check of a run, and never as the detection of a broken variant: a variant that was not shown fails with the reason.

--- a/testsuite/soak/checks.cpp
+++ b/testsuite/soak/checks.cpp
@@ -205,6 +205,15 @@
 
 } // namespace
 
+Finding judgeStart(Deployment &deployment, bool served, RunTime callersStartedAt, RunTime limit)
+{
+    const RunTime now = deployment.now();
+    return { kStartCheck, !served,
+             fmt::format(R"("waited_ms":{},"limit_ms":{},{})", (now - callersStartedAt).count(),
+                         limit.count(),
+                         describeStalls(readRunLogs(deployment), { RunTime(0), now })) };
+}
+
 std::vector<Finding> judge(Deployment &deployment, const FaultPlan &plan, RunTime origin)
 {
     const CallerRecords &records = deployment.records();
--- a/testsuite/soak/checks.h
+++ b/testsuite/soak/checks.h
@@ -17,6 +17,13 @@
     std::string figures;
 };
 
+/// Name of the finding of judgeStart().
+constexpr const char *kStartCheck = "start";
+
+/// Whether service began in time: broken if `served` is false. `limit` is the time that was given
+/// since `callersStartedAt`.
+Finding judgeStart(Deployment &deployment, bool served, RunTime callersStartedAt, RunTime limit);
+
 /// Judges a run from what callers, databases and the operator saw, with what explains it from the
 /// logs of the nodes. `origin` is that of the plan's times.
 std::vector<Finding> judge(Deployment &deployment, const FaultPlan &plan, RunTime origin);
--- a/testsuite/soak/deployment.cpp
+++ b/testsuite/soak/deployment.cpp
@@ -91,6 +91,11 @@
                                                   [](const Probe &probe) { return probe.ready; }));
 }
 
+bool Deployment::servesAllServices() const
+{
+    return m_records.acknowledged.size() == m_groups.size();
+}
+
 // Nodes.
 
 std::string Deployment::host(int block, std::size_t index) const
--- a/testsuite/soak/deployment.h
+++ b/testsuite/soak/deployment.h
@@ -49,6 +49,8 @@
     std::size_t readyFronts() const;
     /// Reads of the configuration by the status of their answer; 0 stands for no answer.
     const std::map<int, int> &configReads() const { return m_configReads; }
+    /// Whether a commit of each service was acknowledged to a caller.
+    bool servesAllServices() const;
     /// Longest delay of a timer of the soak itself, by second of the run. With long ones, the soak
     /// and not the nodes may be what is slow.
     const std::map<std::int64_t, Stall> &stalls() const { return m_stalls; }
--- a/testsuite/soak/main.cpp
+++ b/testsuite/soak/main.cpp
@@ -145,16 +145,20 @@
         for (const std::string &line : report.details)
             fmt::print("{}\n", line);
     }
+    // A start without service is broken, and detects no broken variant.
+    const bool expectBroken = options.broken != BrokenVariant::None;
     bool broken = false;
+    bool keep = args.at("--keep").asBool();
     for (const Finding &finding : report.findings) {
         fmt::print(R"({{"seed":{},"plan":"{}","check":"{}","broken":{},{}}})"
                    "\n",
                    options.seed, args.at("--plan").asString(), finding.check, finding.broken,
                    finding.figures);
-        broken = broken || finding.broken;
+        keep = keep || finding.broken;
+        broken = broken || (finding.broken && !(expectBroken && finding.check == kStartCheck));
     }
     std::fflush(stdout);
-    if (!broken && !args.at("--keep").asBool())
+    if (!keep)
         QDir(QString::fromStdString(options.directory)).removeRecursively();
     return broken;
 }
--- a/testsuite/soak/soak_run.cpp
+++ b/testsuite/soak/soak_run.cpp
@@ -16,6 +16,9 @@
 using Milliseconds = std::chrono::milliseconds;
 
 constexpr Milliseconds kStartLimit { 60'000 };
+/// From the first operation until a commit of each service is acknowledged: the time that is also
+/// given after all processes run again.
+constexpr Milliseconds kServiceStartLimit { 15'000 };
 /// Between the nodes being ready and the first operation.
 constexpr Milliseconds kSettleTime { 2000 };
 /// The operations sent in this time decide whether service is back.
@@ -59,8 +62,17 @@
         return { fmt::format("{} of {} fronts ready", deployment.readyFronts(), fronts), {}, {} };
     runEvents(kSettleTime);
     const FaultPlan plan = makeFaultPlan(options);
-    const RunTime origin = deployment.now();
+    const RunTime callersStartedAt = deployment.now();
     deployment.startCallers();
+    // Without service before the first fault, a run shows nothing of its effect.
+    const bool serves =
+        runEventsUntil(kServiceStartLimit, [&] { return deployment.servesAllServices(); });
+    const Finding start = judgeStart(deployment, serves, callersStartedAt, kServiceStartLimit);
+    if (start.broken) {
+        deployment.endCallers();
+        return { {}, { start }, describeSeconds(deployment, callersStartedAt) };
+    }
+    const RunTime origin = deployment.now();
     std::vector<std::string> faults;
     for (const Fault &fault : plan.faults) {
         const RunTime left = origin + fault.at - deployment.now();
@@ -77,6 +89,7 @@
         return deployment.versionReadBack() >= deployment.acceptedVersion();
     });
     SoakReport report { {}, judge(deployment, plan, origin), describeSeconds(deployment, origin) };
+    report.findings.insert(report.findings.begin(), start);
     for (std::string &line : describeCuts(deployment, plan, origin))
         report.details.push_back(std::move(line));
     for (std::string &line : describePromotions(deployment))
