Don't count a statement as cut if the node's close had arrived before it was sent

The soak sends from a timer. After a stall of its own it may send before it reads a close that has arrived, and a second stall between sending and reading makes the statement look read: 200 ms is measured from the sending to the reading of the close, not to the close.

Why this case is allowed: a close in state I while nothing is outstanding is no failure (PROTOCOL.md), and LOST counts a connection that ends later than LossSlackMs after the last byte was sent; here it had ended before the first byte. Everything else counts as before: a statement that a database received, one that crossed with the close, and one that the node left unread.

--- a/testsuite/soak/checks.cpp
+++ b/testsuite/soak/checks.cpp
@@ -122,8 +122,12 @@
     /// By the log of the node, the statement arrived after the end of its session.
     bool arrivedAfterEnd = false;
 
-    /// Whether the node must have read the statement.
-    bool wasRead() const { return received || cut.cutAt - cut.sentAt > kReadTime; }
+    /// Whether the connection ended before the answer to a statement that the node must have read.
+    /// A close that had arrived while nothing was outstanding is none, whenever the soak reads it.
+    bool wasRead() const
+    {
+        return received || (!cut.sentAfterEnd && cut.cutAt - cut.sentAt > kReadTime);
+    }
 };
 
 std::vector<StopCut> stopCuts(Deployment &deployment, const RunLogs &logs, const FaultPlan &plan,
