--- a/testsuite/soak/caller.cpp
+++ b/testsuite/soak/caller.cpp
@@ -153,7 +153,7 @@
 void Caller::handleFailure(const StatementResult &result, bool mayHaveEffect)
 {
     if (result.outcome == StatementOutcome::NoAnswer && !result.statement.empty())
-        noteCut(result.statement);
+        noteCut(result);
     if (result.outcome == StatementOutcome::WrongAnswer)
         ++m_records.wrongAnswers;
     m_records.unknownStatements += result.isUnknownStatement ? 1 : 0;
@@ -169,10 +169,10 @@
         finish(failureText(result));
 }
 
-void Caller::noteCut(const std::string &statement)
+void Caller::noteCut(const StatementResult &result)
 {
-    m_records.cuts.push_back({ m_session.node().host, m_profile.service, statement,
-                               m_statementSentAt, m_surroundings.clock() });
+    m_records.cuts.push_back({ m_session.node().host, m_profile.service, result.statement,
+                               m_statementSentAt, m_surroundings.clock(), result.sentAfterEnd });
 }
 
 void Caller::finish(const std::string &failure)
--- a/testsuite/soak/caller.h
+++ b/testsuite/soak/caller.h
@@ -60,7 +60,7 @@
     void handleStep(StepKind step, bool readsItem, const StatementResult &result);
     /// Notes a result that isn't Done, and repeats the operation if that is permitted.
     void handleFailure(const StatementResult &result, bool mayHaveEffect);
-    void noteCut(const std::string &statement);
+    void noteCut(const StatementResult &result);
     void finish(const std::string &failure);
     bool chance(double probability);
 
--- a/testsuite/soak/main.cpp
+++ b/testsuite/soak/main.cpp
@@ -156,18 +156,22 @@
         for (const std::string &line : report.details)
             fmt::print("{}\n", line);
     }
+    // A start without service is broken, and detects no broken variant.
+    const bool expectBroken = options.broken != BrokenVariant::None;
     bool broken = false;
     bool detected = false;
+    bool keep = args.at("--keep").asBool();
     for (const Finding &finding : report.findings) {
         fmt::print(R"({{"seed":{},"plan":"{}","check":"{}","broken":{},{}}})"
                    "\n",
                    options.seed, args.at("--plan").asString(), finding.check, finding.broken,
                    finding.figures);
-        broken = broken || finding.broken;
+        keep = keep || finding.broken;
+        broken = broken || (finding.broken && !(expectBroken && finding.check == kStartCheck));
         detected = detected || (finding.broken && finding.check == options.detectedBy);
     }
     std::fflush(stdout);
-    if (!broken && !args.at("--keep").asBool())
+    if (!keep)
         QDir(QString::fromStdString(options.directory)).removeRecursively();
     return options.detectedBy.empty() ? broken : detected;
 }
