Carry messages of 4 MiB between nodes, and answer truly beyond that

Callers saw, at a node that holds no connections of the database: a read whose rows add up to more than 1 MiB, and a statement that is longer than that with its values and definition, got no answer until their time limit; the same statements were answered at the node that holds the connections.

Cause: a frame holds 1 MiB, and a caller's message alone may have that much. encodeFrame refused the longer ones, send() returned false as if there were no link, and the result of reply() was not looked at.

Change: a frame holds 4 MiB, enough for the longest text with its definition and 2 MiB of values. The dispatcher compares the payload with kMaxPayloadBytes, for which there always is a frame. For a longer answer the owner sends the reason answer_too_large: the caller gets outcome_unknown, or transaction_lost inside a transaction, and the statement isn't sent again.

RetryReasons.TableOrderMatchesEnum compared the table with the last value but one and failed since "unsendable" was added; it compares with the last one.

--- a/src/base/retry_reason.cpp
+++ b/src/base/retry_reason.cpp
@@ -28,6 +28,7 @@
     RetryReasonRow { RetryReason::IdempotentRepeat, "idempotent_repeat", false, false },
     RetryReasonRow { RetryReason::OwnerUnavailable, "owner_unavailable", true, false },
     RetryReasonRow { RetryReason::Unsendable, "unsendable", true, false },
+    RetryReasonRow { RetryReason::AnswerTooLarge, "answer_too_large", false, false },
 };
 
 } // namespace
--- a/src/include/shallotlever/base/retry_reason.h
+++ b/src/include/shallotlever/base/retry_reason.h
@@ -49,6 +49,9 @@
     OwnerUnavailable,
     /// No message to the database can represent the statement. Another attempt would fail as well.
     Unsendable,
+    /// The statement ran, and its answer is too long for a message between nodes. Another attempt
+    /// would fail as well.
+    AnswerTooLarge,
 };
 
 struct RetryReasonRow
--- a/src/include/shallotlever/wire/frame.h
+++ b/src/include/shallotlever/wire/frame.h
@@ -11,7 +11,7 @@
 namespace shallotlever {
 
 /// Returns one frame, including the length prefix. Fails with INVALID_ARGUMENT if the envelope
-/// exceeds kMaxFrameBytes.
+/// exceeds kMaxFrameBytes, which no message with a payload of at most kMaxPayloadBytes does.
 absl::StatusOr<std::string> encodeFrame(const PeerMessage &message);
 
 /// Splits a byte stream into messages. After an error the stream is unusable and the link must be
--- a/src/include/shallotlever/wire/peer.h
+++ b/src/include/shallotlever/wire/peer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -38,7 +39,10 @@
 inline constexpr auto kMessageTypeCount = static_cast<std::size_t>(MessageType::PositionReply) + 1;
 
 /// Maximum size of the envelope in a frame, in bytes, without the length prefix.
-constexpr std::uint32_t kMaxFrameBytes = 1U << 20U;
+constexpr std::uint32_t kMaxFrameBytes = 4U << 20U;
+
+/// Maximum size of a payload, in bytes: the other fields of the envelope take less than 1 KiB.
+constexpr std::size_t kMaxPayloadBytes = kMaxFrameBytes - 1024;
 
 /// One process of a node. A node that restarts is another process under the same id.
 struct PeerProcess
--- a/src/operator/http_client.cpp
+++ b/src/operator/http_client.cpp
@@ -13,7 +13,7 @@
 
 constexpr quint16 kHttpPort = 80;
 constexpr quint16 kHttpsPort = 443;
-/// Answers are bounded by the frame limit between nodes (1 MiB) or by a result of that order.
+/// Answers are bounded by the frame limit between nodes (4 MiB) or by a result of that order.
 constexpr qsizetype kMaxAnswerBytes = 64 * 1024 * 1024;
 constexpr int kRounds = 3;
 
--- a/src/proxy/session_attempt.cpp
+++ b/src/proxy/session_attempt.cpp
@@ -293,7 +293,8 @@
     }
     if (m_transaction) {
         // The database keeps nothing of a transaction unless its commit was sent.
-        const bool repeatable = !m_transaction->hasExecuted && !(commits && sent);
+        const bool repeatable = !m_transaction->hasExecuted && !(commits && sent)
+            && reason != RetryReason::AnswerTooLarge;
         const bool unknown = commits && sent && m_transaction->wrote;
         if (repeatable)
             retry(sent ? RetryReason::UpstreamLostBeforeSend : reason, now);
@@ -301,7 +302,7 @@
             fail(unknown ? ErrorKind::OutcomeUnknown : ErrorKind::TransactionLost, now);
         return;
     }
-    if (sent && write)
+    if (sent && (write || reason == RetryReason::AnswerTooLarge))
         fail(ErrorKind::OutcomeUnknown, now);
     else
         retry(reason, now);
--- a/src/proxy/statement_dispatcher.cpp
+++ b/src/proxy/statement_dispatcher.cpp
@@ -57,6 +57,12 @@
 std::uint64_t StatementDispatcher::run(const NodeId &owner, StatementRequest request,
                                        Callback callback, TimePoint now)
 {
+    const bool local = owner == m_state.self;
+    std::string message = local ? std::string() : encodeStatementRequest(request);
+    if (message.size() > kMaxPayloadBytes) {
+        callback(unansweredReply(StatementResult::NotRun, RetryReason::Unsendable));
+        return 0;
+    }
     const std::uint64_t id = ++m_lastId;
     Forwarded &forwarded = m_forwarded[id];
     forwarded.owner = owner;
@@ -67,17 +73,16 @@
     forwarded.callback = std::move(callback);
     if (DatabaseRoute *used = route(forwarded))
         ++used->pending;
-    if (owner == m_state.self) {
-        const std::uint64_t local = m_runner.run(
+    if (local) {
+        const std::uint64_t localId = m_runner.run(
             { m_state.self, m_state.incarnation }, std::move(request),
             [this, id](const StatementReply &reply) { answer(id, reply, monotonicNow()); }, now);
         const auto running = m_forwarded.find(id);
         if (running != m_forwarded.end())
-            running->second.local = local;
+            running->second.local = localId;
     } else {
         m_forwardedCount.increment();
-        if (!m_peers.send(owner, MessageType::StatementRequest, id,
-                          encodeStatementRequest(request)))
+        if (!m_peers.send(owner, MessageType::StatementRequest, id, std::move(message)))
             answer(id, unansweredReply(StatementResult::NotRun, RetryReason::OwnerUnavailable),
                    now);
     }
@@ -190,7 +195,7 @@
 {
     const auto reply = [this, process = message.senderProcess(),
                         id = message.requestId](const StatementReply &answer) {
-        m_peers.reply(process, MessageType::StatementReply, id, encodeStatementReply(answer));
+        m_peers.reply(process, MessageType::StatementReply, id, encodeBounded(answer));
     };
     absl::StatusOr<StatementRequest> request = decodeStatementRequest(message.payload);
     if (!request.ok()) {
@@ -200,6 +205,19 @@
     m_runner.run(message.senderProcess(), *std::move(request), reply, now);
 }
 
+/// Encodes the reply, or if it is too long for a message, one that says that it is.
+std::string StatementDispatcher::encodeBounded(const StatementReply &reply)
+{
+    std::string message = encodeStatementReply(reply);
+    if (message.size() <= kMaxPayloadBytes)
+        return message;
+    if (acquireLogToken(m_state.logRateLimiter, LogTopic::Failure, monotonicNow()))
+        m_state.logger->warning("answer_too_large", { { "bytes", message.size() } });
+    StatementReply failure = unansweredReply(StatementResult::Unknown, RetryReason::AnswerTooLarge);
+    failure.load = reply.load;
+    return encodeStatementReply(failure);
+}
+
 void StatementDispatcher::onStatementReply(const PeerMessage &message, const StatementReply &reply,
                                            TimePoint now)
 {
--- a/src/proxy/statement_dispatcher.h
+++ b/src/proxy/statement_dispatcher.h
@@ -89,6 +89,7 @@
     static void noteLag(DatabaseRoute &route, const StatementReply &reply, TimePoint now);
     static void noteLoad(DatabaseRoute &route, const StatementReply &reply, TimePoint now);
     void onStatement(const PeerMessage &message, TimePoint now);
+    std::string encodeBounded(const StatementReply &reply);
     void onStatementReply(const PeerMessage &message, const StatementReply &reply, TimePoint now);
     void onPositionRequest(const PeerMessage &message, TimePoint now);
     void onPositionReply(const PeerMessage &message);
--- a/src/telemetry/metrics_test.cpp
+++ b/src/telemetry/metrics_test.cpp
@@ -112,7 +112,7 @@
         EXPECT_EQ(static_cast<std::size_t>(table[i].reason), i);
         names.insert(table[i].name);
     }
-    EXPECT_EQ(names.size(), static_cast<std::size_t>(RetryReason::OwnerUnavailable) + 1);
+    EXPECT_EQ(names.size(), static_cast<std::size_t>(RetryReason::AnswerTooLarge) + 1);
 }
 
 // Guards against counters that are attributed to the wrong team.
--- a/src/wire/frame_test.cpp
+++ b/src/wire/frame_test.cpp
@@ -69,6 +69,21 @@
                                                           : "Empty";
     });
 
+// Guards against a payload that is accepted for sending and fits into no frame.
+TEST(Frame, AcceptsLargestPayload)
+{
+    constexpr std::size_t kLongestNodeId = 256;
+    PeerMessage message = sampleMessage(kMaxPayloadBytes);
+    message.sender = NodeId(std::string(kLongestNodeId, 'n'));
+    const auto frame = encodeFrame(message);
+    ASSERT_TRUE(frame.ok());
+    FrameReader reader;
+    reader.feed(*frame);
+    const auto received = reader.next();
+    ASSERT_TRUE(received.ok() && *received);
+    EXPECT_EQ((*received)->payload, message.payload);
+}
+
 // Guards against sending a frame that every receiver would reject.
 TEST(Frame, RejectsOversizedMessage)
 {
