--- a/src/operator/arguments.cpp
+++ b/src/operator/arguments.cpp
@@ -6,6 +6,8 @@
 #include <regex>
 #include <set>
 
+#include <QUtf8StringView>
+
 #include <docopt/docopt.h>
 #include <fmt/format.h>
 
@@ -69,6 +71,12 @@
 std::variant<ArgumentValues, ArgumentText, ArgumentFault>
 parseArguments(const std::string &usage, const std::vector<std::string> &arguments)
 {
+    // Requests are JSON, which would carry other bytes as replacement characters.
+    const auto isUtf8 = [](const std::string &argument) {
+        return QUtf8StringView(argument).isValidUtf8();
+    };
+    if (!std::all_of(arguments.begin(), arguments.end(), isUtf8))
+        return ArgumentFault { "arguments must be UTF-8" };
     if (const auto unknown = unknownOption(usage, arguments))
         return ArgumentFault { *unknown + ": unknown option" };
     try {
--- a/src/operator/arguments_test.cpp
+++ b/src/operator/arguments_test.cpp
@@ -68,6 +68,10 @@
     { "Authority", { "status", "--ca=/nonexistent" }, "--ca: holds no PEM certificate" },
     { "DrainOfSeveral", { "drain", "--nodes=http://a,http://b" }, "must name only the node" },
     { "Mode", { "statement", "--service=s", "--mode=rw", "--sql=x" }, "--mode: must be" },
+    { "SqlNotUtf8",
+      { "statement", "--service=s", "--mode=read", "--sql=SELECT '\xe9'" },
+      "arguments must be UTF-8" },
+    { "IdNotUtf8", { "service", "put", "\xff" }, "arguments must be UTF-8" },
     { "LastZero", { "explain", "--last=0" }, "--last: must be" },
 };
 
