Escape the values that the command line prints

A value with a tab or a line end was printed as several values or rows, and the text \N as NULL. Values are escaped as in PostgreSQL's COPY format, whose sign for NULL they used already. ValuesAreEscapedInTheOutput failed before.

--- a/src/operator/commands_test.cpp
+++ b/src/operator/commands_test.cpp
@@ -334,6 +334,24 @@
     EXPECT_EQ(request.params, (std::vector<SqlParam> { "x", std::nullopt }));
 }
 
+// Guards against a value that is read as several, as another row or as NULL.
+TEST(Statements, ValuesAreEscapedInTheOutput)
+{
+    FakeNode node([](const EdgeRequest &) -> EdgeResponse {
+        StatementResponse answer;
+        answer.columns = { "a\tb", "c" };
+        answer.rows = { { "x\ty\nz\r", "\\N" }, { "\\", std::nullopt } };
+        return answer;
+    });
+    const RunResult result = ProgramRunner().run(
+        node.url(), { "statement", "--service=s", "--mode=read", "--sql=SELECT" });
+    ASSERT_EQ(result.status, kExitDone) << result.err;
+    EXPECT_THAT(result.out,
+                testing::StartsWith("a\\tb\tc\n"
+                                    "x\\ty\\nz\\r\t\\\\N\n"
+                                    "\\\\\t\\N\n"));
+}
+
 // Guards against explain that drops the newest decisions instead of the oldest.
 TEST(Explain, ShowsTheLastDecisions)
 {
--- a/src/operator/statement_command.cpp
+++ b/src/operator/statement_command.cpp
@@ -86,12 +86,39 @@
     return request;
 }
 
+/// The value as in PostgreSQL's COPY format, so that it can't be read as several, as another row or
+/// as NULL.
+std::string escapedValue(const QJsonValue &value)
+{
+    if (value.isNull())
+        return kNullParam;
+    std::string text;
+    for (const char c : value.toString().toStdString()) {
+        switch (c) {
+        case '\\':
+            text += "\\\\";
+            break;
+        case '\t':
+            text += "\\t";
+            break;
+        case '\n':
+            text += "\\n";
+            break;
+        case '\r':
+            text += "\\r";
+            break;
+        default:
+            text += c;
+        }
+    }
+    return text;
+}
+
 std::string rowText(const QJsonArray &row)
 {
     std::string line;
     for (qsizetype i = 0; i < row.size(); ++i)
-        line += (i == 0 ? "" : "\t")
-            + (row[i].isNull() ? std::string(kNullParam) : row[i].toString().toStdString());
+        line += (i == 0 ? "" : "\t") + escapedValue(row[i]);
     return line + "\n";
 }
 
