Replace invalid UTF-8 in metrics

A label with a byte that isn't UTF-8 makes a scraper reject the whole text. Log lines already replaced such bytes by U+FFFD; metrics do the same, with the same function. No name of today reaches a label so: configurations and heartbeats are checked. ReplacesInvalidUtf8 failed before.

--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -14,6 +14,8 @@
 #include <fmt/chrono.h>
 #include <fmt/format.h>
 
+#include "utf8.h"
+
 namespace shallotlever {
 
 namespace {
@@ -27,27 +29,6 @@
     out.append(text.data(), text.data() + text.size());
 }
 
-/// Length of the valid UTF-8 sequence at the start of `text`, or 0. Overlong forms, surrogates and
-/// code points above U+10FFFF are invalid.
-std::size_t utf8SequenceLength(std::string_view text)
-{
-    const auto byte = [text](std::size_t i) { return static_cast<unsigned char>(text[i]); };
-    const unsigned char lead = byte(0);
-    if (lead < 0x80U)
-        return 1;
-    const std::size_t length = lead >= 0xF0U ? 4 : lead >= 0xE0U ? 3 : 2;
-    if (lead < 0xC2U || lead > 0xF4U || text.size() < length)
-        return 0;
-    for (std::size_t i = 1; i < length; ++i) {
-        if ((byte(i) & 0xC0U) != 0x80U)
-            return 0;
-    }
-    const bool overlong = (lead == 0xE0U && byte(1) < 0xA0U) || (lead == 0xF0U && byte(1) < 0x90U);
-    const bool outOfRange =
-        (lead == 0xEDU && byte(1) > 0x9FU) || (lead == 0xF4U && byte(1) > 0x8FU);
-    return overlong || outOfRange ? 0 : length;
-}
-
 void appendEscapedAscii(Buffer &out, char c)
 {
     switch (c) {
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -11,6 +11,8 @@
 #include <boost/histogram.hpp>
 #include <fmt/format.h>
 
+#include "utf8.h"
+
 namespace shallotlever {
 
 namespace {
@@ -49,18 +51,30 @@
     return stripe;
 }
 
+void appendEscaped(std::string &out, char c, bool quoted)
+{
+    if (c == '\\')
+        out += "\\\\";
+    else if (c == '\n')
+        out += "\\n";
+    else if (c == '"' && quoted)
+        out += "\\\"";
+    else
+        out += c;
+}
+
+/// Invalid UTF-8 is replaced by U+FFFD: a scraper would reject the whole text.
 std::string escape(std::string_view text, bool quoted)
 {
+    constexpr std::string_view kReplacement = "\xef\xbf\xbd";
     std::string out;
-    for (const char c : text) {
-        if (c == '\\')
-            out += "\\\\";
-        else if (c == '\n')
-            out += "\\n";
-        else if (c == '"' && quoted)
-            out += "\\\"";
+    while (!text.empty()) {
+        const std::size_t length = utf8SequenceLength(text);
+        if (length == 1)
+            appendEscaped(out, text.front(), quoted);
         else
-            out += c;
+            out += length == 0 ? kReplacement : text.substr(0, length);
+        text.remove_prefix(std::max<std::size_t>(length, 1));
     }
     return out;
 }
--- a/src/telemetry/metrics_test.cpp
+++ b/src/telemetry/metrics_test.cpp
@@ -28,6 +28,21 @@
               "g -2\n");
 }
 
+// Guards against one odd name that makes all metrics of a node unreadable: the format is UTF-8.
+TEST(Prometheus, ReplacesInvalidUtf8)
+{
+    MetricsRegistry registry;
+    registry
+        .counter("c_total", "C.",
+                 { { "team",
+                     "a\xff"
+                     "b\xed\xa0\x80\xc3\xa9" } })
+        .increment();
+    EXPECT_THAT(registry.prometheusText(),
+                HasSubstr("c_total{team=\"a\xef\xbf\xbd"
+                          "b\xef\xbf\xbd\xef\xbf\xbd\xef\xbf\xbd\xc3\xa9\"} 1\n"));
+}
+
 struct BucketCase
 {
     Duration observed;
