Bound what an HTTP endpoint reads, and deliver its refusals

The endpoint for the platform read without bound while a request waited for its answer, so that one caller could fill the node's memory. A refusal (such as 413 for a configuration over 768 KiB) was followed by an immediate close: with input unread the connection was reset, and the answer could be lost and the configuration sent again and again; input after it was answered again.

While a request waits, input stays in the socket (64 KiB). After the last answer the sending direction is shut down and input is discarded for up to 2 s, as the API's connections do.

--- a/src/edge/http_endpoint.cpp
+++ b/src/edge/http_endpoint.cpp
@@ -1,15 +1,18 @@
 #include "shallotlever/edge/http_endpoint.h"
 
+#include <chrono>
 #include <utility>
 
 #include <QHostAddress>
 #include <QPointer>
 #include <QTcpServer>
 #include <QTcpSocket>
+#include <QTimer>
 
 #include "absl/strings/str_cat.h"
 #include "http_response.h"
 #include "request_reader.h"
+#include "shallotlever/wire/socket_end.h"
 
 namespace shallotlever {
 
@@ -19,6 +22,10 @@
 /// A complete configuration must fit into a single proposal of the control log.
 constexpr std::size_t kMaxBodyBytes = 768U * 1024U;
 constexpr int kAcceptBacklog = 128;
+/// Bytes that are read ahead of a response.
+constexpr qint64 kReadBufferBytes = 64LL * 1024;
+/// Time for which input is discarded after the last response, until the client closes.
+constexpr std::chrono::milliseconds kLingerTimeout { 2000 };
 
 EdgeLimits endpointLimits()
 {
@@ -48,31 +55,40 @@
     {
         m_socket->setParent(this);
         m_socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+        m_socket->setReadBufferSize(kReadBufferBytes);
+        m_lingerTimer.setSingleShot(true);
         connect(m_socket, &QTcpSocket::readyRead, this, [this] { read(); });
+        connect(m_socket, &QTcpSocket::bytesWritten, this, [this] { shutDownWhenSent(); });
         connect(m_socket, &QTcpSocket::disconnected, this, [this] { deleteLater(); });
+        connect(&m_lingerTimer, &QTimer::timeout, this, [this] { m_socket->abort(); });
     }
 
 private:
+    enum class Stage { Reading, AwaitingResponse, Closing };
+
     void read()
     {
-        m_reader.append(m_socket->readAll());
-        serveNext();
+        if (m_stage == Stage::Closing)
+            m_socket->readAll();
+        RequestReader::Status status = RequestReader::Status::NeedMore;
+        while (m_stage == Stage::Reading) {
+            status = m_reader.next();
+            if (status != RequestReader::Status::NeedMore)
+                break;
+            const QByteArray bytes = m_socket->readAll();
+            if (bytes.isEmpty())
+                return;
+            m_reader.append(bytes);
+        }
+        if (status == RequestReader::Status::Complete)
+            serve(m_reader.takeRequest());
+        else if (status == RequestReader::Status::Failed)
+            write(encodeError(m_reader.error()), false);
     }
 
-    void serveNext()
+    void serve(const FramedRequest &request)
     {
-        if (m_awaitingResponse)
-            return;
-        const RequestReader::Status status = m_reader.next();
-        if (status == RequestReader::Status::Failed) {
-            m_socket->write(serializeResponse(encodeError(m_reader.error()), false, true));
-            m_socket->disconnectFromHost();
-            return;
-        }
-        if (status != RequestReader::Status::Complete)
-            return;
-        const FramedRequest request = m_reader.takeRequest();
-        m_awaitingResponse = true;
+        m_stage = Stage::AwaitingResponse;
         const std::uint64_t number = ++m_requestNumber;
         const bool keepAlive = request.head.keepAlive;
         const QPointer<EndpointConnection> self(this);
@@ -85,28 +101,43 @@
 
     void respond(std::uint64_t number, bool keepAlive, const EndpointResponse &reply)
     {
-        if (!m_awaitingResponse || number != m_requestNumber)
+        if (m_stage != Stage::AwaitingResponse || number != m_requestNumber)
             return;
-        m_awaitingResponse = false;
         HttpResponse response;
         response.status = reply.status;
         response.headers.append(
             std::pair<QByteArray, QByteArray>("Content-Type", "application/json"));
         response.body = QByteArray::fromStdString(reply.body);
+        write(response, keepAlive);
+        if (keepAlive)
+            QMetaObject::invokeMethod(
+                this, [this] { read(); }, Qt::QueuedConnection);
+    }
+
+    void write(const HttpResponse &response, bool keepAlive)
+    {
+        m_stage = keepAlive ? Stage::Reading : Stage::Closing;
         m_socket->write(serializeResponse(response, keepAlive, true));
         m_socket->flush();
-        if (!keepAlive)
-            m_socket->disconnectFromHost();
-        else
-            QMetaObject::invokeMethod(
-                this, [this] { serveNext(); }, Qt::QueuedConnection);
+        shutDownWhenSent();
+    }
+
+    void shutDownWhenSent()
+    {
+        if (m_stage != Stage::Closing || m_socket->bytesToWrite() > 0 || m_lingerTimer.isActive())
+            return;
+        m_lingerTimer.start(kLingerTimeout);
+        shutDownSending(*m_socket);
+        m_socket->readAll();
     }
 
     QTcpSocket *m_socket;
     const HttpEndpoint::Handler &m_handler;
     RequestReader m_reader;
-    bool m_awaitingResponse = false;
+    Stage m_stage = Stage::Reading;
     std::uint64_t m_requestNumber = 0;
+    /// Runs from the end of the last response.
+    QTimer m_lingerTimer;
 };
 
 } // namespace
