--- a/testsuite/soak/checks.cpp
+++ b/testsuite/soak/checks.cpp
@@ -5,11 +5,13 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 
 #include <fmt/format.h>
 
 #include "promotion_checks.h"
 #include "run_logs.h"
+#include "statement_checks.h"
 
 namespace shallotlever::soak {
 
@@ -222,18 +224,21 @@
 {
     const CallerRecords &records = deployment.records();
     const RunLogs logs = readRunLogs(deployment);
-    return { judgeRecovery(deployment, logs, plan, origin),
-             judgeConfig(deployment, logs, plan, origin),
-             judgeCommits(deployment),
-             judgeFences(deployment),
-             judgePromotedLogs(deployment),
-             judgePrimaries(deployment),
-             judgeStops(deployment, logs, plan, origin),
-             judgeEnds(deployment),
-             { "own_writes", records.missedOwnWrites > 0,
-               fmt::format(R"("missed":{})", records.missedOwnWrites) },
-             { "answers", records.wrongAnswers > 0,
-               fmt::format(R"("wrong":{})", records.wrongAnswers) } };
+    std::vector<Finding> findings { judgeRecovery(deployment, logs, plan, origin),
+                                    judgeConfig(deployment, logs, plan, origin),
+                                    judgeCommits(deployment),
+                                    judgeFences(deployment),
+                                    judgePromotedLogs(deployment),
+                                    judgePrimaries(deployment),
+                                    judgeStops(deployment, logs, plan, origin),
+                                    judgeEnds(deployment),
+                                    { "own_writes", records.missedOwnWrites > 0,
+                                      fmt::format(R"("missed":{})", records.missedOwnWrites) },
+                                    { "answers", records.wrongAnswers > 0,
+                                      fmt::format(R"("wrong":{})", records.wrongAnswers) } };
+    for (Finding &finding : judgeStatements(deployment))
+        findings.push_back(std::move(finding));
+    return findings;
 }
 
 std::vector<std::string> describeCuts(Deployment &deployment, const FaultPlan &plan, RunTime origin)
