--- a/testsuite/soak/main.cpp
+++ b/testsuite/soak/main.cpp
@@ -156,22 +156,18 @@
         for (const std::string &line : report.details)
             fmt::print("{}\n", line);
     }
-    // A start without service is broken, and detects no broken variant.
-    const bool expectBroken = options.broken != BrokenVariant::None;
     bool broken = false;
     bool detected = false;
-    bool keep = args.at("--keep").asBool();
     for (const Finding &finding : report.findings) {
         fmt::print(R"({{"seed":{},"plan":"{}","check":"{}","broken":{},{}}})"
                    "\n",
                    options.seed, args.at("--plan").asString(), finding.check, finding.broken,
                    finding.figures);
-        keep = keep || finding.broken;
-        broken = broken || (finding.broken && !(expectBroken && finding.check == kStartCheck));
+        broken = broken || finding.broken;
         detected = detected || (finding.broken && finding.check == options.detectedBy);
     }
     std::fflush(stdout);
-    if (!keep)
+    if (!broken && !args.at("--keep").asBool())
         QDir(QString::fromStdString(options.directory)).removeRecursively();
     return options.detectedBy.empty() ? broken : detected;
 }
