Don't take a refused deallocation for a refused preparation

A write ran twice: a database that refused to drop a prepared statement, then prepared and ran the next one and answered with an error, was believed not to have run it. RefusedClose/Failed and /TimedOut failed before and pass now.

--- a/src/include/shallotlever/telemetry/log_rate_limiter.h
+++ b/src/include/shallotlever/telemetry/log_rate_limiter.h
@@ -10,8 +10,8 @@
 constexpr double kLogLinesPerSecond = 100;
 constexpr double kLogLineBurst = 200;
 
-/// Subject of a log line. Half of the bucket is reserved for lines about failures, and a quarter for
-/// those and lines about retries.
+/// Subject of a log line. Half of the bucket is reserved for lines about failures, and a quarter
+/// for those and lines about retries.
 enum class LogTopic : std::uint8_t { Failure, Retry, Preparation };
 
 /// Token bucket for log lines about single requests, one token per line. Keeps an overloaded
--- a/src/proxy/statement_setup.cpp
+++ b/src/proxy/statement_setup.cpp
@@ -225,10 +225,15 @@
     logPrepared(execution);
     // The connection object outlives its failure until the next tick, the execution may not.
     UpstreamLink &connection = *execution.link->link;
-    for (const absl::StatusOr<std::string> &text : texts)
-        connection.send("", text, [this, id = execution.id](const UpstreamReply &reply) {
-            onPrepared(id, reply);
+    for (const absl::StatusOr<std::string> &text : texts) {
+        // A refused deallocation says nothing of the statement: if it fails the transaction, so
+        // does the preparation behind it.
+        const bool prepares = &text == &texts.back();
+        connection.send("", text, [this, prepares, id = execution.id](const UpstreamReply &reply) {
+            if (prepares || reply.lost)
+                onPrepared(id, reply);
         });
+    }
 }
 
 /// Tells which statement a number stands for on which connection, without the statement's text.
