--- a/testsuite/soak/deployment.cpp
+++ b/testsuite/soak/deployment.cpp
@@ -45,6 +45,7 @@
     , m_random(options.seed)
 {
     m_clock.start();
+    m_startedAt = QDateTime::currentDateTimeUtc();
     for (int i = 0; i < options.controlMembers; ++i)
         m_controlEndpoints.push_back(
             { host(kControlBlock, static_cast<std::size_t>(i)), kControlPort });
@@ -90,6 +91,11 @@
                                                   [](const Probe &probe) { return probe.ready; }));
 }
 
+bool Deployment::servesAllServices() const
+{
+    return m_records.acknowledged.size() == m_groups.size();
+}
+
 // Nodes.
 
 std::string Deployment::host(int block, std::size_t index) const
@@ -193,6 +199,9 @@
     DatabaseOptions options;
     options.losesCommits = m_options.broken == BrokenVariant::LostCommits;
     options.promotesShortest = m_options.broken == BrokenVariant::ShortestLog;
+    options.confusesShapes = m_options.broken == BrokenVariant::WrongShape;
+    options.ignoresBegin = m_options.broken == BrokenVariant::NoTransactions;
+    options.keepsValues = m_options.broken == BrokenVariant::KeptValues;
     for (int s = 0; s < m_options.services; ++s) {
         const std::string service = fmt::format("service{}", s);
         std::vector<DatabasePlace> places;
@@ -248,8 +257,10 @@
 void Deployment::noteStall()
 {
     const RunTime tick = now();
-    RunTime &longest = m_stalls[tick.count() / 1000];
-    longest = std::max(longest, tick - m_lastTick - kStallTick);
+    const RunTime delay = tick - m_lastTick - kStallTick;
+    Stall &longest = m_stalls[tick.count() / 1000];
+    if (delay > longest.length)
+        longest = { kSoakName, {}, tick, delay };
     m_lastTick = tick;
 }
 
@@ -304,6 +315,7 @@
 {
     for (const Endpoint &endpoint : m_controlEndpoints) {
         m_calls.call("GET", endpoint, kConfigPath, {}, [this](int status, const std::string &body) {
+            ++m_configReads[status];
             if (status == 200)
                 m_versionReadBack = std::max(m_versionReadBack, configVersion(body));
         });
@@ -318,14 +330,19 @@
         [this] { return now(); },
         [this] { return chooseFront(); },
         [this] { return fmt::format("{:08x}{:08x}", m_options.seed, ++m_lastStatement); },
+        [this] { return ++m_lastSession; },
     };
     const std::chrono::milliseconds pause(1000 * m_options.sessions / m_options.ratePerSecond);
     for (int i = 0; i < m_options.sessions; ++i) {
         const auto index = static_cast<std::size_t>(i);
         const DatabaseRoute &route = m_routes[index % m_routes.size()];
-        const CallerProfile profile { route.service, route.name,
-                                      m_teams[index % m_teams.size()].key,
-                                      route.kind == DatabaseKind::BoundedStaleness, pause };
+        const TeamEntry &team = m_teams[index % m_teams.size()];
+        const CallerProfile profile { route.service,
+                                      route.name,
+                                      team.key,
+                                      team.name,
+                                      route.kind == DatabaseKind::BoundedStaleness,
+                                      pause };
         m_callers.push_back(std::make_unique<Caller>(fmt::format("item{}", i), profile, m_random(),
                                                      surroundings, m_records));
     }
