--- a/src/proxy/statement_setup.cpp
+++ b/src/proxy/statement_setup.cpp
@@ -252,7 +252,7 @@
                            { "shape_bytes", shape.size() } });
 }
 
-/// Handles the answer to the preparation, or to the end of an earlier one that makes room for it.
+/// Handles the answer to the preparation, or the loss of the connection meanwhile.
 void StatementRunner::onPrepared(std::uint64_t id, const UpstreamReply &reply)
 {
     // The answer to the statement itself follows, so that its execution holds the connection.
