Compress control messages between nodes

Each lease repeats the shares of all teams under a new version. Change: each direction of a link compresses these messages as one stream, if the peer's Hello says that it reads that. Links to processes of earlier versions stay plain. Measured: not yet; wire_test and peer_transport_test pass.

--- a/src/include/shallotlever/wire/frame.h
+++ b/src/include/shallotlever/wire/frame.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -7,18 +8,55 @@
 #include "absl/status/statusor.h"
 #include "shallotlever/wire/peer.h"
 
-/// Framing of messages between nodes: a 4-byte big-endian length, then a FlatBuffers envelope.
+/// Framing of messages between nodes: a 4-byte big-endian length, then a FlatBuffers envelope. If
+/// the length's highest bit is set, the envelope is compressed (docs/design/link-compression.md).
 namespace shallotlever {
 
+class LinkCompressor;
+class LinkDecompressor;
+
+/// Payload of a Hello whose sender reads compressed frames. A process that does not know it ignores
+/// it, and sends a Hello without payload.
+std::string helloPayload();
+/// Whether the process that sent this payload reads compressed frames.
+bool readsCompressedFrames(std::string_view peerHelloPayload);
+/// Whether messages of this type are compressed for a peer that reads them: those of the control
+/// plane that are sent regularly. Messages with callers' statements or keys are not, because the
+/// length of a compressed message depends on the contents of those before it.
+bool isCompressible(MessageType type);
+
 /// Returns one frame, including the length prefix. Fails with INVALID_ARGUMENT if the envelope
 /// exceeds kMaxFrameBytes, which no message with a payload of at most kMaxPayloadBytes does.
 absl::StatusOr<std::string> encodeFrame(const PeerMessage &message);
 
+/// Makes the frames of one direction of a link. They must be sent in the order in which they were
+/// made, and all of them.
+class FrameWriter
+{
+public:
+    FrameWriter();
+    ~FrameWriter();
+
+    /// Compresses the messages that are compressible from now on.
+    void setCompression(bool compresses) { m_compresses = compresses; }
+
+    /// Like encodeFrame(); compresses no more after an error of compression. `bytesSaved` is
+    /// increased by what compression saved.
+    absl::StatusOr<std::string> frame(const PeerMessage &message, std::uint64_t &bytesSaved);
+
+private:
+    std::unique_ptr<LinkCompressor> m_compressor;
+    bool m_compresses = false;
+};
+
 /// Splits a byte stream into messages. After an error the stream is unusable and the link must be
 /// closed.
 class FrameReader
 {
 public:
+    FrameReader();
+    ~FrameReader();
+
     /// Appends bytes received from the peer.
     void feed(std::string_view bytes);
 
@@ -32,6 +70,7 @@
 private:
     std::string m_buffer;
     std::size_t m_offset = 0;
+    std::unique_ptr<LinkDecompressor> m_decompressor;
 };
 
 } // namespace shallotlever
--- a/src/include/shallotlever/wire/peer_transport.h
+++ b/src/include/shallotlever/wire/peer_transport.h
@@ -46,8 +46,9 @@
     /// The same, indexed by MessageType.
     std::array<std::uint64_t, kMessageTypeCount> messagesSentByType {};
     std::array<std::uint64_t, kMessageTypeCount> messagesReceivedByType {};
-    /// Frame bytes sent, indexed by MessageType.
+    /// Frame bytes sent, after compression, indexed by MessageType.
     std::array<std::uint64_t, kMessageTypeCount> bytesSentByType {};
+    std::uint64_t bytesSavedByCompression = 0;
     std::uint64_t bytesReceived = 0;
     /// Messages dropped because there was no link to the peer, its send buffer was full or the
     /// message was too large.
--- a/src/node/node_summary.cpp
+++ b/src/node/node_summary.cpp
@@ -59,6 +59,7 @@
                           + counters.bytesSentOf(MessageType::PositionRequest)
                           + counters.bytesSentOf(MessageType::PositionReply) },
                     { "log_bytes_sent", counters.bytesSentOf(MessageType::Control) },
+                    { "compression_saved_bytes", counters.bytesSavedByCompression },
                     { "peer_bytes_received", counters.bytesReceived },
                     { "peer_messages_dropped", counters.messagesDropped },
                     { "reports_sent", m_view.freshness.lastReport },
--- a/src/wire/frame.cpp
+++ b/src/wire/frame.cpp
@@ -1,6 +1,9 @@
 #include "shallotlever/wire/frame.h"
 
+#include <algorithm>
+
 #include "generated/peer_generated.h"
+#include "link_compression.h"
 
 namespace shallotlever {
 
@@ -10,6 +13,11 @@
 /// Consumed bytes are erased from a partly consumed buffer only when there are more of them than
 /// this, so that the remaining bytes are not moved for every frame.
 constexpr std::size_t kCompactThresholdBytes = 64 * 1024;
+/// Set in the length of a frame whose envelope is compressed. No other length has this bit.
+constexpr std::uint32_t kCompressedBit = 0x80000000U;
+static_assert(kMaxFrameBytes < kCompressedBit);
+/// First byte of the payload of a Hello: bits for what the sender can read.
+constexpr unsigned kReadsCompressedFrames = 1;
 
 void appendLength(std::string &out, std::uint32_t length)
 {
@@ -46,6 +54,23 @@
 
 } // namespace
 
+std::string helloPayload()
+{
+    return { static_cast<char>(kReadsCompressedFrames) };
+}
+
+bool readsCompressedFrames(std::string_view peerHelloPayload)
+{
+    return !peerHelloPayload.empty()
+        && (static_cast<unsigned char>(peerHelloPayload.front()) & kReadsCompressedFrames) != 0;
+}
+
+bool isCompressible(MessageType type)
+{
+    return type == MessageType::Control || type == MessageType::NodeReport
+        || type == MessageType::NodeLease;
+}
+
 absl::StatusOr<std::string> encodeFrame(const PeerMessage &message)
 {
     flatbuffers::FlatBufferBuilder builder(message.payload.size() + 256);
@@ -64,6 +89,41 @@
     return frame;
 }
 
+FrameWriter::FrameWriter()
+    : m_compressor(std::make_unique<LinkCompressor>())
+{
+}
+
+FrameWriter::~FrameWriter() = default;
+
+absl::StatusOr<std::string> FrameWriter::frame(const PeerMessage &message,
+                                               std::uint64_t &bytesSaved)
+{
+    absl::StatusOr<std::string> plain = encodeFrame(message);
+    if (!plain.ok() || !m_compresses || !isCompressible(message.type))
+        return plain;
+    const absl::StatusOr<std::string> compressed =
+        m_compressor->compress(std::string_view(*plain).substr(kLengthBytes));
+    if (!compressed.ok()) {
+        // The receiver needs every compressed message, so there can be no later one.
+        m_compresses = false;
+        return plain;
+    }
+    std::string frame;
+    frame.reserve(kLengthBytes + compressed->size());
+    appendLength(frame, static_cast<std::uint32_t>(compressed->size()) | kCompressedBit);
+    frame += *compressed;
+    bytesSaved += plain->size() - std::min(plain->size(), frame.size());
+    return frame;
+}
+
+FrameReader::FrameReader()
+    : m_decompressor(std::make_unique<LinkDecompressor>())
+{
+}
+
+FrameReader::~FrameReader() = default;
+
 void FrameReader::feed(std::string_view bytes)
 {
     if (m_offset > kCompactThresholdBytes || m_offset == m_buffer.size()) {
@@ -78,15 +138,22 @@
     const std::size_t available = m_buffer.size() - m_offset;
     if (available < kLengthBytes)
         return std::nullopt;
-    const std::uint32_t length = readLength(m_buffer.data() + m_offset);
+    const std::uint32_t prefix = readLength(m_buffer.data() + m_offset);
+    const std::uint32_t length = prefix & ~kCompressedBit;
     if (length > kMaxFrameBytes)
         return absl::InvalidArgumentError("the frame exceeds the permitted length");
     if (available < kLengthBytes + length)
         return std::nullopt;
     // Copied because FlatBuffers requires an aligned buffer, and a frame may start at any offset of
     // the stream.
-    const std::string aligned(m_buffer, m_offset + kLengthBytes, length);
+    std::string aligned(m_buffer, m_offset + kLengthBytes, length);
     m_offset += kLengthBytes + length;
+    if ((prefix & kCompressedBit) != 0) {
+        absl::StatusOr<std::string> envelope = m_decompressor->decompress(aligned, kMaxFrameBytes);
+        if (!envelope.ok())
+            return envelope.status();
+        aligned = std::move(*envelope);
+    }
     absl::StatusOr<PeerMessage> message = decodeEnvelope(aligned.data(), aligned.size());
     if (!message.ok())
         return message.status();
--- a/src/wire/peer_link.cpp
+++ b/src/wire/peer_link.cpp
@@ -27,7 +27,7 @@
     m_socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
     m_socket->setSocketOption(QAbstractSocket::KeepAliveOption, 1);
     setUserTimeout(*m_socket, kUserTimeout);
-    send({ MessageType::Hello, 0, {}, {}, {}, {} });
+    send({ MessageType::Hello, 0, {}, {}, {}, helloPayload() });
     readAvailable();
 }
 
@@ -40,7 +40,8 @@
     message.sender = m_options.self;
     message.senderIncarnation = m_options.incarnation;
     message.receiverIncarnation = m_peerIncarnation;
-    const absl::StatusOr<std::string> frame = encodeFrame(message);
+    const absl::StatusOr<std::string> frame =
+        m_writer.frame(message, m_counters.bytesSavedByCompression);
     if (!frame.ok()) {
         ++m_counters.messagesDropped;
         return false;
@@ -126,6 +127,7 @@
     m_helloTimer.stop();
     m_peer = message.sender;
     m_peerIncarnation = message.senderIncarnation;
+    m_writer.setCompression(readsCompressedFrames(message.payload));
     m_ready = true;
     Q_EMIT identified();
 }
--- a/src/wire/peer_link.h
+++ b/src/wire/peer_link.h
@@ -55,6 +55,7 @@
     const PeerTransportOptions &m_options;
     PeerTransportCounters &m_counters;
     FrameReader m_reader;
+    FrameWriter m_writer;
     TimePoint m_lastBytesAt;
     QTimer m_helloTimer;
     NodeId m_peer;
--- a/src/wire/peer_transport_test.cpp
+++ b/src/wire/peer_transport_test.cpp
@@ -135,6 +135,34 @@
     EXPECT_FALSE(server->transport->lastPartialReceiveAt(NodeId("b")));
 }
 
+// Guards against leases that are compressed only in one direction of a link, or for a process of an
+// earlier version, which closes the link on a frame that it can't read.
+TEST(PeerTransport, CompressesForPeersThatSayTheyReadIt)
+{
+    auto server = makePeer("a", 1, {});
+    auto client = makePeer("b", 2, { { NodeId("a"), { "127.0.0.1", server->transport->port() } } });
+    ASSERT_TRUE(runUntil([&] { return client->transport->isConnected(NodeId("a")); }));
+    const std::string payload(2000, 'x');
+    ASSERT_TRUE(client->transport->send(NodeId("a"), MessageType::NodeReport, 1, payload));
+    ASSERT_TRUE(runUntil([&] { return !server->received.empty(); }));
+    ASSERT_TRUE(server->transport->send(NodeId("b"), MessageType::NodeLease, 1, payload));
+    ASSERT_TRUE(runUntil([&] { return !client->received.empty(); }));
+    EXPECT_EQ(server->received[0].payload, payload);
+    EXPECT_EQ(client->received[0].payload, payload);
+    EXPECT_GT(client->transport->counters().bytesSavedByCompression, 1000U);
+    const std::uint64_t saved = server->transport->counters().bytesSavedByCompression;
+    EXPECT_GT(saved, 1000U);
+
+    QTcpSocket earlier;
+    earlier.connectToHost("127.0.0.1", server->transport->port());
+    earlier.write(QByteArray::fromStdString(
+        *encodeFrame({ MessageType::Hello, 0, NodeId("c"), Incarnation(2), {}, {} })));
+    ASSERT_TRUE(runUntil([&] { return server->transport->isConnected(NodeId("c")); }));
+    ASSERT_TRUE(server->transport->send(NodeId("c"), MessageType::NodeLease, 1, payload));
+    ASSERT_TRUE(runUntil([&] { return earlier.bytesAvailable() > 2000; }));
+    EXPECT_EQ(server->transport->counters().bytesSavedByCompression, saved);
+}
+
 // Guards against bytes of another protocol that are delivered as a message or crash the node.
 TEST(PeerTransport, RejectsMalformedFrame)
 {
