--- a/src/include/shallotlever/wire/peer_transport.h
+++ b/src/include/shallotlever/wire/peer_transport.h
@@ -48,7 +48,8 @@
     std::array<std::uint64_t, kMessageTypeCount> messagesReceivedByType {};
     /// Frame bytes sent, after compression, indexed by MessageType.
     std::array<std::uint64_t, kMessageTypeCount> bytesSentByType {};
-    std::uint64_t bytesSavedByCompression = 0;
+    /// What these were shorter for compression, indexed by MessageType.
+    std::array<std::uint64_t, kMessageTypeCount> bytesSavedByType {};
     std::uint64_t bytesReceived = 0;
     /// Messages dropped because there was no link to the peer, its send buffer was full or the
     /// message was too large.
@@ -73,6 +74,10 @@
     {
         return bytesSentByType[static_cast<std::size_t>(type)];
     }
+    std::uint64_t bytesSavedOf(MessageType type) const
+    {
+        return bytesSavedByType[static_cast<std::size_t>(type)];
+    }
 };
 
 /// Links to other nodes over TCP with optional TLS. Delivery is best effort: a message may be lost,
--- a/src/node/node_summary.cpp
+++ b/src/node/node_summary.cpp
@@ -59,7 +59,12 @@
                           + counters.bytesSentOf(MessageType::PositionRequest)
                           + counters.bytesSentOf(MessageType::PositionReply) },
                     { "log_bytes_sent", counters.bytesSentOf(MessageType::Control) },
-                    { "compression_saved_bytes", counters.bytesSavedByCompression },
+                    { "report_bytes_saved", counters.bytesSavedOf(MessageType::NodeReport) },
+                    { "lease_bytes_saved", counters.bytesSavedOf(MessageType::NodeLease) },
+                    { "token_bytes_saved",
+                      counters.bytesSavedOf(MessageType::TokenRequest)
+                          + counters.bytesSavedOf(MessageType::TokenGrant) },
+                    { "log_bytes_saved", counters.bytesSavedOf(MessageType::Control) },
                     { "peer_bytes_received", counters.bytesReceived },
                     { "peer_messages_dropped", counters.messagesDropped },
                     { "reports_sent", m_view.freshness.lastReport },
--- a/src/wire/frame.cpp
+++ b/src/wire/frame.cpp
@@ -67,8 +67,26 @@
 
 bool isCompressible(MessageType type)
 {
-    return type == MessageType::Control || type == MessageType::NodeReport
-        || type == MessageType::NodeLease;
+    switch (type) {
+    case MessageType::Control:
+    case MessageType::NodeReport:
+    case MessageType::NodeLease:
+    case MessageType::ControllerHint:
+    case MessageType::ReportRequest:
+    case MessageType::TokenRequest:
+    case MessageType::TokenGrant:
+        return true;
+    case MessageType::Hello:
+    case MessageType::Forward:
+    case MessageType::ForwardReply:
+    case MessageType::StatementRequest:
+    case MessageType::StatementReply:
+    case MessageType::TransactionEnd:
+    case MessageType::PositionRequest:
+    case MessageType::PositionReply:
+        break;
+    }
+    return false;
 }
 
 absl::StatusOr<std::string> encodeFrame(const PeerMessage &message)
--- a/src/wire/peer_link.cpp
+++ b/src/wire/peer_link.cpp
@@ -40,8 +40,8 @@
     message.sender = m_options.self;
     message.senderIncarnation = m_options.incarnation;
     message.receiverIncarnation = m_peerIncarnation;
-    const absl::StatusOr<std::string> frame =
-        m_writer.frame(message, m_counters.bytesSavedByCompression);
+    const absl::StatusOr<std::string> frame = m_writer.frame(
+        message, m_counters.bytesSavedByType[static_cast<std::size_t>(message.type)]);
     if (!frame.ok()) {
         ++m_counters.messagesDropped;
         return false;
--- a/src/wire/peer_transport_test.cpp
+++ b/src/wire/peer_transport_test.cpp
@@ -149,8 +149,8 @@
     ASSERT_TRUE(runUntil([&] { return !client->received.empty(); }));
     EXPECT_EQ(server->received[0].payload, payload);
     EXPECT_EQ(client->received[0].payload, payload);
-    EXPECT_GT(client->transport->counters().bytesSavedByCompression, 1000U);
-    const std::uint64_t saved = server->transport->counters().bytesSavedByCompression;
+    EXPECT_GT(client->transport->counters().bytesSavedOf(MessageType::NodeReport), 1000U);
+    const std::uint64_t saved = server->transport->counters().bytesSavedOf(MessageType::NodeLease);
     EXPECT_GT(saved, 1000U);
 
     QTcpSocket earlier;
@@ -160,7 +160,7 @@
     ASSERT_TRUE(runUntil([&] { return server->transport->isConnected(NodeId("c")); }));
     ASSERT_TRUE(server->transport->send(NodeId("c"), MessageType::NodeLease, 1, payload));
     ASSERT_TRUE(runUntil([&] { return earlier.bytesAvailable() > 2000; }));
-    EXPECT_EQ(server->transport->counters().bytesSavedByCompression, saved);
+    EXPECT_EQ(server->transport->counters().bytesSavedOf(MessageType::NodeLease), saved);
 }
 
 // Guards against bytes of another protocol that are delivered as a message or crash the node.
