--- a/src/include/shallotlever/wire/peer_transport.h
+++ b/src/include/shallotlever/wire/peer_transport.h
@@ -46,8 +46,10 @@
     /// The same, indexed by MessageType.
     std::array<std::uint64_t, kMessageTypeCount> messagesSentByType {};
     std::array<std::uint64_t, kMessageTypeCount> messagesReceivedByType {};
-    /// Frame bytes sent, indexed by MessageType.
+    /// Frame bytes sent, after compression, indexed by MessageType.
     std::array<std::uint64_t, kMessageTypeCount> bytesSentByType {};
+    /// What these were shorter for compression, indexed by MessageType.
+    std::array<std::uint64_t, kMessageTypeCount> bytesSavedByType {};
     std::uint64_t bytesReceived = 0;
     /// Messages dropped because there was no link to the peer, its send buffer was full or the
     /// message was too large.
@@ -72,6 +74,10 @@
     {
         return bytesSentByType[static_cast<std::size_t>(type)];
     }
+    std::uint64_t bytesSavedOf(MessageType type) const
+    {
+        return bytesSavedByType[static_cast<std::size_t>(type)];
+    }
 };
 
 /// Links to other nodes over TCP with optional TLS. Delivery is best effort: a message may be lost,
