--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -132,11 +132,7 @@
 /// does not know of.
 bool ensureRecorded(NodeRecords &records, const NodeReport &report, TimePoint now)
 {
-    if (report.controlOnly)
-        return true;
-    const auto known = records.committed.find(report.node);
-    if (!records.enabled
-        || (known != records.committed.end() && known->second == report.incarnation))
+    if (!awaitsRecord(records, report))
         return true;
     const auto proposed = records.proposedAt.find(report.node);
     if (proposed == records.proposedAt.end() || now >= proposed->second + kProposalRetryInterval)
@@ -206,6 +202,13 @@
 
 } // namespace
 
+bool awaitsRecord(const NodeRecords &records, const NodeReport &report)
+{
+    const auto known = records.committed.find(report.node);
+    const bool recorded = known != records.committed.end() && known->second == report.incarnation;
+    return records.enabled && !report.controlOnly && !recorded;
+}
+
 ControllerState makeController(ControlTerm term, const ReplicatedState &replicated,
                                const FleetLog &localFleetLog, std::uint64_t seed, TimePoint now,
                                bool recordNodes)
--- a/src/include/shallotlever/controller/controller.h
+++ b/src/include/shallotlever/controller/controller.h
@@ -199,6 +199,9 @@
 std::optional<NodeLease> onNodeReport(ControllerState &controller, const NodeReport &report,
                                       TimePoint now);
 
+/// Whether the report can be answered with a lease once the record of its process is committed.
+bool awaitsRecord(const NodeRecords &records, const NodeReport &report);
+
 /// Answer to an UpstreamCall.
 struct UpstreamAnswer
 {
--- a/src/include/shallotlever/proxy/proxy.h
+++ b/src/include/shallotlever/proxy/proxy.h
@@ -77,6 +77,10 @@
     void applyFleet(const FleetView &fleet, const std::vector<SlotShare> &shares, TimePoint now);
     /// Sets the expiry time of the node's freshness lease.
     void setFreshUntil(TimePoint until);
+    /// Whether the controller has granted this process shares, though they may be empty. Initially
+    /// true. Until then operations of teams with a rate wait for a while after the start of the
+    /// process, as without a lease.
+    void setSharesGranted(bool granted);
     /// Runs timeouts and retries. Must be called when nextTick() says, at most every 10 ms.
     void tick(TimePoint now);
     /// When tick() has something to do if nothing else happens; kNever if it does not. Ask again
--- a/src/node/controller_host.cpp
+++ b/src/node/controller_host.cpp
@@ -81,6 +81,7 @@
     m_logger.info("controller_stepped_down",
                   { { "control_term", m_controller->controlTerm.value() } });
     m_controller.reset();
+    m_requests = {};
     for (const auto &[service, promotion] : std::exchange(m_promotions, {}))
         withdrawPromotion(service, promotion, now);
     // Withdraws the other calls that are under way.
@@ -269,16 +270,21 @@
         now);
 }
 
-std::optional<NodeLease> ControllerHost::answerReport(const NodeReport &report, TimePoint now)
+std::optional<NodeLease> ControllerHost::answerReport(const NodeReport &report,
+                                                      const PeerProcess &from,
+                                                      std::uint64_t requestId, TimePoint now)
 {
     if (!m_controller || !m_group.isController(now))
         return std::nullopt;
+    noteReportReceived(m_requests, report);
     // A report may confirm what a change of primary waits for.
     m_advanceDue = true;
     const FleetVersion inherited = m_controller->inheritedFleetVersion;
     std::optional<NodeLease> lease = onNodeReport(*m_controller, report, now);
     if (m_controller->inheritedFleetVersion != inherited)
         logRecoveredView(report, now);
+    if (!lease && awaitsRecord(m_controller->records, report))
+        holdReport(m_requests, { report, from, requestId, now });
     const std::vector<NodeId> members = controlMembers();
     if (lease && controlMembersDigest(members) != report.knownMembers)
         lease->controlMembers = members;
@@ -318,10 +324,13 @@
     if (!m_controller)
         return;
     onCommandApplied(*m_controller, m_group.state(), command, result, index, now);
-    if (const auto *record = std::get_if<RecordNode>(&command))
-        m_newlyRecordedNodes.push_back(record->node);
-    m_reportRequestsDue = true;
     m_advanceDue = true;
+    // Other nodes get nothing new with the record of one.
+    const auto *record = std::get_if<RecordNode>(&command);
+    if (record == nullptr)
+        m_reportRequestsDue = true;
+    else if (record->incarnation != Incarnation())
+        m_newlyRecorded.push_back({ record->node, record->incarnation });
 }
 
 void ControllerHost::forward(const OperatorRequest &request, ForwardCallback callback,
@@ -417,19 +426,26 @@
     });
 }
 
-std::vector<NodeId> ControllerHost::takeReportTargets()
+std::vector<HeldReport> ControllerHost::takeAnswerableReports(TimePoint now)
 {
-    std::vector<NodeId> nodes = std::exchange(m_newlyRecordedNodes, {});
-    if (m_controller) {
-        for (const auto &[holder, lease] : m_controller->leases.holders)
-            nodes.push_back(holder.first);
+    std::vector<HeldReport> reports;
+    for (const PeerProcess &process : std::exchange(m_newlyRecorded, {})) {
+        if (std::optional<HeldReport> held = takeHeldReport(m_requests, process, now))
+            reports.push_back(*std::move(held));
+        else
+            m_recordedWithoutReport.push_back(process.node);
     }
-    return nodes;
+    return reports;
 }
 
-bool ControllerHost::takeReportRequestsDue()
+std::vector<NodeId> ControllerHost::takeReportTargets(TimePoint now)
 {
-    return std::exchange(m_reportRequestsDue, false);
+    std::vector<NodeId> nodes = std::exchange(m_recordedWithoutReport, {});
+    if (m_controller && std::exchange(m_reportRequestsDue, false)) {
+        for (const auto &[holder, lease] : m_controller->leases.holders)
+            nodes.push_back(holder.first);
+    }
+    return nodesToRequest(m_requests, nodes, now);
 }
 
 bool ControllerHost::takeElected()
--- a/src/node/controller_host.h
+++ b/src/node/controller_host.h
@@ -6,6 +6,7 @@
 
 #include "control_group.h"
 #include "forward.h"
+#include "report_requests.h"
 #include "shallotlever/controller/controller.h"
 #include "shallotlever/policy/token_grants.h"
 #include "shallotlever/telemetry/log.h"
@@ -40,8 +41,11 @@
     void tick(const FleetLog &ownView, TimePoint now);
 
     bool isActive() const { return m_controller.has_value(); }
-    /// nullopt if the report must not be answered.
-    std::optional<NodeLease> answerReport(const NodeReport &report, TimePoint now);
+    /// nullopt if the report must not be answered, or not before its process is recorded.
+    std::optional<NodeLease> answerReport(const NodeReport &report, const PeerProcess &from,
+                                          std::uint64_t requestId, TimePoint now);
+    /// Reports whose processes have been recorded since the last call, to be answered now.
+    std::vector<HeldReport> takeAnswerableReports(TimePoint now);
     /// Returns grants of single tokens to send; empty if this node is not the controller.
     std::vector<TokenDelivery> requestTokens(const TokenRequester &requester,
                                              const std::vector<TokenRequest> &requests,
@@ -51,11 +55,10 @@
     void onApplied(const Command &command, const ChangeResult &result, LogIndex index,
                    TimePoint now);
     void forward(const OperatorRequest &request, ForwardCallback callback, TimePoint now);
-    /// Nodes to request reports from: holders of a lease, and nodes that have become eligible for
-    /// their first lease since the last call.
-    std::vector<NodeId> takeReportTargets();
-    /// Returns true once after the fleet view or the configuration changed.
-    bool takeReportRequestsDue();
+    /// Nodes to request reports from: after the fleet view or the configuration changed, holders of
+    /// a lease from which none is on its way, and nodes that have been recorded without a report
+    /// that could be answered.
+    std::vector<NodeId> takeReportTargets(TimePoint now);
     /// Returns true once after this node became the controller.
     bool takeElected();
 
@@ -112,8 +115,11 @@
     ControlGroup &m_group;
     MakeControl m_makeControl;
     bool m_recordNodes;
-    /// Nodes that have become eligible for leases since the last takeReportTargets().
-    std::vector<NodeId> m_newlyRecordedNodes;
+    /// Processes that have become eligible for leases since the last takeAnswerableReports().
+    std::vector<PeerProcess> m_newlyRecorded;
+    /// Those of them that have to report once more.
+    std::vector<NodeId> m_recordedWithoutReport;
+    ReportRequests m_requests;
     const Logger &m_logger;
     Counter &m_primaryChanges;
     LatencyHistogram &m_primaryChangeTime;
--- a/src/node/controller_link.cpp
+++ b/src/node/controller_link.cpp
@@ -8,7 +8,7 @@
 ControllerLink makeControllerLink(std::vector<NodeId> configured, const std::optional<NodeId> &self,
                                   TimePoint now)
 {
-    ControllerLink link { std::move(configured), 0, now, false };
+    ControllerLink link { std::move(configured), 0, now, now, false };
     if (self && std::find(link.members.begin(), link.members.end(), *self) == link.members.end())
         link.members.push_back(*self);
     return link;
@@ -23,6 +23,7 @@
 {
     link.searching = false;
     link.lastAnswerAt = now;
+    link.lastHeardAt = now;
     selectController(link, from, now);
 }
 
@@ -58,16 +59,26 @@
                          TimePoint now)
 {
     // Ignores a late hint from a member that is no longer the current one.
-    if (from != currentController(link) || leader == from)
+    if (from != currentController(link))
+        return;
+    link.lastHeardAt = now;
+    if (leader == from)
         return;
     selectController(link, leader, now);
 }
 
+bool isControllerSilent(const ControllerLink &link, TimePoint now)
+{
+    return now >= link.lastHeardAt + kControllerTimeout;
+}
+
 void selectController(ControllerLink &link, const NodeId &controller, TimePoint now)
 {
     const auto named = std::find(link.members.begin(), link.members.end(), controller);
     if (named == link.members.end())
         return;
+    if (controller != currentController(link))
+        link.lastHeardAt = now;
     link.current = static_cast<std::size_t>(named - link.members.begin());
     link.lastAnswerAt = now;
 }
@@ -90,6 +101,7 @@
     link.current = (link.current + 1) % link.members.size();
     link.searching = true;
     link.lastAnswerAt = now;
+    link.lastHeardAt = now;
     return true;
 }
 
--- a/src/node/controller_link.h
+++ b/src/node/controller_link.h
@@ -18,6 +18,8 @@
     std::size_t current = 0;
     /// Time of the last answer, or when the current member was selected if that is later.
     TimePoint lastAnswerAt;
+    /// When the current member last sent a lease or a hint, also one that names no leader.
+    TimePoint lastHeardAt;
     /// The current member timed out and no other one has answered yet: reports go to all members.
     bool searching = false;
 };
@@ -43,6 +45,10 @@
 void applyControllerHint(ControllerLink &link, const NodeId &from, const NodeId &leader,
                          TimePoint now);
 
+/// Whether the current member has sent nothing for kControllerTimeout, so that the links to it may
+/// be dead. One that only doesn't know a leader, as during an election, isn't silent.
+bool isControllerSilent(const ControllerLink &link, TimePoint now);
+
 /// Selects the controller that a relay named. Ignored if it is not a known member.
 void selectController(ControllerLink &link, const NodeId &controller, TimePoint now);
 
--- a/src/node/controller_link_test.cpp
+++ b/src/node/controller_link_test.cpp
@@ -37,6 +37,28 @@
     EXPECT_EQ(currentController(link), self);
 }
 
+// Replays a restart of everything: nodes reported to a member that took part in an election, took
+// its silence for a dead link and closed it just when that member became the controller.
+TEST(ControllerLink, MemberWithoutLeaderIsNotSilent)
+{
+    ControllerLink link = makeLink();
+    const TimePoint timeout = kStart + kControllerTimeout;
+    applyControllerHint(link, kFirst, NodeId(), timeout - 100ms);
+    EXPECT_FALSE(isControllerSilent(link, timeout));
+    EXPECT_TRUE(advanceControllerLink(link, timeout));
+    // The next member sends nothing.
+    EXPECT_TRUE(isControllerSilent(link, timeout + kControllerTimeout));
+}
+
+// Guards against a link that stays open for ever because the member sent a hint long ago.
+TEST(ControllerLink, MemberThatFellSilentIsSilent)
+{
+    ControllerLink link = makeLink();
+    applyControllerHint(link, kFirst, kFirst, kStart + 100ms);
+    EXPECT_FALSE(isControllerSilent(link, kStart + 100ms + kControllerTimeout - 1ms));
+    EXPECT_TRUE(isControllerSilent(link, kStart + 100ms + kControllerTimeout));
+}
+
 // Guards against a node that keeps following a controller that requests reports but grants no
 // lease.
 TEST(ControllerLink, ReportRequestsDoNotResetTimeout)
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -47,11 +47,10 @@
     if (m_controller && m_controller->takeElected()) {
         onReportRequest(m_controllerLink, m_settings.nodeId, now);
         requestReports(m_transport->connectedPeers());
-    }
-    if (m_controller && m_controller->takeReportRequestsDue()) {
-        requestReports(m_controller->takeReportTargets());
         scheduleReport(m_reportSchedule, now, ReportReason::Requested);
     }
+    if (m_controller)
+        requestDueReports(now);
     updateRelay(now);
     if (m_sessions) {
         m_sessions->tick(now);
@@ -71,7 +70,8 @@
     const NodeId controller = currentController(m_controllerLink);
     if (const auto receivedAt = m_transport->lastPartialReceiveAt(controller))
         noteControllerProgress(m_controllerLink, *receivedAt);
-    if (advanceControllerLink(m_controllerLink, now) && controller != m_settings.nodeId)
+    const bool silent = isControllerSilent(m_controllerLink, now);
+    if (advanceControllerLink(m_controllerLink, now) && silent && controller != m_settings.nodeId)
         m_transport->closeLinks(controller);
     logController();
     expireForwarded(now);
@@ -108,6 +108,18 @@
     }
 }
 
+/// At the controller: answers the reports that waited for the records of their processes, and
+/// requests those that are due.
+void Node::Impl::requestDueReports(TimePoint now)
+{
+    for (const HeldReport &held : m_controller->takeAnswerableReports(now))
+        answerReport(held.report, held.from, held.requestId, now);
+    const std::vector<NodeId> nodes = m_controller->takeReportTargets(now);
+    requestReports(nodes);
+    if (std::find(nodes.begin(), nodes.end(), m_settings.nodeId) != nodes.end())
+        scheduleReport(m_reportSchedule, now, ReportReason::Requested);
+}
+
 bool Node::Impl::earlyReportDue(TimePoint now)
 {
     if (now < m_reportSchedule.lastSent + kEarlyReportInterval)
@@ -186,11 +198,7 @@
         onForwardReply(message.requestId, message.payload);
         break;
     case MessageType::ControllerHint:
-        addDiscoveredMember(NodeId(message.payload));
-        if (currentRelay(m_relayLink) == message.sender)
-            selectController(m_controllerLink, NodeId(message.payload), now);
-        else
-            applyControllerHint(m_controllerLink, message.sender, NodeId(message.payload), now);
+        onControllerHint(message, now);
         break;
     case MessageType::ReportRequest:
         addDiscoveredMember(message.sender);
@@ -216,6 +224,22 @@
     }
 }
 
+void Node::Impl::onControllerHint(const PeerMessage &message, TimePoint now)
+{
+    const NodeId named(message.payload);
+    const NodeId before = currentController(m_controllerLink);
+    addDiscoveredMember(named);
+    if (currentRelay(m_relayLink) == message.sender)
+        selectController(m_controllerLink, named, now);
+    else
+        applyControllerHint(m_controllerLink, message.sender, named, now);
+    // Not more often, because two members may name each other.
+    if (currentController(m_controllerLink) != before && !currentRelay(m_relayLink))
+        scheduleReport(m_reportSchedule,
+                       std::max(now, m_reportSchedule.lastSent + kEarlyReportInterval),
+                       ReportReason::Requested);
+}
+
 void Node::Impl::onReport(const PeerMessage &message, TimePoint now)
 {
     absl::StatusOr<NodeReport> report = decodeNodeReport(message.payload);
@@ -234,7 +258,8 @@
 {
     const bool local = to.node == m_settings.nodeId;
     if (m_controller && m_controller->isActive()) {
-        const std::optional<NodeLease> lease = m_controller->answerReport(report, now);
+        const std::optional<NodeLease> lease =
+            m_controller->answerReport(report, to, requestId, now);
         if (lease && local && applyLease(*lease, now))
             noteControllerAnswer(m_controllerLink, to.node, now);
         else if (lease)
--- a/src/node/node_impl.h
+++ b/src/node/node_impl.h
@@ -89,6 +89,7 @@
     bool earlyReportDue(TimePoint now);
     /// Requests reports from the nodes, because changes reach them with the leases that answer.
     void requestReports(const std::vector<NodeId> &nodes);
+    void requestDueReports(TimePoint now);
     void onPeerConnected(const NodeId &peer);
     void logController();
     void logSummary(TimePoint now);
@@ -99,6 +100,7 @@
 
     // Messages from peers.
     void onPeerMessage(const PeerMessage &message);
+    void onControllerHint(const PeerMessage &message, TimePoint now);
     void onReport(const PeerMessage &message, TimePoint now);
     void answerReport(const NodeReport &report, const PeerProcess &to, std::uint64_t requestId,
                       TimePoint now);
@@ -139,6 +141,7 @@
     void publishSnapshot();
     void publishServiceViews();
     void logSharesChange(const NodeLease &lease);
+    void noteSharesGranted();
     void applyRateShares(TimePoint sharesUntil, TimePoint now);
     std::shared_ptr<ServiceHost> serviceHost(const ServiceId &service);
     TeamEntry teamEntry(const TeamConfig &team);
--- a/src/node/node_publish.cpp
+++ b/src/node/node_publish.cpp
@@ -32,7 +32,7 @@
     // leases of the predecessor have expired. Until then it is not ready, because it would refuse
     // every request.
     if (!lease.sharesUnchanged && !lease.sharesRenewed)
-        m_shared.sharesGranted = true;
+        noteSharesGranted();
     publishServiceViews();
     // The controller counts a change as in force only once this node has confirmed it.
     if (result.configChanged || result.fleetChanged)
@@ -43,6 +43,16 @@
     return true;
 }
 
+void Node::Impl::noteSharesGranted()
+{
+    if (m_shared.sharesGranted.exchange(true))
+        return;
+    if (m_sessions)
+        m_sessions->setSharesGranted(true);
+    m_logger.info("first_shares",
+                  { { "process_age_ms", millisecondsBetween(m_startedAt, monotonicNow()) } });
+}
+
 /// A node without shares refuses all work, so gaining and losing them is logged.
 void Node::Impl::logSharesChange(const NodeLease &lease)
 {
--- a/src/node/node_start.cpp
+++ b/src/node/node_start.cpp
@@ -280,6 +280,7 @@
     if (!sessions.ok())
         return sessions.status();
     m_sessions = std::move(*sessions);
+    m_sessions->setSharesGranted(false);
     return absl::OkStatus();
 }
 
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -341,6 +341,11 @@
     m_impl->m_state.freshUntil = until;
 }
 
+void SessionProxy::setSharesGranted(bool granted)
+{
+    m_impl->m_state.sharesGranted = granted;
+}
+
 void SessionProxy::tick(TimePoint now)
 {
     m_impl->tick(now);
--- a/src/proxy/proxy_state.h
+++ b/src/proxy/proxy_state.h
@@ -94,7 +94,15 @@
     /// Nothing more is run, because the process ends.
     bool atDrainLimit = false;
     TimePoint startedAt;
+    /// See SessionProxy::setSharesGranted().
+    bool sharesGranted = true;
 
+    /// Whether a node that has a lease expects its first shares soon: those of a new controller are
+    /// granted once the leases of its predecessor have ended.
+    bool expectsShares(TimePoint now) const
+    {
+        return !sharesGranted && now < startedAt + kStartupLeaseWait;
+    }
     /// Whether a node without a lease expects one soon, because it started or lost its lease
     /// recently: a controller failover takes about as long as these waits. Callers are served
     /// sooner if they wait than if they spend their retries on nodes in the same state.
--- a/src/proxy/session.cpp
+++ b/src/proxy/session.cpp
@@ -213,7 +213,13 @@
         startAdmitted(now);
         return;
     }
-    admission->second.bucket->countArrival();
+    if (!std::exchange(m_execution->arrivalCounted, true))
+        admission->second.bucket->countArrival();
+    // Without shares every bucket is empty, whatever the team's rate.
+    if (m_state.expectsShares(now) && now < m_execution->deadline) {
+        m_execution->phase = Phase::AwaitingLease;
+        return;
+    }
     const bool inside = admission->second.bucket->refusalClass(now) == RateRefusal::InsideRate;
     m_execution->phaseDeadline = now + (inside ? kMaxInsideRateWait : kMaxOverRateWait);
     takeToken(now);
@@ -228,6 +234,7 @@
                            { "transaction", m_transaction.has_value() } });
     if (m_execution->phase == Phase::AwaitingToken)
         m_state.teams.at(m_team).bucket->endWait();
+    m_execution->arrivalCounted = false;
     if (m_transaction)
         fail(ErrorKind::TransactionLost, now);
     else
--- a/src/proxy/session_execution.h
+++ b/src/proxy/session_execution.h
@@ -10,7 +10,7 @@
 
 /// State of the statement being served.
 enum class SessionPhase : std::uint8_t {
-    /// Waits for the node's freshness lease.
+    /// Waits for the node's freshness lease or its first shares.
     AwaitingLease,
     /// Waits for a token of the team's rate limit.
     AwaitingToken,
@@ -30,6 +30,9 @@
     /// Deadline of the wait for a token.
     TimePoint phaseDeadline;
     TimePoint retryAt;
+    /// The team's bucket has counted the operation, so that the node's demand is known before it
+    /// has shares.
+    bool arrivalCounted = false;
     std::uint32_t attempts = 0;
     /// Attempts in which a database did not know or not prepare the prepared statement.
     std::uint32_t prepareFailures = 0;
