--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -89,6 +89,10 @@
 {
     if (m_controller && m_controller->isActive())
         requestReports({ peer });
+    // A report that was due while there was no link was lost, as the first one of a process is.
+    const TimePoint now = monotonicNow();
+    if (peer == reportTarget() && !isFresh(m_view.freshness, now))
+        scheduleReport(m_reportSchedule, now, ReportReason::Requested);
 }
 
 void Node::Impl::logController()
--- a/src/node/report_schedule.h
+++ b/src/node/report_schedule.h
@@ -11,7 +11,7 @@
 enum class ReportReason : std::uint8_t {
     /// The regular interval has elapsed; the report renews the lease.
     Interval,
-    /// The controller requested a report.
+    /// The controller requested a report, was named by another member, or a link to it has opened.
     Requested,
     /// A configuration or fleet view was applied; others wait for the confirmation.
     ViewApplied,
