--- a/src/node/controller_host.cpp
+++ b/src/node/controller_host.cpp
@@ -15,6 +15,10 @@
 /// Interval of decisions that depend on time alone; answers and committed entries are processed at
 /// once.
 constexpr Duration kAdvanceInterval = 50ms;
+/// Reports answered in one tick after their processes were recorded, which happens to all nodes at
+/// once when everything restarts. A first lease takes a few milliseconds to make on a slow core,
+/// and the heartbeats of the control group, 100 ms apart, wait meanwhile.
+constexpr std::size_t kMaxHeldAnswersPerTick = 8;
 /// Maximum time that an operator waits for a change to be in force.
 constexpr Duration kInForceTimeout = 10s;
 
@@ -429,7 +433,9 @@
 std::vector<HeldReport> ControllerHost::takeAnswerableReports(TimePoint now)
 {
     std::vector<HeldReport> reports;
-    for (const PeerProcess &process : std::exchange(m_newlyRecorded, {})) {
+    while (!m_newlyRecorded.empty() && reports.size() < kMaxHeldAnswersPerTick) {
+        const PeerProcess process = std::move(m_newlyRecorded.front());
+        m_newlyRecorded.pop_front();
         if (std::optional<HeldReport> held = takeHeldReport(m_requests, process, now))
             reports.push_back(*std::move(held));
         else
--- a/src/node/controller_host.h
+++ b/src/node/controller_host.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -44,7 +45,8 @@
     /// nullopt if the report must not be answered, or not before its process is recorded.
     std::optional<NodeLease> answerReport(const NodeReport &report, const PeerProcess &from,
                                           std::uint64_t requestId, TimePoint now);
-    /// Reports whose processes have been recorded since the last call, to be answered now.
+    /// Reports whose processes have been recorded, to be answered now; a few at a time, so call it
+    /// every 10 ms.
     std::vector<HeldReport> takeAnswerableReports(TimePoint now);
     /// Returns grants of single tokens to send; empty if this node is not the controller.
     std::vector<TokenDelivery> requestTokens(const TokenRequester &requester,
@@ -115,8 +117,8 @@
     ControlGroup &m_group;
     MakeControl m_makeControl;
     bool m_recordNodes;
-    /// Processes that have become eligible for leases since the last takeAnswerableReports().
-    std::vector<PeerProcess> m_newlyRecorded;
+    /// Processes that have become eligible for leases and whose reports are not answered yet.
+    std::deque<PeerProcess> m_newlyRecorded;
     /// Those of them that have to report once more.
     std::vector<NodeId> m_recordedWithoutReport;
     ReportRequests m_requests;
