Spread statements over databases by shares that fit the age of their figures

Callers of many nodes waited at one database while others idled: every node selected the least expected time by the same report of an owner, up to 150 ms old, and none at all beyond that.

evenShares() draws each report towards its recent mean as it ages, adds what this node has sent since, and pours what all nodes are expected to send in that time over the free slots. The shares are drawn with chances that cover the range evenly. Nothing is added to any message.

--- a/src/include/shallotlever/proxy/placement.h
+++ b/src/include/shallotlever/proxy/placement.h
@@ -4,8 +4,11 @@
 #include <optional>
 #include <set>
 #include <span>
+#include <string_view>
+#include <vector>
 
 #include "shallotlever/base/time.h"
+#include "shallotlever/policy/even_choice.h"
 #include "shallotlever/types/fleet.h"
 
 /// Selects the database for a statement and limits how many statements a node runs on a database
@@ -55,8 +58,19 @@
     std::uint32_t slots = 1;
     /// Maximum number of connections of this node; leased to it by the controller.
     std::uint32_t leasedConnections = 0;
-    /// Statements of this node that hold a connection to the database or wait for one.
+    /// Statements that hold a connection to the database or wait for one: all of them, as of the
+    /// last report of its owner, or those at this node if it holds connections itself.
     std::uint32_t outstanding = 0;
+    /// Recent mean of `outstanding`.
+    double meanOutstanding = 0;
+    /// Age of `outstanding`; 0 if this node holds the connections.
+    Duration figureAge { 0 };
+    /// Statements of this node that were sent to another owner after its report.
+    std::uint32_t sentSinceReport = 0;
+    /// Statements of this node that another owner has not answered.
+    std::uint32_t pending = 0;
+    /// Share of its slots that the database can use now, above 0 to 1; less for a cold one.
+    double capacityShare = 1;
     /// False after a failure, until the database responds again.
     bool reachable = true;
     /// No idle connection is available; opening one takes openTime.
@@ -102,9 +116,43 @@
 /// lasts. nullopt if that is too short for a statement whose outcome `mustBeKnown`.
 std::optional<Duration> forwardedTimeLimit(Duration timeLeft, bool mustBeKnown);
 
-/// Database with the shortest expected response time, or nullopt if none can serve. Without
-/// `allowReplicas` only the primary is considered.
-std::optional<UpstreamId> selectUpstream(std::span<const UpstreamLoad> loads, bool allowReplicas,
-                                         const std::set<UpstreamId> &excluded, TimePoint now);
+/// Why a database is not considered for a statement.
+enum class LeftOut : std::uint8_t {
+    No,
+    NotLive,
+    Unreachable,
+    NoConnections,
+    NotPrimary,
+    AlreadyTried,
+    /// It refused a statement a moment ago, and another one can serve.
+    RecentRefusal,
+    Count,
+};
+std::string_view leftOutName(LeftOut reason);
+
+/// A database as it is weighed for one statement.
+struct PlacementCandidate
+{
+    UpstreamId id;
+    LeftOut leftOut = LeftOut::No;
+    LoadFigure figure;
+    /// Probability that the statement is sent to it; 0 if it is left out.
+    double share = 0;
+};
+
+/// Weighs all databases for a statement, with evenShares() over those that can serve. Without
+/// `allowReplicas` only the primary is considered. Has no side effect.
+std::vector<PlacementCandidate> weighUpstreams(std::span<const UpstreamLoad> loads,
+                                               bool allowReplicas,
+                                               const std::set<UpstreamId> &excluded, TimePoint now);
+
+/// The candidate whose share contains `chance`, from 0 to below 1; nullptr if none can serve.
+const PlacementCandidate *drawCandidate(std::span<const PlacementCandidate> candidates,
+                                        double chance);
+
+/// Outstanding statements for each slot at the fullest database, of the mean of the candidates
+/// that are not left out. nullopt if there are fewer than two, or if they have less than one
+/// statement each, when unevenness means nothing.
+std::optional<double> unevenness(std::span<const PlacementCandidate> candidates);
 
 } // namespace shallotlever
--- a/src/proxy/placement.cpp
+++ b/src/proxy/placement.cpp
@@ -1,14 +1,59 @@
 #include "shallotlever/proxy/placement.h"
 
 #include <algorithm>
+#include <array>
 
 namespace shallotlever {
 
 namespace {
 
-bool canServe(const UpstreamLoad &load)
+constexpr double kMinCapacityShare = 0.01;
+
+LeftOut reasonToLeaveOut(const UpstreamLoad &load, bool allowReplicas,
+                         const std::set<UpstreamId> &excluded)
+{
+    if (load.state != UpstreamState::Live)
+        return LeftOut::NotLive;
+    if (!load.reachable)
+        return LeftOut::Unreachable;
+    if (load.leasedConnections == 0)
+        return LeftOut::NoConnections;
+    if (!allowReplicas && !load.primary)
+        return LeftOut::NotPrimary;
+    return excluded.contains(load.id) ? LeftOut::AlreadyTried : LeftOut::No;
+}
+
+Duration currentServiceTime(const UpstreamLoad &load, TimePoint now)
+{
+    const bool known = now <= load.serviceTimeUpdatedAt + kMaxServiceTimeAge;
+    return known ? load.serviceTime : kInitialServiceTime;
+}
+
+double parallelStatements(const UpstreamLoad &load)
 {
-    return load.state == UpstreamState::Live && load.reachable && load.leasedConnections > 0;
+    const std::uint32_t parallel = std::max(1U, std::min(load.slots, load.leasedConnections));
+    return parallel * std::clamp(load.capacityShare, kMinCapacityShare, 1.0);
+}
+
+Duration reachTime(const UpstreamLoad &load)
+{
+    return load.roundTrip
+        + (load.needsConnection ? load.openTime * kOpenTimeCostFactor : Duration(0));
+}
+
+LoadFigure figureOf(const UpstreamLoad &load, TimePoint now)
+{
+    LoadFigure figure;
+    figure.outstanding = load.outstanding;
+    figure.meanOutstanding = load.meanOutstanding;
+    figure.age = load.figureAge;
+    figure.sentSince = load.sentSinceReport;
+    figure.pending = load.pending;
+    figure.parallel = parallelStatements(load);
+    figure.serviceTime = currentServiceTime(load, now);
+    figure.reachTime = reachTime(load);
+    figure.cost = load.primary ? kPrimaryCostFactor : 1;
+    return figure;
 }
 
 } // namespace
@@ -47,16 +92,7 @@
 
 Duration expectedResponseTime(const UpstreamLoad &load, TimePoint now)
 {
-    const bool known = now <= load.serviceTimeUpdatedAt + kMaxServiceTimeAge;
-    const Duration service = known ? load.serviceTime : kInitialServiceTime;
-    const std::uint32_t parallel = std::max(1U, std::min(load.slots, load.leasedConnections));
-    const Duration opening =
-        load.needsConnection ? load.openTime * kOpenTimeCostFactor : Duration(0);
-    // A statement waits only if more are outstanding than run at the same time.
-    const std::uint32_t ahead = load.outstanding + 1 - std::min(load.outstanding + 1, parallel);
-    const Duration answer = opening + load.roundTrip + service + service * ahead / parallel;
-    const double cost = load.primary ? kPrimaryCostFactor : 1;
-    return Duration(static_cast<std::int64_t>(static_cast<double>(answer.count()) * cost));
+    return believedAnswerTime(figureOf(load, now));
 }
 
 std::optional<Duration> forwardedTimeLimit(Duration timeLeft, bool mustBeKnown)
@@ -66,24 +102,75 @@
     return timeLeft - std::min(kMaxAnswerMargin, timeLeft / 2);
 }
 
-std::optional<UpstreamId> selectUpstream(std::span<const UpstreamLoad> loads, bool allowReplicas,
-                                         const std::set<UpstreamId> &excluded, TimePoint now)
+std::string_view leftOutName(LeftOut reason)
+{
+    constexpr std::array<std::string_view, static_cast<std::size_t>(LeftOut::Count)> kNames {
+        "no",          "not_live",      "unreachable",    "no_connections",
+        "not_primary", "already_tried", "recent_refusal",
+    };
+    return kNames.at(static_cast<std::size_t>(reason));
+}
+
+std::vector<PlacementCandidate> weighUpstreams(std::span<const UpstreamLoad> loads,
+                                               bool allowReplicas,
+                                               const std::set<UpstreamId> &excluded, TimePoint now)
 {
-    const UpstreamLoad *best = nullptr;
-    bool bestAvoided = false;
+    std::vector<PlacementCandidate> candidates;
+    bool anyWithoutRefusal = false;
     for (const UpstreamLoad &load : loads) {
-        if (!canServe(load) || excluded.contains(load.id) || (!allowReplicas && !load.primary))
-            continue;
-        const bool avoided = now < load.avoidUntil;
-        const bool better = best == nullptr || (bestAvoided && !avoided)
-            || (bestAvoided == avoided
-                && expectedResponseTime(load, now) < expectedResponseTime(*best, now));
-        if (!better)
+        const LeftOut reason = reasonToLeaveOut(load, allowReplicas, excluded);
+        candidates.push_back({ load.id, reason, figureOf(load, now), 0 });
+        anyWithoutRefusal = anyWithoutRefusal || (reason == LeftOut::No && now >= load.avoidUntil);
+    }
+    std::vector<LoadFigure> figures;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        PlacementCandidate &candidate = candidates[i];
+        if (candidate.leftOut == LeftOut::No && anyWithoutRefusal && now < loads[i].avoidUntil)
+            candidate.leftOut = LeftOut::RecentRefusal;
+        if (candidate.leftOut == LeftOut::No)
+            figures.push_back(candidate.figure);
+    }
+    if (figures.empty())
+        return candidates;
+    const std::vector<double> shares = evenShares(figures);
+    auto share = shares.begin();
+    for (PlacementCandidate &candidate : candidates) {
+        if (candidate.leftOut == LeftOut::No)
+            candidate.share = *share++;
+    }
+    return candidates;
+}
+
+const PlacementCandidate *drawCandidate(std::span<const PlacementCandidate> candidates,
+                                        double chance)
+{
+    std::vector<double> shares;
+    for (const PlacementCandidate &candidate : candidates)
+        shares.push_back(candidate.share);
+    if (std::none_of(shares.begin(), shares.end(), [](double share) { return share > 0; }))
+        return nullptr;
+    return &candidates[drawShare(shares, chance)];
+}
+
+std::optional<double> unevenness(std::span<const PlacementCandidate> candidates)
+{
+    double count = 0;
+    double outstanding = 0;
+    double sum = 0;
+    double fullest = 0;
+    for (const PlacementCandidate &candidate : candidates) {
+        if (candidate.leftOut != LeftOut::No)
             continue;
-        best = &load;
-        bestAvoided = avoided;
+        const double believed = believedOutstanding(candidate.figure);
+        const double perSlot = believed / candidate.figure.parallel;
+        ++count;
+        outstanding += believed;
+        sum += perSlot;
+        fullest = std::max(fullest, perSlot);
     }
-    return best == nullptr ? std::nullopt : std::optional(best->id);
+    if (count < 2 || outstanding < count)
+        return std::nullopt;
+    return fullest * count / sum;
 }
 
 } // namespace shallotlever
--- a/src/proxy/placement_test.cpp
+++ b/src/proxy/placement_test.cpp
@@ -45,8 +45,14 @@
 {
     std::vector<UpstreamLoad> loads = group();
     GetParam().change(loads);
-    EXPECT_EQ(selectUpstream(loads, GetParam().allowReplicas, GetParam().excluded, kNow),
-              GetParam().expected);
+    const auto candidates =
+        weighUpstreams(loads, GetParam().allowReplicas, GetParam().excluded, kNow);
+    // Exact figures leave nothing to chance.
+    for (const double chance : { 0.0, 0.3, 0.6, 0.999 }) {
+        const PlacementCandidate *chosen = drawCandidate(candidates, chance);
+        EXPECT_EQ(chosen == nullptr ? std::nullopt : std::optional(chosen->id),
+                  GetParam().expected);
+    }
 }
 
 const UpstreamId kPrimary("primary");
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -92,6 +92,12 @@
             { { "reason", std::string(linkOpenFailureName(static_cast<LinkOpenFailure>(i))) } });
     m_state.responseTime = &metrics.registry().histogram(
         "shallotlever_statement_seconds", "Time from a statement's arrival to its answer.");
+    m_state.placementMetrics.figureAge = &metrics.registry().histogram(
+        "shallotlever_placement_figure_age_seconds",
+        "Age of the load by which a database was selected; 0 if this node holds its connections.");
+    m_state.placementMetrics.unevennessPercent = &metrics.registry().gauge(
+        "shallotlever_placement_unevenness_percent",
+        "Load of the fullest database of a service against the mean, recent average.");
 }
 
 SessionProxy::Impl::~Impl()
@@ -170,7 +176,10 @@
 void SessionProxy::Impl::applyGroup(const GroupView &group, const std::vector<SlotShare> &shares,
                                     TimePoint now)
 {
-    ServiceDatabases &service = m_state.services[group.service];
+    const auto [entry, added] = m_state.services.try_emplace(group.service);
+    ServiceDatabases &service = entry->second;
+    if (added)
+        service.chance = EvenChance::forStream(m_state.self.value() + '/' + group.service.value());
     if (service.primary != group.primary) {
         service.primary = group.primary;
         m_state.logger->info("primary_known",
--- a/src/proxy/proxy_state.cpp
+++ b/src/proxy/proxy_state.cpp
@@ -4,6 +4,50 @@
 
 namespace shallotlever {
 
+namespace {
+
+constexpr double kUnevennessWeight = 0.02;
+
+} // namespace
+
+void recordOutstanding(DatabaseRoute &route, std::uint32_t outstanding)
+{
+    route.meanOutstanding += (outstanding - route.meanOutstanding) * kMeanOutstandingWeight;
+}
+
+UpstreamLoad remoteLoad(const DatabaseRoute &route, bool primary, bool reachable,
+                        Duration roundTrip, TimePoint now)
+{
+    UpstreamLoad load = route.ownerLoad;
+    load.roundTrip = roundTrip;
+    load.id = route.info.id;
+    load.state = route.info.state;
+    load.primary = primary;
+    load.slots = route.info.slots;
+    load.leasedConnections = std::max(1U, route.info.slots);
+    load.reachable = reachable;
+    load.pending = route.pending;
+    load.sentSinceReport = route.sentSinceReport;
+    load.figureAge = kMaxFigureAge;
+    // A load that has not been reported for long, as of an owner that started again, is unknown.
+    if (now < route.reportedAt + kMaxServiceTimeAge) {
+        load.outstanding = route.reportedOutstanding;
+        load.meanOutstanding = route.meanOutstanding;
+        load.figureAge = now - route.reportedAt;
+    }
+    return load;
+}
+
+void PlacementMetrics::observe(std::span<const PlacementCandidate> candidates,
+                               const PlacementCandidate &chosen)
+{
+    figureAge->observe(chosen.figure.age);
+    if (const std::optional<double> sample = unevenness(candidates)) {
+        meanUnevenness += (*sample - meanUnevenness) * kUnevennessWeight;
+        unevennessPercent->set(static_cast<std::int64_t>(meanUnevenness * 100));
+    }
+}
+
 DatabaseRoute *ServiceDatabases::route(const UpstreamId &upstream)
 {
     const auto found = routes.find(upstream);
--- a/src/proxy/proxy_state.h
+++ b/src/proxy/proxy_state.h
@@ -30,6 +30,10 @@
     /// Statements outstanding at the owner as of its last answer.
     std::uint32_t reportedOutstanding = 0;
     TimePoint reportedAt;
+    /// Recent mean of the statements outstanding at the owner, which may be this node.
+    double meanOutstanding = 0;
+    /// Statements of this node that were sent to the owner after its last answer.
+    std::uint32_t sentSinceReport = 0;
     /// Consecutive reads that the replica could not serve because it lagged. While there are some,
     /// reads are not sent to it until avoidLaggingUntil, if another database can serve them.
     std::uint32_t laggingReplies = 0;
@@ -39,6 +43,13 @@
     TimePoint logEndAt;
 };
 
+/// Adds a sample to the mean of the outstanding statements.
+void recordOutstanding(DatabaseRoute &route, std::uint32_t outstanding);
+
+/// Load of the database as seen through its owner. `reachable`: an owner can be reached.
+UpstreamLoad remoteLoad(const DatabaseRoute &route, bool primary, bool reachable,
+                        Duration roundTrip, TimePoint now);
+
 /// The databases of one service and the observed end of its log.
 struct ServiceDatabases
 {
@@ -49,6 +60,8 @@
     TimePoint replicaReadAt;
     /// Last time that another node asked for the end of the log.
     TimePoint positionRequestedAt;
+    /// For the choice of databases.
+    EvenChance chance;
 
     DatabaseRoute *route(const UpstreamId &upstream);
     std::shared_ptr<UpstreamPool> pool(const UpstreamId &upstream) const;
@@ -68,6 +81,17 @@
 constexpr Duration kStartupLeaseWait = 6s;
 constexpr Duration kLeaseRenewalWait = 1500ms;
 
+/// How evenly this node finds the databases loaded, and how old its figures are.
+struct PlacementMetrics
+{
+    LatencyHistogram *figureAge = nullptr;
+    Gauge *unevennessPercent = nullptr;
+    /// Moving average of unevenness().
+    double meanUnevenness = 1;
+
+    void observe(std::span<const PlacementCandidate> candidates, const PlacementCandidate &chosen);
+};
+
 /// State shared by the sessions of a node. Owned by the proxy; not thread-safe.
 struct ProxyState
 {
@@ -76,6 +100,7 @@
     const Logger *logger = nullptr;
     LatencyHistogram *responseTime = nullptr;
     Counter *refusedByDatabase = nullptr;
+    PlacementMetrics placementMetrics;
     ClusterConfig config;
     std::map<KeyHash, TeamId> teamsByKey;
     std::map<TeamId, TeamAdmission> teams;
--- a/src/proxy/session_attempt.cpp
+++ b/src/proxy/session_attempt.cpp
@@ -22,8 +22,6 @@
 /// Round trip assumed for a node to which none has been measured; that of another region, so that
 /// near databases are preferred.
 constexpr Duration kUnknownRoundTrip = 40ms;
-/// Outstanding statements that an owner reported longer ago than this are not counted.
-constexpr Duration kMaxLoadReportAge = 150ms;
 
 RetryReason retryReasonFor(UpstreamErrorKind kind)
 {
@@ -70,23 +68,6 @@
     return kind != UpstreamErrorKind::Failed && kind != UpstreamErrorKind::Other;
 }
 
-/// Load of the database as seen through its owner.
-UpstreamLoad remoteLoad(const DatabaseRoute &route, bool primary, bool hasOwner, Duration roundTrip,
-                        TimePoint now)
-{
-    UpstreamLoad load = route.ownerLoad;
-    load.roundTrip = roundTrip;
-    load.id = route.info.id;
-    load.state = route.info.state;
-    load.primary = primary;
-    load.slots = route.info.slots;
-    load.leasedConnections = std::max(1U, route.info.slots);
-    load.reachable = hasOwner;
-    const bool recent = now < route.reportedAt + kMaxLoadReportAge;
-    load.outstanding = std::max(route.pending, recent ? route.reportedOutstanding : 0U);
-    return load;
-}
-
 } // namespace
 
 const DatabaseConfig &CallerSession::database() const
@@ -119,17 +100,24 @@
     for (const auto &[id, route] : service->second.routes) {
         const auto owner = m_dispatcher.owner(route.info, m_execution->excludedOwners);
         const bool isPrimary = service->second.primary == id;
-        if (owner == m_state.self && route.pool)
+        if (owner == m_state.self && route.pool) {
             loads.push_back(route.pool->loadFor(m_team));
-        else if (!owner || owner == m_state.self)
+            loads.back().meanOutstanding = route.meanOutstanding;
+        } else if (!owner || owner == m_state.self) {
             loads.push_back(remoteLoad(route, isPrimary, false, Duration(0), now));
-        else
+        } else {
             loads.push_back(remoteLoad(route, isPrimary, true,
                                        m_dispatcher.roundTrip(*owner).value_or(kUnknownRoundTrip),
                                        now));
+        }
         loads.back().avoidUntil = std::max(loads.back().avoidUntil, route.avoidLaggingUntil);
     }
-    return selectUpstream(loads, !needsPrimary(), m_execution->excluded, now);
+    const auto candidates = weighUpstreams(loads, !needsPrimary(), m_execution->excluded, now);
+    const PlacementCandidate *chosen = drawCandidate(candidates, service->second.chance.next());
+    if (chosen == nullptr)
+        return std::nullopt;
+    m_state.placementMetrics.observe(candidates, *chosen);
+    return chosen->id;
 }
 
 /// Sends the statement to the owner of a database. A transaction stays where it was begun.
--- a/src/proxy/statement_dispatcher.cpp
+++ b/src/proxy/statement_dispatcher.cpp
@@ -71,8 +71,12 @@
     forwarded.upstream = request.upstream;
     forwarded.sentAt = now;
     forwarded.callback = std::move(callback);
-    if (DatabaseRoute *used = route(forwarded))
+    if (DatabaseRoute *used = route(forwarded)) {
         ++used->pending;
+        ++used->sentSinceReport;
+        if (local && used->pool)
+            recordOutstanding(*used, used->pool->load().outstanding);
+    }
     if (local) {
         const std::uint64_t localId = m_runner.run(
             { m_state.self, m_state.incarnation }, std::move(request),
@@ -134,8 +138,12 @@
         return;
     load.serviceTime = reply.load.serviceTime;
     load.serviceTimeUpdatedAt = now;
+    if (now >= route.reportedAt + kMaxServiceTimeAge)
+        route.meanOutstanding = reply.load.outstanding;
+    recordOutstanding(route, reply.load.outstanding);
     route.reportedOutstanding = reply.load.outstanding;
     route.reportedAt = now;
+    route.sentSinceReport = 0;
 }
 
 bool StatementDispatcher::cancel(std::uint64_t id)
