Add explain-request: where a node would send a statement, and why

Operators could not ask which database a node would select. A live node now answers POST /v1/operator/placement from what it knows, with the functions that decide, and without a side effect: no token, no message, no chance used. `shallotlever explain-request` prints it as a table or as JSON.

--- a/src/edge/edge_worker.cpp
+++ b/src/edge/edge_worker.cpp
@@ -15,8 +15,10 @@
 namespace {
 
 /// Label values of the request metrics, in the order of the alternatives of EdgeRequest.
-constexpr std::array kRequestNames { "statement", "begin",  "commit", "rollback", "open_route",
-                                     "announce",  "change", "status", "explain",  "drain" };
+constexpr std::array kRequestNames {
+    "statement", "begin",  "commit",  "rollback",          "open_route", "announce",
+    "change",    "status", "explain", "explain_placement", "drain"
+};
 static_assert(kRequestNames.size() == std::variant_size_v<EdgeRequest>);
 
 HttpResponse statusResponse(int status, const char *text)
--- a/src/edge/request_codec.cpp
+++ b/src/edge/request_codec.cpp
@@ -124,6 +124,18 @@
     return result;
 }
 
+ExplainPlacementRequest readPlacementQuestion(FieldReader &fields)
+{
+    ExplainPlacementRequest request;
+    request.team = fields.id<TeamId>("team");
+    request.database = fields.id<DatabaseName>("database");
+    request.mode = readMode(fields);
+    if (fields.has("term") || fields.has("position"))
+        request.position = { Term(fields.unsignedInteger("term", UINT64_MAX)),
+                             LogPosition(fields.unsignedInteger("position", UINT64_MAX)) };
+    return request;
+}
+
 /// Returns the decoded segments of the path after "/v1/", or an empty list if the path is invalid.
 std::vector<std::string> pathSegments(QByteArrayView path)
 {
@@ -218,6 +230,8 @@
         return EdgeRequest(StatusRequest {});
     if (action == "explain")
         return EdgeRequest(ExplainRequest {});
+    if (action == "placement")
+        return parseBody(body, readPlacementQuestion);
     if (action == "drain")
         return parseOptionalBody(body, [](FieldReader &f) {
             return DrainRequest { f.optionalId<UpstreamId>("upstream"),
--- a/src/include/shallotlever/edge/messages.h
+++ b/src/include/shallotlever/edge/messages.h
@@ -94,6 +94,15 @@
 struct ExplainRequest
 {
 };
+/// POST /v1/operator/placement; answered by this node, from what it knows.
+struct ExplainPlacementRequest
+{
+    TeamId team;
+    DatabaseName database;
+    AccessMode mode = AccessMode::Read;
+    /// Last commit of the session.
+    std::optional<HistoryPoint> position;
+};
 /// POST /v1/operator/drain; drains this node if no upstream is given.
 struct DrainRequest
 {
@@ -102,9 +111,9 @@
     bool cancel = false;
 };
 
-using EdgeRequest =
-    std::variant<StatementRequest, BeginRequest, CommitRequest, RollbackRequest, OpenRouteRequest,
-                 AnnounceRequest, ChangeRequest, StatusRequest, ExplainRequest, DrainRequest>;
+using EdgeRequest = std::variant<StatementRequest, BeginRequest, CommitRequest, RollbackRequest,
+                                 OpenRouteRequest, AnnounceRequest, ChangeRequest, StatusRequest,
+                                 ExplainRequest, ExplainPlacementRequest, DrainRequest>;
 
 /// Response to StatementRequest and OpenRouteRequest.
 struct StatementResponse
@@ -140,7 +149,8 @@
     /// Live nodes that had not applied the change when waiting ended.
     std::vector<NodeId> outstanding;
 };
-/// Response to StatusRequest, ExplainRequest and ReadInstalledRequest: a complete JSON document.
+/// Response to StatusRequest, ExplainRequest, ExplainPlacementRequest and ReadInstalledRequest: a
+/// complete JSON document.
 struct JsonResponse
 {
     std::string json;
--- a/src/include/shallotlever/policy/even_choice.h
+++ b/src/include/shallotlever/policy/even_choice.h
@@ -43,6 +43,9 @@
 /// measured in the time in which the database executes it; an old one counts as the recent mean.
 double believedOutstanding(const LoadFigure &figure);
 
+/// Time that one more statement waits at the database, by the belief.
+Duration believedWait(const LoadFigure &figure);
+
 /// Time to the answer of one more statement, by the belief, times the cost.
 Duration believedAnswerTime(const LoadFigure &figure);
 
--- a/src/include/shallotlever/proxy/proxy.h
+++ b/src/include/shallotlever/proxy/proxy.h
@@ -6,10 +6,12 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "absl/status/statusor.h"
 #include "shallotlever/policy/token_bucket.h"
+#include "shallotlever/proxy/placement_explanation.h"
 #include "shallotlever/proxy/protocol.h"
 #include "shallotlever/telemetry/log.h"
 #include "shallotlever/telemetry/node_metrics.h"
@@ -83,6 +85,10 @@
     /// after each event.
     TimePoint nextTick(TimePoint now) const;
     ProxyReport report(TimePoint now) const;
+    /// Where a statement would be sent now, and why. The error names what the configuration doesn't
+    /// hold. Has no side effect.
+    std::variant<PlacementExplanation, Error> explainPlacement(const PlacementQuestion &question,
+                                                               TimePoint now) const;
     /// Handles a message of another node's proxy.
     void onPeerMessage(const PeerMessage &message, TimePoint now);
     /// Whether the proxy keeps a link to the node.
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "node_impl.h"
+#include "placement_document.h"
 #include "shallotlever/base/clock.h"
 
 namespace shallotlever {
@@ -324,6 +325,8 @@
         }
         respond(AckResponse {});
         shutDown();
+    } else if (const auto *question = std::get_if<ExplainPlacementRequest>(&request)) {
+        explainPlacement(*question, respond, now);
     } else if (std::holds_alternative<StatusRequest>(request)) {
         forwardRequest(StatusRequest {}, std::move(respond), now);
     } else {
@@ -331,6 +334,23 @@
     }
 }
 
+void Node::Impl::explainPlacement(const ExplainPlacementRequest &request,
+                                  const EdgeResponder &respond, TimePoint now) const
+{
+    if (!m_sessions) {
+        respond(Error { ErrorKind::UnknownService, "this node serves no sessions", std::nullopt });
+        return;
+    }
+    const auto explanation = m_sessions->explainPlacement(
+        { request.team, request.database, request.mode == AccessMode::Write, request.position },
+        now);
+    if (const auto *error = std::get_if<Error>(&explanation))
+        respond(*error);
+    else
+        respond(JsonResponse { placementDocument(m_settings.nodeId, request,
+                                                 std::get<PlacementExplanation>(explanation)) });
+}
+
 void Node::Impl::announce(const AnnounceRequest &request, const EdgeResponder &respond)
 {
     acceptAnnouncement(request.announcement);
--- a/src/node/node_impl.h
+++ b/src/node/node_impl.h
@@ -126,6 +126,9 @@
 
     // Requests of operators and upstreams.
     void handleControl(EdgeRequest request, EdgeResponder respond);
+    /// Answers from what this node knows; asks nobody.
+    void explainPlacement(const ExplainPlacementRequest &request, const EdgeResponder &respond,
+                          TimePoint now) const;
     void announce(const AnnounceRequest &request, const EdgeResponder &respond);
     // Control members that are discovered instead of configured.
     void addDiscoveredMember(const NodeId &member);
--- a/src/operator/commands.h
+++ b/src/operator/commands.h
@@ -14,6 +14,7 @@
 int runPresetList(CommandContext &context);
 int runStatus(CommandContext &context);
 int runExplain(CommandContext &context);
+int runExplainRequest(CommandContext &context);
 int runDrain(CommandContext &context);
 int runStatement(CommandContext &context);
 
--- a/src/operator/commands_test.cpp
+++ b/src/operator/commands_test.cpp
@@ -365,6 +365,29 @@
     EXPECT_THAT(result.out, Not(HasSubstr("first")));
 }
 
+// Guards against a question that differs from the arguments, and an answer that hides a reason.
+TEST(ExplainRequest, ShowsTheCandidates)
+{
+    FakeNode node([](const EdgeRequest &) -> EdgeResponse {
+        return JsonResponse { R"({"node":"n1","admitted":true,"token_wait_ms":0,"chosen":"db2",)"
+                              R"("candidates":[{"upstream":"db1","left_out":"not_live"},)"
+                              R"({"upstream":"db2","left_out":"no","share":0.75}]})" };
+    });
+    const Words words { "explain-request", "--team=t", "--database=d", "--mode=write" };
+    Words withPosition = words;
+    withPosition.emplace_back("--position=3:40");
+    const RunResult result = ProgramRunner().run(node.url(), withPosition);
+    ASSERT_EQ(result.status, kExitDone) << result.err;
+    EXPECT_THAT(result.out, HasSubstr("next one to db2"));
+    EXPECT_THAT(result.out, HasSubstr("not_live"));
+    const auto &request = std::get<ExplainPlacementRequest>(node.requests()[0]);
+    EXPECT_EQ(request.team, TeamId("t"));
+    EXPECT_EQ(request.mode, AccessMode::Write);
+    EXPECT_EQ(request.position, (HistoryPoint { Term(3), LogPosition(40) }));
+    withPosition.back() = "--position=3";
+    EXPECT_EQ(ProgramRunner().run(node.url(), withPosition).status, kExitUsage);
+}
+
 // Guards against a drain that goes to the wrong target.
 TEST(Drain, NamesTheUpstream)
 {
--- a/src/policy/even_choice.cpp
+++ b/src/policy/even_choice.cpp
@@ -85,12 +85,17 @@
     return std::max(others + figure.sentSince, figure.pending);
 }
 
-Duration believedAnswerTime(const LoadFigure &figure)
+Duration believedWait(const LoadFigure &figure)
 {
     const double ahead = std::max(0.0, believedOutstanding(figure) + 1 - figure.parallel);
-    const double answer = static_cast<double>(figure.reachTime.count())
-        + static_cast<double>(figure.serviceTime.count()) * (1 + ahead / figure.parallel);
-    return Duration(static_cast<std::int64_t>(answer * figure.cost));
+    const double wait = static_cast<double>(figure.serviceTime.count()) * ahead / figure.parallel;
+    return Duration(static_cast<std::int64_t>(wait));
+}
+
+Duration believedAnswerTime(const LoadFigure &figure)
+{
+    const Duration answer = figure.reachTime + figure.serviceTime + believedWait(figure);
+    return Duration(static_cast<std::int64_t>(static_cast<double>(answer.count()) * figure.cost));
 }
 
 std::vector<double> evenShares(std::span<const LoadFigure> figures)
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -12,6 +12,7 @@
 #include "pool_queue_log.h"
 #include "session.h"
 #include "shallotlever/base/clock.h"
+#include "upstream_loads.h"
 
 namespace shallotlever {
 
@@ -330,6 +331,12 @@
     m_impl->m_dispatcher->connectOwners();
 }
 
+std::variant<PlacementExplanation, Error>
+SessionProxy::explainPlacement(const PlacementQuestion &question, TimePoint now) const
+{
+    return shallotlever::explainPlacement(m_impl->m_state, *m_impl->m_dispatcher, question, now);
+}
+
 void SessionProxy::onPeerMessage(const PeerMessage &message, TimePoint now)
 {
     m_impl->m_dispatcher->onMessage(message, now);
--- a/src/proxy/session.cpp
+++ b/src/proxy/session.cpp
@@ -7,14 +7,12 @@
 #include <utility>
 
 #include "shallotlever/base/clock.h"
+#include "token_wait.h"
 
 namespace shallotlever {
 
 namespace {
 
-/// Maximum wait for a rate token while the team exceeds its rate, and while it does not.
-constexpr Duration kMaxOverRateWait = 150ms;
-constexpr Duration kMaxInsideRateWait = 1500ms;
 /// Timeout of a statement whose database is not in the configuration.
 constexpr Duration kDefaultStatementTimeout = 1800ms;
 
@@ -214,8 +212,7 @@
         return;
     }
     admission->second.bucket->countArrival();
-    const bool inside = admission->second.bucket->refusalClass(now) == RateRefusal::InsideRate;
-    m_execution->phaseDeadline = now + (inside ? kMaxInsideRateWait : kMaxOverRateWait);
+    m_execution->phaseDeadline = now + tokenWaitLimit(*admission->second.bucket, now);
     takeToken(now);
 }
 
@@ -257,7 +254,7 @@
     const auto next = bucket.timeUntilToken(now);
     const auto denied = bucket.deniedFor(now);
     const TimePoint limit = std::min(m_execution->phaseDeadline, m_execution->deadline);
-    if (now >= limit || (next && now + *next > limit) || (!next && denied)) {
+    if (tokenComesTooLate(bucket, now, limit)) {
         if (waited)
             bucket.endWait();
         m_execution->phase = Phase::AwaitingUpstream;
--- a/src/proxy/session_attempt.cpp
+++ b/src/proxy/session_attempt.cpp
@@ -5,6 +5,7 @@
 
 #include "session.h"
 #include "shallotlever/base/clock.h"
+#include "upstream_loads.h"
 
 namespace shallotlever {
 
@@ -19,9 +20,6 @@
 constexpr std::uint32_t kMaxReadAttempts = 3;
 /// Number of attempts after which a statement is refused that databases do not prepare.
 constexpr std::uint32_t kMaxPrepareAttempts = 3;
-/// Round trip assumed for a node to which none has been measured; that of another region, so that
-/// near databases are preferred.
-constexpr Duration kUnknownRoundTrip = 40ms;
 
 RetryReason retryReasonFor(UpstreamErrorKind kind)
 {
@@ -96,22 +94,8 @@
     const auto service = m_state.services.find(database().service);
     if (service == m_state.services.end())
         return std::nullopt;
-    std::vector<UpstreamLoad> loads;
-    for (const auto &[id, route] : service->second.routes) {
-        const auto owner = m_dispatcher.owner(route.info, m_execution->excludedOwners);
-        const bool isPrimary = service->second.primary == id;
-        if (owner == m_state.self && route.pool) {
-            loads.push_back(route.pool->loadFor(m_team));
-            loads.back().meanOutstanding = route.meanOutstanding;
-        } else if (!owner || owner == m_state.self) {
-            loads.push_back(remoteLoad(route, isPrimary, false, Duration(0), now));
-        } else {
-            loads.push_back(remoteLoad(route, isPrimary, true,
-                                       m_dispatcher.roundTrip(*owner).value_or(kUnknownRoundTrip),
-                                       now));
-        }
-        loads.back().avoidUntil = std::max(loads.back().avoidUntil, route.avoidLaggingUntil);
-    }
+    const std::vector<UpstreamLoad> loads = upstreamLoads(m_state, m_dispatcher, service->second,
+                                                          m_team, m_execution->excludedOwners, now);
     const auto candidates = weighUpstreams(loads, !needsPrimary(), m_execution->excluded, now);
     const PlacementCandidate *chosen = drawCandidate(candidates, service->second.chance.next());
     if (chosen == nullptr)
