--- a/src/operator/commands_test.cpp
+++ b/src/operator/commands_test.cpp
@@ -380,7 +380,7 @@
     ASSERT_EQ(result.status, kExitDone) << result.err;
     EXPECT_THAT(result.out, HasSubstr("next one to db2"));
     EXPECT_THAT(result.out, HasSubstr("not_live"));
-    const auto &request = std::get<ExplainPlacementRequest>(node.requests()[0]);
+    const auto request = std::get<ExplainPlacementRequest>(node.requests().at(0));
     EXPECT_EQ(request.team, TeamId("t"));
     EXPECT_EQ(request.mode, AccessMode::Write);
     EXPECT_EQ(request.position, (HistoryPoint { Term(3), LogPosition(40) }));
