--- a/src/config/apply.cpp
+++ b/src/config/apply.cpp
@@ -48,7 +48,7 @@
                             std::string &decisionText)
 {
     ClusterConfig &config = state.cluster.config;
-    if (change.basedOn != config.version) {
+    if (!isCurrent(config, change)) {
         const ChangeResult result = makeConflict(state, change);
         decisionText = absl::StrCat("refused: ", result.message);
         if (!result.winner.empty())
--- a/src/config/apply_test.cpp
+++ b/src/config/apply_test.cpp
@@ -60,6 +60,78 @@
     EXPECT_EQ(m_state.decisions.size(), kMaxDecisionRecords);
 }
 
+struct EvacuationStep
+{
+    bool inForce;
+    std::uint64_t basedOn;
+    ChangeOutcome outcome;
+};
+
+struct EvacuationCase
+{
+    const char *name;
+    std::vector<EvacuationStep> steps;
+    bool evacuated;
+};
+
+class EvacuationOrders : public testing::TestWithParam<EvacuationCase>
+{
+};
+
+constexpr auto kAccepted = ChangeOutcome::Accepted;
+constexpr auto kConflict = ChangeOutcome::Conflict;
+
+// Guards against an order that is refused because something else changed, and against one that was
+// delayed and undoes a later one.
+TEST_P(EvacuationOrders, TakeEffectInTheOrderInWhichTheyWereGiven)
+{
+    const DataCentreId c("c");
+    ReplicatedState state = initialState();
+    std::uint64_t index = 0;
+    const auto apply = [&](std::uint64_t basedOn, Change op) {
+        const ChangeId id(std::to_string(++index));
+        return applyCommand(state, OperatorChange { id, ConfigVersion(basedOn), std::move(op) },
+                            LogIndex(index), 0);
+    };
+    apply(0, putService("x"));
+    apply(1, PutEvacuation { DataCentreId("other") });
+    for (const EvacuationStep &step : GetParam().steps) {
+        const ChangeResult result = step.inForce ? apply(step.basedOn, PutEvacuation { c })
+                                                 : apply(step.basedOn, RemoveEvacuation { c });
+        EXPECT_EQ(result.outcome, step.outcome);
+    }
+    EXPECT_EQ(isEvacuated(state.cluster.config, c), GetParam().evacuated);
+    EXPECT_TRUE(isEvacuated(state.cluster.config, DataCentreId("other")));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Orders, EvacuationOrders,
+    testing::Values(
+        EvacuationCase { "OnAnOldVersion", { { true, 0, kAccepted } }, true },
+        EvacuationCase { "Resent", { { true, 2, kAccepted }, { true, 2, kAccepted } }, true },
+        EvacuationCase { "Ended", { { true, 2, kAccepted }, { false, 3, kAccepted } }, false },
+        EvacuationCase {
+            "EndResent",
+            { { true, 2, kAccepted }, { false, 3, kAccepted }, { false, 3, kAccepted } },
+            false },
+        EvacuationCase {
+            "DelayedOrderAfterItsEnd",
+            { { true, 2, kAccepted }, { false, 3, kAccepted }, { true, 2, kConflict } },
+            false },
+        EvacuationCase {
+            "OrderThatTheEndOvertook", { { false, 2, kAccepted }, { true, 2, kConflict } }, false },
+        EvacuationCase { "DelayedEndAfterTheNextOrder",
+                         { { true, 2, kAccepted },
+                           { false, 3, kAccepted },
+                           { true, 4, kAccepted },
+                           { false, 3, kConflict } },
+                         true },
+        EvacuationCase {
+            "DelayedEndAfterARepeatedOrder",
+            { { true, 2, kAccepted }, { true, 3, kAccepted }, { false, 3, kConflict } },
+            true }),
+    [](const auto &info) { return info.param.name; });
+
 struct InvalidCase
 {
     Change change;
@@ -114,7 +186,9 @@
                       "preset.max_attempts" },
         InvalidCase { PutPreset { { PresetId("p"), { .openRouteReserve = 1.5 } } },
                       "preset.open_route_reserve" },
-        InvalidCase { SetPreset { PresetId("none") }, "id" }));
+        InvalidCase { SetPreset { PresetId("none") }, "id" },
+        InvalidCase { PutEvacuation {}, "data_centre" },
+        InvalidCase { RemoveEvacuation { DataCentreId("a b") }, "data_centre" }));
 
 // The voting set must not change during a change of primary, and terms must not be reused.
 TEST_F(ApplyTest, VotingSetIsFixedDuringPrimaryChange)
@@ -214,11 +288,13 @@
 {
     apply(install(1, "first"));
     m_state.cluster.config.keys[KeyId("op")] = { KeyId("op"), KeyRole::Operator, {}, {}, {} };
+    change("evacuation", 1, PutEvacuation { DataCentreId("c") });
     ReplicatedState node = m_state;
     InstallConfig next = install(2, "second");
     next.content.teams[TeamId("t")] = { TeamId("t"), 10, 10, {} };
     next.content.databases[DatabaseName("d")].name = DatabaseName("d");
     apply(next);
+    EXPECT_TRUE(isEvacuated(m_state.cluster.config, DataCentreId("c")));
     const ConfigDifference added = configDifference(node.cluster.config, m_state.cluster.config);
     EXPECT_EQ(added.changed.keys.size(), 0U);
     applyCommand(node, added, LogIndex(9), 0);
--- a/src/config/changes.cpp
+++ b/src/config/changes.cpp
@@ -178,6 +178,26 @@
     return checkKnown("id", "preset", config.presets, op.id);
 }
 
+/// Orders about this many data centres are kept.
+constexpr std::size_t kMaxEvacuations = 256;
+
+absl::Status validateDataCentre(const ClusterConfig &config, const DataCentreId &dataCentre)
+{
+    if (!config.evacuations.contains(dataCentre) && config.evacuations.size() >= kMaxEvacuations)
+        return invalid("data_centre", "too many data centres were evacuated");
+    return checkId("data_centre", dataCentre.value());
+}
+
+absl::Status validate(const ClusterConfig &config, const PutEvacuation &op)
+{
+    return validateDataCentre(config, op.dataCentre);
+}
+
+absl::Status validate(const ClusterConfig &config, const RemoveEvacuation &op)
+{
+    return validateDataCentre(config, op.dataCentre);
+}
+
 std::string perform(ClusterConfig &config, const PutService &op)
 {
     config.services.insert_or_assign(op.service.id, op.service);
@@ -240,8 +260,38 @@
     return absl::StrCat("set preset \"", op.id.value(), "\"");
 }
 
+std::string perform(ClusterConfig &config, const PutEvacuation &op)
+{
+    config.evacuations[op.dataCentre] = { true, config.version.next() };
+    return absl::StrCat("data centre \"", op.dataCentre.value(), "\" is evacuated");
+}
+
+std::string perform(ClusterConfig &config, const RemoveEvacuation &op)
+{
+    config.evacuations[op.dataCentre] = { false, config.version.next() };
+    return absl::StrCat("data centre \"", op.dataCentre.value(), "\" is no longer evacuated");
+}
+
+/// Whether the last order about the data centre says the same or was known to the sender.
+bool isLatestOrder(const ClusterConfig &config, const DataCentreId &dataCentre, bool inForce,
+                   ConfigVersion basedOn)
+{
+    const auto last = config.evacuations.find(dataCentre);
+    return last == config.evacuations.end() || last->second.inForce == inForce
+        || basedOn >= last->second.orderedAt;
+}
+
 } // namespace
 
+bool isCurrent(const ClusterConfig &config, const OperatorChange &change)
+{
+    if (const auto *put = std::get_if<PutEvacuation>(&change.change))
+        return isLatestOrder(config, put->dataCentre, true, change.basedOn);
+    if (const auto *remove = std::get_if<RemoveEvacuation>(&change.change))
+        return isLatestOrder(config, remove->dataCentre, false, change.basedOn);
+    return change.basedOn == config.version;
+}
+
 absl::StatusOr<std::string> applyChange(ClusterConfig &config, const Change &change)
 {
     return std::visit(
--- a/src/config/codec_test.cpp
+++ b/src/config/codec_test.cpp
@@ -19,6 +19,8 @@
                                                      std::chrono::milliseconds(9) } },
                                         PutPreset { preset },
                                         SetPreset { PresetId("p") },
+                                        PutEvacuation { DataCentreId("c") },
+                                        RemoveEvacuation { DataCentreId("d") },
                                         WithdrawKey { KeyId("k") },
                                         RemoveRoute { RouteId("r") },
                                         RemoveTeam { TeamId("t") },
@@ -82,6 +84,7 @@
         EXPECT_EQ(direct, decoded) << index;
     }
     EXPECT_GE(direct.cluster.config.version, ConfigVersion(9));
+    EXPECT_EQ(direct.cluster.config.evacuations.size(), 2U);
     EXPECT_EQ(configDigest(direct.cluster.config), configDigest(decoded.cluster.config));
     EXPECT_NE(configDigest(direct.cluster.config), configDigest(initialState().cluster.config));
     EXPECT_EQ(*decodeConfig(encodeConfig(direct.cluster.config)), direct.cluster.config);
--- a/src/config/command_codec.cpp
+++ b/src/config/command_codec.cpp
@@ -40,6 +40,10 @@
         out.id = removeRoute->id.value();
     else if (const auto *setPreset = std::get_if<SetPreset>(&change))
         out.id = setPreset->id.value();
+    else if (const auto *putEvacuation = std::get_if<PutEvacuation>(&change))
+        out.id = putEvacuation->dataCentre.value();
+    else if (const auto *removeEvacuation = std::get_if<RemoveEvacuation>(&change))
+        out.id = removeEvacuation->dataCentre.value();
     return out;
 }
 
@@ -135,6 +139,10 @@
         return Change(RemoveRoute { RouteId(id) });
     case fbs::Operation::SetPreset:
         return Change(SetPreset { PresetId(id) });
+    case fbs::Operation::PutEvacuation:
+        return Change(PutEvacuation { DataCentreId(id) });
+    case fbs::Operation::RemoveEvacuation:
+        return Change(RemoveEvacuation { DataCentreId(id) });
     default:
         return decodeTableChange(change);
     }
--- a/src/config/config_codec.cpp
+++ b/src/config/config_codec.cpp
@@ -99,6 +99,36 @@
 
 } // namespace
 
+namespace {
+
+using Evacuations = flatbuffers::Vector<Offset<fbs::Evacuation>>;
+
+/// Absent if there are none, so that such a configuration has the encoding of earlier versions.
+Offset<Evacuations> encodeEvacuations(FlatBufferBuilder &fbb, const ClusterConfig &config)
+{
+    if (config.evacuations.empty())
+        return {};
+    std::vector<Offset<fbs::Evacuation>> offsets;
+    for (const auto &[dataCentre, order] : config.evacuations)
+        offsets.push_back(fbs::CreateEvacuation(fbb, fbb.CreateString(dataCentre.value()),
+                                                order.inForce, order.orderedAt.value()));
+    return fbb.CreateVector(offsets);
+}
+
+std::map<DataCentreId, EvacuationOrder> decodeEvacuations(const Evacuations *evacuations)
+{
+    std::map<DataCentreId, EvacuationOrder> out;
+    if (evacuations == nullptr)
+        return out;
+    for (const fbs::Evacuation *order : *evacuations)
+        out[DataCentreId(stringOrEmpty(order->data_centre()))] = {
+            order->in_force(), ConfigVersion(order->ordered_at())
+        };
+    return out;
+}
+
+} // namespace
+
 Offset<fbs::Config> encode(FlatBufferBuilder &fbb, const ClusterConfig &config)
 {
     const auto services = encodeValues<fbs::Service>(fbb, config.services);
@@ -109,8 +139,9 @@
     const auto active = fbb.CreateString(config.activePreset.value());
     const auto databases = encodeValues<fbs::Database>(fbb, config.databases);
     const auto installed = encode(fbb, config.installed);
+    const auto evacuations = encodeEvacuations(fbb, config);
     return fbs::CreateConfig(fbb, config.version.value(), services, teams, keys, routes, presets,
-                             active, databases, installed);
+                             active, databases, installed, evacuations);
 }
 
 Offset<fbs::ChangeResult> encode(FlatBufferBuilder &fbb, const ChangeResult &result)
@@ -268,6 +299,7 @@
         out.installed = decode(*config.installed());
     if (const absl::Status status = decodeDatabases(config, out.databases); !status.ok())
         return status;
+    out.evacuations = decodeEvacuations(config.evacuations());
     return out;
 }
 
--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -214,7 +214,8 @@
     controller.controlTerm = term;
     controller.electedAt = now;
     controller.random.seed(seed);
-    controller.registry = seedRegistry(localFleetLog.state, now);
+    controller.registry =
+        seedRegistry(localFleetLog.state, evacuatedDataCentres(replicated.cluster.config), now);
     seedMembers(controller.registry, replicated.cluster, now);
     controller.leases = makeLeaseTable(now);
     controller.fleetLog = localFleetLog;
@@ -336,6 +337,7 @@
     expireSlotLeases(controller.slots, now);
     expirePoolOwners(controller.poolOwnership, now);
     proposeRecords(controller, actions, now);
+    setEvacuated(controller.registry, evacuatedDataCentres(replicated.cluster.config));
     actions.upstreamStates = advanceRegistry(controller.registry, now);
     AnnouncedUpstreams announced = announcedUpstreams(controller.registry);
     for (const auto &[service, config] : replicated.cluster.config.services)
--- a/src/controller/group_control.cpp
+++ b/src/controller/group_control.cpp
@@ -103,6 +103,7 @@
         ConfirmedMember &member = input.members[id];
         member.state = entry.state;
         member.leaving = entry.announcement.leaving || entry.state == UpstreamState::Leaving;
+        member.evacuated = controller.registry.evacuated.contains(entry.announcement.dataCentre);
         member.incarnation = entry.announcement.lifetime;
         member.record = { entry.announcement.endpoint, entry.announcement.dataCentre,
                           entry.announcement.slots, entry.announcement.connectionLimit };
--- a/src/controller/group_control_test.cpp
+++ b/src/controller/group_control_test.cpp
@@ -155,5 +155,77 @@
                     .members.contains({ UpstreamId("db"), Incarnation(1) }));
 }
 
+/// A group with its primary in one data centre and a replica in another one.
+class EvacuatedPrimary : public ControllerStatuses
+{
+protected:
+    EvacuatedPrimary()
+    {
+        GroupState &group = m_state.cluster.groups[ServiceId("s")];
+        group.service = ServiceId("s");
+        group.term = group.reservedTerm = Term(1);
+        group.primary = UpstreamId("p");
+        group.primaryIncarnation = Incarnation(1);
+        m_controller = makeController(ControlTerm(2), m_state, FleetLog(), 1, kStart);
+    }
+
+    void hear(const char *upstream, const char *dataCentre, UpstreamRole role)
+    {
+        NodeReport next = report("a", 1, ++m_reports);
+        next.appliedFleet = m_controller.fleetLog.version;
+        HeardAnnouncement heard;
+        heard.announcement.upstream = UpstreamId(upstream);
+        heard.announcement.service = ServiceId("s");
+        heard.announcement.dataCentre = DataCentreId(dataCentre);
+        heard.announcement.endpoint = { upstream, 5432 };
+        heard.announcement.lifetime = Incarnation(1);
+        heard.announcement.role = role;
+        next.announcements.push_back(heard);
+        reportGetsLease(next);
+    }
+
+    /// Why the controller replaces the primary; None if it does not.
+    ChangeReason reasonAfter(Duration duration)
+    {
+        for (const TimePoint end = m_now + duration; m_now < end; m_now += 100ms) {
+            hear("p", "x", UpstreamRole::Primary);
+            hear("r", "y", UpstreamRole::Replica);
+            advanceController(m_controller, m_state, m_now);
+        }
+        const ConfirmedChange &change = m_controller.groups.at(ServiceId("s")).confirmed;
+        return change.phase == ConfirmedPhase::Idle ? ChangeReason::None : change.reason;
+    }
+
+    void evacuate(const char *dataCentre)
+    {
+        m_state.cluster.config.evacuations[DataCentreId(dataCentre)] = { true, ConfigVersion(1) };
+    }
+
+    UpstreamState publishedState(const char *upstream) const
+    {
+        const GroupView &view = m_controller.fleetLog.state.view.groups.at(ServiceId("s"));
+        return view.upstreams.at(UpstreamId(upstream)).state;
+    }
+};
+
+// Guards against an evacuation that leaves the primary in office.
+TEST_F(EvacuatedPrimary, IsReplacedAsOneThatLeaves)
+{
+    EXPECT_EQ(reasonAfter(5s), ChangeReason::None);
+    evacuate("x");
+    EXPECT_EQ(reasonAfter(1s), ChangeReason::Leaving);
+    EXPECT_EQ(publishedState("p"), UpstreamState::Leaving);
+    EXPECT_EQ(publishedState("r"), UpstreamState::Live);
+}
+
+// Guards against changes of primary back and forth between databases none of which may work.
+TEST_F(EvacuatedPrimary, StaysInOfficeIfEveryDatabaseIsEvacuated)
+{
+    evacuate("x");
+    evacuate("y");
+    EXPECT_EQ(reasonAfter(5s), ChangeReason::None);
+    EXPECT_EQ(publishedState("r"), UpstreamState::Leaving);
+}
+
 } // namespace
 } // namespace shallotlever
--- a/src/controller/view_recovery.cpp
+++ b/src/controller/view_recovery.cpp
@@ -28,7 +28,7 @@
 /// Adds the upstreams of the view. What upstreams have announced since the election stays.
 void addUpstreams(Registry &registry, const FleetState &state, TimePoint now)
 {
-    Registry seeds = seedRegistry(state, now);
+    Registry seeds = seedRegistry(state, registry.evacuated, now);
     for (auto &[id, entry] : seeds.entries) {
         const auto known = registry.entries.find(id);
         if (known != registry.entries.end() && !known->second.seeded)
--- a/src/edge/change_codec.cpp
+++ b/src/edge/change_codec.cpp
@@ -171,6 +171,8 @@
         { "put_preset",
           [](FieldReader &f) { return readPut<PutPreset, readPreset>(f, "preset"); } },
         { "set_preset", readById<SetPreset, PresetId> },
+        { "put_evacuation", readById<PutEvacuation, DataCentreId> },
+        { "remove_evacuation", readById<RemoveEvacuation, DataCentreId> },
     };
     return readers;
 }
@@ -232,6 +234,14 @@
     {
         return encodeOperation("set_preset", "id", toJsonValue(c.id));
     }
+    QJsonObject operator()(const PutEvacuation &c) const
+    {
+        return encodeOperation("put_evacuation", "id", toJsonValue(c.dataCentre));
+    }
+    QJsonObject operator()(const RemoveEvacuation &c) const
+    {
+        return encodeOperation("remove_evacuation", "id", toJsonValue(c.dataCentre));
+    }
 };
 
 } // namespace
--- a/src/edge/codec_test.cpp
+++ b/src/edge/codec_test.cpp
@@ -172,7 +172,8 @@
         R"({"op":"put_preset","preset":{"id":"p","policy":{"queue_limit_per_team":1,)"
         R"("rate_wait_ms":2,"catch_up_wait_ms":3,"retry_budget_ratio":0.5,"max_attempts":4,)"
         R"("default_deadline_ms":5,"open_route_reserve":0.25,"writes_allowed":false}}})",
-        R"({"op":"set_preset","id":"p"})"));
+        R"({"op":"set_preset","id":"p"})", R"({"op":"put_evacuation","id":"c"})",
+        R"({"op":"remove_evacuation","id":"c"})"));
 
 // Guards against parameters that are sent to the database in a format other than PostgreSQL text.
 TEST(Codec, ConvertsParametersToPostgresText)
--- a/src/fleet/confirmed_candidate.cpp
+++ b/src/fleet/confirmed_candidate.cpp
@@ -82,6 +82,7 @@
 struct CandidateRank
 {
     bool usable = false;
+    bool mayWork = false;
     /// The former primary is replaced for a reason.
     bool isReplica = false;
     friend auto operator<=>(const CandidateRank &, const CandidateRank &) = default;
@@ -185,7 +186,8 @@
         if (!isFenced(change, input, id, member) || !bound.isReachedBy(member.status->point)
             || change.refusedCandidates.contains({ id, member.incarnation }))
             continue;
-        const CandidateRank rank { isUsable(member), !isFormerPrimary(input, id) };
+        const CandidateRank rank { isUsable(member), !member.evacuated,
+                                   !isFormerPrimary(input, id) };
         if (!best || rank > bestRank) {
             best = id;
             bestRank = rank;
--- a/src/fleet/confirmed_candidate_test.cpp
+++ b/src/fleet/confirmed_candidate_test.cpp
@@ -34,6 +34,13 @@
     return m;
 }
 
+ConfirmedMember evacuated(std::uint64_t position)
+{
+    ConfirmedMember m = fenced(position, UpstreamState::Leaving, true);
+    m.evacuated = true;
+    return m;
+}
+
 ConfirmedMember silent()
 {
     ConfirmedMember m;
@@ -89,6 +96,20 @@
                         { { kPrimary, silent() }, { kA, fenced(9, kLive, true) } },
                         1,
                         kA },
+        CandidateCase { "EvacuatedOneIsTheLastChoice",
+                        { { kPrimary, evacuated(9) }, { kA, evacuated(9) }, { kB, fenced(9) } },
+                        1,
+                        kB },
+        CandidateCase { "LeavingOneBeforeAnEvacuatedOne",
+                        { { kPrimary, silent() },
+                          { kA, evacuated(9) },
+                          { kB, fenced(9, UpstreamState::Leaving, true) } },
+                        1,
+                        kB },
+        CandidateCase { "EvacuatedOneAloneHoldsAllCommits",
+                        { { kPrimary, silent() }, { kA, evacuated(9) }, { kB, fenced(7) } },
+                        1,
+                        kA },
         CandidateCase { "HolderIsUnfencedAndPrimaryFencedAtItsEnd",
                         { { kPrimary, fenced(9) }, { kA, fenced(7) }, { kB, silent() } },
                         1,
--- a/src/fleet/primary_change.cpp
+++ b/src/fleet/primary_change.cpp
@@ -338,6 +338,20 @@
     return "status";
 }
 
+namespace {
+
+/// Whether the primary's successor would leave as well, for example because the data centres of the
+/// whole group are evacuated.
+bool allLeave(const ChangeInput &input)
+{
+    return std::ranges::all_of(input.group.votingSet, [&input](const UpstreamId &member) {
+        const auto state = input.states.find(member);
+        return state != input.states.end() && state->second == UpstreamState::Leaving;
+    });
+}
+
+} // namespace
+
 ChangeReason changeDue(const ChangeInput &input)
 {
     const GroupState &group = input.group;
@@ -354,7 +368,7 @@
     const bool silent = state == input.states.end() || state->second == UpstreamState::Suspected;
     if (silent && input.registryComplete)
         return ChangeReason::Suspected;
-    if (!silent && state->second == UpstreamState::Leaving)
+    if (!silent && state->second == UpstreamState::Leaving && !allLeave(input))
         return ChangeReason::Leaving;
     if (input.operatorRequest)
         return ChangeReason::Operator;
--- a/src/fleet/registry.cpp
+++ b/src/fleet/registry.cpp
@@ -103,7 +103,8 @@
                       const std::set<NodeId> &broken, TimePoint now)
 {
     const UpstreamId &id = entry.announcement.upstream;
-    if (entry.announcement.leaving || registry.drained.contains(id))
+    if (entry.announcement.leaving || registry.drained.contains(id)
+        || registry.evacuated.contains(entry.announcement.dataCentre))
         return UpstreamState::Leaving;
     if (entry.replaced)
         return UpstreamState::Suspected;
@@ -285,15 +286,17 @@
 
 } // namespace
 
-Registry seedRegistry(const FleetState &state, TimePoint now)
+Registry seedRegistry(const FleetState &state, const std::set<DataCentreId> &evacuated,
+                      TimePoint now)
 {
     Registry registry;
     registry.drained = state.drained;
+    registry.evacuated = evacuated;
     for (const auto &[service, group] : state.view.groups) {
         for (const auto &[id, info] : group.upstreams) {
             RegistryEntry entry = seededEntry(info, now);
-            entry.announcement.leaving =
-                info.state == UpstreamState::Leaving && !state.drained.contains(id);
+            entry.announcement.leaving = info.state == UpstreamState::Leaving
+                && !state.drained.contains(id) && !registry.evacuated.contains(info.dataCentre);
             registry.entries.emplace(id, std::move(entry));
         }
     }
@@ -360,6 +363,14 @@
     registry.revision += changed ? 1 : 0;
 }
 
+void setEvacuated(Registry &registry, std::set<DataCentreId> evacuated)
+{
+    if (evacuated == registry.evacuated)
+        return;
+    registry.evacuated = std::move(evacuated);
+    ++registry.revision;
+}
+
 bool observedDown(const Registry &registry, const UpstreamId &upstream, TimePoint now)
 {
     return isDown(registry, upstream, nodesWithBrokenLinks(registry, now), now);
--- a/src/fleet/registry_test.cpp
+++ b/src/fleet/registry_test.cpp
@@ -113,13 +113,34 @@
     EXPECT_EQ(stateAfter(registry, TimePoint(100s)), UpstreamState::Leaving);
     ClusterState cluster;
     cluster.config.services[ServiceId("s")] = {};
-    Registry next = seedRegistry(makeFleetState(registry, cluster), TimePoint(101s));
+    Registry next = seedRegistry(makeFleetState(registry, cluster), {}, TimePoint(101s));
     applyAnnouncement(next, heard(), TimePoint(101s), TimePoint(101s));
     EXPECT_EQ(stateAfter(next, TimePoint(101s)), UpstreamState::Leaving);
     setDrained(next, kDb, false);
     EXPECT_EQ(stateAfter(next, TimePoint(101s)), UpstreamState::Live);
 }
 
+// Guards against work for a database that announces itself to a later controller, and against one
+// that stays without work when the evacuation has ended.
+TEST(Registry, DatabasesOfAnEvacuatedDataCentreLeaveAndReturn)
+{
+    const DataCentreId evacuated("c");
+    HeardAnnouncement inside = heard();
+    inside.announcement.dataCentre = evacuated;
+    Registry registry;
+    setEvacuated(registry, { evacuated });
+    applyAnnouncement(registry, inside, TimePoint(100s), TimePoint(100s));
+    EXPECT_EQ(stateAfter(registry, TimePoint(100s)), UpstreamState::Leaving);
+    ClusterState cluster;
+    cluster.config.services[ServiceId("s")] = {};
+    Registry next = seedRegistry(makeFleetState(registry, cluster), { evacuated }, TimePoint(101s));
+    EXPECT_EQ(stateAfter(next, TimePoint(101s)), UpstreamState::Leaving);
+    const std::uint64_t revision = next.revision;
+    setEvacuated(next, {});
+    EXPECT_GT(next.revision, revision);
+    EXPECT_EQ(stateAfter(next, TimePoint(101s)), UpstreamState::Live);
+}
+
 TEST(Registry, SecondEndpointIsRejectedUntilLeaseExpires)
 {
     Registry registry;
--- a/src/include/shallotlever/fleet/confirmed_change.h
+++ b/src/include/shallotlever/fleet/confirmed_change.h
@@ -46,6 +46,8 @@
 {
     UpstreamState state = UpstreamState::Live;
     bool leaving = false;
+    /// Its data centre is evacuated.
+    bool evacuated = false;
     Incarnation incarnation;
     MemberRecord record;
     UpstreamRole announcedRole = UpstreamRole::Replica;
@@ -151,7 +153,8 @@
 /// In both cases the candidate's log is as long as that of each fenced replica, whether or not that
 /// replica can be promoted. Commits that only the former primary holds were not acknowledged.
 /// Among the databases that qualify, one that is neither suspected nor leaving is preferred, then
-/// one that is not the former primary. One that was refused lately is not chosen.
+/// one whose data centre is not evacuated, then one that is not the former primary. One that was
+/// refused lately is not chosen.
 /// A recorded process counts as unfenced until it is heard: a later process under its id holds
 /// nothing of what it confirmed.
 std::optional<UpstreamId> chooseConfirmedCandidate(const ConfirmedChange &change,
--- a/src/include/shallotlever/fleet/registry.h
+++ b/src/include/shallotlever/fleet/registry.h
@@ -68,6 +68,9 @@
     /// Index of `observers`: nodes that fail to reach an upstream.
     std::map<UpstreamId, std::set<NodeId>> failedBy;
     std::set<UpstreamId> drained;
+    /// Data centres whose upstreams are treated as drained, also those that announce themselves
+    /// later.
+    std::set<DataCentreId> evacuated;
     /// Last lifetime of upstreams that sent a final announcement. Delayed announcements of this or
     /// an earlier lifetime are ignored.
     std::map<UpstreamId, Incarnation> endedLifetimes;
@@ -86,7 +89,10 @@
 
 /// Returns the initial registry of a new controller, taken from the fleet view of its own node so
 /// that it never publishes an empty fleet. Each upstream receives a lease that starts at `now`.
-Registry seedRegistry(const FleetState &state, TimePoint now);
+/// The upstreams of `evacuated` data centres are Leaving for that reason; whether they have
+/// announced that they leave is not known.
+Registry seedRegistry(const FleetState &state, const std::set<DataCentreId> &evacuated,
+                      TimePoint now);
 
 AnnouncementVerdict applyAnnouncement(Registry &registry, const HeardAnnouncement &heard,
                                       TimePoint receivedAt, TimePoint now);
@@ -104,6 +110,7 @@
 ReportResult applyReport(Registry &registry, const NodeReport &report, TimePoint now);
 
 void setDrained(Registry &registry, const UpstreamId &upstream, bool drained);
+void setEvacuated(Registry &registry, std::set<DataCentreId> evacuated);
 
 /// Returns whether enough observers fail to reach the upstream to consider it down.
 ///
--- a/src/include/shallotlever/node/node.h
+++ b/src/include/shallotlever/node/node.h
@@ -32,6 +32,11 @@
     /// Forwards the request to the controller; the callback is called once.
     void install(const InstallRequest &request, EdgeResponder callback);
     void readInstalled(EdgeResponder callback);
+    /// Orders that nothing more is sent to the databases of the data centre, or ends that. The
+    /// callback is called once: with ChangeResponse once the order is committed, with the error
+    /// InvalidChange if the settings do not list the data centre, and with another error while it
+    /// is not known whether the order is committed or this node has no lease.
+    void evacuate(const DataCentreId &dataCentre, bool inForce, EdgeResponder callback);
     /// Accepts an upstream's announcement. Returns false if this node has no lease, because it may
     /// then be unable to pass the announcement on to the controller.
     bool announce(const Announcement &announcement);
--- a/src/include/shallotlever/settings/node_settings.h
+++ b/src/include/shallotlever/settings/node_settings.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <iosfwd>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -77,6 +78,9 @@
     NodeId nodeId;
     DataCentreId dataCentre;
     RegionId region;
+    /// All data centres of the deployment; empty if they are not known. Orders about others are
+    /// refused.
+    std::set<DataCentreId> dataCentres;
     /// HTTP listener for callers and operators.
     SocketAddress listen;
     SocketAddress peerListen;
--- a/src/include/shallotlever/types/config.h
+++ b/src/include/shallotlever/types/config.h
@@ -142,6 +142,18 @@
     friend bool operator==(const PresetConfig &, const PresetConfig &) = default;
 };
 
+/// The last order of an operator about one data centre. An order that is withdrawn is kept, so that
+/// one that was given before the withdrawal and arrives after it is recognised.
+struct EvacuationOrder
+{
+    /// The databases of the data centre get no work, and none of them is primary while another may
+    /// be.
+    bool inForce = false;
+    /// Version of the configuration that the order created.
+    ConfigVersion orderedAt;
+    friend bool operator==(const EvacuationOrder &, const EvacuationOrder &) = default;
+};
+
 /// The configuration set by operators. `version` increases by one with each accepted change.
 struct ClusterConfig
 {
@@ -155,9 +167,27 @@
     /// Always contains "ordinary", "peak" and "maintenance".
     std::map<PresetId, PresetConfig> presets;
     PresetId activePreset;
+    /// Installing a configuration keeps them.
+    std::map<DataCentreId, EvacuationOrder> evacuations;
     friend bool operator==(const ClusterConfig &, const ClusterConfig &) = default;
 };
 
+inline bool isEvacuated(const ClusterConfig &config, const DataCentreId &dataCentre)
+{
+    const auto order = config.evacuations.find(dataCentre);
+    return order != config.evacuations.end() && order->second.inForce;
+}
+
+inline std::set<DataCentreId> evacuatedDataCentres(const ClusterConfig &config)
+{
+    std::set<DataCentreId> evacuated;
+    for (const auto &[dataCentre, order] : config.evacuations) {
+        if (order.inForce)
+            evacuated.insert(dataCentre);
+    }
+    return evacuated;
+}
+
 /// What is recorded about a member of a group whose databases confirm commits themselves.
 struct MemberRecord
 {
@@ -229,15 +259,26 @@
 {
     PresetId id;
 };
+struct PutEvacuation
+{
+    DataCentreId dataCentre;
+};
+struct RemoveEvacuation
+{
+    DataCentreId dataCentre;
+};
 
-using Change = std::variant<PutService, RemoveService, PutTeam, RemoveTeam, AddKey, WithdrawKey,
-                            PutRoute, RemoveRoute, PutPreset, SetPreset>;
+using Change =
+    std::variant<PutService, RemoveService, PutTeam, RemoveTeam, AddKey, WithdrawKey, PutRoute,
+                 RemoveRoute, PutPreset, SetPreset, PutEvacuation, RemoveEvacuation>;
 
 /// A change as an operator sends it.
 struct OperatorChange
 {
     ChangeId id;
-    /// The change is accepted only if this is the current version when the change is applied.
+    /// The change is accepted only if this is the current version when the change is applied. An
+    /// evacuation and its end are accepted on every version that is not older than the last
+    /// opposite order about the data centre.
     ConfigVersion basedOn;
     Change change;
 };
--- a/src/node/node_impl.h
+++ b/src/node/node_impl.h
@@ -45,6 +45,15 @@
     bool ready() const;
     void forwardRequest(const OperatorRequest &request, EdgeResponder respond, TimePoint now);
     bool acceptAnnouncement(const Announcement &announcement);
+    /// An operator's order about one data centre that arrived at this node.
+    struct EvacuationRequest
+    {
+        DataCentreId dataCentre;
+        bool inForce = false;
+        TimePoint arrivedAt;
+        EdgeResponder respond;
+    };
+    void evacuate(const EvacuationRequest &request, TimePoint now);
     void noteRefusal(ErrorKind kind, std::string_view subject, const std::string &reason);
 
 private:
@@ -125,6 +134,8 @@
     void updateRelay(TimePoint now);
 
     // Requests of operators and upstreams.
+    void orderEvacuation(const EvacuationRequest &request, ConfigVersion basedOn, TimePoint now);
+    void onEvacuationOrdered(const EvacuationRequest &request, const EdgeResponse &answer);
     void handleControl(EdgeRequest request, EdgeResponder respond);
     void announce(const AnnounceRequest &request, const EdgeResponder &respond);
     // Control members that are discovered instead of configured.
@@ -168,6 +179,7 @@
     /// Last controller that this relay named to each of its nodes.
     std::map<NodeId, NodeId> m_lastControllerHints;
     Counter &m_relayedReports;
+    Gauge &m_evacuatedDataCentres;
     Counter &m_wakeups;
     Counter &m_ticks;
     std::map<TeamId, std::shared_ptr<TokenBucket>> m_buckets;
@@ -177,6 +189,7 @@
     std::map<UpstreamId, std::pair<Announcement, TimePoint>> m_announcements;
     std::map<std::uint64_t, ForwardedRequest> m_forwarded;
     std::uint64_t m_lastForwardId = 0;
+    std::uint64_t m_lastEvacuationOrder = 0;
     PendingTokenRequests m_pendingTokenRequests;
     /// Controller to which the pending token requests were sent.
     NodeId m_tokenController;
--- a/src/node/node_publish.cpp
+++ b/src/node/node_publish.cpp
@@ -96,6 +96,7 @@
     if (preset != config.presets.end())
         snapshot->policy = preset->second.policy;
     m_shared.snapshot.publish(std::move(snapshot));
+    m_evacuatedDataCentres.set(static_cast<std::int64_t>(evacuatedDataCentres(config).size()));
     if (m_sessions)
         m_sessions->applyConfig(config, m_buckets);
 }
--- a/src/node/node_start.cpp
+++ b/src/node/node_start.cpp
@@ -53,6 +53,8 @@
     , m_shared(std::make_unique<NodeSnapshot>())
     , m_relayedReports(m_registry.counter("shallotlever_relayed_reports_total",
                                           "Reports of other nodes taken by this relay."))
+    , m_evacuatedDataCentres(m_registry.gauge("shallotlever_evacuated_data_centres",
+                                              "Data centres that are evacuated."))
     , m_wakeups(m_registry.counter("shallotlever_control_thread_wakeups_total",
                                    "Times that the control thread waited for events or timers."))
     , m_ticks(m_registry.counter("shallotlever_control_thread_ticks_total",
@@ -338,6 +340,12 @@
     m_impl->forwardRequest(ReadInstalledRequest {}, std::move(callback), monotonicNow());
 }
 
+void Node::evacuate(const DataCentreId &dataCentre, bool inForce, EdgeResponder callback)
+{
+    const TimePoint now = monotonicNow();
+    m_impl->evacuate({ dataCentre, inForce, now, std::move(callback) }, now);
+}
+
 bool Node::announce(const Announcement &announcement)
 {
     return m_impl->acceptAnnouncement(announcement);
--- a/src/node/status_document.cpp
+++ b/src/node/status_document.cpp
@@ -37,6 +37,9 @@
 
 QJsonObject configObject(const ClusterConfig &config)
 {
+    QJsonArray evacuated;
+    for (const DataCentreId &dataCentre : evacuatedDataCentres(config))
+        evacuated.append(text(dataCentre));
     return {
         { "version", number(config.version) },
         { "active_preset", text(config.activePreset) },
@@ -48,6 +51,7 @@
           encodeAll(config.keys, [](const KeyConfig &key) { return encodeKey(key, false); }) },
         { "routes", encodeAll(config.routes, encodeRoute) },
         { "presets", encodeAll(config.presets, encodePreset) },
+        { "evacuated_data_centres", evacuated },
     };
 }
 
--- a/src/operator/change_readers.cpp
+++ b/src/operator/change_readers.cpp
@@ -123,6 +123,14 @@
     return SetPreset { PresetId(arguments.id("PRESET")) };
 }
 
+Change readEvacuation(ArgumentReader &arguments, const QJsonObject & /*configuration*/)
+{
+    const DataCentreId dataCentre(arguments.id("DATACENTRE"));
+    if (arguments.isSet("--end"))
+        return RemoveEvacuation { dataCentre };
+    return PutEvacuation { dataCentre };
+}
+
 KeyConfig readNewKey(ArgumentReader &arguments)
 {
     KeyConfig key;
--- a/src/operator/change_readers.h
+++ b/src/operator/change_readers.h
@@ -18,6 +18,8 @@
 /// Fields that are not given keep their value in `configuration`.
 Change readPresetPut(ArgumentReader &arguments, const QJsonObject &configuration);
 Change readPresetSet(ArgumentReader &arguments, const QJsonObject &configuration);
+/// `--end` ends the evacuation.
+Change readEvacuation(ArgumentReader &arguments, const QJsonObject &configuration);
 
 /// A key of the role, team and service that the arguments name, without id and hash.
 KeyConfig readNewKey(ArgumentReader &arguments);
--- a/src/operator/commands_test.cpp
+++ b/src/operator/commands_test.cpp
@@ -79,6 +79,8 @@
       R"({"op":"put_route","route":{"id":"r","max_staleness_ms":50,"service":"s","sql":"SELECT 1"}})" },
     { "RouteRemove", { "route", "remove", "r" }, R"({"id":"r","op":"remove_route"})" },
     { "PresetSet", { "preset", "set", "peak" }, R"({"id":"peak","op":"set_preset"})" },
+    { "Evacuate", { "evacuate", "c" }, R"({"id":"c","op":"put_evacuation"})" },
+    { "EvacuateEnd", { "evacuate", "c", "--end" }, R"({"id":"c","op":"remove_evacuation"})" },
     { "PresetPutKeepsOtherFields",
       { "preset", "put", "mine", "--writes-allowed=no" },
       R"({"op":"put_preset","preset":{"id":"mine","policy":{"catch_up_wait_ms":5,)"
--- a/src/operator/query_commands.cpp
+++ b/src/operator/query_commands.cpp
@@ -159,7 +159,11 @@
                 << "control group: leader " << cellText(control, "leader") << ", term "
                 << cellText(control, "term") << ", commit index "
                 << cellText(control, "commit_index") << ", voters " << cellText(control, "voters")
-                << "\n\n"
+                << "\n";
+    if (!configuration.value(QLatin1String("evacuated_data_centres")).toArray().isEmpty())
+        context.out << "evacuated data centres: "
+                    << cellText(configuration, "evacuated_data_centres") << "\n";
+    context.out << "\n"
                 << tableOf(status.value(QLatin1String("nodes")).toArray(),
                            { { "NODE", "id" }, { "APPLIED VERSION", "applied_version" } })
                 << "\n"
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -293,6 +293,7 @@
     if (config.installed.number != state.config.installed.number)
         m_impl->logUnusableNames(config);
     state.config = config;
+    state.applyEvacuations(monotonicNow());
     state.teamsByKey.clear();
     for (const auto &[id, key] : config.keys) {
         if (key.role == KeyRole::Caller)
--- a/src/proxy/proxy_state.cpp
+++ b/src/proxy/proxy_state.cpp
@@ -31,6 +31,28 @@
         recordPosition(databases->second.positions, point, requestedAt);
 }
 
+void ProxyState::applyEvacuations(TimePoint now)
+{
+    const std::set<DataCentreId> evacuated = evacuatedDataCentres(config);
+    std::erase_if(evacuatedSince,
+                  [&](const auto &entry) { return !evacuated.contains(entry.first); });
+    for (const DataCentreId &dataCentre : evacuated)
+        evacuatedSince.try_emplace(dataCentre, now);
+}
+
+TimePoint ProxyState::transactionEnd(const UpstreamInfo &info) const
+{
+    const auto since = evacuatedSince.find(info.dataCentre);
+    return since == evacuatedSince.end() ? kNever : since->second + kEvacuationGrace;
+}
+
+bool ProxyState::onlyEvacuated(const ServiceDatabases &databases) const
+{
+    return !databases.routes.empty()
+        && std::all_of(databases.routes.begin(), databases.routes.end(),
+                       [this](const auto &route) { return isEvacuated(route.second.info); });
+}
+
 TimePoint ProxyState::nextPoolTick(TimePoint now) const
 {
     TimePoint due = kNever;
--- a/src/proxy/proxy_state.h
+++ b/src/proxy/proxy_state.h
@@ -68,6 +68,10 @@
 constexpr Duration kStartupLeaseWait = 6s;
 constexpr Duration kLeaseRenewalWait = 1500ms;
 
+/// An open transaction on a database whose data centre is evacuated may go on for this long after
+/// the node has heard of the evacuation.
+constexpr Duration kEvacuationGrace = 2s;
+
 /// State shared by the sessions of a node. Owned by the proxy; not thread-safe.
 struct ProxyState
 {
@@ -77,6 +81,8 @@
     LatencyHistogram *responseTime = nullptr;
     Counter *refusedByDatabase = nullptr;
     ClusterConfig config;
+    /// When this node heard that a data centre is evacuated.
+    std::map<DataCentreId, TimePoint> evacuatedSince;
     std::map<KeyHash, TeamId> teamsByKey;
     std::map<TeamId, TeamAdmission> teams;
     std::map<ServiceId, ServiceDatabases> services;
@@ -104,6 +110,17 @@
     }
     /// Whether the freshness lease is valid.
     bool fresh(TimePoint now) const { return now < freshUntil; }
+    /// Takes over the configuration's evacuated data centres.
+    void applyEvacuations(TimePoint now);
+    bool isEvacuated(const UpstreamInfo &info) const
+    {
+        return evacuatedSince.contains(info.dataCentre);
+    }
+    /// When an open transaction on the database is ended although it is used; kNever if it may go
+    /// on.
+    TimePoint transactionEnd(const UpstreamInfo &info) const;
+    /// Whether the service has databases and all of them are evacuated.
+    bool onlyEvacuated(const ServiceDatabases &databases) const;
     /// Records the end of a database's log, returned in answer to a request sent at `requestedAt`.
     /// It bounds the staleness of reads only if the database is the known primary and the freshness
     /// lease covers that time.
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -91,6 +91,7 @@
     bool needsPrimary() const;
     void startAttempt(TimePoint now);
     std::optional<UpstreamId> selectDatabase(TimePoint now) const;
+    bool onlyEvacuated() const;
     StatementRequest makeRequest(TimePoint now) const;
     void onReply(const StatementReply &reply);
     void onSuccess(const StatementReply &reply, TimePoint now);
--- a/src/proxy/session_attempt.cpp
+++ b/src/proxy/session_attempt.cpp
@@ -127,11 +127,21 @@
             loads.push_back(remoteLoad(route, isPrimary, true,
                                        m_dispatcher.roundTrip(*owner).value_or(kUnknownRoundTrip),
                                        now));
+        // A new configuration may arrive before the view that follows from it.
+        if (m_state.isEvacuated(route.info))
+            loads.back().state = UpstreamState::Leaving;
         loads.back().avoidUntil = std::max(loads.back().avoidUntil, route.avoidLaggingUntil);
     }
     return selectUpstream(loads, !needsPrimary(), m_execution->excluded, now);
 }
 
+/// Whether nothing can run the statement until an operator ends an evacuation.
+bool CallerSession::onlyEvacuated() const
+{
+    const auto service = m_state.services.find(database().service);
+    return service != m_state.services.end() && m_state.onlyEvacuated(service->second);
+}
+
 /// Sends the statement to the owner of a database. A transaction stays where it was begun.
 void CallerSession::startAttempt(TimePoint now)
 {
@@ -146,6 +156,11 @@
     }
     const bool begun = m_transaction && m_transaction->hasExecuted;
     const std::optional<UpstreamId> target = begun ? m_transaction->upstream : selectDatabase(now);
+    if (!target && onlyEvacuated()) {
+        execution.lastFailure = ErrorKind::NoUpstream;
+        giveUp(now);
+        return;
+    }
     if (!target) {
         execution.phase = Phase::AwaitingUpstream;
         execution.retryAt = now + kRetryBackoff;
--- a/src/proxy/statement_runner.cpp
+++ b/src/proxy/statement_runner.cpp
@@ -43,6 +43,10 @@
     , m_prepareFailures(state.metrics->registry().counter(
           "shallotlever_prepare_failures_total",
           "Statements that a database did not prepare on a connection."))
+    , m_evacuatedTransactions(state.metrics->registry().counter(
+          "shallotlever_evacuated_transactions_total",
+          "Open transactions that this node ended because the database's data centre is "
+          "evacuated."))
 {
     for (const RetryReasonRow &row : retryReasonTable())
         m_returned.push_back(
@@ -88,7 +92,12 @@
     const auto service = m_state.services.find(execution.request.service);
     if (!execution.request.primaryOnly && service != m_state.services.end())
         service->second.replicaReadAt = now;
-    const auto open = m_transactions.find(transactionKey(execution));
+    auto open = m_transactions.find(transactionKey(execution));
+    // A caller that is never silent at a tick must not keep its transaction either.
+    if (open != m_transactions.end() && mustEnd(open->second, now)) {
+        endEvacuated(open, now);
+        open = m_transactions.end();
+    }
     if (execution.request.transaction != 0 && open != m_transactions.end()) {
         open->second.running = true;
         execution.pool = open->second.pool;
@@ -114,7 +123,7 @@
     if (!m_state.fresh(now) || !execution.pool || execution.pool->load().leasedConnections == 0)
         return RetryReason::OwnerUnavailable;
     const UpstreamLoad &load = execution.pool->load();
-    if (load.state == UpstreamState::Leaving)
+    if (load.state == UpstreamState::Leaving || m_state.isEvacuated(execution.pool->info()))
         return RetryReason::UpstreamLeaving;
     if (!load.reachable)
         return RetryReason::ConnectFailed;
@@ -183,7 +192,7 @@
         if (reply.state == TransactionState::None)
             execution->pool->release(execution->link, now);
         else
-            execution->pool->rollBack(execution->link, now);
+            rollBackOrClose(*execution->pool, execution->link, now);
     } else if (reply.state != TransactionState::Open) {
         // The transaction has ended, and what follows would not run in one.
         onLost(*execution, RetryReason::ReadConnectionLost, now);
@@ -273,7 +282,7 @@
     if (open != m_transactions.end())
         m_transactions.erase(open);
     if (begun || state != TransactionState::None)
-        execution.pool->rollBack(link, now);
+        rollBackOrClose(*execution.pool, link, now);
     else if (link->link->pending() == 0)
         execution.pool->release(link, now);
     else
@@ -284,7 +293,7 @@
 {
     const Transaction transaction = std::move(entry->second);
     m_transactions.erase(entry);
-    transaction.pool->rollBack(transaction.link, now);
+    rollBackOrClose(*transaction.pool, transaction.link, now);
 }
 
 void StatementRunner::onTransactionConnectionLost(const TransactionKey &key)
@@ -383,6 +392,11 @@
         if (Execution *execution = find(id))
             onTimeout(*execution, now);
     }
+    for (auto entry = m_transactions.begin(); entry != m_transactions.end();) {
+        const auto current = entry++;
+        if (mustEnd(current->second, now))
+            endEvacuated(current, now);
+    }
     const Duration idleLimit = m_state.config.installed.transactionIdleLimit;
     if (idleLimit.count() == 0)
         return;
@@ -394,11 +408,38 @@
     }
 }
 
+/// Whether the transaction is idle and its database's data centre was evacuated some time ago.
+bool StatementRunner::mustEnd(const Transaction &transaction, TimePoint now) const
+{
+    return !transaction.running && now >= m_state.transactionEnd(transaction.pool->info());
+}
+
+void StatementRunner::endEvacuated(std::map<TransactionKey, Transaction>::iterator entry,
+                                   TimePoint now)
+{
+    m_evacuatedTransactions.increment();
+    rollBack(entry, now);
+}
+
+/// Closes the connection if the database's data centre is evacuated, which ends the transaction as
+/// well: a rollback would be one more statement there.
+void StatementRunner::rollBackOrClose(UpstreamPool &pool, PooledLink *link, TimePoint now) const
+{
+    if (m_state.isEvacuated(pool.info()))
+        pool.discard(link, now);
+    else
+        pool.rollBack(link, now);
+}
+
 TimePoint StatementRunner::nextTick() const
 {
     TimePoint due = kNever;
     for (const Execution &execution : m_statements)
         due = std::min({ due, execution.deadline, execution.phaseDeadline });
+    for (const auto &[key, transaction] : m_transactions) {
+        if (!transaction.running)
+            due = std::min(due, m_state.transactionEnd(transaction.pool->info()));
+    }
     const Duration idleLimit = m_state.config.installed.transactionIdleLimit;
     if (idleLimit.count() == 0)
         return due;
--- a/src/proxy/statement_runner.h
+++ b/src/proxy/statement_runner.h
@@ -128,6 +128,9 @@
     void discardLink(Execution &execution, TimePoint now);
     void onTransactionConnectionLost(const TransactionKey &key);
     void keepTransactionOpen(Execution &execution, TimePoint now);
+    bool mustEnd(const Transaction &transaction, TimePoint now) const;
+    void endEvacuated(std::map<TransactionKey, Transaction>::iterator entry, TimePoint now);
+    void rollBackOrClose(UpstreamPool &pool, PooledLink *link, TimePoint now) const;
     void rollBack(std::map<TransactionKey, Transaction>::iterator entry, TimePoint now);
     void finish(Execution &execution, StatementReply reply);
     void notRun(Execution &execution, RetryReason reason, TimePoint now);
@@ -139,6 +142,7 @@
     /// Statements returned unrun, by RetryReason.
     std::vector<Counter *> m_returned;
     Counter &m_prepareFailures;
+    Counter &m_evacuatedTransactions;
 };
 
 } // namespace shallotlever
--- a/src/proxy/statement_setup.cpp
+++ b/src/proxy/statement_setup.cpp
@@ -159,16 +159,18 @@
     send(*execution, now);
 }
 
-/// Checks the lease and the primary again, because they may have changed during the wait for the
-/// connection, and sends the statement.
+/// Checks the lease, the primary and the evacuations again, because they may have changed during
+/// the wait for the connection, and sends the statement.
 void StatementRunner::send(Execution &execution, TimePoint now)
 {
     const bool continues = execution.request.transactionBegun;
     const bool primaryNeeded = execution.request.primaryOnly || !execution.minPosition;
     const bool primaryLost = !continues && primaryNeeded && !isPrimary(execution);
-    if (!m_state.fresh(now) || primaryLost) {
-        const RetryReason reason =
-            primaryLost ? RetryReason::NotPrimary : RetryReason::OwnerUnavailable;
+    const bool evacuated = !continues && m_state.isEvacuated(execution.pool->info());
+    if (!m_state.fresh(now) || primaryLost || evacuated) {
+        const RetryReason reason = evacuated ? RetryReason::UpstreamLeaving
+            : primaryLost                    ? RetryReason::NotPrimary
+                                             : RetryReason::OwnerUnavailable;
         rollBackLink(execution, TransactionState::None, now);
         notRun(execution, reason, now);
         return;
--- a/src/settings/node_settings.cpp
+++ b/src/settings/node_settings.cpp
@@ -79,6 +79,7 @@
     SocketAddress address(const std::string &flag);
     std::optional<SocketAddress> optionalAddress(const std::string &flag);
     std::vector<ControlPeer> seeds(std::uint16_t peerPort);
+    std::set<DataCentreId> dataCentres();
     std::vector<ControlPeer> peers(const std::string &flag, const std::string &value);
     std::int64_t number(const std::string &flag, std::int64_t defaultValue, std::int64_t min,
                         std::int64_t max);
@@ -153,6 +154,21 @@
     return members;
 }
 
+std::set<DataCentreId> SettingsReader::dataCentres()
+{
+    const std::string flag = "--data-centres";
+    const std::string value = optional(flag).value_or("");
+    std::set<DataCentreId> names;
+    for (std::size_t start = 0; !value.empty() && start <= value.size();) {
+        const std::size_t comma = std::min(value.find(',', start), value.size());
+        const std::string entry = value.substr(start, comma - start);
+        start = comma + 1;
+        if (entry.empty() || !names.insert(DataCentreId(entry)).second)
+            addError(flag, fmt::format("'{}' is empty or repeated", entry));
+    }
+    return names;
+}
+
 std::vector<ControlPeer> SettingsReader::peers(const std::string &flag, const std::string &value)
 {
     std::vector<ControlPeer> members;
@@ -308,6 +324,7 @@
     settings.nodeId = NodeId(name("--node-id"));
     settings.dataCentre = DataCentreId(name("--data-centre"));
     settings.region = RegionId(name("--region"));
+    settings.dataCentres = dataCentres();
     settings.listen = address("--listen");
     settings.peerListen = address("--peer-listen");
     if (settings.listen.port != 0 && settings.listen == settings.peerListen)
--- a/src/settings/node_settings_test.cpp
+++ b/src/settings/node_settings_test.cpp
@@ -216,6 +216,8 @@
                               { "--allow-insecure-peers" } },
         InvalidSettingsCase {
             "LogLevel", { { "--log-level", "loud" } }, {}, {}, { "--log-level" } },
+        InvalidSettingsCase {
+            "DataCentres", { { "--data-centres", "a,,b" } }, {}, {}, { "--data-centres" } },
         InvalidSettingsCase {
             "Relays", { { "--relays", "r1=10.0.0.1:7,r1=10.0.0.2:7" } }, {}, {}, { "--relays" } },
         InvalidSettingsCase { "UnknownFlags",
--- a/testsuite/cluster_fuzz/control_side.cpp
+++ b/testsuite/cluster_fuzz/control_side.cpp
@@ -177,8 +177,10 @@
         takeOffice(host);
     if (!host.controller)
         return;
-    const ControllerActions actions =
-        advanceController(*host.controller, host.state, clockOf(host));
+    ReplicatedState state = host.state;
+    if (m_options.forgetEvacuations)
+        state.cluster.config.evacuations.clear();
+    const ControllerActions actions = advanceController(*host.controller, state, clockOf(host));
     host.pushDue |= actions.fleetChanged;
     for (const UpstreamCall &call : actions.calls)
         callUpstream(host, call);
@@ -260,7 +262,15 @@
         return *setup;
     static constexpr const char *kPresets[] = { "ordinary", "peak", "maintenance" };
     const PresetId preset(kPresets[uniformBelow(m_random, 3)]);
-    switch (uniformBelow(m_random, 5)) {
+    // One data centre is never evacuated, and none before the groups have their first primaries:
+    // groups all of whose databases are evacuated are not to serve.
+    const DataCentreId dataCentre(fmt::format("d{}", uniformBelow(m_random, 2)));
+    const bool founded = m_report.primaries >= m_groups.size();
+    switch (uniformBelow(m_random, founded ? 7 : 5)) {
+    case 5:
+        return PutEvacuation { dataCentre };
+    case 6:
+        return RemoveEvacuation { dataCentre };
     case 0:
         return PutTeam { { TeamId("varied"),
                            20.0 + static_cast<double>(uniformBelow(m_random, 200)),
--- a/testsuite/cluster_fuzz/databases.cpp
+++ b/testsuite/cluster_fuzz/databases.cpp
@@ -8,6 +8,12 @@
 
 constexpr std::size_t kMostWaitingWrites = 30;
 
+/// The databases of a group are in different data centres, named by the last letter of their ids.
+DataCentreId dataCentreOf(const UpstreamId &id)
+{
+    return DataCentreId("d" + id.value().substr(id.value().size() - 1));
+}
+
 } // namespace
 
 Database *Simulation::findDatabase(const UpstreamId &id)
@@ -36,7 +42,7 @@
     Announcement announcement;
     announcement.upstream = db.id;
     announcement.service = group.service;
-    announcement.dataCentre = DataCentreId("dc");
+    announcement.dataCentre = dataCentreOf(db.id);
     announcement.endpoint = { db.id.value(), 5432 };
     announcement.slots = 5;
     announcement.connectionLimit = kConnectionLimit;
@@ -55,6 +61,8 @@
     if (view == host.view.fleet.state.view.groups.end() || !view->second.primary)
         return;
     Database *primary = findDatabase(*view->second.primary);
+    if (isEvacuated(host.view.replicated.cluster.config, dataCentreOf(primary->id)))
+        return;
     if (!reaches(host, *primary))
         return;
     const std::uint64_t id = m_nextWrite++;
@@ -123,4 +131,44 @@
     });
 }
 
+bool Simulation::mayWork(const Host &host, const UpstreamInfo &info) const
+{
+    return isFresh(host.view.freshness, clockOf(host)) && info.state == UpstreamState::Live
+        && (m_options.viewOnly
+            || !isEvacuated(host.view.replicated.cluster.config, info.dataCentre));
+}
+
+void Simulation::useDatabases(const Host &host) const
+{
+    for (const auto &[service, group] : host.view.fleet.state.view.groups) {
+        for (const auto &[id, info] : group.upstreams) {
+            if (host.up && mayWork(host, info))
+                m_configOracle.works(host.id.value(), info.dataCentre);
+        }
+    }
+}
+
+bool Simulation::evacuated()
+{
+    const Host *leader = controller();
+    if (leader == nullptr)
+        return false;
+    const std::set<DataCentreId> evacuated = evacuatedDataCentres(leader->state.cluster.config);
+    const auto shows = [&](const GroupView &group) {
+        bool mayLead = false;
+        for (const auto &[id, info] : group.upstreams) {
+            const bool leaves = evacuated.contains(info.dataCentre);
+            if ((info.state == UpstreamState::Live) == leaves)
+                return false;
+            mayLead = mayLead || !leaves;
+        }
+        return !mayLead || (group.primary && !evacuated.contains(dataCentreOf(*group.primary)));
+    };
+    return std::all_of(m_hosts.begin(), m_hosts.end(), [&](const Host &host) {
+        const auto &groups = host.view.fleet.state.view.groups;
+        return std::all_of(groups.begin(), groups.end(),
+                           [&](const auto &group) { return shows(group.second); });
+    });
+}
+
 } // namespace shallotlever::fuzz
--- a/testsuite/cluster_fuzz/main.cpp
+++ b/testsuite/cluster_fuzz/main.cpp
@@ -19,7 +19,8 @@
   --runs=N     Runs, each with the next seed [default: 1].
   --steps=N    Steps of 5 ms per run [default: 12000].
   --fault=NAME Broken variant that must be detected in one of the runs:
-               in-force-at-commit, forget-predecessor, grant-at-once, lease-without-quorum.
+               in-force-at-commit, forget-predecessor, grant-at-once, lease-without-quorum,
+               view-only, forget-evacuations.
 )";
 
 using shallotlever::fuzz::Simulation;
@@ -34,6 +35,8 @@
         { "forget-predecessor", &options.forgetPredecessor },
         { "grant-at-once", &options.grantAtOnce },
         { "lease-without-quorum", &options.control.leaseWithoutQuorum },
+        { "view-only", &options.viewOnly },
+        { "forget-evacuations", &options.forgetEvacuations },
     };
     const auto found = switches.find(name);
     if (found == switches.end())
--- a/testsuite/cluster_fuzz/oracle.cpp
+++ b/testsuite/cluster_fuzz/oracle.cpp
@@ -53,6 +53,14 @@
         throw Violation(fmt::format("change {} got two outcomes", change.id.value()));
     if (result.outcome != ChangeOutcome::Accepted || config.version != result.version)
         return;
+    if (result.version > m_newest) {
+        m_newest = result.version;
+        const std::set<DataCentreId> evacuated = evacuatedDataCentres(config);
+        std::erase_if(m_evacuatedSince,
+                      [&](const auto &since) { return !evacuated.contains(since.first); });
+        for (const DataCentreId &dataCentre : evacuated)
+            m_evacuatedSince.try_emplace(dataCentre, result.version);
+    }
     const std::uint64_t digest = configDigest(config);
     const auto [known, isNew] = m_digests.emplace(result.version, digest);
     if (!isNew && known->second != digest)
@@ -66,6 +74,14 @@
     m_reported = std::max(m_reported, version);
 }
 
+void ConfigOracle::works(const std::string &node, const DataCentreId &dataCentre) const
+{
+    const auto since = m_evacuatedSince.find(dataCentre);
+    if (since != m_evacuatedSince.end() && since->second <= m_reported)
+        throw Violation(fmt::format("{} sends work to {}, evacuated since version {}", node,
+                                    dataCentre.value(), since->second.value()));
+}
+
 void ConfigOracle::serves(const std::string &node, const ClusterConfig &config,
                           ConfigVersion highest) const
 {
--- a/testsuite/cluster_fuzz/oracle.h
+++ b/testsuite/cluster_fuzz/oracle.h
@@ -50,6 +50,9 @@
     /// that any of its processes has applied.
     void serves(const std::string &node, const ClusterConfig &config, ConfigVersion highest) const;
 
+    /// A node with a live lease sends work to a database of the data centre.
+    void works(const std::string &node, const DataCentreId &dataCentre) const;
+
     ConfigVersion reported() const { return m_reported; }
     std::size_t changes() const { return m_digests.size(); }
 
@@ -58,6 +61,9 @@
     std::map<ConfigVersion, std::uint64_t> m_digests;
     std::map<KeyId, ConfigVersion> m_withdrawn;
     ConfigVersion m_reported;
+    /// The data centres that are evacuated in the newest configuration, and since which one.
+    std::map<DataCentreId, ConfigVersion> m_evacuatedSince;
+    ConfigVersion m_newest;
 };
 
 } // namespace shallotlever::fuzz
--- a/testsuite/cluster_fuzz/simulation.cpp
+++ b/testsuite/cluster_fuzz/simulation.cpp
@@ -190,8 +190,10 @@
         m_configOracle.serves(host.id.value(), config, host.highest);
         host.highest = config.version;
     }
-    for (Host &host : m_hosts)
+    for (Host &host : m_hosts) {
         watchFleet(host);
+        useDatabases(host);
+    }
     watchConnections();
 }
 
@@ -284,8 +286,9 @@
                                   kRecoveryLimit, "a change in force everywhere");
     runUntil([this] { return connectionsShared(); }, kSharesLimit,
              "a connection of each database on every node");
-    runUntil([this] { return groupsServe(); }, kPrimaryLimit,
-             "a primary with every acknowledged write in each group");
+    runUntil(
+        [this] { return groupsServe() && evacuated(); }, kPrimaryLimit,
+        "a primary with every acknowledged write in each group, outside evacuated data centres");
 }
 
 SimulationReport Simulation::run()
--- a/testsuite/cluster_fuzz/simulation.h
+++ b/testsuite/cluster_fuzz/simulation.h
@@ -31,6 +31,10 @@
     bool forgetPredecessor = false;
     /// A new controller grants shares while its predecessor's may be in use.
     bool grantAtOnce = false;
+    /// Nodes go by the state of databases in the fleet view alone, which may follow later.
+    bool viewOnly = false;
+    /// The controller does not know that data centres are evacuated.
+    bool forgetEvacuations = false;
 };
 
 /// Carries out a synced write on a disk in memory.
@@ -183,6 +187,13 @@
     Database *findDatabase(const UpstreamId &id);
     bool reaches(const Host &host, const Database &db) const;
     bool groupsServe();
+    /// Whether the node would send work to the database.
+    bool mayWork(const Host &host, const UpstreamInfo &info) const;
+    /// Sends work to every database that takes it.
+    void useDatabases(const Host &host) const;
+    /// Whether the view of every node shows the databases of the evacuated data centres as leaving,
+    /// and the others as live, and no group has a primary among the former that need not be there.
+    bool evacuated();
 
     SimulationOptions m_options;
     Random m_random;
--- a/testsuite/control_fuzz/main.cpp
+++ b/testsuite/control_fuzz/main.cpp
@@ -20,7 +20,8 @@
   --steps=N    Steps of 5 ms per run [default: 20000].
   --members=N  Members of the group [default: 3].
   --fault=NAME Broken variant that must be detected in one of the runs:
-               ack-before-sync, vote-after-disk-loss, no-pre-vote, lease-without-quorum.
+               ack-before-sync, vote-after-disk-loss, no-pre-vote, lease-without-quorum,
+               install-drops-evacuations, snapshot-drops-evacuations.
   --isolation  The only faults are cut links of one follower at a time; the term must not
                change then.
   --full-disks  The only faults are disks that are full for up to 8 s, one at a time; changes
@@ -39,6 +40,8 @@
         { "vote-after-disk-loss", &options.keepIdentity },
         { "no-pre-vote", &options.faults.noPreVote },
         { "lease-without-quorum", &options.faults.leaseWithoutQuorum },
+        { "install-drops-evacuations", &options.installDropsEvacuations },
+        { "snapshot-drops-evacuations", &options.snapshotDropsEvacuations },
     };
     const auto found = switches.find(name);
     if (found == switches.end())
--- a/testsuite/control_fuzz/oracle.cpp
+++ b/testsuite/control_fuzz/oracle.cpp
@@ -46,6 +46,47 @@
     }
 }
 
+void Oracle::ordered(LogIndex index, const OperatorChange &change, const ChangeResult &result)
+{
+    const auto *put = std::get_if<PutEvacuation>(&change.change);
+    const auto *remove = std::get_if<RemoveEvacuation>(&change.change);
+    // A resent change gets its first outcome and has no effect.
+    if (index <= m_lastChange || !m_changes.insert(change.id).second)
+        return;
+    m_lastChange = index;
+    if (put == nullptr && remove == nullptr)
+        return;
+    const DataCentreId &dataCentre = put == nullptr ? remove->dataCentre : put->dataCentre;
+    const bool inForce = put != nullptr;
+    const bool accepted = result.outcome == ChangeOutcome::Accepted;
+    const auto last = m_orders.find(dataCentre);
+    const bool overtaken = last != m_orders.end() && last->second.inForce != inForce
+        && change.basedOn < last->second.version;
+    if (accepted == overtaken)
+        throw Violation(fmt::format("order {} was {}", change.id.value(),
+                                    accepted ? "accepted although a later one was" : "refused"));
+    if (!accepted)
+        return;
+    m_orders[dataCentre] = { inForce, result.version };
+    std::set<DataCentreId> &evacuated = m_evacuated[index];
+    for (const auto &[name, order] : m_orders) {
+        if (order.inForce)
+            evacuated.insert(name);
+    }
+}
+
+void Oracle::evacuated(const Member &member, LogIndex index,
+                       const std::set<DataCentreId> &dataCentres) const
+{
+    const auto later = m_evacuated.upper_bound(index);
+    const std::set<DataCentreId> expected =
+        later == m_evacuated.begin() ? std::set<DataCentreId>() : std::prev(later)->second;
+    if (dataCentres != expected)
+        throw Violation(fmt::format("{} has {} evacuated data centres at index {} instead of {}",
+                                    member.node.value(), dataCentres.size(), index.value(),
+                                    expected.size()));
+}
+
 LogIndex Oracle::lastCommitted() const
 {
     return m_log.empty() ? LogIndex() : m_log.rbegin()->first;
--- a/testsuite/control_fuzz/oracle.h
+++ b/testsuite/control_fuzz/oracle.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <stdexcept>
 #include <string>
 
@@ -28,6 +29,13 @@
     /// The result that a member computed for a change, first or resent.
     void decided(const ChangeId &id, const ChangeResult &result);
 
+    /// A member applied the change in the entry at `index`, which may be an order about a data
+    /// centre.
+    void ordered(LogIndex index, const OperatorChange &change, const ChangeResult &result);
+    /// A member's data centres that are evacuated, once it has applied the entry at `index`.
+    void evacuated(const Member &member, LogIndex index,
+                   const std::set<DataCentreId> &dataCentres) const;
+
     LogIndex lastCommitted() const;
     ConfigVersion lastVersion() const;
     std::size_t changesAccepted() const { return m_acceptedAt.size(); }
@@ -38,6 +46,18 @@
     std::optional<Member> m_leaseHolder;
     std::map<ChangeId, ChangeResult> m_results;
     std::map<ConfigVersion, ChangeId> m_acceptedAt;
+    struct Order
+    {
+        bool inForce = false;
+        ConfigVersion version;
+    };
+    /// The last accepted order about each data centre.
+    std::map<DataCentreId, Order> m_orders;
+    /// The evacuated data centres from each entry on.
+    std::map<LogIndex, std::set<DataCentreId>> m_evacuated;
+    /// The last entry with a change that any member has applied, and the changes until then.
+    LogIndex m_lastChange;
+    std::set<ChangeId> m_changes;
 };
 
 } // namespace shallotlever::fuzz
--- a/testsuite/control_fuzz/simulation.cpp
+++ b/testsuite/control_fuzz/simulation.cpp
@@ -315,8 +315,46 @@
         applyCommand(node.state, logged->command, entry.index, logged->wallTimeMs);
     if (node.state.cluster.config.version < before)
         throw Violation("the configuration version went back");
-    if (const auto *change = std::get_if<OperatorChange>(&logged->command))
+    if (m_options.installDropsEvacuations && std::holds_alternative<InstallConfig>(logged->command))
+        node.state.cluster.config.evacuations.clear();
+    if (const auto *change = std::get_if<OperatorChange>(&logged->command)) {
         m_oracle.decided(change->id, result);
+        m_oracle.ordered(entry.index, *change, result);
+    }
+    m_oracle.evacuated(node.member->self(), entry.index,
+                       evacuatedDataCentres(node.state.cluster.config));
+}
+
+std::string Simulation::snapshotOf(const Node &node) const
+{
+    ReplicatedState state = node.state;
+    if (m_options.snapshotDropsEvacuations)
+        state.cluster.config.evacuations.clear();
+    return encodeState(state);
+}
+
+Change Simulation::anyChange()
+{
+    const DataCentreId dataCentre(fmt::format("d{}", uniformBelow(m_random, 3)));
+    switch (uniformBelow(m_random, 6)) {
+    case 0:
+        return PutEvacuation { dataCentre };
+    case 1:
+        return RemoveEvacuation { dataCentre };
+    default:
+        return PutTeam { { TeamId(fmt::format("t{}", uniformBelow(m_random, 50))),
+                           static_cast<double>(uniformBelow(m_random, 100)),
+                           1,
+                           {} } };
+    }
+}
+
+void Simulation::proposeInstall(Node &node)
+{
+    InstallConfig install;
+    install.content.installed.number = InstallNumber(m_nextInstall++);
+    (void)node.member->propose(clockOf(node), encodeCommand({ install, 0 }));
+    drain(node);
 }
 
 void Simulation::proposeChange(Node &node)
@@ -324,12 +362,11 @@
     // One in four is a resend of an earlier id, whose content must not matter.
     const bool resend = m_nextChange > 1 && chance(4);
     const std::uint64_t id = resend ? 1 + uniformBelow(m_random, m_nextChange - 1) : m_nextChange++;
-    const ConfigVersion basedOn = node.state.cluster.config.version;
-    const TeamConfig team { TeamId(fmt::format("t{}", uniformBelow(m_random, 50))),
-                            static_cast<double>(uniformBelow(m_random, 100)),
-                            1,
-                            {} };
-    const OperatorChange change { ChangeId(fmt::format("c{}", id)), basedOn, PutTeam { team } };
+    ConfigVersion basedOn = node.state.cluster.config.version;
+    // One in four was delayed on its way.
+    if (chance(4))
+        basedOn = ConfigVersion(uniformBelow(m_random, basedOn.value() + 1));
+    const OperatorChange change { ChangeId(fmt::format("c{}", id)), basedOn, anyChange() };
     const std::string bytes = encodeCommand({ change, 0 });
     (void)node.member->propose(clockOf(node), bytes);
     drain(node);
@@ -345,8 +382,10 @@
         for (std::uint64_t n = 1 + uniformBelow(m_random, 3); n > 0; --n)
             proposeChange(node);
     }
+    if (node.member->role() == ControlRole::Leader && chance(20))
+        proposeInstall(node);
     if (chance(100)) {
-        (void)node.member->compact(node.member->appliedIndex(), encodeState(node.state));
+        (void)node.member->compact(node.member->appliedIndex(), snapshotOf(node));
         drain(node);
     }
     if (!m_options.isolationOnly && chance(1'000)
--- a/testsuite/control_fuzz/simulation.h
+++ b/testsuite/control_fuzz/simulation.h
@@ -20,6 +20,9 @@
     ControlFaults faults;
     /// Broken variant: a member that lost its disk starts under its former identity.
     bool keepIdentity = false;
+    // Broken variants: evacuations are lost by an installed configuration, or by a snapshot.
+    bool installDropsEvacuations = false;
+    bool snapshotDropsEvacuations = false;
     /// The only faults are cut links of one follower at a time. The term must not change then.
     bool isolationOnly = false;
     /// The only faults are disks that are full for some seconds, one at a time. Changes must go on.
@@ -112,6 +115,9 @@
     void post(std::size_t from, const ControlMessage &message);
     void useGroup();
     void proposeChange(Node &node);
+    void proposeInstall(Node &node);
+    Change anyChange();
+    std::string snapshotOf(const Node &node) const;
     void watch();
     bool converged() const;
     void checkConvergence();
@@ -134,6 +140,7 @@
     TimePoint m_progressAt;
     std::uint64_t m_nextIdentity = 1;
     std::uint64_t m_nextChange = 1;
+    std::uint64_t m_nextInstall = 1;
     Oracle m_oracle;
     SimulationReport m_report;
 };
