--- a/src/proxy/session_attempt.cpp
+++ b/src/proxy/session_attempt.cpp
@@ -104,6 +104,13 @@
     return chosen->id;
 }
 
+/// Whether nothing can run the statement until an operator ends an evacuation.
+bool CallerSession::onlyEvacuated() const
+{
+    const auto service = m_state.services.find(database().service);
+    return service != m_state.services.end() && m_state.onlyEvacuated(service->second);
+}
+
 /// Sends the statement to the owner of a database. A transaction stays where it was begun.
 void CallerSession::startAttempt(TimePoint now)
 {
@@ -118,6 +125,11 @@
     }
     const bool begun = m_transaction && m_transaction->hasExecuted;
     const std::optional<UpstreamId> target = begun ? m_transaction->upstream : selectDatabase(now);
+    if (!target && onlyEvacuated()) {
+        execution.lastFailure = ErrorKind::NoUpstream;
+        giveUp(now);
+        return;
+    }
     if (!target) {
         execution.phase = Phase::AwaitingUpstream;
         execution.retryAt = now + kRetryBackoff;
--- a/src/proxy/upstream_loads.cpp
+++ b/src/proxy/upstream_loads.cpp
@@ -65,6 +65,9 @@
                                        dispatcher.roundTrip(*owner).value_or(kUnknownRoundTrip),
                                        now));
         }
+        // A new configuration may arrive before the view that follows from it.
+        if (state.isEvacuated(route.info))
+            loads.back().state = UpstreamState::Leaving;
         loads.back().avoidUntil = std::max(loads.back().avoidUntil, route.avoidLaggingUntil);
     }
     return loads;
