Keep what others send within the memory and descriptors of a process

Callers that sent statements ahead, stopped half-way, left answers unread or only connected could run a node out of memory or descriptors; so could bodies on the HTTP ports and a database that answers without end. Nothing counted for the process: a session held up to 64 statements of 1 MiB, reading never stopped, and answers were collected without a limit.

A budget of the process (--memory-mb, SHALLOTLEVER_MEMORY_MB; none by default) is now charged for session input and output, queued and running statements, variables, collected answers and HTTP input. Each connection has a floor; above it, reading pauses, and after 100 ms of waiting the connection that holds most for longest without progress is closed. Incomplete lines and unread answers have 30 s. An answer over 4 MiB is outcome_unknown, as it was for forwarded statements. Half of the descriptors (--max-descriptors; by default the limit of the operating system) are for sessions; for one more, the longest silent of the largest key is closed.

Charged, but not paused: input of databases. Not charged: frames of links between nodes, statements run for other nodes, buffers of the operating system.

--- a/src/edge/connection.cpp
+++ b/src/edge/connection.cpp
@@ -58,6 +58,7 @@
     , m_socket(std::move(socket))
     , m_context(context)
     , m_reader(context.limits)
+    , m_account(context.memory)
     , m_idleSince(monotonicNow())
 {
     setOpenMode(QIODevice::ReadWrite);
@@ -116,6 +117,8 @@
         } else {
             if (m_reader.takeExpectContinue())
                 m_socket->write("HTTP/1.1 100 Continue\r\n\r\n");
+            if (!m_account.mayTake(kReadChunkBytes, monotonicNow()))
+                break;
             const QByteArray bytes = m_socket->read(kReadChunkBytes);
             if (bytes.isEmpty())
                 break;
@@ -125,6 +128,17 @@
             beginRequest();
     }
     m_processing = false;
+    m_account.setCharge(ChargeKind::HttpInput, m_reader.heldBytes(), monotonicNow());
+    if (m_account.isReclaimable())
+        m_context.watchLimits();
+}
+
+void Connection::applyLimits()
+{
+    if (m_account.isCondemned())
+        abort();
+    else if (m_account.isWaiting())
+        process();
 }
 
 void Connection::beginRequest()
--- a/src/edge/connection.h
+++ b/src/edge/connection.h
@@ -24,6 +24,9 @@
     /// Called once when the connection closes. The connection then deletes itself from the event
     /// loop.
     std::function<void(std::uint64_t id)> closed;
+    MemoryBudget &memory;
+    /// A connection has to be told of limits, see Connection::applyLimits().
+    std::function<void()> watchLimits;
 };
 
 /// Socket that QtHttpServer reads from. Wraps the network socket (plain or TLS), enforces the
@@ -54,6 +57,9 @@
     /// Flushes buffered output, then closes.
     void closeGracefully();
     void abort();
+    /// Closes the connection if others need its memory, or goes on reading if it waits for some.
+    void applyLimits();
+    bool isReclaimable() const { return m_account.isReclaimable(); }
 
     qint64 bytesAvailable() const override;
 
@@ -79,6 +85,7 @@
     std::unique_ptr<QTcpSocket> m_socket;
     ConnectionContext &m_context;
     RequestReader m_reader;
+    MemoryAccount m_account;
     Stage m_stage = Stage::Handshake;
     QTimer m_timer;
     /// Bytes of the current request that the parser has not read yet.
--- a/src/edge/edge_worker.cpp
+++ b/src/edge/edge_worker.cpp
@@ -2,11 +2,13 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <deque>
 
 #include <QHttpServerRequest>
 #include <QSslSocket>
 #include <QTcpServer>
+#include <QTimer>
 
 #include "shallotlever/base/clock.h"
 
@@ -14,6 +16,8 @@
 
 namespace {
 
+/// Interval at which connections are checked that wait for memory, or that others wait for.
+constexpr std::chrono::milliseconds kLimitInterval { 50 };
 /// Label values of the request metrics, in the order of the alternatives of EdgeRequest.
 constexpr std::array kRequestNames { "statement", "begin",  "commit", "rollback", "open_route",
                                      "announce",  "change", "status", "explain",  "drain" };
@@ -106,9 +110,13 @@
 
 EdgeWorker::EdgeWorker(EdgeSharedState &shared)
     : m_shared(shared)
-    , m_context { shared.options.limits, shared.draining, shared.requestsInFlight,
+    , m_context { shared.options.limits,
+                  shared.draining,
+                  shared.requestsInFlight,
                   [this](ErrorKind kind) { m_shared.metrics.refusal(kind).increment(); },
-                  [this](std::uint64_t id) { onConnectionClosed(id); } }
+                  [this](std::uint64_t id) { onConnectionClosed(id); },
+                  *shared.options.memory,
+                  [this] { watchLimits(); } }
     , m_workerHandle(std::make_shared<EdgeWorkerHandle>())
 {
     m_workerHandle->worker = this;
@@ -126,6 +134,31 @@
     m_httpServer = std::make_unique<HttpServer>(*this);
     m_connectionServer = new ConnectionServer;
     m_httpServer->bind(m_connectionServer); // Takes ownership.
+    m_limitTimer = std::make_unique<QTimer>();
+    connect(m_limitTimer.get(), &QTimer::timeout, this, [this] { applyLimits(); });
+}
+
+void EdgeWorker::watchLimits()
+{
+    if (m_limitTimer && !m_limitTimer->isActive() && m_shared.options.memory->isLimited())
+        m_limitTimer->start(kLimitInterval);
+}
+
+void EdgeWorker::applyLimits()
+{
+    m_shared.options.memory->reclaim(monotonicNow());
+    // A connection that is closed leaves the map.
+    const auto connections = m_connections;
+    for (const auto &[id, entry] : connections) {
+        if (entry.connection != nullptr)
+            entry.connection->applyLimits();
+    }
+    const bool watched =
+        std::any_of(m_connections.begin(), m_connections.end(), [](const auto &item) {
+            return item.second.connection != nullptr && item.second.connection->isReclaimable();
+        });
+    if (!watched)
+        m_limitTimer->stop();
 }
 
 std::unique_ptr<QTcpSocket> EdgeWorker::makeSocket(qintptr descriptor)
@@ -191,6 +224,7 @@
     const auto connections = m_connections;
     for (const auto &[id, entry] : connections)
         entry.connection->abort();
+    m_limitTimer.reset();
     m_httpServer.reset();
 }
 
--- a/src/edge/edge_worker.h
+++ b/src/edge/edge_worker.h
@@ -71,6 +71,8 @@
 
     std::unique_ptr<QTcpSocket> makeSocket(qintptr descriptor);
     void onConnectionClosed(std::uint64_t id);
+    void watchLimits();
+    void applyLimits();
     /// Handles /healthz, /readyz and /metrics. Returns false for any other path.
     bool handleMonitoringPath(Connection &connection, const RequestHead &head, QByteArrayView path);
     HttpResponse metricsResponse();
@@ -89,6 +91,7 @@
     std::shared_ptr<EdgeWorkerHandle> m_workerHandle;
     std::unique_ptr<HttpServer> m_httpServer;
     ConnectionServer *m_connectionServer = nullptr;
+    std::unique_ptr<QTimer> m_limitTimer;
     std::unordered_map<std::uint64_t, Entry> m_connections;
     std::uint64_t m_nextId = 1;
     /// Indexed by the alternative of EdgeRequest.
--- a/src/edge/request_reader.h
+++ b/src/edge/request_reader.h
@@ -53,6 +53,11 @@
     explicit RequestReader(const EdgeLimits &limits);
 
     void append(const QByteArray &bytes) { m_input += bytes; }
+    /// Memory of the request that is being received.
+    std::size_t heldBytes() const
+    {
+        return static_cast<std::size_t>(m_input.capacity() + m_request.body.capacity());
+    }
     Status next();
     FramedRequest takeRequest();
     const Error &error() const { return *m_error; }
--- a/src/include/shallotlever/edge/http_endpoint.h
+++ b/src/include/shallotlever/edge/http_endpoint.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "absl/status/statusor.h"
+#include "shallotlever/base/memory_budget.h"
 #include "shallotlever/types/fleet.h"
 
 namespace shallotlever {
@@ -36,8 +37,10 @@
     using Respond = std::function<void(const EndpointResponse &)>;
     using Handler = std::function<void(const EndpointRequest &, Respond)>;
 
-    static absl::StatusOr<std::unique_ptr<HttpEndpoint>> create(const Endpoint &listen,
-                                                                Handler handler);
+    /// `memory` is charged for requests that are being received.
+    static absl::StatusOr<std::unique_ptr<HttpEndpoint>>
+    create(const Endpoint &listen, Handler handler,
+           std::shared_ptr<MemoryBudget> memory = std::make_shared<MemoryBudget>());
     ~HttpEndpoint();
     HttpEndpoint(const HttpEndpoint &) = delete;
     HttpEndpoint &operator=(const HttpEndpoint &) = delete;
--- a/src/include/shallotlever/edge/listener.h
+++ b/src/include/shallotlever/edge/listener.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "absl/status/statusor.h"
+#include "shallotlever/base/memory_budget.h"
 #include "shallotlever/edge/messages.h"
 #include "shallotlever/telemetry/log.h"
 #include "shallotlever/telemetry/node_metrics.h"
@@ -43,6 +44,8 @@
     int threads = 2;
     EdgeLimits limits;
     std::optional<EdgeTlsFiles> tls;
+    /// Charged for requests that are being received.
+    std::shared_ptr<MemoryBudget> memory = std::make_shared<MemoryBudget>();
 };
 
 struct EdgeCallbacks
--- a/src/include/shallotlever/node/node.h
+++ b/src/include/shallotlever/node/node.h
@@ -3,6 +3,7 @@
 #include <memory>
 
 #include "absl/status/statusor.h"
+#include "shallotlever/base/memory_budget.h"
 #include "shallotlever/edge/messages.h"
 #include "shallotlever/node/platform.h"
 #include "shallotlever/settings/node_settings.h"
@@ -29,6 +30,8 @@
     /// True if the node can serve sessions: its lease is live, a configuration is installed, shares
     /// have been granted, and it is not shutting down.
     bool ready() const;
+    /// Memory that all listeners of the process use together.
+    const std::shared_ptr<MemoryBudget> &memory() const;
     /// Forwards the request to the controller; the callback is called once.
     void install(const InstallRequest &request, EdgeResponder callback);
     void readInstalled(EdgeResponder callback);
--- a/src/include/shallotlever/proxy/proxy.h
+++ b/src/include/shallotlever/proxy/proxy.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -9,6 +10,7 @@
 #include <vector>
 
 #include "absl/status/statusor.h"
+#include "shallotlever/base/memory_budget.h"
 #include "shallotlever/policy/token_bucket.h"
 #include "shallotlever/proxy/protocol.h"
 #include "shallotlever/telemetry/log.h"
@@ -59,6 +61,15 @@
     std::function<void(const NodeId &peer)> reset = [](const NodeId &) {};
 };
 
+/// What callers may use of the process.
+struct ProxyLimits
+{
+    /// Shared with the other listeners of the process.
+    std::shared_ptr<MemoryBudget> memory = std::make_shared<MemoryBudget>();
+    /// Further sessions are opened only in place of others.
+    std::size_t sessions = std::numeric_limits<std::size_t>::max();
+};
+
 /// Not thread-safe: call all functions on the thread of the event loop that created the proxy.
 class SessionProxy
 {
@@ -66,7 +77,7 @@
     /// Creates a proxy that listens for callers on `listen`. The references must outlive it.
     static absl::StatusOr<std::unique_ptr<SessionProxy>>
     create(const Endpoint &listen, const SessionProtocol &protocol, NodeMetrics &metrics,
-           const Logger &logger, ProxyPeers peers = {});
+           const Logger &logger, ProxyPeers peers = {}, ProxyLimits limits = {});
     ~SessionProxy();
     SessionProxy(const SessionProxy &) = delete;
     SessionProxy &operator=(const SessionProxy &) = delete;
--- a/src/include/shallotlever/settings/node_settings.h
+++ b/src/include/shallotlever/settings/node_settings.h
@@ -120,6 +120,10 @@
     std::size_t maxBodyBytes = 1024U * 1024U;
     std::chrono::milliseconds requestTimeout { 10000 };
     int maxConnections = 8192;
+    /// Memory that the process may use; no limit if unset.
+    std::optional<std::size_t> memoryBytes;
+    /// Descriptors that the process may open; the limit of the operating system if unset.
+    std::optional<std::size_t> maxDescriptors;
     /// How long /readyz reports failure during shutdown while the listener still accepts
     /// connections.
     std::chrono::milliseconds drainNotice { 2000 };
--- a/src/node/node_impl.h
+++ b/src/node/node_impl.h
@@ -43,6 +43,7 @@
     std::uint16_t httpPort() const { return m_listener->port(); }
     std::uint16_t peerPort() const { return m_transport->port(); }
     bool ready() const;
+    const std::shared_ptr<MemoryBudget> &memory() const { return m_memory; }
     void forwardRequest(const OperatorRequest &request, EdgeResponder respond, TimePoint now);
     bool acceptAnnouncement(const Announcement &announcement);
     void noteRefusal(ErrorKind kind, std::string_view subject, const std::string &reason);
@@ -152,6 +153,8 @@
     void finish(int status);
 
     NodeSettings m_settings;
+    /// Outlives all connections.
+    std::shared_ptr<MemoryBudget> m_memory;
     PlatformAdapter m_platform;
     Logger m_logger;
     MetricsRegistry m_registry;
--- a/src/node/node_start.cpp
+++ b/src/node/node_start.cpp
@@ -1,8 +1,10 @@
+#include <algorithm>
 #include <fstream>
 #include <sstream>
 
 #include <QDateTime>
 
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include "absl/strings/ascii.h"
@@ -28,6 +30,19 @@
     return { address.ip, address.port };
 }
 
+/// Share of the descriptors that sessions, and HTTP clients of a platform's node, may use. The rest
+/// is for databases, links between nodes, control and files.
+constexpr std::size_t kSessionShare = 2;
+constexpr std::size_t kHttpShare = 8;
+
+std::size_t descriptorLimit(const NodeSettings &settings)
+{
+    if (settings.maxDescriptors)
+        return *settings.maxDescriptors;
+    rlimit limit {};
+    return ::getrlimit(RLIMIT_NOFILE, &limit) == 0 ? limit.rlim_cur : RLIM_INFINITY;
+}
+
 LogLevel levelOf(const NodeSettings &settings)
 {
     return logLevelFromName(settings.logLevel).value_or(LogLevel::Info);
@@ -45,6 +60,7 @@
 
 Node::Impl::Impl(const NodeSettings &settings, PlatformAdapter platform)
     : m_settings(settings)
+    , m_memory(std::make_shared<MemoryBudget>(memoryLimitsOf(settings.memoryBytes)))
     , m_platform(std::move(platform))
     , m_logger(settings.nodeId, levelOf(settings),
                settings.logToStandardError ? STDERR_FILENO : STDOUT_FILENO)
@@ -224,6 +240,11 @@
     options.threads = m_settings.edgeThreads;
     options.limits = { m_settings.maxHeaderBytes, m_settings.maxBodyBytes,
                        m_settings.requestTimeout, m_settings.maxConnections };
+    options.memory = m_memory;
+    if (m_settings.sessionListen || m_settings.platformListen)
+        options.limits.maxConnections = static_cast<int>(
+            std::min(static_cast<std::size_t>(m_settings.maxConnections),
+                     std::max<std::size_t>(1, descriptorLimit(m_settings) / kHttpShare)));
     if (m_settings.httpTls)
         options.tls = EdgeTlsFiles { m_settings.httpTls->certificate, m_settings.httpTls->key };
     EdgeCallbacks callbacks;
@@ -276,7 +297,8 @@
     if (!m_settings.sessionListen || m_platform.protocol == nullptr)
         return absl::OkStatus();
     auto sessions = SessionProxy::create(endpointOf(*m_settings.sessionListen),
-                                         *m_platform.protocol, m_metrics, m_logger, proxyPeers());
+                                         *m_platform.protocol, m_metrics, m_logger, proxyPeers(),
+                                         { m_memory, descriptorLimit(m_settings) / kSessionShare });
     if (!sessions.ok())
         return sessions.status();
     m_sessions = std::move(*sessions);
@@ -323,6 +345,11 @@
     return m_impl->peerPort();
 }
 
+const std::shared_ptr<MemoryBudget> &Node::memory() const
+{
+    return m_impl->memory();
+}
+
 bool Node::ready() const
 {
     return m_impl->ready();
--- a/src/proxy/line_socket.h
+++ b/src/proxy/line_socket.h
@@ -2,11 +2,13 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
 #include <QTcpSocket>
 
+#include "shallotlever/base/memory_budget.h"
 #include "shallotlever/base/time.h"
 
 namespace shallotlever {
@@ -27,10 +29,17 @@
         /// The peer closed the connection, or it failed; no further callback follows. Not called
         /// after closeGracefully().
         std::function<void()> closed;
+        /// Whether the owner takes more input now. If not, reading pauses until resume(); the peer
+        /// is slowed down by TCP. Not asked after closeGracefully().
+        /// `bytes` is the memory that reading needs.
+        std::function<bool(std::size_t bytes)> takesInput = [](std::size_t) { return true; };
+        /// The operating system has accepted output.
+        std::function<void()> sent = [] {};
     };
 
-    /// Takes ownership of a connected or connecting socket.
-    LineSocket(QTcpSocket *socket, Callbacks callbacks);
+    /// Takes ownership of a connected or connecting socket. `account` is charged for the buffers;
+    /// it must outlive this object.
+    LineSocket(QTcpSocket *socket, MemoryAccount &account, Callbacks callbacks);
     /// Closes the connection at once, without invoking callbacks.
     ~LineSocket();
     LineSocket(const LineSocket &) = delete;
@@ -42,6 +51,14 @@
     /// Sends the buffered bytes and shuts down the sending direction. Input is read until the peer
     /// closes as well; tick() limits how long.
     void closeGracefully(TimePoint now);
+    /// Closes the connection at once and invokes Callbacks::closed.
+    void abort();
+    /// Goes on with reading after a pause, if the owner takes input.
+    void resume();
+    /// Input waits because the owner did not take it.
+    bool isPaused() const { return m_paused; }
+    /// Since when the last line has been incomplete, while reading is not paused.
+    std::optional<TimePoint> unfinishedSince() const;
     /// Closes the connection if closeGracefully() was called and the peer took too long.
     void tick(TimePoint now);
     /// When tick() has work, or kNever.
@@ -60,15 +77,26 @@
     enum class Stage { Open, Sending, Lingering, Closed };
 
     void readLines();
+    bool passLine();
+    bool readChunk();
+    bool takesInput();
+    void discardConsumed();
+    void updateCharges();
     void onBytesWritten();
     void shutDownWhenSent();
     void end();
 
     QTcpSocket *m_socket;
+    MemoryAccount &m_account;
     Callbacks m_callbacks;
     std::string m_buffer;
     /// Bytes at the start of m_buffer that were passed on.
     std::size_t m_consumed = 0;
+    /// Bytes at the start of m_buffer in which no further line ends.
+    std::size_t m_searched = 0;
+    bool m_reading = false;
+    bool m_paused = false;
+    std::optional<TimePoint> m_unfinishedSince;
     Stage m_stage = Stage::Open;
     /// End of the time that the peer has to take the output, and then to close; runs anew from the
     /// first tick after progress.
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -38,11 +38,13 @@
 {
 public:
     Impl(const SessionProtocol &protocol, NodeMetrics &metrics, const Logger &logger,
-         ProxyPeers peers);
+         ProxyPeers peers, ProxyLimits limits);
     ~Impl();
 
     absl::Status listen(const Endpoint &endpoint);
     void accept();
+    /// Closes a session for a further one. Returns false if none can be closed.
+    bool makeRoom(TimePoint now);
     void applyGroup(const GroupView &group, const std::vector<SlotShare> &shares, TimePoint now);
     void applyPool(DatabaseRoute &route, bool primary, std::uint32_t share, TimePoint now);
     void retirePool(DatabaseRoute &route);
@@ -58,6 +60,7 @@
 
     ProxyState m_state;
     std::unique_ptr<StatementDispatcher> m_dispatcher;
+    const std::size_t m_maxSessions;
     PoolQueueLog m_poolQueueLog;
     std::array<Counter *, static_cast<std::size_t>(LinkOpenFailure::Count)> m_openFailures {};
     Gauge &m_sessionsGauge;
@@ -71,13 +74,16 @@
 };
 
 SessionProxy::Impl::Impl(const SessionProtocol &protocol, NodeMetrics &metrics,
-                         const Logger &logger, ProxyPeers peers)
-    : m_sessionsGauge(
-        metrics.registry().gauge("shallotlever_sessions", "Open sessions of callers."))
+                         const Logger &logger, ProxyPeers peers, ProxyLimits limits)
+    : m_maxSessions(limits.sessions)
+    , m_sessionsGauge(
+          metrics.registry().gauge("shallotlever_sessions", "Open sessions of callers."))
 {
     m_state.protocol = &protocol;
     m_state.metrics = &metrics;
     m_state.logger = &logger;
+    m_state.memory = std::move(limits.memory);
+    m_state.limitMetrics = std::make_unique<LimitMetrics>(metrics.registry());
     m_state.stopCounters = std::make_unique<StopCounters>(metrics.registry());
     m_state.startedAt = monotonicNow();
     m_state.self = peers.self;
@@ -114,11 +120,29 @@
 {
     while (QTcpSocket *socket = m_server.nextPendingConnection()) {
         socket->setParent(nullptr);
-        m_sessions.emplace_back(m_state, *m_dispatcher, socket, monotonicNow());
+        const TimePoint now = monotonicNow();
+        if (m_sessions.size() < m_maxSessions || makeRoom(now))
+            m_sessions.emplace_back(m_state, *m_dispatcher, socket, now);
+        else
+            delete socket;
     }
     m_sessionsGauge.set(static_cast<std::int64_t>(m_sessions.size()));
 }
 
+bool SessionProxy::Impl::makeRoom(TimePoint now)
+{
+    std::vector<SessionSummary> summaries;
+    for (const CallerSession &session : m_sessions)
+        summaries.push_back(session.summary());
+    const std::optional<std::size_t> chosen = sessionToClose(summaries);
+    if (!chosen)
+        return false;
+    const auto session = std::next(m_sessions.begin(), static_cast<std::ptrdiff_t>(*chosen));
+    session->closeForLimit(LimitReason::Descriptors, now);
+    m_sessions.erase(session);
+    return true;
+}
+
 void SessionProxy::Impl::logUnusableNames(const ClusterConfig &config) const
 {
     const auto log = [this](const char *kind, const std::string &name) {
@@ -143,7 +167,9 @@
                                                 Duration waited) {
         onOpenFailed(id, failure, error, waited);
     };
-    return std::make_shared<UpstreamPool>(*m_state.protocol, info, std::move(callbacks));
+    auto pool = std::make_shared<UpstreamPool>(*m_state.protocol, info, std::move(callbacks));
+    pool->setMemory(m_state.memory);
+    return pool;
 }
 
 void SessionProxy::Impl::onReachable(const UpstreamId &upstream, bool reachable)
@@ -233,6 +259,8 @@
 
 void SessionProxy::Impl::tick(TimePoint now)
 {
+    m_state.memory->reclaim(now);
+    m_state.limitMetrics->setCharges(*m_state.memory);
     for (auto &[id, service] : m_state.services) {
         for (const auto &[upstream, route] : service.routes) {
             if (route.pool)
@@ -257,7 +285,7 @@
 
 TimePoint SessionProxy::Impl::nextTick(TimePoint now) const
 {
-    if (m_observationChanged || !m_leaving.empty())
+    if (m_observationChanged || !m_leaving.empty() || m_state.memory->needsReclaim())
         return now;
     TimePoint due = std::min(m_dispatcher->nextTick(now), m_state.nextPoolTick(now));
     for (const CallerSession &session : m_sessions) {
@@ -277,9 +305,10 @@
 
 absl::StatusOr<std::unique_ptr<SessionProxy>>
 SessionProxy::create(const Endpoint &listen, const SessionProtocol &protocol, NodeMetrics &metrics,
-                     const Logger &logger, ProxyPeers peers)
+                     const Logger &logger, ProxyPeers peers, ProxyLimits limits)
 {
-    auto impl = std::make_unique<Impl>(protocol, metrics, logger, std::move(peers));
+    auto impl =
+        std::make_unique<Impl>(protocol, metrics, logger, std::move(peers), std::move(limits));
     const absl::Status status = impl->listen(listen);
     if (!status.ok())
         return status;
--- a/src/proxy/proxy_state.h
+++ b/src/proxy/proxy_state.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <vector>
 
+#include "session_limits.h"
 #include "shallotlever/base/due.h"
 #include "shallotlever/policy/token_bucket.h"
 #include "shallotlever/proxy/positions.h"
@@ -90,6 +91,9 @@
     TimePoint freshUntil;
     LogRateLimiter logRateLimiter;
     std::unique_ptr<StopCounters> stopCounters;
+    std::unique_ptr<LimitMetrics> limitMetrics;
+    /// Charged for what callers and databases send.
+    std::shared_ptr<MemoryBudget> memory;
     bool draining = false;
     /// Nothing more is run, because the process ends.
     bool atDrainLimit = false;
--- a/src/proxy/session.cpp
+++ b/src/proxy/session.cpp
@@ -24,13 +24,16 @@
                              TimePoint now)
     : m_state(state)
     , m_dispatcher(dispatcher)
+    , m_account(*state.memory)
     , m_openedAt(now)
     , m_lastActiveAt(now)
 {
     LineSocket::Callbacks callbacks;
     callbacks.line = [this](std::string_view line) { onLine(line); };
     callbacks.closed = [this] { onClosed(); };
-    m_socket = std::make_unique<LineSocket>(socket, std::move(callbacks));
+    callbacks.takesInput = [this](std::size_t bytes) { return takesInput(bytes); };
+    callbacks.sent = [this] { onSent(); };
+    m_socket = std::make_unique<LineSocket>(socket, m_account, std::move(callbacks));
 }
 
 CallerSession::~CallerSession()
@@ -54,12 +57,14 @@
     m_execution->statement = std::move(statement);
     m_execution->arrivedAt = now;
     m_execution->deadline = now;
+    updateCharges(now);
 }
 
 void CallerSession::onLine(std::string_view line)
 {
     const TimePoint now = monotonicNow();
     m_lastActiveAt = now;
+    m_account.noteProgress(now);
     if (m_disconnected) {
         onLateMessage(line, now);
         return;
@@ -85,16 +90,20 @@
 {
     m_disconnected = true;
     m_queue.clear();
+    m_queuedBytes = 0;
+    m_account.stopWaiting();
     const TimePoint now = monotonicNow();
     if (!m_execution) {
         abortTransaction(now);
         m_transaction.reset();
+        updateCharges(now);
         return;
     }
     // A statement that waits is dropped. One that was sent may finish at the database, but its
     // answer is not needed any more.
     cancelPendingWait();
     m_execution.reset();
+    updateCharges(now);
     abortTransaction(now);
     m_transaction.reset();
 }
@@ -108,8 +117,11 @@
 
 void CallerSession::answer(const std::string &lines)
 {
-    if (!m_disconnected)
-        m_socket->write(lines);
+    if (m_disconnected)
+        return;
+    if (m_socket->unsentBytes() == 0)
+        m_sentAt = monotonicNow();
+    m_socket->write(lines);
 }
 
 void CallerSession::onStatement(Statement statement, TimePoint now)
@@ -355,6 +367,7 @@
     if (m_disconnected) {
         abortTransaction(monotonicNow());
         m_transaction.reset();
+        updateCharges(monotonicNow());
         return;
     }
     m_lastActiveAt = monotonicNow();
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -5,6 +5,7 @@
 
 #include "line_socket.h"
 #include "session_execution.h"
+#include "session_limits.h"
 #include "session_state.h"
 
 namespace shallotlever {
@@ -41,6 +42,9 @@
     /// Rolls back the transaction unless a statement is being served. The next statement fails
     /// unless it is a rollback.
     void abortTransaction(TimePoint now);
+    SessionSummary summary() const;
+    /// Counts and logs that the session is closed because of a limit, and closes it at once.
+    void closeForLimit(LimitReason reason, TimePoint now);
 
 private:
     using Phase = SessionPhase;
@@ -62,6 +66,16 @@
     void refuseStart(ErrorKind kind);
     void answerStart(TimePoint now);
 
+    // Limits of what the caller uses.
+    static std::size_t messageBytes(const CallerMessage &message);
+    bool hasRoomForInput() const;
+    bool hasRoomForAnswer() const;
+    bool takesInput(std::size_t bytes);
+    void onSent();
+    void updateCharges(TimePoint now);
+    void applyLimits(TimePoint now);
+    TimePoint nextLimit(TimePoint now) const;
+
     // Statements that need no database.
     bool answerLocally(const Statement &statement, TimePoint now);
     bool resolvePrepared(const Statement &statement);
@@ -117,6 +131,7 @@
 
     ProxyState &m_state;
     StatementDispatcher &m_dispatcher;
+    MemoryAccount m_account;
     std::unique_ptr<LineSocket> m_socket;
     bool m_started = false;
     /// The first message was received; the response waits for the node's freshness lease.
@@ -137,6 +152,9 @@
     std::optional<Transaction> m_transaction;
     /// Messages that the caller sent ahead of responses.
     std::deque<CallerMessage> m_queue;
+    std::size_t m_queuedBytes = 0;
+    /// Output was last accepted, or began to wait.
+    TimePoint m_sentAt;
     bool m_servingQueue = false;
     /// Configuration used by the current statement outside of a transaction.
     DatabaseConfig m_operationConfig;
--- a/src/proxy/session_control.cpp
+++ b/src/proxy/session_control.cpp
@@ -108,9 +108,10 @@
         if (const auto control = current())
             control->reset();
     };
-    m_link = std::make_unique<UpstreamLink>(m_protocol, m_target,
-                                            LinkOptions { timeout, timeout, timeout, true },
-                                            std::move(callbacks));
+    m_link = std::make_unique<UpstreamLink>(
+        m_protocol, m_target,
+        LinkOptions { timeout, timeout, timeout, true, std::make_shared<MemoryBudget>() },
+        std::move(callbacks));
 }
 
 void SessionControl::send(const Call &call)
--- a/src/proxy/session_queue.cpp
+++ b/src/proxy/session_queue.cpp
@@ -23,6 +23,7 @@
 void CallerSession::enqueue(CallerMessage message)
 {
     if (m_queue.size() < kMaxQueuedStatements && m_socket->unsentBytes() < kMaxUnsentBytes) {
+        m_queuedBytes += messageBytes(message);
         m_queue.push_back(std::move(message));
         return;
     }
@@ -43,15 +44,17 @@
     if (m_servingQueue || m_state.atDrainLimit)
         return;
     m_servingQueue = true;
-    while (!m_execution && !m_disconnected && !m_queue.empty()) {
+    while (!m_execution && !m_disconnected && !m_queue.empty() && hasRoomForAnswer()) {
         CallerMessage message = std::move(m_queue.front());
         m_queue.pop_front();
+        m_queuedBytes -= messageBytes(message);
         if (auto *statement = std::get_if<Statement>(&message))
             onStatement(std::move(*statement), monotonicNow());
         else if (const auto *malformed = std::get_if<MalformedMessage>(&message))
             refuse(ErrorKind::MalformedRequest, malformed->id);
     }
     m_servingQueue = false;
+    updateCharges(monotonicNow());
 }
 
 /// Whether the caller is owed nothing: no message of it is being served or waits to be read.
@@ -95,6 +98,7 @@
     if (m_disconnected)
         return;
     std::deque<CallerMessage> unserved = std::exchange(m_queue, {});
+    m_queuedBytes = 0;
     if (m_execution)
         failOpenStatement(now);
     for (const CallerMessage &message : unserved)
--- a/src/proxy/session_tick.cpp
+++ b/src/proxy/session_tick.cpp
@@ -16,6 +16,7 @@
 void CallerSession::tick(TimePoint now)
 {
     m_socket->tick(now);
+    applyLimits(now);
     if (m_awaitingLease && !m_disconnected)
         answerStart(now);
     if (!m_started && !m_disconnected && now >= m_openedAt + kFirstMessageTimeout
@@ -52,7 +53,7 @@
 {
     if (finished() || (m_awaitingLease && !m_disconnected))
         return now;
-    TimePoint due = m_socket->nextTick(now);
+    TimePoint due = std::min(m_socket->nextTick(now), nextLimit(now));
     if (!m_started && !m_disconnected)
         due = std::min(due, m_openedAt + kFirstMessageTimeout);
     if (m_execution) {
--- a/src/proxy/statement_runner.cpp
+++ b/src/proxy/statement_runner.cpp
@@ -163,7 +163,8 @@
         return;
     const TimePoint now = monotonicNow();
     if (reply.lost) {
-        onLost(*execution, RetryReason::ReadConnectionLost, now);
+        onLost(*execution,
+               reply.tooLarge ? RetryReason::AnswerTooLarge : RetryReason::ReadConnectionLost, now);
         return;
     }
     if (!reply.notSent.ok()) {
--- a/src/proxy/upstream_link.cpp
+++ b/src/proxy/upstream_link.cpp
@@ -5,10 +5,18 @@
 #include <QHostAddress>
 
 #include "shallotlever/base/clock.h"
+#include "shallotlever/wire/peer.h"
 #include "shallotlever/wire/socket_options.h"
 
 namespace shallotlever {
 
+namespace {
+
+/// Longest response of a database; a longer one would not fit into a message to another node.
+constexpr std::size_t kMaxAnswerBytes = kMaxPayloadBytes;
+
+} // namespace
+
 std::string_view linkOpenFailureName(LinkOpenFailure failure)
 {
     switch (failure) {
@@ -35,9 +43,10 @@
     , m_callbacks(std::move(callbacks))
     , m_options(options)
     , m_startedAt(monotonicNow())
+    , m_account(*m_options.memory)
     , m_socket(new QTcpSocket)
     , m_lines(std::make_unique<LineSocket>(
-          m_socket,
+          m_socket, m_account,
           LineSocket::Callbacks { [this](std::string_view line) { onLine(line); },
                                   [this] { end(); } }))
 {
@@ -126,6 +135,8 @@
         }
         const Pending answered = std::move(m_pending.front());
         m_pending.pop_front();
+        chargeAnswer();
+        m_account.noteProgress(monotonicNow());
         answered.callback(answered.reply);
         return;
     }
@@ -135,7 +146,20 @@
     const auto *row = std::get_if<UpstreamRow>(&message);
     if (row != nullptr && reply.firstRow.empty())
         reply.firstRow = row->fields;
+    if (m_account.isCondemned() || reply.lines.size() + line.size() > kMaxAnswerBytes) {
+        reply.tooLarge = true;
+        reply.lines = {};
+        end();
+        return;
+    }
     reply.lines.append(line).append("\r\n");
+    chargeAnswer();
+}
+
+void UpstreamLink::chargeAnswer()
+{
+    const std::size_t bytes = m_pending.empty() ? 0 : m_pending.front().reply.lines.capacity();
+    m_account.setCharge(ChargeKind::CollectedAnswers, bytes, monotonicNow());
 }
 
 void UpstreamLink::onOpenTimeout()
--- a/src/proxy/upstream_link.h
+++ b/src/proxy/upstream_link.h
@@ -20,6 +20,8 @@
 {
     /// The connection was closed or a malformed line was received before the response was complete.
     bool lost = false;
+    /// `lost` because the response was longer than an answer may be.
+    bool tooLarge = false;
     /// Not OK if the request was not sent, because no message can represent it.
     absl::Status notSent;
     /// Lines to forward to the caller: rows, then the completion or the error.
@@ -75,6 +77,8 @@
     /// Closing the connection, also by the end of this process, discards requests that have not
     /// reached the database.
     bool discardUnsent = false;
+    /// Charged for what the database has sent.
+    std::shared_ptr<MemoryBudget> memory = std::make_shared<MemoryBudget>();
 };
 
 /// One connection to a database. Requests are pipelined and answered in order.
@@ -120,6 +124,7 @@
     void onReplyLine(const UpstreamMessage &message, std::string_view line);
     void failOpening(LinkOpenFailure failure, const std::optional<UpstreamError> &error);
     void end();
+    void chargeAnswer();
 
     const SessionProtocol &m_protocol;
     LinkTarget m_target;
@@ -131,6 +136,7 @@
     std::optional<UpstreamError> m_handshakeError;
     std::deque<Pending> m_pending;
     QTimer m_openTimer;
+    MemoryAccount m_account;
     QTcpSocket *m_socket;
     std::unique_ptr<LineSocket> m_lines;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/src/proxy/upstream_pool.h
+++ b/src/proxy/upstream_pool.h
@@ -101,6 +101,8 @@
 
     UpstreamPool(const SessionProtocol &protocol, UpstreamInfo info, Callbacks callbacks);
     ~UpstreamPool();
+    /// Budget that connections opened from now on are charged to.
+    void setMemory(std::shared_ptr<MemoryBudget> memory) { m_memory = std::move(memory); }
     UpstreamPool(const UpstreamPool &) = delete;
     UpstreamPool &operator=(const UpstreamPool &) = delete;
 
@@ -184,6 +186,7 @@
     void closeExpired(TimePoint now);
     std::uint32_t runningStatements() const;
 
+    std::shared_ptr<MemoryBudget> m_memory = std::make_shared<MemoryBudget>();
     const SessionProtocol &m_protocol;
     UpstreamInfo m_info;
     Callbacks m_callbacks;
--- a/src/proxy/upstream_pool_links.cpp
+++ b/src/proxy/upstream_pool_links.cpp
@@ -151,7 +151,9 @@
     callbacks.closed = [this, id] { onClosed(id); };
     link->link = std::make_unique<UpstreamLink>(
         m_protocol, LinkTarget { m_info.service, m_info.id, m_info.endpoint, team.value() },
-        LinkOptions { kConnectTimeout, kHandshakeTimeout }, std::move(callbacks));
+        LinkOptions {
+            .connect = kConnectTimeout, .handshake = kHandshakeTimeout, .memory = m_memory },
+        std::move(callbacks));
 }
 
 void UpstreamPool::onClosed(std::uint64_t id)
--- a/src/settings/flags.cpp
+++ b/src/settings/flags.cpp
@@ -70,6 +70,12 @@
                "Time limit for receiving a request, 100 to 600000 (default 10000)." },
     FlagSpec { "--max-connections", "N",
                "Maximum number of connections, 1 to 100000 (default 8192)." },
+    FlagSpec { "--memory-mb", "MIB",
+               "Memory that this process may use, 32 to 1048576; without it, only the limits of "
+               "single connections apply." },
+    FlagSpec { "--max-descriptors", "N",
+               "Descriptors that this process may open, 64 to 1048576 (default: the limit of the "
+               "operating system)." },
     FlagSpec { "--drain-notice-ms", "MS",
                "Time as not ready before the listener closes, 0 to 600000 (default 2000)." },
     FlagSpec { "--drain-limit-ms", "MS",
--- a/src/settings/node_settings.cpp
+++ b/src/settings/node_settings.cpp
@@ -26,6 +26,10 @@
 constexpr std::int64_t kMaxHeaderBytes = 1024 * 1024;
 constexpr std::int64_t kMaxBodyBytes = 64 * 1024 * 1024;
 constexpr std::int64_t kMaxConnections = 100000;
+constexpr std::int64_t kMinDescriptors = 64;
+constexpr std::int64_t kMaxDescriptors = 1048576;
+constexpr std::int64_t kMinMemoryMb = 32;
+constexpr std::int64_t kMaxMemoryMb = 1048576;
 constexpr std::int64_t kMinRequestTimeoutMs = 100;
 constexpr std::int64_t kMaxRequestTimeoutMs = 600000;
 constexpr std::int64_t kMaxDrainNoticeMs = 600000;
@@ -288,6 +292,13 @@
                                        kMinRequestTimeoutMs, kMaxRequestTimeoutMs);
     settings.maxConnections =
         static_cast<int>(number("--max-connections", settings.maxConnections, 1, kMaxConnections));
+    if (isSet("--memory-mb"))
+        settings.memoryBytes = static_cast<std::size_t>(
+                                   number("--memory-mb", kMinMemoryMb, kMinMemoryMb, kMaxMemoryMb))
+            << 20U;
+    if (isSet("--max-descriptors"))
+        settings.maxDescriptors = static_cast<std::size_t>(
+            number("--max-descriptors", kMinDescriptors, kMinDescriptors, kMaxDescriptors));
     settings.drainNotice =
         duration("--drain-notice-ms", settings.drainNotice, 0, kMaxDrainNoticeMs);
     settings.drainLimit = duration("--drain-limit-ms", settings.drainLimit, 0, kMaxDrainLimitMs);
--- a/src/shallotleverd/main.cpp
+++ b/src/shallotleverd/main.cpp
@@ -6,6 +6,7 @@
 #include <QCoreApplication>
 #include <QSocketNotifier>
 
+#include <malloc.h>
 #include <sys/signalfd.h>
 #include <unistd.h>
 
@@ -40,11 +41,21 @@
         node.shutDown();
 }
 
+/// Large buffers are returned to the operating system when they are freed, whatever was allocated
+/// before.
+void configureAllocator()
+{
+    constexpr int kLargeBytes = 128 << 10;
+    mallopt(M_MMAP_THRESHOLD, kLargeBytes);
+    mallopt(M_TRIM_THRESHOLD, kLargeBytes);
+}
+
 } // namespace
 
 int main(int argc, char **argv)
 {
     using namespace shallotlever;
+    configureAllocator();
     clearLibpqEnvironment();
     const auto settingsOrStatus = loadNodeSettings(argc, argv, std::cout, std::cerr);
     if (const int *status = std::get_if<int>(&settingsOrStatus))
