--- a/src/policy/experiment/scenarios.h
+++ b/src/policy/experiment/scenarios.h
@@ -12,6 +12,7 @@
 QJsonValue runMovingTraffic(std::uint64_t seed);
 QJsonValue runFrozenDatabase(std::uint64_t seed);
 QJsonValue runRetryStorm(std::uint64_t seed);
+QJsonValue runStatementQueue(std::uint64_t seed);
 QJsonValue runSlopes(std::uint64_t seed);
 
 } // namespace shallotlever::experiment
--- a/src/policy/policy_experiment.cpp
+++ b/src/policy/policy_experiment.cpp
@@ -20,7 +20,7 @@
 
 Options:
   --scenario=NAME  replica_choice, noisy_team, moving_traffic, frozen_database, retry_storm,
-                   slopes or all [default: all].
+                   statement_queue, slopes or all [default: all].
   --seed=N         Seed of the random source [default: 1].
 )";
 
@@ -30,6 +30,7 @@
     { "moving_traffic", shallotlever::experiment::runMovingTraffic },
     { "frozen_database", shallotlever::experiment::runFrozenDatabase },
     { "retry_storm", shallotlever::experiment::runRetryStorm },
+    { "statement_queue", shallotlever::experiment::runStatementQueue },
     { "slopes", shallotlever::experiment::runSlopes },
 };
 
