--- a/src/policy/experiment/scenarios.h
+++ b/src/policy/experiment/scenarios.h
@@ -13,6 +13,7 @@
 QJsonValue runFrozenDatabase(std::uint64_t seed);
 QJsonValue runRetryStorm(std::uint64_t seed);
 QJsonValue runEvenLoad(std::uint64_t seed);
+QJsonValue runStatementQueue(std::uint64_t seed);
 QJsonValue runSlopes(std::uint64_t seed);
 
 } // namespace shallotlever::experiment
--- a/src/policy/policy_experiment.cpp
+++ b/src/policy/policy_experiment.cpp
@@ -20,7 +20,7 @@
 
 Options:
   --scenario=NAME  replica_choice, noisy_team, moving_traffic, frozen_database, retry_storm,
-                   slopes, even_load or all [default: all].
+                   statement_queue, slopes, even_load or all [default: all].
   --seed=N         Seed of the random source [default: 1].
 )";
 
@@ -31,6 +31,7 @@
     { "frozen_database", shallotlever::experiment::runFrozenDatabase },
     { "retry_storm", shallotlever::experiment::runRetryStorm },
     { "even_load", shallotlever::experiment::runEvenLoad },
+    { "statement_queue", shallotlever::experiment::runStatementQueue },
     { "slopes", shallotlever::experiment::runSlopes },
 };
 
