--- a/src/include/shallotlever/policy/statement_queue.h
+++ b/src/include/shallotlever/policy/statement_queue.h
@@ -43,6 +43,10 @@
     TimePoint deadline = kNever;
 };
 
+/// Weight of a team with this rate limit among teams of which the smallest has another one. 0: no
+/// limit is known.
+double teamWeight(double rate, double smallestRate);
+
 enum class StatementOrder : std::uint8_t {
     Fair,
     /// Fault injection for tests: teams are fair by number of statements.
@@ -63,7 +67,7 @@
 };
 
 /// Statements of a team that wait.
-struct TeamDemand
+struct WaitingTeam
 {
     TeamId team;
     std::uint32_t waiting = 0;
@@ -90,11 +94,13 @@
     /// Removes the statements that can't finish before their deadlines.
     std::vector<WaiterId> takeInfeasible(TimePoint now);
     void cancel(WaiterId id);
+    /// A slot is free: what still waits does so for want of a connection, not for others.
+    void recordFreeSlot(TimePoint now);
 
     /// Teams that have been passed over for kMaxHeldBack, in the order of their turns.
     std::vector<TeamId> overdueTeams(TimePoint now) const;
     /// Number of waiting statements of each team, in the order of the teams' turns.
-    std::vector<TeamDemand> waitingByTeam() const;
+    std::vector<WaitingTeam> waitingByTeam() const;
     bool waits(const TeamId &team) const { return m_waitingByTeam.contains(team); }
     std::size_t size() const { return m_waiting.size(); }
 
--- a/src/policy/experiment/statement_world.cpp
+++ b/src/policy/experiment/statement_world.cpp
@@ -152,10 +152,12 @@
                 break;
             start(*id);
         }
+        if (m_running + m_opening < m_load.slots)
+            m_queue.recordFreeSlot(m_loop.now());
         if (m_load.connections == 0)
             return;
         std::vector<TeamId> waiting;
-        for (const TeamDemand &demand : m_queue.waitingByTeam())
+        for (const WaitingTeam &demand : m_queue.waitingByTeam())
             waiting.push_back(demand.team);
         openFor(waiting, false);
     }
