Count statements sent to an owner only while they are unanswered

Found by the review: the count of statements sent since an owner's last report grew with each refusal and lost send and was never reduced, so a database could be left out for good. It is now at most the number of unanswered ones. The primary's factor counts the whole service time, so that a primary isn't chosen for reads merely because it is 0.2 ms away. One database is not weighed. The unused capacityShare is gone.

--- a/src/include/shallotlever/proxy/placement.h
+++ b/src/include/shallotlever/proxy/placement.h
@@ -69,8 +69,6 @@
     std::uint32_t sentSinceReport = 0;
     /// Statements of this node that another owner has not answered.
     std::uint32_t pending = 0;
-    /// Share of its slots that the database can use now, above 0 to 1; less for a cold one.
-    double capacityShare = 1;
     /// False after a failure, until the database responds again.
     bool reachable = true;
     /// No idle connection is available; opening one takes openTime.
--- a/src/policy/even_choice.cpp
+++ b/src/policy/even_choice.cpp
@@ -109,6 +109,8 @@
 
 std::vector<double> evenShares(std::span<const LoadFigure> figures)
 {
+    if (figures.size() == 1)
+        return { 1.0 };
     double capacity = 0;
     double weightedAge = 0;
     double arrivals = 0;
@@ -124,7 +126,10 @@
     servers.reserve(figures.size());
     for (const LoadFigure &figure : figures) {
         const double service = seconds(figure.serviceTime);
-        const double idle = seconds(figure.reachTime) + service * kServiceTimePart;
+        // The whole service time counts for what the cost adds, so that a costly database is no
+        // choice merely because it is near.
+        const double idle =
+            seconds(figure.reachTime) + service * (kServiceTimePart + figure.cost - 1);
         servers.push_back({ figure.parallel, service, idle, figure.cost,
                             believedOutstanding(figure), figure.parallel / service * age });
     }
--- a/src/policy/even_choice_fuzz_test.cpp
+++ b/src/policy/even_choice_fuzz_test.cpp
@@ -143,7 +143,11 @@
         EvenShareCase {
             "FarDatabaseBesideALongLine", { figure(1, 0ms, 10ms, 40ms), figure(40, 0ms) }, 1, 1 },
         EvenShareCase {
-            "CostlyDatabaseInLightLoad", { costly(figure(0, 0ms)), figure(1, 0ms) }, 0, 0 }),
+            "CostlyDatabaseInLightLoad", { costly(figure(0, 0ms)), figure(1, 0ms) }, 0, 0 },
+        EvenShareCase { "CostlyDatabaseThatIsNearer",
+                        { costly(figure(0, 0ms, 20ms, 200us)), figure(0, 0ms, 20ms, 1500us) },
+                        0,
+                        0 }),
     [](const auto &info) { return info.param.name; });
 
 } // namespace
--- a/src/proxy/placement.cpp
+++ b/src/proxy/placement.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-constexpr double kMinCapacityShare = 0.01;
-
 LeftOut reasonToLeaveOut(const UpstreamLoad &load, bool allowReplicas,
                          const std::set<UpstreamId> &excluded)
 {
@@ -31,8 +29,7 @@
 
 double parallelStatements(const UpstreamLoad &load)
 {
-    const std::uint32_t parallel = std::max(1U, std::min(load.slots, load.leasedConnections));
-    return parallel * std::clamp(load.capacityShare, kMinCapacityShare, 1.0);
+    return std::max(1U, std::min(load.slots, load.leasedConnections));
 }
 
 Duration reachTime(const UpstreamLoad &load)
--- a/src/proxy/proxy_state.cpp
+++ b/src/proxy/proxy_state.cpp
@@ -10,6 +10,12 @@
 
 } // namespace
 
+void endPending(DatabaseRoute &route)
+{
+    route.pending -= std::min(route.pending, 1U);
+    route.sentSinceReport = std::min(route.sentSinceReport, route.pending);
+}
+
 void recordOutstanding(DatabaseRoute &route, std::uint32_t outstanding)
 {
     route.meanOutstanding += (outstanding - route.meanOutstanding) * kMeanOutstandingWeight;
--- a/src/proxy/proxy_state.h
+++ b/src/proxy/proxy_state.h
@@ -44,6 +44,10 @@
     TimePoint logEndAt;
 };
 
+/// Records the end of a statement that this node sent to the database or its owner. What has ended
+/// is no longer at the database, whether or not the owner has reported since.
+void endPending(DatabaseRoute &route);
+
 /// Adds a sample to the mean of the outstanding statements.
 void recordOutstanding(DatabaseRoute &route, std::uint32_t outstanding);
 
--- a/src/proxy/statement_dispatcher.cpp
+++ b/src/proxy/statement_dispatcher.cpp
@@ -73,7 +73,7 @@
     forwarded.callback = std::move(callback);
     if (DatabaseRoute *used = route(forwarded)) {
         ++used->pending;
-        ++used->sentSinceReport;
+        used->sentSinceReport += local ? 0U : 1U;
         if (local && used->pool)
             recordOutstanding(*used, used->pool->load().outstanding);
     }
@@ -107,7 +107,7 @@
     const Forwarded forwarded = std::move(found->second);
     m_forwarded.erase(found);
     if (DatabaseRoute *used = route(forwarded)) {
-        used->pending -= std::min(used->pending, 1U);
+        endPending(*used);
         noteLag(*used, reply, now);
         if (forwarded.owner != m_state.self)
             noteLoad(*used, reply, now);
@@ -153,7 +153,7 @@
         return false;
     const bool dropped = found->second.local != 0 && m_runner.cancel(found->second.local);
     if (DatabaseRoute *used = route(found->second))
-        used->pending -= std::min(used->pending, 1U);
+        endPending(*used);
     m_forwarded.erase(found);
     return dropped;
 }
