End the wait for first shares while there is time to run

A controller that steps down forgets the reports it was about to request, which made nodes follow it. A node behind a relay is asked through the relay. A frame that compression makes too long is sent plain.

--- a/src/node/controller_host.cpp
+++ b/src/node/controller_host.cpp
@@ -86,6 +86,9 @@
                   { { "control_term", m_controller->controlTerm.value() } });
     m_controller.reset();
     m_requests = {};
+    m_newlyRecorded.clear();
+    m_recordedWithoutReport.clear();
+    m_reportRequestsDue = false;
     for (const auto &[service, promotion] : std::exchange(m_promotions, {}))
         withdrawPromotion(service, promotion, now);
     // Withdraws the other calls that are under way.
@@ -447,6 +450,8 @@
 std::vector<NodeId> ControllerHost::takeReportTargets(TimePoint now)
 {
     std::vector<NodeId> nodes = std::exchange(m_recordedWithoutReport, {});
+    // A node that reports through a relay has no link of its own, so its relay is asked as well.
+    m_reportRequestsDue = m_reportRequestsDue || !nodes.empty();
     if (m_controller && std::exchange(m_reportRequestsDue, false)) {
         for (const auto &[holder, lease] : m_controller->leases.holders)
             nodes.push_back(holder.first);
--- a/src/proxy/session.cpp
+++ b/src/proxy/session.cpp
@@ -25,6 +25,7 @@
     , m_account(*state.memory)
     , m_openedAt(now)
     , m_lastActiveAt(now)
+    , m_sentAt(now)
 {
     LineSocket::Callbacks callbacks;
     callbacks.line = [this](std::string_view line) { onLine(line); };
@@ -225,8 +226,11 @@
     }
     if (!std::exchange(m_execution->arrivalCounted, true))
         admission->second.bucket->countArrival();
-    // Without shares every bucket is empty, whatever the team's rate.
-    if (m_state.expectsShares(now) && now < m_execution->deadline) {
+    // Without shares every bucket is empty, whatever the team's rate. An operation that is admitted
+    // after this wait needs time to run.
+    const TimePoint waitLimit = m_execution->arrivedAt
+        + std::min<Duration>(kMaxInsideRateWait, m_operationConfig.statementTimeout / 2);
+    if (m_state.expectsShares(now) && now < waitLimit) {
         m_execution->phase = Phase::AwaitingLease;
         return;
     }
@@ -361,6 +365,7 @@
 {
     m_socket->closeGracefully(monotonicNow());
     m_disconnected = true;
+    m_socket->resume();
 }
 
 void CallerSession::finishExecution()
--- a/src/wire/frame.cpp
+++ b/src/wire/frame.cpp
@@ -122,7 +122,8 @@
         return plain;
     const absl::StatusOr<std::string> compressed =
         m_compressor->compress(std::string_view(*plain).substr(kLengthBytes));
-    if (!compressed.ok()) {
+    // Data that can't be compressed may become too long for the receiver.
+    if (!compressed.ok() || compressed->size() > kMaxFrameBytes) {
         // The receiver needs every compressed message, so there can be no later one.
         m_compresses = false;
         return plain;
