Leave it to the caller to repeat an order that was overtaken

It now answers that the order is undecided. A primary whose whole group leaves isn't replaced for stalled replicas either, as before. A statement that gets a connection after the order sends nothing on it.

--- a/src/fleet/primary_change.cpp
+++ b/src/fleet/primary_change.cpp
@@ -368,8 +368,9 @@
     const bool silent = state == input.states.end() || state->second == UpstreamState::Suspected;
     if (silent && input.registryComplete)
         return ChangeReason::Suspected;
-    if (!silent && state->second == UpstreamState::Leaving && !allLeave(input))
-        return ChangeReason::Leaving;
+    // Where all leave, the primary is the last one that works: nobody is put in its place.
+    if (!silent && state->second == UpstreamState::Leaving)
+        return allLeave(input) ? ChangeReason::None : ChangeReason::Leaving;
     if (input.operatorRequest)
         return ChangeReason::Operator;
     return input.replicationStalled ? ChangeReason::Stalled : ChangeReason::None;
--- a/src/node/node_evacuation.cpp
+++ b/src/node/node_evacuation.cpp
@@ -8,10 +8,6 @@
 
 namespace {
 
-/// An order that an opposite one has overtaken is given again until then. Later its operator may
-/// have given the order elsewhere, and another one since.
-constexpr Duration kOrderRepeatPeriod = 1s;
-
 std::string_view outcomeName(const EdgeResponse &answer)
 {
     const auto *change = std::get_if<ChangeResponse>(&answer);
@@ -67,13 +63,6 @@
 
 void Node::Impl::onEvacuationOrdered(const EvacuationRequest &request, const EdgeResponse &answer)
 {
-    const TimePoint now = monotonicNow();
-    const auto *change = std::get_if<ChangeResponse>(&answer);
-    if (change != nullptr && change->result.outcome == ChangeOutcome::Conflict
-        && now < request.arrivedAt + kOrderRepeatPeriod && isFresh(m_view.freshness, now)) {
-        orderEvacuation(request, change->result.version, now);
-        return;
-    }
     const std::string_view outcome = outcomeName(answer);
     m_registry
         .counter("shallotlever_evacuation_orders_total",
@@ -84,7 +73,7 @@
                   { { "data_centre", request.dataCentre.value() },
                     { "in_force", request.inForce },
                     { "outcome", outcome },
-                    { "waited_ms", millisecondsBetween(request.arrivedAt, now) } });
+                    { "waited_ms", millisecondsBetween(request.arrivedAt, monotonicNow()) } });
     request.respond(answer);
 }
 
--- a/src/proxy/statement_setup.cpp
+++ b/src/proxy/statement_setup.cpp
@@ -48,6 +48,11 @@
         return;
     }
     execution->link = std::get<PooledLink *>(result);
+    if (m_state.isEvacuated(execution->pool->info())) {
+        rollBackLink(*execution, TransactionState::None, now);
+        notRun(*execution, RetryReason::UpstreamLeaving, now);
+        return;
+    }
     setUpLink(*execution, now);
 }
 
--- a/src/settings/flags.cpp
+++ b/src/settings/flags.cpp
@@ -50,8 +50,9 @@
                "This node serves operators and databases, but no callers; needs --control." },
     FlagSpec { "--data-dir", "DIR", "Directory for durable state." },
     FlagSpec { "--relay", "", "Relay the control traffic of the data centre." },
-    FlagSpec { "--data-centres", "NAME,...",
-               "All data centres of the deployment; orders about others are refused." },
+    FlagSpec {
+        "--data-centres", "NAME,...",
+        "All data centres of the deployment; a platform's orders about others are refused." },
     FlagSpec { "--relays", "ID=IP:PORT,...", "Relays of the data centre to report to." },
     FlagSpec { "--edge-threads", "N", "HTTP threads, 1 to 64 (default 2)." },
     FlagSpec { "--executor-threads", "N", "Executor threads, 1 to 64 (default 2)." },
