Let no session inside its limits be closed or left unread by the memory budget

A paused session was resumed only by an unrelated tick; a pause counted as time of an unfinished line; a long line had 30 s however much of it came; a line near 1 MiB behind small statements was cut; a condemned database link was used again and dropped the next answer; answers that were ready were lost when room was made for another connection; what had been sent was not refused at the drain limit; a caller with a statement waiting lost its transaction to the idle limit. The floor of a connection now depends on how many connections the descriptors allow, so that the floors leave room for one large message.

--- a/src/base/memory_budget.cpp
+++ b/src/base/memory_budget.cpp
@@ -10,6 +10,10 @@
 /// Share of the process's memory for what others fill. The rest is for the program itself, and for
 /// the copies that a message needs on its way.
 constexpr std::size_t kProcessShare = 4;
+/// Share of the limit that the floors of all connections may take together, and the bounds of one.
+constexpr std::size_t kFloorsShare = 2;
+constexpr std::size_t kMinFloor = 4U << 10U;
+constexpr std::size_t kMaxFloor = 32U << 10U;
 /// Wait for memory after which another connection is closed.
 constexpr Duration kMaxWait = 100ms;
 /// Connections closed at a time for those that wait.
@@ -40,11 +44,14 @@
     return "unknown";
 }
 
-MemoryLimits memoryLimitsOf(std::optional<std::size_t> processBytes)
+MemoryLimits memoryLimitsOf(std::optional<std::size_t> processBytes, std::size_t connections)
 {
     MemoryLimits limits;
-    if (processBytes)
-        limits.total = *processBytes / kProcessShare;
+    if (!processBytes)
+        return limits;
+    limits.total = *processBytes / kProcessShare;
+    const std::size_t share = limits.total / kFloorsShare / std::max<std::size_t>(connections, 1);
+    limits.floor = std::clamp(share, kMinFloor, kMaxFloor);
     return limits;
 }
 
@@ -158,6 +165,9 @@
     m_charged += added;
     m_budget.m_charged += added;
     m_budget.m_chargedByKind[static_cast<std::size_t>(kind)] += added;
+    // What it was to be closed for is gone.
+    if (m_charged <= m_budget.m_limits.floor)
+        m_condemned = false;
 }
 
 bool MemoryAccount::mayTake(std::size_t bytes, TimePoint now)
--- a/src/base/memory_budget_test.cpp
+++ b/src/base/memory_budget_test.cpp
@@ -73,6 +73,32 @@
         ReclaimCase { "the floor needs no wait", { { 500, 9s }, { 500, 1s } }, kFloor, 1s },
         ReclaimCase { "without a limit nobody goes", { { 500, 9s } }, 5000, 1s, MemoryLimits {} }));
 
+struct LimitsCase
+{
+    std::optional<std::size_t> processBytes;
+    std::size_t connections;
+    std::size_t floor;
+};
+
+class MemoryLimitsOf : public testing::TestWithParam<LimitsCase>
+{
+};
+
+// Guards against connections that all hold their floor and leave nothing for one large message.
+TEST_P(MemoryLimitsOf, LeavesRoomAboveTheFloors)
+{
+    const LimitsCase &given = GetParam();
+    const MemoryLimits limits = memoryLimitsOf(given.processBytes, given.connections);
+    EXPECT_EQ(limits.floor, given.floor);
+    EXPECT_LE(given.connections * limits.floor, limits.total / 2);
+}
+
+INSTANTIATE_TEST_SUITE_P(Processes, MemoryLimitsOf,
+                         testing::Values(LimitsCase { std::nullopt, 1000, 32U << 10U },
+                                         LimitsCase { 112U << 20U, 80, 32U << 10U },
+                                         LimitsCase { 112U << 20U, 1792, 8U << 10U },
+                                         LimitsCase { 128U << 20U, 4096, 4U << 10U }));
+
 /// Connections that come, use memory and go at random.
 class MemorySimulation
 {
--- a/src/edge/connection.cpp
+++ b/src/edge/connection.cpp
@@ -117,7 +117,8 @@
         } else {
             if (m_reader.takeExpectContinue())
                 m_socket->write("HTTP/1.1 100 Continue\r\n\r\n");
-            if (!m_account.mayTake(kReadChunkBytes, monotonicNow()))
+            const qint64 next = std::min<qint64>(kReadChunkBytes, m_socket->bytesAvailable());
+            if (next <= 0 || !m_account.mayTake(static_cast<std::size_t>(next), monotonicNow()))
                 break;
             const QByteArray bytes = m_socket->read(kReadChunkBytes);
             if (bytes.isEmpty())
@@ -164,6 +165,7 @@
 void Connection::passToParser()
 {
     FramedRequest request = m_reader.takeRequest();
+    m_account.noteProgress(monotonicNow());
     m_parserInput = canonicalRequest(request);
     m_head = std::move(request.head);
     ++m_requestNumber;
--- a/src/edge/http_endpoint.cpp
+++ b/src/edge/http_endpoint.cpp
@@ -85,7 +85,8 @@
             read();
     }
     bool isReclaimable() const { return m_account.isReclaimable(); }
-    bool isReceiving() const { return m_stage == Stage::Reading; }
+    /// Whether it is owed nothing.
+    bool isReceiving() const { return m_stage == Stage::Reading && m_socket->bytesToWrite() == 0; }
 
 private:
     enum class Stage { Reading, AwaitingResponse, Closing };
@@ -100,13 +101,16 @@
             if (status != RequestReader::Status::NeedMore)
                 break;
             const TimePoint now = monotonicNow();
-            if (!m_account.mayTake(static_cast<std::size_t>(m_socket->bytesAvailable()), now)) {
+            const auto available = static_cast<std::size_t>(m_socket->bytesAvailable());
+            if (m_reader.hasPartialRequest() && !m_requestTimer.isActive())
+                m_requestTimer.start(endpointLimits().requestTimeout);
+            if (available == 0)
+                return;
+            if (!m_account.mayTake(available, now)) {
                 m_watchLimits();
                 return;
             }
             const QByteArray bytes = m_socket->readAll();
-            if (bytes.isEmpty())
-                return;
             if (!m_reader.hasPartialRequest())
                 m_requestTimer.start(endpointLimits().requestTimeout);
             m_reader.append(bytes);
@@ -124,7 +128,9 @@
     {
         m_stage = Stage::AwaitingResponse;
         m_requestTimer.stop();
-        m_account.setCharge(ChargeKind::HttpInput, m_reader.heldBytes(), monotonicNow());
+        const TimePoint now = monotonicNow();
+        m_account.setCharge(ChargeKind::HttpInput, m_reader.heldBytes(), now);
+        m_account.noteProgress(now);
         const std::uint64_t number = ++m_requestNumber;
         const bool keepAlive = request.head.keepAlive;
         const QPointer<EndpointConnection> self(this);
@@ -210,8 +216,10 @@
 private:
     void add(QTcpSocket *socket)
     {
-        if (connections().size() >= kMaxConnections)
-            makeRoom();
+        if (connections().size() >= kMaxConnections && !makeRoom()) {
+            delete socket;
+            return;
+        }
         (new EndpointConnection(socket, m_handler, *m_memory, [this] {
             watchLimits();
         }))->setParent(&m_connections);
@@ -223,15 +231,17 @@
             m_limitTimer.start(kLimitInterval);
     }
 
-    /// Closes the oldest connection whose request is not complete.
-    void makeRoom()
+    /// Closes the oldest connection whose request is not complete. Returns false if there is none.
+    bool makeRoom()
     {
         const QObjectList open = connections();
         const auto oldest = std::find_if(open.begin(), open.end(), [](const QObject *object) {
             return static_cast<const EndpointConnection *>(object)->isReceiving();
         });
-        if (oldest != open.end())
-            delete *oldest;
+        if (oldest == open.end())
+            return false;
+        delete *oldest;
+        return true;
     }
 
     void applyLimits()
--- a/src/include/shallotlever/base/memory_budget.h
+++ b/src/include/shallotlever/base/memory_budget.h
@@ -41,8 +41,9 @@
     std::size_t floor = 32U << 10U;
 };
 
-/// Limits for a process that may use `processBytes`; without a limit for nullopt.
-MemoryLimits memoryLimitsOf(std::optional<std::size_t> processBytes);
+/// Limits for a process that may use `processBytes` and that callers may open `connections` to;
+/// without a limit for nullopt.
+MemoryLimits memoryLimitsOf(std::optional<std::size_t> processBytes, std::size_t connections);
 
 class MemoryAccount;
 
--- a/src/node/node_start.cpp
+++ b/src/node/node_start.cpp
@@ -60,7 +60,8 @@
 
 Node::Impl::Impl(const NodeSettings &settings, PlatformAdapter platform)
     : m_settings(settings)
-    , m_memory(std::make_shared<MemoryBudget>(memoryLimitsOf(settings.memoryBytes)))
+    , m_memory(std::make_shared<MemoryBudget>(
+          memoryLimitsOf(settings.memoryBytes, descriptorLimit(settings) / kSessionShare)))
     , m_platform(std::move(platform))
     , m_logger(settings.nodeId, levelOf(settings),
                settings.logToStandardError ? STDERR_FILENO : STDOUT_FILENO)
--- a/src/proxy/line_socket.cpp
+++ b/src/proxy/line_socket.cpp
@@ -14,8 +14,6 @@
 constexpr std::string_view kLineEnd = "\r\n";
 /// Time for which a peer that takes no output, or does not close, is waited for.
 constexpr Duration kLingerTimeout = 2s;
-/// Maximum number of bytes that Qt reads ahead of the lines.
-constexpr qint64 kReadAheadBytes = 16LL * 1024;
 /// Memory of a buffer that is kept when the buffer is empty, and of an incomplete line of a
 /// connection that is being closed.
 constexpr std::size_t kKeptBytes = 32U << 10U;
@@ -164,7 +162,9 @@
     }
     m_reading = false;
     discardConsumed();
-    if (m_buffer.size() > m_consumed && !m_unfinishedSince)
+    if (m_paused)
+        m_unfinishedSince.reset();
+    else if (m_buffer.size() > m_consumed && !m_unfinishedSince)
         m_unfinishedSince = monotonicNow();
     updateCharges();
 }
@@ -200,7 +200,11 @@
     m_searched = std::min(m_searched, before);
     m_buffer.resize(before + static_cast<std::size_t>(available));
     m_socket->read(m_buffer.data() + before, available);
-    if (m_buffer.size() <= kMaxLineBytes + static_cast<std::size_t>(kReadAheadBytes))
+    constexpr auto kStep = static_cast<std::size_t>(kReadAheadBytes);
+    // A long line over a slow link makes progress.
+    if (before / kStep != m_buffer.size() / kStep)
+        m_unfinishedSince.reset();
+    if (m_buffer.size() - m_consumed <= kMaxLineBytes + kLineEnd.size() + kStep)
         return true;
     abort();
     return false;
--- a/src/proxy/line_socket.h
+++ b/src/proxy/line_socket.h
@@ -15,6 +15,8 @@
 
 /// Maximum size of an incomplete line, in bytes; the connection is closed beyond it.
 constexpr std::size_t kMaxLineBytes = 1U << 20U;
+/// Maximum number of bytes that Qt reads ahead of the lines.
+constexpr qint64 kReadAheadBytes = 16LL * 1024;
 
 /// A TCP connection that transfers text lines terminated by CR LF. Not thread-safe; runs on a
 /// thread with a Qt event loop.
@@ -57,7 +59,8 @@
     void resume();
     /// Input waits because the owner did not take it.
     bool isPaused() const { return m_paused; }
-    /// Since when the last line has been incomplete, while reading is not paused.
+    /// Since when the last line has been incomplete and no further kReadAheadBytes of it have come,
+    /// while reading is not paused.
     std::optional<TimePoint> unfinishedSince() const;
     /// Closes the connection if closeGracefully() was called and the peer took too long.
     void tick(TimePoint now);
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -128,6 +128,8 @@
     while (QTcpSocket *socket = m_server.nextPendingConnection()) {
         socket->setParent(nullptr);
         const TimePoint now = monotonicNow();
+        if (m_sessions.size() >= m_maxSessions)
+            m_sessions.remove_if([](const CallerSession &session) { return session.finished(); });
         if (m_sessions.size() < m_maxSessions || makeRoom(now))
             m_sessions.emplace_back(m_state, *m_dispatcher, socket, now);
         else
--- a/src/proxy/session_limits.cpp
+++ b/src/proxy/session_limits.cpp
@@ -20,8 +20,6 @@
 constexpr std::size_t kMaxUnreadBytes = 256U << 10U;
 /// Time to complete a line, and to take a part of an answer.
 constexpr Duration kMaxUnfinishedTime = 30s;
-/// A session that waits for memory asks for it this often.
-constexpr Duration kResumeInterval = 10ms;
 /// Copies of a statement while it runs: that of the session, and those on the way to the database.
 constexpr std::size_t kCopiesOfRunning = 3;
 
@@ -97,7 +95,9 @@
 
 SessionSummary CallerSession::summary() const
 {
-    return { m_key, m_lastActiveAt, idle() && m_queue.empty() };
+    const bool owedNothing =
+        idle() && m_queue.empty() && !m_awaitingLease && m_socket->unsentBytes() == 0;
+    return { m_key, m_lastActiveAt, owedNothing };
 }
 
 std::size_t CallerSession::messageBytes(const CallerMessage &message)
@@ -113,7 +113,8 @@
 
 bool CallerSession::takesInput(std::size_t bytes)
 {
-    if (m_disconnected)
+    // At the drain limit everything that was sent is refused.
+    if (m_disconnected || m_state.atDrainLimit)
         return true;
     if (hasRoomForInput())
         return bytes == 0 || m_account.mayTake(bytes, monotonicNow());
@@ -128,12 +129,11 @@
 
 void CallerSession::onSent()
 {
-    if (m_socket->unsentBytes() == 0 && m_queue.empty())
-        return;
     m_sentAt = monotonicNow();
     if (m_socket->unsentBytes() == 0)
         m_account.noteProgress(m_sentAt);
-    serveQueue();
+    if (!m_queue.empty())
+        serveQueue();
 }
 
 void CallerSession::updateCharges(TimePoint now)
@@ -147,12 +147,15 @@
 /// Closes the session if it exceeds a limit, or goes on reading from it if it paused.
 void CallerSession::applyLimits(TimePoint now)
 {
+    // A session that is closing may still hold answers that its caller does not read.
+    if (m_account.isCondemned() && !m_socket->isClosed()) {
+        closeForLimit(LimitReason::Memory, now);
+        return;
+    }
     if (m_disconnected)
         return;
     const auto unfinished = m_socket->unfinishedSince();
-    if (m_account.isCondemned())
-        closeForLimit(LimitReason::Memory, now);
-    else if (unfinished && now >= *unfinished + kMaxUnfinishedTime)
+    if (unfinished && now >= *unfinished + kMaxUnfinishedTime)
         closeForLimit(LimitReason::UnfinishedLine, now);
     else if (m_socket->unsentBytes() > 0 && now >= m_sentAt + kMaxUnfinishedTime)
         closeForLimit(LimitReason::UnreadAnswer, now);
@@ -162,13 +165,13 @@
 
 TimePoint CallerSession::nextLimit(TimePoint now) const
 {
+    if (m_account.isCondemned() && !m_socket->isClosed())
+        return now;
     if (m_disconnected)
         return kNever;
-    if (m_account.isCondemned())
-        return now;
     TimePoint due = kNever;
     if (m_socket->isPaused() && hasRoomForInput())
-        due = now + kResumeInterval;
+        return now;
     if (const auto unfinished = m_socket->unfinishedSince())
         due = std::min(due, *unfinished + kMaxUnfinishedTime);
     if (m_socket->unsentBytes() > 0)
--- a/src/proxy/session_queue.cpp
+++ b/src/proxy/session_queue.cpp
@@ -94,7 +94,10 @@
 
 void CallerSession::endOpenStatements(TimePoint now)
 {
-    m_socket->readWaitingLines();
+    m_socket->resume();
+    for (std::size_t read = 0; read < kMaxLineBytes && m_socket->hasUnreadInput();
+         read += static_cast<std::size_t>(kReadAheadBytes))
+        m_socket->readWaitingLines();
     if (m_disconnected)
         return;
     std::deque<CallerMessage> unserved = std::exchange(m_queue, {});
--- a/src/proxy/session_tick.cpp
+++ b/src/proxy/session_tick.cpp
@@ -44,8 +44,8 @@
         }
     }
     const auto idleLimit = m_state.config.installed.transactionIdleLimit;
-    if (m_transaction && !m_transaction->lost && !m_transaction->failed && idleLimit.count() > 0
-        && now >= m_transaction->lastActiveAt + idleLimit)
+    if (m_transaction && !m_transaction->lost && !m_transaction->failed && m_queue.empty()
+        && idleLimit.count() > 0 && now >= m_transaction->lastActiveAt + idleLimit)
         abortTransaction(now);
 }
 
@@ -68,7 +68,8 @@
         }
     }
     const Duration idleLimit = m_state.config.installed.transactionIdleLimit;
-    if (m_transaction && !m_transaction->lost && !m_transaction->failed && idleLimit.count() > 0)
+    if (m_transaction && !m_transaction->lost && !m_transaction->failed && m_queue.empty()
+        && idleLimit.count() > 0)
         due = std::min(due, m_transaction->lastActiveAt + idleLimit);
     return due;
 }
--- a/src/proxy/upstream_link.cpp
+++ b/src/proxy/upstream_link.cpp
@@ -92,6 +92,8 @@
         callback(reply);
         return;
     }
+    if (m_pending.empty())
+        m_account.noteProgress(monotonicNow());
     m_pending.push_back({ std::move(callback), std::move(reply) });
     m_lines->write(*message);
 }
@@ -146,8 +148,9 @@
     const auto *row = std::get_if<UpstreamRow>(&message);
     if (row != nullptr && reply.firstRow.empty())
         reply.firstRow = row->fields;
-    if (m_account.isCondemned() || reply.lines.size() + line.size() > kMaxAnswerBytes) {
-        reply.tooLarge = true;
+    const bool tooLarge = reply.lines.size() + line.size() > kMaxAnswerBytes;
+    if (tooLarge || m_account.isCondemned()) {
+        reply.tooLarge = tooLarge;
         reply.lines = {};
         end();
         return;
--- a/src/proxy/upstream_pool.h
+++ b/src/proxy/upstream_pool.h
@@ -101,11 +101,12 @@
 
     UpstreamPool(const SessionProtocol &protocol, UpstreamInfo info, Callbacks callbacks);
     ~UpstreamPool();
-    /// Budget that connections opened from now on are charged to.
-    void setMemory(std::shared_ptr<MemoryBudget> memory) { m_memory = std::move(memory); }
     UpstreamPool(const UpstreamPool &) = delete;
     UpstreamPool &operator=(const UpstreamPool &) = delete;
 
+    /// Budget that connections opened from now on are charged to.
+    void setMemory(std::shared_ptr<MemoryBudget> memory) { m_memory = std::move(memory); }
+
     /// Requests a connection. Calls back immediately if an idle one is available. Waiters with a
     /// lower `priority` value are served first. Returns an id to pass to cancel().
     std::uint64_t acquire(const TeamId &team, const SessionVariables &variables,
