--- a/src/base/memory_budget.cpp
+++ b/src/base/memory_budget.cpp
@@ -7,11 +7,11 @@
 
 namespace {
 
-/// Share of the process's memory for what others fill. The rest is for the program itself, and for
-/// the copies that a message needs on its way.
-constexpr std::size_t kProcessShare = 4;
-/// Share of the limit that the floors of all connections may take together, and the bounds of one.
-constexpr std::size_t kFloorsShare = 2;
+/// The budget for what others fill is the memory of the process divided by this. The rest is for
+/// the program itself, and for the copies that a message needs on its way.
+constexpr std::size_t kMemoryDivisor = 4;
+/// The floors of all connections take at most the limit divided by this; bounds of one, in bytes.
+constexpr std::size_t kFloorsDivisor = 2;
 constexpr std::size_t kMinFloor = 4U << 10U;
 constexpr std::size_t kMaxFloor = 32U << 10U;
 /// Wait for memory after which another connection is closed.
@@ -49,8 +49,8 @@
     MemoryLimits limits;
     if (!processBytes)
         return limits;
-    limits.total = *processBytes / kProcessShare;
-    const std::size_t share = limits.total / kFloorsShare / std::max<std::size_t>(connections, 1);
+    limits.total = *processBytes / kMemoryDivisor;
+    const std::size_t share = limits.total / kFloorsDivisor / std::max<std::size_t>(connections, 1);
     limits.floor = std::clamp(share, kMinFloor, kMaxFloor);
     return limits;
 }
@@ -88,7 +88,7 @@
 {
     const std::scoped_lock lock(m_mutex);
     if (m_charged > m_limits.total) {
-        condemnUntil(m_limits.total, m_accounts.size(), now);
+        selectForClosing(m_limits.total, m_accounts.size(), now);
         return;
     }
     if (m_waiting == 0 || now < m_lastReclaimAt + kMaxWait)
@@ -98,12 +98,12 @@
             return account->m_waitingSince && now >= *account->m_waitingSince + kMaxWait;
         });
     if (waitedLong)
-        condemnUntil(0, kClosesForWaiting, now);
+        selectForClosing(0, kClosesForWaiting, now);
 }
 
-/// Condemns accounts until the others hold at most `target` bytes. What is within the floor of a
-/// connection is never reclaimed.
-void MemoryBudget::condemnUntil(std::size_t target, std::size_t maxCount, TimePoint now)
+/// Marks accounts for closing until the others hold at most `target` bytes. What is within the
+/// floor of a connection is never reclaimed.
+void MemoryBudget::selectForClosing(std::size_t target, std::size_t maxCount, TimePoint now)
 {
     struct Candidate
     {
@@ -113,7 +113,7 @@
     std::size_t remaining = m_charged;
     std::vector<Candidate> candidates;
     for (MemoryAccount *account : m_accounts) {
-        if (account->m_condemned)
+        if (account->m_mustClose)
             remaining -= account->m_charged;
         else if (account->m_charged > m_limits.floor)
             candidates.push_back(
@@ -123,13 +123,13 @@
     }
     std::sort(candidates.begin(), candidates.end(),
               [](const Candidate &a, const Candidate &b) { return a.heldTime > b.heldTime; });
-    std::size_t condemned = 0;
+    std::size_t marked = 0;
     for (const Candidate &candidate : candidates) {
-        if (remaining <= target || condemned == maxCount)
+        if (remaining <= target || marked == maxCount)
             break;
-        candidate.account->m_condemned = true;
+        candidate.account->m_mustClose = true;
         remaining -= candidate.account->m_charged;
-        ++condemned;
+        ++marked;
     }
     m_lastReclaimAt = now;
 }
@@ -165,9 +165,9 @@
     m_charged += added;
     m_budget.m_charged += added;
     m_budget.m_chargedByKind[static_cast<std::size_t>(kind)] += added;
-    // What it was to be closed for is gone.
+    // Closing it would free nothing for others.
     if (m_charged <= m_budget.m_limits.floor)
-        m_condemned = false;
+        m_mustClose = false;
 }
 
 bool MemoryAccount::mayTake(std::size_t bytes, TimePoint now)
@@ -204,9 +204,9 @@
     m_progressAt = now;
 }
 
-bool MemoryAccount::isCondemned() const
+bool MemoryAccount::mustClose() const
 {
-    return m_condemned;
+    return m_mustClose;
 }
 
 bool MemoryAccount::isReclaimable() const
--- a/src/base/memory_budget_test.cpp
+++ b/src/base/memory_budget_test.cpp
@@ -17,7 +17,7 @@
 {
     std::size_t bytes = 0;
     Duration withoutProgress { 0 };
-    bool condemned = false;
+    bool mustClose = false;
 };
 
 struct ReclaimCase
@@ -39,7 +39,7 @@
 {
 };
 
-TEST_P(MemoryReclaim, CondemnsWhoHoldsMostForLongest)
+TEST_P(MemoryReclaim, ClosesWhoHoldsMostForLongest)
 {
     const ReclaimCase &load = GetParam();
     const TimePoint now = kStart + 100s;
@@ -55,8 +55,8 @@
         waiting.mayTake(load.wanted, now - load.waited);
     budget.reclaim(now);
     for (std::size_t i = 0; i < accounts.size(); ++i)
-        EXPECT_EQ(accounts[i]->isCondemned(), load.holdings[i].condemned) << i;
-    EXPECT_FALSE(waiting.isCondemned());
+        EXPECT_EQ(accounts[i]->mustClose(), load.holdings[i].mustClose) << i;
+    EXPECT_FALSE(waiting.mustClose());
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -153,7 +153,7 @@
         std::size_t kept = 0;
         bool aboveFloor = false;
         for (const auto &account : m_accounts) {
-            if (account->isCondemned())
+            if (account->mustClose())
                 continue;
             kept += account->charged();
             aboveFloor = aboveFloor || account->charged() > kFloor;
--- a/src/config/changes.cpp
+++ b/src/config/changes.cpp
@@ -178,13 +178,14 @@
     return checkKnown("id", "preset", config.presets, op.id);
 }
 
-/// Orders about this many data centres are kept.
+/// Maximum number of data centres about which an order is kept. Orders that were ended count, and
+/// are never removed.
 constexpr std::size_t kMaxEvacuations = 256;
 
 absl::Status validateDataCentre(const ClusterConfig &config, const DataCentreId &dataCentre)
 {
     if (!config.evacuations.contains(dataCentre) && config.evacuations.size() >= kMaxEvacuations)
-        return invalid("data_centre", "too many data centres were evacuated");
+        return invalid("data_centre", "orders about too many data centres are kept");
     return checkId("data_centre", dataCentre.value());
 }
 
@@ -272,9 +273,10 @@
     return absl::StrCat("data centre \"", op.dataCentre.value(), "\" is no longer evacuated");
 }
 
-/// Whether the last order about the data centre says the same or was known to the sender.
-bool isLatestOrder(const ClusterConfig &config, const DataCentreId &dataCentre, bool inForce,
-                   ConfigVersion basedOn)
+/// Whether no order that says the opposite, and that the sender did not know of, is the last one
+/// about the data centre.
+bool isNotOvertaken(const ClusterConfig &config, const DataCentreId &dataCentre, bool inForce,
+                    ConfigVersion basedOn)
 {
     const auto last = config.evacuations.find(dataCentre);
     return last == config.evacuations.end() || last->second.inForce == inForce
@@ -286,9 +288,9 @@
 bool isCurrent(const ClusterConfig &config, const OperatorChange &change)
 {
     if (const auto *put = std::get_if<PutEvacuation>(&change.change))
-        return isLatestOrder(config, put->dataCentre, true, change.basedOn);
+        return isNotOvertaken(config, put->dataCentre, true, change.basedOn);
     if (const auto *remove = std::get_if<RemoveEvacuation>(&change.change))
-        return isLatestOrder(config, remove->dataCentre, false, change.basedOn);
+        return isNotOvertaken(config, remove->dataCentre, false, change.basedOn);
     return change.basedOn == config.version;
 }
 
--- a/src/edge/connection.cpp
+++ b/src/edge/connection.cpp
@@ -136,7 +136,7 @@
 
 void Connection::applyLimits()
 {
-    if (m_account.isCondemned())
+    if (m_account.mustClose())
         abort();
     else if (m_account.isWaiting())
         process();
--- a/src/edge/http_endpoint.cpp
+++ b/src/edge/http_endpoint.cpp
@@ -79,7 +79,7 @@
     /// Closes the connection if others need its memory, or goes on reading if it waits for some.
     void applyLimits()
     {
-        if (m_account.isCondemned())
+        if (m_account.mustClose())
             m_socket->abort();
         else if (m_account.isWaiting())
             read();
--- a/src/fleet/confirmed_candidate.cpp
+++ b/src/fleet/confirmed_candidate.cpp
@@ -82,7 +82,7 @@
 struct CandidateRank
 {
     bool usable = false;
-    bool mayWork = false;
+    bool notEvacuated = false;
     /// The former primary is replaced for a reason.
     bool isReplica = false;
     friend auto operator<=>(const CandidateRank &, const CandidateRank &) = default;
--- a/src/include/shallotlever/base/memory_budget.h
+++ b/src/include/shallotlever/base/memory_budget.h
@@ -63,14 +63,15 @@
     std::size_t waiting() const;
     /// reclaim() may have something to do.
     bool needsReclaim() const;
-    /// Condemns accounts if the limit is exceeded, or if one has waited for memory for a while: the
-    /// ones first that have held most for longest without progress.
+    /// Marks accounts for closing if the limit is exceeded, or one of them if a connection has
+    /// waited for memory for 100 ms: first those with the largest product of bytes held and time
+    /// without progress.
     void reclaim(TimePoint now);
 
 private:
     friend class MemoryAccount;
 
-    void condemnUntil(std::size_t target, std::size_t maxCount, TimePoint now);
+    void selectForClosing(std::size_t target, std::size_t maxCount, TimePoint now);
 
     const MemoryLimits m_limits;
     mutable std::mutex m_mutex;
@@ -101,7 +102,7 @@
     /// A message of the peer was completed, or an answer was taken by it.
     void noteProgress(TimePoint now);
     /// The connection has to be closed, because others need its memory.
-    bool isCondemned() const;
+    bool mustClose() const;
     bool isWaiting() const { return m_waitingSince.has_value(); }
     /// Uses more than the floor or waits for memory, so that reclaim() may concern the connection.
     bool isReclaimable() const;
@@ -118,7 +119,7 @@
     std::size_t m_charged = 0;
     TimePoint m_progressAt;
     std::optional<TimePoint> m_waitingSince;
-    std::atomic<bool> m_condemned = false;
+    std::atomic<bool> m_mustClose = false;
 };
 
 } // namespace shallotlever
--- a/src/include/shallotlever/policy/even_choice.h
+++ b/src/include/shallotlever/policy/even_choice.h
@@ -41,13 +41,13 @@
 
 /// Statements expected at the database now. The reported line is trusted less with its age,
 /// measured in the time in which the database executes it; an old one counts as the recent mean.
-double believedOutstanding(const LoadFigure &figure);
+double estimatedOutstanding(const LoadFigure &figure);
 
-/// Time that one more statement waits at the database, by the belief.
-Duration believedWait(const LoadFigure &figure);
+/// Time that one more statement waits at the database, as estimated.
+Duration estimatedWait(const LoadFigure &figure);
 
-/// Time to the answer of one more statement, by the belief, times the cost.
-Duration believedAnswerTime(const LoadFigure &figure);
+/// Time to the answer of one more statement, as estimated, times the cost.
+Duration estimatedAnswerTime(const LoadFigure &figure);
 
 /// Share of the statements that each database should get; they add up to 1, and there is at least
 /// one figure. While the figures age, other nodes send as many statements by the same figures as
@@ -61,17 +61,17 @@
 /// Index of the share that contains `chance`, from 0 to below 1.
 std::size_t drawShare(std::span<const double> shares, double chance);
 
-/// Chances that are spread more evenly than random ones: every short run covers the whole range.
-/// One for each stream of choices, each with a start of its own so that nodes differ.
-class EvenChance
+/// Additive recurrence with the golden ratio: numbers from 0 to below 1 that cover the range more
+/// evenly than random ones. Each node and service starts elsewhere.
+class LowDiscrepancySequence
 {
 public:
-    explicit EvenChance(double start = 0)
+    explicit LowDiscrepancySequence(double start = 0)
         : m_last(start)
     {
     }
     /// Starts where a hash of the name says.
-    static EvenChance forStream(std::string_view name);
+    static LowDiscrepancySequence forStream(std::string_view name);
     double next();
 
 private:
--- a/src/include/shallotlever/policy/return_schedule.h
+++ b/src/include/shallotlever/policy/return_schedule.h
@@ -14,8 +14,9 @@
     TimePoint nextAt;
 };
 
-/// Gives the caller the next turn and returns the time until then. Turns follow each other at
-/// `interval`, the time in which one statement is served.
+/// Gives the caller the next turn and returns the time until then, 100 ms to 2 s. Turns follow each
+/// other at `interval`, the time in which one statement is served; after 2 s they start anew. Not
+/// used by the proxy yet.
 Duration takeReturn(ReturnSchedule &schedule, Duration interval, TimePoint now);
 
 } // namespace shallotlever
--- a/src/include/shallotlever/policy/statement_queue.h
+++ b/src/include/shallotlever/policy/statement_queue.h
@@ -14,6 +14,9 @@
 ///
 /// Load pattern: three to six slots, classes of statements of unequal priority and cost, many teams
 /// of unequal size, and a burst of more than twice the load that the slots can serve.
+///
+/// Not used by the proxy: UpstreamPool serves by priority and arrival. See
+/// docs/design/statement-queue.md.
 namespace shallotlever {
 
 /// Identifies a waiting statement; unique within the lifetime of the queue.
@@ -57,7 +60,8 @@
 
 /// Share of the work that all lower classes together get at least while they wait.
 inline constexpr double kLowerClassesShare = 0.1;
-/// A team without an idle connection is passed over for at most this long.
+/// Time after which overdueTeams() reports a team that was passed over for want of an idle
+/// connection.
 inline constexpr Duration kMaxHeldBack = 100ms;
 
 struct StatementQueueOptions
--- a/src/include/shallotlever/proxy/placement.h
+++ b/src/include/shallotlever/proxy/placement.h
@@ -148,9 +148,9 @@
 const PlacementCandidate *drawCandidate(std::span<const PlacementCandidate> candidates,
                                         double chance);
 
-/// Outstanding statements for each slot at the fullest database, of the mean of the candidates
-/// that are not left out. nullopt if there are fewer than two, or if they have less than one
-/// statement each, when unevenness means nothing.
+/// Ratio of the largest number of outstanding statements per slot to the mean, over the candidates
+/// that are not left out. nullopt for fewer than two, or if they have less than one statement each
+/// on average: the ratio means nothing then.
 std::optional<double> unevenness(std::span<const PlacementCandidate> candidates);
 
 } // namespace shallotlever
--- a/src/include/shallotlever/proxy/proxy.h
+++ b/src/include/shallotlever/proxy/proxy.h
@@ -90,9 +90,9 @@
     void applyFleet(const FleetView &fleet, const std::vector<SlotShare> &shares, TimePoint now);
     /// Sets the expiry time of the node's freshness lease.
     void setFreshUntil(TimePoint until);
-    /// Whether the controller has granted this process shares, though they may be empty. Initially
-    /// true. Until then operations of teams with a rate wait for a while after the start of the
-    /// process, as without a lease.
+    /// Whether the controller has granted this process shares, which may be empty; true if never
+    /// set. While it is false, operations wait for a while after the start of the process, as
+    /// without a lease.
     void setSharesGranted(bool granted);
     /// Runs timeouts and retries. Must be called when nextTick() says, at most every 10 ms.
     void tick(TimePoint now);
--- a/src/include/shallotlever/types/config.h
+++ b/src/include/shallotlever/types/config.h
@@ -276,9 +276,9 @@
 struct OperatorChange
 {
     ChangeId id;
-    /// The change is accepted only if this is the current version when the change is applied. An
-    /// evacuation and its end are accepted on every version that is not older than the last
-    /// opposite order about the data centre.
+    /// The change is accepted only if this is the current version when it is applied. An evacuation
+    /// or its end is refused only if the last order about the data centre says the opposite and is
+    /// newer than this version.
     ConfigVersion basedOn;
     Change change;
 };
--- a/src/include/shallotlever/wire/frame.h
+++ b/src/include/shallotlever/wire/frame.h
@@ -21,8 +21,9 @@
 /// Whether the process that sent this payload reads compressed frames.
 bool readsCompressedFrames(std::string_view peerHelloPayload);
 /// Whether messages of this type are compressed for a peer that reads them: those of the control
-/// plane that are sent regularly. Messages with callers' statements or keys are not, because the
-/// length of a compressed message depends on the contents of those before it.
+/// plane that are sent regularly. Messages with callers' statements are not, because the
+/// length of a compressed message depends on the contents of those before it. Leases and the
+/// control log hold hashes of keys, no keys.
 bool isCompressible(MessageType type);
 
 /// Returns one frame, including the length prefix. Fails with INVALID_ARGUMENT if the envelope
--- a/src/node/node_start.cpp
+++ b/src/node/node_start.cpp
@@ -30,10 +30,10 @@
     return { address.ip, address.port };
 }
 
-/// Share of the descriptors that sessions, and HTTP clients of a platform's node, may use. The rest
-/// is for databases, links between nodes, control and files.
-constexpr std::size_t kSessionShare = 2;
-constexpr std::size_t kHttpShare = 8;
+/// Sessions, and HTTP clients of a node with platform listeners, may use the descriptors divided by
+/// these. The rest is for databases, links between nodes, control and files.
+constexpr std::size_t kSessionDivisor = 2;
+constexpr std::size_t kHttpDivisor = 8;
 
 std::size_t descriptorLimit(const NodeSettings &settings)
 {
@@ -61,7 +61,7 @@
 Node::Impl::Impl(const NodeSettings &settings, PlatformAdapter platform)
     : m_settings(settings)
     , m_memory(std::make_shared<MemoryBudget>(
-          memoryLimitsOf(settings.memoryBytes, descriptorLimit(settings) / kSessionShare)))
+          memoryLimitsOf(settings.memoryBytes, descriptorLimit(settings) / kSessionDivisor)))
     , m_platform(std::move(platform))
     , m_logger(settings.nodeId, levelOf(settings),
                settings.logToStandardError ? STDERR_FILENO : STDOUT_FILENO)
@@ -247,7 +247,7 @@
     if (m_settings.sessionListen || m_settings.platformListen)
         options.limits.maxConnections = static_cast<int>(
             std::min(static_cast<std::size_t>(m_settings.maxConnections),
-                     std::max<std::size_t>(1, descriptorLimit(m_settings) / kHttpShare)));
+                     std::max<std::size_t>(1, descriptorLimit(m_settings) / kHttpDivisor)));
     if (m_settings.httpTls)
         options.tls = EdgeTlsFiles { m_settings.httpTls->certificate, m_settings.httpTls->key };
     EdgeCallbacks callbacks;
@@ -299,9 +299,9 @@
 {
     if (!m_settings.sessionListen || m_platform.protocol == nullptr)
         return absl::OkStatus();
-    auto sessions = SessionProxy::create(endpointOf(*m_settings.sessionListen),
-                                         *m_platform.protocol, m_metrics, m_logger, proxyPeers(),
-                                         { m_memory, descriptorLimit(m_settings) / kSessionShare });
+    auto sessions = SessionProxy::create(
+        endpointOf(*m_settings.sessionListen), *m_platform.protocol, m_metrics, m_logger,
+        proxyPeers(), { m_memory, descriptorLimit(m_settings) / kSessionDivisor });
     if (!sessions.ok())
         return sessions.status();
     m_sessions = std::move(*sessions);
--- a/src/node/placement_document.cpp
+++ b/src/node/placement_document.cpp
@@ -53,12 +53,12 @@
         { "mean_outstanding", figure.meanOutstanding },
         { "sent_since", figure.sentSince },
         { "pending", figure.pending },
-        { "believed_outstanding", believedOutstanding(figure) },
+        { "estimated_outstanding", estimatedOutstanding(figure) },
         { "age_ms", milliseconds(figure.age) },
         { "parallel", figure.parallel },
         { "service_ms", milliseconds(figure.serviceTime) },
         { "reach_ms", milliseconds(figure.reachTime) },
-        { "wait_ms", milliseconds(believedWait(figure)) },
+        { "wait_ms", milliseconds(estimatedWait(figure)) },
         { "position", positionName(database.position) },
     };
 }
--- a/src/node/report_requests.h
+++ b/src/node/report_requests.h
@@ -4,15 +4,16 @@
 #include <optional>
 #include <vector>
 
+#include "controller_link.h"
 #include "shallotlever/fleet/messages.h"
 #include "shallotlever/wire/peer.h"
 
 /// The controller's requests for reports, and the reports that can't be answered yet. Sans-I/O.
 namespace shallotlever {
 
-/// A requested report that has not arrived after this time is requested again. As long as a node
-/// waits for its controller, which is longer than its regular interval.
-constexpr Duration kReportRequestTimeout = 600ms;
+/// A requested report that has not arrived after this time is requested again: the time after which
+/// a node gives up a silent controller.
+constexpr Duration kReportRequestTimeout = kControllerTimeout;
 
 /// The report of a process that may hold no lease before its record is committed.
 struct HeldReport
--- a/src/operator/placement_command.cpp
+++ b/src/operator/placement_command.cpp
@@ -65,7 +65,7 @@
         const QJsonObject row = value.toObject();
         rows.push_back({ textOf(row, "upstream"), textOf(row, "role"), textOf(row, "owner"),
                          textOf(row, "left_out"), number(row, "share", 2),
-                         number(row, "believed_outstanding", 1), number(row, "parallel", 1),
+                         number(row, "estimated_outstanding", 1), number(row, "parallel", 1),
                          number(row, "age_ms", 0), number(row, "service_ms", 1),
                          number(row, "reach_ms", 1), number(row, "wait_ms", 1),
                          textOf(row, "position") });
--- a/src/policy/even_choice.cpp
+++ b/src/policy/even_choice.cpp
@@ -24,7 +24,7 @@
     return std::clamp(figure.age, Duration(0), kMaxFigureAge);
 }
 
-/// A figure in seconds, with the load that is believed now.
+/// A figure in seconds, with the load that is estimated now.
 struct Server
 {
     double parallel;
@@ -32,7 +32,7 @@
     /// Time to an answer if there is no line, as far as it counts.
     double idle;
     double cost;
-    double believed;
+    double outstanding;
     /// Statements that it completes while figures age, if it is never idle.
     double completions;
 };
@@ -54,7 +54,7 @@
     const double line = (level / server.cost - server.idle) * server.parallel / server.service;
     if (line < 0)
         return 0;
-    const double known = server.parallel - server.believed + line;
+    const double known = server.parallel - server.outstanding + line;
     return std::max(0.0, known + server.completions * utilisationAt(line, server.parallel));
 }
 
@@ -84,7 +84,7 @@
 
 } // namespace
 
-double believedOutstanding(const LoadFigure &figure)
+double estimatedOutstanding(const LoadFigure &figure)
 {
     const double line = std::max(1.0, figure.outstanding / figure.parallel);
     const double age = std::chrono::duration<double>(cappedAge(figure)).count();
@@ -94,16 +94,16 @@
     return std::max(others + figure.sentSince, figure.pending);
 }
 
-Duration believedWait(const LoadFigure &figure)
+Duration estimatedWait(const LoadFigure &figure)
 {
-    const double ahead = std::max(0.0, believedOutstanding(figure) + 1 - figure.parallel);
+    const double ahead = std::max(0.0, estimatedOutstanding(figure) + 1 - figure.parallel);
     const double wait = static_cast<double>(figure.serviceTime.count()) * ahead / figure.parallel;
     return Duration(static_cast<std::int64_t>(wait));
 }
 
-Duration believedAnswerTime(const LoadFigure &figure)
+Duration estimatedAnswerTime(const LoadFigure &figure)
 {
-    const Duration answer = figure.reachTime + figure.serviceTime + believedWait(figure);
+    const Duration answer = figure.reachTime + figure.serviceTime + estimatedWait(figure);
     return Duration(static_cast<std::int64_t>(static_cast<double>(answer.count()) * figure.cost));
 }
 
@@ -131,7 +131,7 @@
         const double idle =
             seconds(figure.reachTime) + service * (kServiceTimePart + figure.cost - 1);
         servers.push_back({ figure.parallel, service, idle, figure.cost,
-                            believedOutstanding(figure), figure.parallel / service * age });
+                            estimatedOutstanding(figure), figure.parallel / service * age });
     }
     const double level = fillingLevel(servers, 1 + arrivals * age);
     std::vector<double> shares;
@@ -160,13 +160,13 @@
     return last;
 }
 
-EvenChance EvenChance::forStream(std::string_view name)
+LowDiscrepancySequence LowDiscrepancySequence::forStream(std::string_view name)
 {
     const std::uint64_t hash = XXH3_64bits(name.data(), name.size());
-    return EvenChance(static_cast<double>(hash >> 11U) * 0x1.0p-53);
+    return LowDiscrepancySequence(static_cast<double>(hash >> 11U) * 0x1.0p-53);
 }
 
-double EvenChance::next()
+double LowDiscrepancySequence::next()
 {
     m_last += kGoldenStep;
     m_last -= std::floor(m_last);
--- a/src/policy/even_choice_fuzz_test.cpp
+++ b/src/policy/even_choice_fuzz_test.cpp
@@ -26,7 +26,7 @@
         LoadFigure figure = figures[i];
         figure.age = Duration(0);
         figure.sentSince = 0;
-        const Duration time = believedAnswerTime(figure);
+        const Duration time = estimatedAnswerTime(figure);
         if (time < bestTime)
             best = i;
         bestTime = std::min(bestTime, time);
@@ -48,7 +48,8 @@
     for (double &mean : options.serviceMeans)
         mean = 0.003 + 0.012 * uniformUnit(random);
     options.runTime = 3s + Duration(1ms) * static_cast<int>(steps);
-    options.rule = [faults](std::span<const LoadFigure> figures, EvenChance &chance, Random &) {
+    options.rule = [faults](std::span<const LoadFigure> figures, LowDiscrepancySequence &chance,
+                            Random &) {
         return faults.useMinimum ? leastReportedTime(figures)
                                  : drawShare(evenShares(figures), chance.next());
     };
--- a/src/policy/experiment/even_load_scenario.cpp
+++ b/src/policy/experiment/even_load_scenario.cpp
@@ -39,35 +39,35 @@
 }
 
 /// The rule of version 0.1: the least expected time by the last report.
-std::size_t minimum(Figures figures, EvenChance &, Random &)
+std::size_t minimum(Figures figures, LowDiscrepancySequence &, Random &)
 {
     const auto sooner = [](const LoadFigure &a, const LoadFigure &b) {
-        return believedAnswerTime(asReported(a)) < believedAnswerTime(asReported(b));
+        return estimatedAnswerTime(asReported(a)) < estimatedAnswerTime(asReported(b));
     };
     return static_cast<std::size_t>(std::min_element(figures.begin(), figures.end(), sooner)
                                     - figures.begin());
 }
 
-std::size_t randomDatabase(Figures figures, EvenChance &, Random &random)
+std::size_t randomDatabase(Figures figures, LowDiscrepancySequence &, Random &random)
 {
     return uniformBelow(random, figures.size());
 }
 
-std::size_t twoChoices(Figures figures, EvenChance &, Random &random)
+std::size_t twoChoices(Figures figures, LowDiscrepancySequence &, Random &random)
 {
     std::vector<double> weights;
     for (const LoadFigure &figure : figures)
         weights.push_back(capacity(figure));
     const std::size_t first = draw(weights, uniformUnit(random));
     const std::size_t second = draw(weights, uniformUnit(random));
-    return believedAnswerTime(asReported(figures[first]))
-            <= believedAnswerTime(asReported(figures[second]))
+    return estimatedAnswerTime(asReported(figures[first]))
+            <= estimatedAnswerTime(asReported(figures[second]))
         ? first
         : second;
 }
 
 /// A long line weighs less the younger its report.
-std::size_t weightsByAge(Figures figures, EvenChance &, Random &random)
+std::size_t weightsByAge(Figures figures, LowDiscrepancySequence &, Random &random)
 {
     std::vector<double> weights;
     for (const LoadFigure &figure : figures) {
@@ -79,7 +79,7 @@
     return draw(weights, uniformUnit(random));
 }
 
-std::size_t probabilisticSplit(Figures figures, EvenChance &, Random &random)
+std::size_t probabilisticSplit(Figures figures, LowDiscrepancySequence &, Random &random)
 {
     std::vector<ServerMoments> servers;
     double rate = 0;
@@ -91,12 +91,12 @@
     return draw(splitReads(servers, rate), uniformUnit(random));
 }
 
-std::size_t evenRandom(Figures figures, EvenChance &, Random &random)
+std::size_t evenRandom(Figures figures, LowDiscrepancySequence &, Random &random)
 {
     return drawShare(evenShares(figures), uniformUnit(random));
 }
 
-std::size_t even(Figures figures, EvenChance &chance, Random &)
+std::size_t even(Figures figures, LowDiscrepancySequence &chance, Random &)
 {
     return drawShare(evenShares(figures), chance.next());
 }
--- a/src/policy/experiment/even_load_world.h
+++ b/src/policy/experiment/even_load_world.h
@@ -11,8 +11,8 @@
 namespace shallotlever::experiment {
 
 /// Selects a database from the figures, which hold its line as of the last report.
-using EvenRule = std::function<std::size_t(std::span<const LoadFigure> figures, EvenChance &chance,
-                                           Random &random)>;
+using EvenRule = std::function<std::size_t(std::span<const LoadFigure> figures,
+                                           LowDiscrepancySequence &chance, Random &random)>;
 
 struct EvenLoadOptions
 {
@@ -94,7 +94,7 @@
     EventLoop m_loop;
     std::vector<Server> m_servers;
     std::vector<std::vector<Link>> m_links;
-    std::vector<EvenChance> m_chances;
+    std::vector<LowDiscrepancySequence> m_chances;
     std::deque<Statement> m_singleLine;
     double m_rate = 0;
     TimePoint m_warmUntil;
--- a/src/policy/return_schedule.cpp
+++ b/src/policy/return_schedule.cpp
@@ -5,8 +5,9 @@
 namespace shallotlever {
 namespace {
 
+/// Shortest delay.
 constexpr Duration kMinReturn = 100ms;
-/// Callers may be gone after longer ones; the turns start anew.
+/// Longest delay; a turn beyond it starts the schedule anew, since callers may not wait longer.
 constexpr Duration kMaxReturn = 2s;
 
 } // namespace
--- a/src/policy/statement_queue.cpp
+++ b/src/policy/statement_queue.cpp
@@ -68,7 +68,8 @@
     return m_options.order == StatementOrder::FairByCount ? 1 : waiter.cost;
 }
 
-/// Any statement of the class costs at most this.
+/// Largest expected cost of the kinds of statements of the class, in microseconds. A single
+/// statement may cost more.
 double StatementQueue::largestCost(std::uint32_t priority) const
 {
     Duration largest { 0 };
--- a/src/proxy/placement.cpp
+++ b/src/proxy/placement.cpp
@@ -89,7 +89,7 @@
 
 Duration expectedResponseTime(const UpstreamLoad &load, TimePoint now)
 {
-    return believedAnswerTime(figureOf(load, now));
+    return estimatedAnswerTime(figureOf(load, now));
 }
 
 std::optional<Duration> forwardedTimeLimit(Duration timeLeft, bool mustBeKnown)
@@ -158,10 +158,10 @@
     for (const PlacementCandidate &candidate : candidates) {
         if (candidate.leftOut != LeftOut::No)
             continue;
-        const double believed = believedOutstanding(candidate.figure);
-        const double perSlot = believed / candidate.figure.parallel;
+        const double estimated = estimatedOutstanding(candidate.figure);
+        const double perSlot = estimated / candidate.figure.parallel;
         ++count;
-        outstanding += believed;
+        outstanding += estimated;
         sum += perSlot;
         fullest = std::max(fullest, perSlot);
     }
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -53,7 +53,6 @@
     std::shared_ptr<UpstreamPool> makePool(const UpstreamInfo &info);
     void onReachable(const UpstreamId &upstream, bool reachable);
     /// Names that databases can't be told, which a valid configuration may hold.
-    void logUnusableNames(const ClusterConfig &config) const;
     void onOpenFailed(const UpstreamId &upstream, LinkOpenFailure failure, const std::string &error,
                       Duration waited);
     void tick(TimePoint now);
@@ -152,18 +151,6 @@
     return true;
 }
 
-void SessionProxy::Impl::logUnusableNames(const ClusterConfig &config) const
-{
-    const auto log = [this](const char *kind, const std::string &name) {
-        if (!m_state.protocol->isName(name))
-            m_state.logger->warning("name_unusable", { { "kind", kind }, { "name", name } });
-    };
-    for (const auto &[id, service] : config.services)
-        log("service", id.value());
-    for (const auto &[id, team] : config.teams)
-        log("team", id.value());
-}
-
 std::shared_ptr<UpstreamPool> SessionProxy::Impl::makePool(const UpstreamInfo &info)
 {
     UpstreamPool::Callbacks callbacks;
@@ -208,7 +195,8 @@
     const auto [entry, added] = m_state.services.try_emplace(group.service);
     ServiceDatabases &service = entry->second;
     if (added)
-        service.chance = EvenChance::forStream(m_state.self.value() + '/' + group.service.value());
+        service.chance =
+            LowDiscrepancySequence::forStream(m_state.self.value() + '/' + group.service.value());
     if (service.primary != group.primary) {
         service.primary = group.primary;
         m_state.logger->info("primary_known",
@@ -332,7 +320,7 @@
 {
     ProxyState &state = m_impl->m_state;
     if (config.installed.number != state.config.installed.number)
-        m_impl->logUnusableNames(config);
+        logUnusableNames(m_impl->m_state, config);
     state.config = config;
     state.applyEvacuations(monotonicNow());
     state.teamsByKey.clear();
--- a/src/proxy/proxy_state.cpp
+++ b/src/proxy/proxy_state.cpp
@@ -6,6 +6,7 @@
 
 namespace {
 
+/// Weight of a new sample in the moving average of unevenness().
 constexpr double kUnevennessWeight = 0.02;
 
 } // namespace
@@ -115,4 +116,16 @@
     return due;
 }
 
+void logUnusableNames(const ProxyState &state, const ClusterConfig &config)
+{
+    const auto log = [&state](const char *kind, const std::string &name) {
+        if (!state.protocol->isName(name))
+            state.logger->warning("name_unusable", { { "kind", kind }, { "name", name } });
+    };
+    for (const auto &[id, service] : config.services)
+        log("service", id.value());
+    for (const auto &[id, team] : config.teams)
+        log("team", id.value());
+}
+
 } // namespace shallotlever
--- a/src/proxy/proxy_state.h
+++ b/src/proxy/proxy_state.h
@@ -66,7 +66,7 @@
     /// Last time that another node asked for the end of the log.
     TimePoint positionRequestedAt;
     /// For the choice of databases.
-    EvenChance chance;
+    LowDiscrepancySequence chance;
 
     DatabaseRoute *route(const UpstreamId &upstream);
     std::shared_ptr<UpstreamPool> pool(const UpstreamId &upstream) const;
@@ -157,8 +157,8 @@
     {
         return evacuatedSince.contains(info.dataCentre);
     }
-    /// When an open transaction on the database is ended although it is used; kNever if it may go
-    /// on.
+    /// When an open transaction on the database is ended, unless a statement of it is running;
+    /// kNever if the data centre is not evacuated.
     TimePoint transactionEnd(const UpstreamInfo &info) const;
     /// Whether the service has databases and all of them are evacuated.
     bool onlyEvacuated(const ServiceDatabases &databases) const;
@@ -171,4 +171,7 @@
     TimePoint nextPoolTick(TimePoint now) const;
 };
 
+/// Logs the services and teams whose names the protocol can't express; they can't be served.
+void logUnusableNames(const ProxyState &state, const ClusterConfig &config);
+
 } // namespace shallotlever
--- a/src/proxy/session_control.cpp
+++ b/src/proxy/session_control.cpp
@@ -110,6 +110,7 @@
     };
     m_link = std::make_unique<UpstreamLink>(
         m_protocol, m_target,
+        // Control calls are few and short, and not charged to the budget of the process.
         LinkOptions { timeout, timeout, timeout, true, std::make_shared<MemoryBudget>() },
         std::move(callbacks));
 }
--- a/src/proxy/session_limits.cpp
+++ b/src/proxy/session_limits.cpp
@@ -18,7 +18,8 @@
 constexpr std::size_t kMaxQueuedBytes = 64U << 10U;
 /// No further statement of a session is run while its caller has left this much unread.
 constexpr std::size_t kMaxUnreadBytes = 256U << 10U;
-/// Time to complete a line, and to take a part of an answer.
+/// Time for a further kReadAheadBytes of an incomplete line, and for a caller to take a part of its
+/// unread answers.
 constexpr Duration kMaxUnfinishedTime = 30s;
 /// Copies of a statement while it runs: that of the session, and those on the way to the database.
 constexpr std::size_t kCopiesOfRunning = 3;
@@ -148,7 +149,7 @@
 void CallerSession::applyLimits(TimePoint now)
 {
     // A session that is closing may still hold answers that its caller does not read.
-    if (m_account.isCondemned() && !m_socket->isClosed()) {
+    if (m_account.mustClose() && !m_socket->isClosed()) {
         closeForLimit(LimitReason::Memory, now);
         return;
     }
@@ -165,7 +166,7 @@
 
 TimePoint CallerSession::nextLimit(TimePoint now) const
 {
-    if (m_account.isCondemned() && !m_socket->isClosed())
+    if (m_account.mustClose() && !m_socket->isClosed())
         return now;
     if (m_disconnected)
         return kNever;
--- a/src/proxy/session_limits.h
+++ b/src/proxy/session_limits.h
@@ -12,11 +12,11 @@
 
 namespace shallotlever {
 
-/// Why a session of a caller was closed that did not end.
+/// The limit because of which the node closed a session.
 enum class LimitReason : std::uint8_t {
     /// Others need the memory that it holds.
     Memory,
-    /// A line was not completed in time.
+    /// An incomplete line has not grown by kReadAheadBytes in time.
     UnfinishedLine,
     /// An answer was not taken in time.
     UnreadAnswer,
--- a/src/proxy/session_queue.cpp
+++ b/src/proxy/session_queue.cpp
@@ -9,9 +9,11 @@
 
 namespace {
 
-/// Maximum number of statements that a caller may send ahead of responses, and of response bytes
-/// that it may leave unread.
+/// Statements that may wait in a session; a further one closes it. hasRoomForInput() bounds their
+/// bytes.
 constexpr std::size_t kMaxQueuedStatements = 64;
+/// Unread response bytes at which a further statement closes the session. Only met at the drain
+/// limit; before it, hasRoomForInput() stops reading earlier.
 constexpr std::size_t kMaxUnsentBytes = 1U << 20U;
 /// A session is closed by a stop when its caller has sent nothing for this long, so that a caller
 /// that sends one statement after the other is told with an answer instead.
@@ -19,7 +21,7 @@
 
 } // namespace
 
-/// Bounds the memory used by a caller that sends statements without reading responses.
+/// Adds a message to those that wait, or closes the session if too many wait.
 void CallerSession::enqueue(CallerMessage message)
 {
     if (m_queue.size() < kMaxQueuedStatements && m_socket->unsentBytes() < kMaxUnsentBytes) {
--- a/src/proxy/upstream_link.cpp
+++ b/src/proxy/upstream_link.cpp
@@ -149,7 +149,7 @@
     if (row != nullptr && reply.firstRow.empty())
         reply.firstRow = row->fields;
     const bool tooLarge = reply.lines.size() + line.size() > kMaxAnswerBytes;
-    if (tooLarge || m_account.isCondemned()) {
+    if (tooLarge || m_account.mustClose()) {
         reply.tooLarge = tooLarge;
         reply.lines = {};
         end();
--- a/src/proxy/upstream_loads.cpp
+++ b/src/proxy/upstream_loads.cpp
@@ -101,7 +101,7 @@
         upstreamLoads(state, dispatcher, service->second, question.team, {}, now);
     const auto candidates = weighUpstreams(loads, !explanation.primaryOnly, {}, now);
     // A copy: the next statement gets this chance as well.
-    EvenChance chance = service->second.chance;
+    LowDiscrepancySequence chance = service->second.chance;
     if (const PlacementCandidate *chosen = drawCandidate(candidates, chance.next()))
         explanation.chosen = static_cast<std::size_t>(chosen - candidates.data());
     for (std::size_t i = 0; i < candidates.size(); ++i) {
