Serve statements at a database by class, team and deadline

UpstreamPool keeps its waiting statements in StatementQueue. What can't finish in time is returned at once as deadline_too_short, not run, with a delay that spreads the callers' return over the rate that is served; the session tells its caller as soon as no other database can run the statement.

The calls of UpstreamPool::acquire in two tests follow its new signature.

--- a/src/base/retry_reason.cpp
+++ b/src/base/retry_reason.cpp
@@ -29,6 +29,7 @@
     RetryReasonRow { RetryReason::OwnerUnavailable, "owner_unavailable", true, false },
     RetryReasonRow { RetryReason::Unsendable, "unsendable", true, false },
     RetryReasonRow { RetryReason::AnswerTooLarge, "answer_too_large", false, false },
+    RetryReasonRow { RetryReason::DeadlineTooShort, "deadline_too_short", true, true },
 };
 
 } // namespace
--- a/src/include/shallotlever/base/retry_reason.h
+++ b/src/include/shallotlever/base/retry_reason.h
@@ -52,6 +52,8 @@
     /// The statement ran, and its answer is too long for a message between nodes. Another attempt
     /// would fail as well.
     AnswerTooLarge,
+    /// The statement could not have finished before its deadline.
+    DeadlineTooShort,
 };
 
 struct RetryReasonRow
--- a/src/include/shallotlever/policy/statement_queue.h
+++ b/src/include/shallotlever/policy/statement_queue.h
@@ -43,6 +43,10 @@
     TimePoint deadline = kNever;
 };
 
+/// Weight of a team with this rate limit among teams of which the smallest has another one. 0: no
+/// limit is known.
+double teamWeight(double rate, double smallestRate);
+
 enum class StatementOrder : std::uint8_t {
     Fair,
     /// Fault injection for tests: teams are fair by number of statements.
@@ -63,7 +67,7 @@
 };
 
 /// Statements of a team that wait.
-struct TeamDemand
+struct WaitingTeam
 {
     TeamId team;
     std::uint32_t waiting = 0;
@@ -94,7 +98,7 @@
     /// Teams that have been passed over for kMaxHeldBack, in the order of their turns.
     std::vector<TeamId> overdueTeams(TimePoint now) const;
     /// Number of waiting statements of each team, in the order of the teams' turns.
-    std::vector<TeamDemand> waitingByTeam() const;
+    std::vector<WaitingTeam> waitingByTeam() const;
     bool waits(const TeamId &team) const { return m_waitingByTeam.contains(team); }
     std::size_t size() const { return m_waiting.size(); }
 
--- a/src/policy/experiment/statement_world.cpp
+++ b/src/policy/experiment/statement_world.cpp
@@ -155,7 +155,7 @@
         if (m_load.connections == 0)
             return;
         std::vector<TeamId> waiting;
-        for (const TeamDemand &demand : m_queue.waitingByTeam())
+        for (const WaitingTeam &demand : m_queue.waitingByTeam())
             waiting.push_back(demand.team);
         openFor(waiting, false);
     }
--- a/src/policy/statement_queue.cpp
+++ b/src/policy/statement_queue.cpp
@@ -22,6 +22,9 @@
 /// Bounds the expected wait in a line that does not move.
 constexpr double kMinRate = 1e-3;
 
+/// Bounds the share of teams whose rate limits do not express their size.
+constexpr double kMaxWeight = 16;
+
 double microseconds(Duration duration)
 {
     return static_cast<double>(duration.count());
@@ -34,6 +37,11 @@
 
 } // namespace
 
+double teamWeight(double rate, double smallestRate)
+{
+    return smallestRate > 0 ? std::clamp(rate / smallestRate, 1.0, kMaxWeight) : 1;
+}
+
 StatementQueue::GroupKey StatementQueue::groupOf(const StatementTraits &statement, bool late) const
 {
     if (m_options.order == StatementOrder::Arrival)
@@ -279,7 +287,7 @@
     std::vector<TeamId> teams;
     if (!overdue)
         return teams;
-    for (const TeamDemand &demand : waitingByTeam()) {
+    for (const WaitingTeam &demand : waitingByTeam()) {
         const auto held = m_heldBackSince.find(demand.team);
         if (held != m_heldBackSince.end() && now >= held->second + kMaxHeldBack)
             teams.push_back(demand.team);
@@ -297,9 +305,9 @@
     return order;
 }
 
-std::vector<TeamDemand> StatementQueue::waitingByTeam() const
+std::vector<WaitingTeam> StatementQueue::waitingByTeam() const
 {
-    std::vector<TeamDemand> demands;
+    std::vector<WaitingTeam> demands;
     std::set<TeamId> seen;
     for (const GroupKey &key : turns()) {
         const Group &group = m_groups.at(key);
--- a/src/proxy/pool_queue_log_test.cpp
+++ b/src/proxy/pool_queue_log_test.cpp
@@ -39,7 +39,7 @@
     void addWaitingStatement(TimePoint now)
     {
         m_state.services[kService].routes[kUpstream].pool->acquire(
-            kTeam, {}, 0, [](const LinkResult &) {}, now);
+            { { .team = kTeam }, {} }, [](const LinkResult &) {}, now);
     }
 
     std::string logged()
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -293,6 +293,13 @@
     if (config.installed.number != state.config.installed.number)
         m_impl->logUnusableNames(config);
     state.config = config;
+    state.smallestTeamRate = 0;
+    for (const auto &[id, team] : config.teams) {
+        const bool smallest =
+            state.smallestTeamRate == 0 || team.ratePerSecond < state.smallestTeamRate;
+        if (team.ratePerSecond > 0 && smallest)
+            state.smallestTeamRate = team.ratePerSecond;
+    }
     state.teamsByKey.clear();
     for (const auto &[id, key] : config.keys) {
         if (key.role == KeyRole::Caller)
--- a/src/proxy/proxy_state.h
+++ b/src/proxy/proxy_state.h
@@ -79,6 +79,8 @@
     ClusterConfig config;
     std::map<KeyHash, TeamId> teamsByKey;
     std::map<TeamId, TeamAdmission> teams;
+    /// Smallest rate limit of a team in the configuration; 0 if there is none.
+    double smallestTeamRate = 0;
     std::map<ServiceId, ServiceDatabases> services;
     /// This node.
     NodeId self;
--- a/src/proxy/session_attempt.cpp
+++ b/src/proxy/session_attempt.cpp
@@ -59,6 +59,8 @@
         return ErrorKind::NoPrimary;
     case RetryReason::UpstreamLeaving:
         return ErrorKind::NoUpstream;
+    case RetryReason::DeadlineTooShort:
+        return ErrorKind::DeadlineTooShort;
     default:
         return ErrorKind::ConnectFailed;
     }
@@ -146,6 +148,11 @@
     }
     const bool begun = m_transaction && m_transaction->hasExecuted;
     const std::optional<UpstreamId> target = begun ? m_transaction->upstream : selectDatabase(now);
+    if (!target && execution.lastFailure == ErrorKind::DeadlineTooShort) {
+        // No database can run it in time.
+        giveUp(now);
+        return;
+    }
     if (!target) {
         execution.phase = Phase::AwaitingUpstream;
         execution.retryAt = now + kRetryBackoff;
@@ -218,6 +225,9 @@
     if (database().consistency == Consistency::ReadYourWrites)
         request.ownCommit = m_lastCommit;
     request.timeLeft = m_execution->deadline - now;
+    const Duration objective = database().latencyObjective;
+    if (objective > Duration(0))
+        request.objectiveLeft = m_execution->arrivedAt + objective - now;
     if (m_execution->owner != m_state.self)
         request.timeLeft = forwardedTimeLimit(request.timeLeft, false).value_or(request.timeLeft);
     return request;
@@ -228,6 +238,8 @@
     if (!m_execution || m_execution->phase != Phase::Running)
         return;
     const TimePoint now = monotonicNow();
+    if (reply.retryAfter > Duration(0))
+        m_execution->retryAfter = reply.retryAfter;
     if (reply.result != StatementResult::Answered)
         onUnanswered(reply.reason, reply.result == StatementResult::Unknown, now);
     else if (reply.succeeded())
@@ -340,10 +352,14 @@
 
 void CallerSession::giveUp(TimePoint now)
 {
+    const bool tooShort = m_execution->lastFailure == ErrorKind::DeadlineTooShort;
+    const std::optional<Duration> retryAfter = tooShort ? m_execution->retryAfter : std::nullopt;
     if (m_transaction)
-        fail(ErrorKind::TransactionLost, now);
+        fail(ErrorKind::TransactionLost, now, retryAfter);
+    else if (m_execution->mayHaveRun)
+        fail(ErrorKind::OutcomeUnknown, now);
     else
-        fail(m_execution->mayHaveRun ? ErrorKind::OutcomeUnknown : m_execution->lastFailure, now);
+        fail(m_execution->lastFailure, now, retryAfter);
 }
 
 void CallerSession::endTransaction(TimePoint now)
--- a/src/proxy/session_execution.h
+++ b/src/proxy/session_execution.h
@@ -47,6 +47,8 @@
     bool mayHaveRun = false;
     /// Reason of the last failed attempt.
     ErrorKind lastFailure = ErrorKind::NoUpstream;
+    /// When the caller should come back, if the owner of the database has said it.
+    std::optional<Duration> retryAfter;
 };
 
 /// The open transaction of a session.
--- a/src/proxy/statement_messages.cpp
+++ b/src/proxy/statement_messages.cpp
@@ -1,5 +1,7 @@
 #include "statement_messages.h"
 
+#include <algorithm>
+
 #include "generated/statement_messages_generated.h"
 #include "shallotlever/wire/flat_table.h"
 
@@ -81,7 +83,9 @@
         b, service, upstream, team, request.priority, variables, id, text, prepared, request.writes,
         request.commits, request.transaction, request.readOnlyTransaction, request.transactionBegun,
         request.primaryOnly, request.maxStaleness.count(), request.ownCommit ? &ownCommit : nullptr,
-        request.timeLeft.count(), !request.hasArguments));
+        request.timeLeft.count(), !request.hasArguments,
+        request.objectiveLeft ? flatbuffers::Optional<std::int64_t>(request.objectiveLeft->count())
+                              : flatbuffers::nullopt));
     return finishedBytes(b);
 }
 
@@ -114,6 +118,8 @@
     request.maxStaleness = Duration(statement->max_staleness());
     request.ownCommit = pointOf(statement->own_commit());
     request.timeLeft = Duration(statement->time_left());
+    if (const auto objectiveLeft = statement->objective_left())
+        request.objectiveLeft = Duration(*objectiveLeft);
     return request;
 }
 
@@ -129,7 +135,7 @@
     b.Finish(fbs::CreateStatementReply(b, static_cast<std::uint8_t>(reply.result),
                                        static_cast<std::uint8_t>(reply.reason), lines, error,
                                        reply.point ? &point : nullptr, reply.load.outstanding,
-                                       reply.load.serviceTime.count()));
+                                       reply.load.serviceTime.count(), reply.retryAfter.count()));
     return finishedBytes(b);
 }
 
@@ -152,6 +158,7 @@
     }
     reply.point = pointOf(message->point());
     reply.load = { message->outstanding(), Duration(message->service_time()) };
+    reply.retryAfter = std::max(Duration(message->retry_after()), Duration(0));
     return reply;
 }
 
--- a/src/proxy/statement_messages.h
+++ b/src/proxy/statement_messages.h
@@ -52,6 +52,8 @@
     std::optional<HistoryPoint> ownCommit;
     /// Time after which the sender gives up.
     Duration timeLeft { 0 };
+    /// Time until the latency objective is missed, negative if it has been; nullopt: there is none.
+    std::optional<Duration> objectiveLeft;
 
     friend bool operator==(const StatementRequest &, const StatementRequest &) = default;
 };
@@ -86,6 +88,8 @@
     /// End of the database's log after the statement, if known.
     std::optional<HistoryPoint> point;
     OwnerLoad load;
+    /// When the caller should repeat a statement that was not run; 0: as recommended in general.
+    Duration retryAfter { 0 };
 
     bool succeeded() const { return result == StatementResult::Answered && !error; }
 };
--- a/src/proxy/statement_runner.cpp
+++ b/src/proxy/statement_runner.cpp
@@ -17,9 +17,6 @@
 /// arrived.
 constexpr Duration kMaxAttemptDuration = 1500ms;
 constexpr Duration kAttemptExtension = 100ms;
-/// Expected response times are rough estimates: a statement is refused immediately only if its
-/// response is expected after this multiple of its time left.
-constexpr int kMaxExpectedTimeFactor = 2;
 /// The end of a replica's log is trusted for this long; then a read shows whether it has caught up.
 constexpr Duration kLogEndLifetime = 60ms;
 /// A transaction that its session has not ended this long after its idle limit is rolled back: the
@@ -121,10 +118,7 @@
     execution.minPosition = requiredPosition(request, now);
     if (!execution.minPosition && !isPrimary(execution))
         return request.primaryOnly ? RetryReason::NotPrimary : RetryReason::ReplicaStale;
-    if (knownToLag(execution, now))
-        return RetryReason::ReplicaStale;
-    const bool late = expectedResponseTime(load, now) > kMaxExpectedTimeFactor * request.timeLeft;
-    return late ? std::optional(RetryReason::NoSlot) : std::nullopt;
+    return knownToLag(execution, now) ? std::optional(RetryReason::ReplicaStale) : std::nullopt;
 }
 
 std::optional<HistoryPoint> StatementRunner::requiredPosition(const StatementRequest &request,
@@ -178,6 +172,8 @@
         return;
     }
     execution->pool->recordResponse(now - reply.sentAt, now);
+    if (!request.transactionBegun)
+        execution->pool->recordCost(traits(*execution), now - reply.sentAt);
     if (request.transaction == 0 || request.commits) {
         m_transactions.erase(transactionKey(*execution));
         if (reply.state == TransactionState::None)
@@ -334,7 +330,8 @@
     callback(reply);
 }
 
-void StatementRunner::notRun(Execution &execution, RetryReason reason, TimePoint now)
+void StatementRunner::notRun(Execution &execution, RetryReason reason, TimePoint now,
+                             Duration retryAfter)
 {
     m_returned[static_cast<std::size_t>(reason)]->increment();
     if (acquireLogToken(m_state.logRateLimiter, LogTopic::Retry, now)) {
@@ -351,6 +348,8 @@
                                { "reason", retryReasonName(reason) },
                                { "waited_ms", ms(now - execution.receivedAt) },
                                { "time_left_ms", ms(execution.deadline - now) },
+                               { "priority", execution.request.priority },
+                               { "retry_after_ms", ms(retryAfter) },
                                { "waiting", occupancy.waiting },
                                { "running", occupancy.running },
                                { "connections", occupancy.open },
@@ -359,7 +358,9 @@
                                { "leased", pool == nullptr ? 0U : pool->load().leasedConnections },
                                { "lease_left_ms", ms(m_state.freshUntil - now) } });
     }
-    finish(execution, unansweredReply(StatementResult::NotRun, reason));
+    StatementReply reply = unansweredReply(StatementResult::NotRun, reason);
+    reply.retryAfter = retryAfter;
+    finish(execution, std::move(reply));
 }
 
 bool StatementRunner::cancel(std::uint64_t id)
--- a/src/proxy/statement_runner.h
+++ b/src/proxy/statement_runner.h
@@ -79,7 +79,7 @@
         Phase phase = Phase::AwaitingLink;
         std::shared_ptr<UpstreamPool> pool;
         /// Identifies the pending acquire() call of `pool`.
-        std::uint64_t waiterId = 0;
+        WaiterId waiterId;
         PooledLink *link = nullptr;
         std::size_t pendingSetupReplies = 0;
         bool setupFailed = false;
@@ -96,6 +96,7 @@
     };
 
     Execution *find(std::uint64_t id);
+    StatementTraits traits(const Execution &execution) const;
     TransactionKey transactionKey(const Execution &execution) const;
     std::optional<RetryReason> refusal(Execution &execution, TimePoint now) const;
     std::optional<HistoryPoint> requiredPosition(const StatementRequest &request,
@@ -130,7 +131,8 @@
     void keepTransactionOpen(Execution &execution, TimePoint now);
     void rollBack(std::map<TransactionKey, Transaction>::iterator entry, TimePoint now);
     void finish(Execution &execution, StatementReply reply);
-    void notRun(Execution &execution, RetryReason reason, TimePoint now);
+    void notRun(Execution &execution, RetryReason reason, TimePoint now,
+                Duration retryAfter = Duration(0));
 
     ProxyState &m_state;
     std::list<Execution> m_statements;
--- a/src/proxy/statement_setup.cpp
+++ b/src/proxy/statement_setup.cpp
@@ -20,6 +20,26 @@
 
 } // namespace
 
+StatementTraits StatementRunner::traits(const Execution &execution) const
+{
+    const StatementRequest &request = execution.request;
+    StatementTraits traits;
+    traits.team = request.team;
+    if (const auto team = m_state.config.teams.find(request.team);
+        team != m_state.config.teams.end())
+        traits.weight = teamWeight(team->second.ratePerSecond, m_state.smallestTeamRate);
+    traits.priority = request.priority;
+    if (request.transaction != 0)
+        traits.kind = StatementCostKind::Transaction;
+    else if (request.writes)
+        traits.kind = StatementCostKind::Write;
+    traits.replicaEligible = !request.primaryOnly && isPrimary(execution);
+    if (request.objectiveLeft)
+        traits.objective = execution.receivedAt + *request.objectiveLeft;
+    traits.deadline = execution.deadline;
+    return traits;
+}
+
 void StatementRunner::acquireLink(Execution &execution, TimePoint now)
 {
     const StatementRequest &request = execution.request;
@@ -27,8 +47,8 @@
         ? execution.deadline
         : std::min(execution.deadline, now + kLinkAcquireTimeout);
     const std::uint64_t id = execution.id;
-    const std::uint64_t waiterId = execution.pool->acquire(
-        request.team, request.variables, request.priority,
+    const WaiterId waiterId = execution.pool->acquire(
+        { traits(execution), request.variables },
         [this, id](const LinkResult &result) { onLinkAcquired(id, result); }, now);
     // The callback may have answered the statement already.
     if (Execution *waiting = find(id))
@@ -42,6 +62,11 @@
     if (execution == nullptr)
         return;
     if (const auto *failure = std::get_if<LinkAcquireFailure>(&result)) {
+        if (*failure == LinkAcquireFailure::DeadlineTooShort) {
+            const Duration delay = execution->pool->takeReturnDelay(traits(*execution), now);
+            notRun(*execution, RetryReason::DeadlineTooShort, now, delay);
+            return;
+        }
         const bool leaving = *failure == LinkAcquireFailure::Cancelled;
         notRun(*execution, leaving ? RetryReason::UpstreamLeaving : RetryReason::ConnectFailed,
                now);
--- a/src/proxy/unnameable_team_test.cpp
+++ b/src/proxy/unnameable_team_test.cpp
@@ -33,7 +33,8 @@
     pool.setLeasedConnections(1, monotonicNow());
     std::optional<LinkResult> result;
     pool.acquire(
-        TeamId("t u"), {}, 0, [&](const LinkResult &r) { result = r; }, monotonicNow());
+        { { .team = TeamId("t u") }, {} }, [&](const LinkResult &r) { result = r; },
+        monotonicNow());
     ASSERT_TRUE(support::spinUntil([&] { return result && server.hasPendingConnections(); }));
     EXPECT_EQ(*result, LinkResult(LinkAcquireFailure::Refused));
     EXPECT_EQ(failures, std::vector { LinkOpenFailure::Unnameable });
--- a/src/proxy/upstream_pool.cpp
+++ b/src/proxy/upstream_pool.cpp
@@ -36,7 +36,7 @@
 
 UpstreamPool::~UpstreamPool()
 {
-    for (Waiter &waiter : std::exchange(m_waiters, {}))
+    for (const auto &[id, waiter] : std::exchange(m_waiters, {}))
         waiter.callback(LinkAcquireFailure::Cancelled);
 }
 
@@ -48,6 +48,7 @@
     m_load.state = info.state;
     m_load.slots = info.slots;
     m_load.primary = primary;
+    updateQueueSlots();
     if (info.state == UpstreamState::Leaving)
         failWaiters(LinkAcquireFailure::Cancelled);
 }
@@ -58,34 +59,53 @@
     failWaiters(LinkAcquireFailure::Cancelled);
 }
 
-std::uint64_t UpstreamPool::acquire(const TeamId &team, const SessionVariables &variables,
-                                    std::uint32_t priority, LinkCallback callback, TimePoint now)
+void UpstreamPool::updateQueueSlots()
 {
-    const std::uint64_t id = ++m_lastWaiterId;
+    m_queue.setSlots(std::max(1U, std::min(m_load.slots, m_load.leasedConnections)));
+}
+
+WaiterId UpstreamPool::acquire(const LinkRequest &request, LinkCallback callback, TimePoint now)
+{
+    const WaiterId id(++m_lastWaiterId);
+    const TeamId &team = request.statement.team;
     m_lastRequestByTeam[team] = now;
-    PooledLink *link =
-        windowHasCapacity(m_window, runningStatements()) ? idleLink(team, variables) : nullptr;
+    PooledLink *link = m_waiters.empty() && windowHasCapacity(m_window, runningStatements())
+        ? idleLink(team, request.variables)
+        : nullptr;
     if (link != nullptr) {
-        link->busy = true;
-        link->lastUsedAt = now;
-        ++m_acquired;
-        updateOutstanding();
-        callback(link);
+        handOut(link, callback, now);
         return id;
     }
-    const auto position =
-        std::find_if(m_waiters.begin(), m_waiters.end(),
-                     [&](const Waiter &waiter) { return waiter.priority > priority; });
-    m_waiters.insert(position, { id, priority, team, variables, std::move(callback), now });
+    if (!m_queue.enqueue(id, request.statement, now)) {
+        callback(LinkAcquireFailure::DeadlineTooShort);
+        return id;
+    }
+    m_waiters.insert({ id, { team, request.variables, std::move(callback), now } });
     updateOutstanding();
-    openForWaiters(now);
+    serveWaiters(now);
     return id;
 }
 
-void UpstreamPool::cancel(std::uint64_t waiterId)
+void UpstreamPool::handOut(PooledLink *link, const LinkCallback &callback, TimePoint now)
 {
-    std::erase_if(m_waiters, [waiterId](const Waiter &w) { return w.id == waiterId; });
+    link->busy = true;
+    link->lastUsedAt = now;
+    ++m_acquired;
     updateOutstanding();
+    callback(link);
+}
+
+void UpstreamPool::cancel(WaiterId waiterId)
+{
+    m_queue.cancel(waiterId);
+    m_waiters.erase(waiterId);
+    updateOutstanding();
+}
+
+Duration UpstreamPool::takeReturnDelay(const StatementTraits &statement, TimePoint now)
+{
+    const Duration cost = m_queue.expectedCost(statement.priority, statement.kind);
+    return takeReturn(m_returns, cost / std::max(1U, m_load.slots), now);
 }
 
 PooledLink *UpstreamPool::find(std::uint64_t id)
@@ -98,12 +118,14 @@
 void UpstreamPool::failWaiters(LinkAcquireFailure failure, const TeamId *team)
 {
     std::vector<LinkCallback> failed;
-    std::erase_if(m_waiters, [&](Waiter &waiter) {
-        if (team != nullptr && waiter.team != *team)
-            return false;
-        failed.push_back(std::move(waiter.callback));
-        return true;
-    });
+    for (auto waiter = m_waiters.begin(); waiter != m_waiters.end();) {
+        const auto current = waiter++;
+        if (team != nullptr && current->second.team != *team)
+            continue;
+        m_queue.cancel(current->first);
+        failed.push_back(std::move(current->second.callback));
+        m_waiters.erase(current);
+    }
     updateOutstanding();
     for (const LinkCallback &callback : failed)
         callback(failure);
@@ -166,24 +188,31 @@
 
 void UpstreamPool::serveWaiters(TimePoint now)
 {
-    for (std::size_t i = 0;
-         i < m_waiters.size() && windowHasCapacity(m_window, runningStatements());) {
-        PooledLink *link = idleLink(m_waiters[i].team, m_waiters[i].variables);
-        if (link == nullptr) {
-            ++i;
+    refuseInfeasible(now);
+    openForOverdue(now);
+    while (!m_waiters.empty() && windowHasCapacity(m_window, runningStatements())) {
+        const std::optional<WaiterId> id = m_queue.next(idleTeams(), now);
+        if (!id)
+            break;
+        const auto found = m_waiters.find(*id);
+        const Waiter waiter = std::move(found->second);
+        m_waiters.erase(found);
+        handOut(idleLink(waiter.team, waiter.variables), waiter.callback, now);
+    }
+    openForWaiters(now);
+}
+
+void UpstreamPool::refuseInfeasible(TimePoint now)
+{
+    for (const WaiterId id : m_queue.takeInfeasible(now)) {
+        const auto found = m_waiters.find(id);
+        if (found == m_waiters.end())
             continue;
-        }
-        const LinkCallback callback = std::move(m_waiters[i].callback);
-        m_waiters.erase(m_waiters.begin() + static_cast<std::ptrdiff_t>(i));
-        link->busy = true;
-        link->lastUsedAt = now;
-        ++m_acquired;
+        const LinkCallback callback = std::move(found->second.callback);
+        m_waiters.erase(found);
         updateOutstanding();
-        callback(link);
-        // The callback may have changed the queue.
-        i = 0;
+        callback(LinkAcquireFailure::DeadlineTooShort);
     }
-    openForWaiters(now);
 }
 
 void UpstreamPool::recordTimeout(TimePoint now)
@@ -212,6 +241,12 @@
     recordServiceTime(m_load, elapsed, now);
 }
 
+void UpstreamPool::recordCost(const StatementTraits &statement, Duration elapsed)
+{
+    m_queue.recordCost(statement.priority, statement.kind,
+                       std::max(elapsed - m_load.roundTrip, Duration(0)));
+}
+
 bool UpstreamPool::recentlyResponsive(TimePoint now) const
 {
     return now < m_lastResponseAt + kResponsivePeriod;
@@ -230,8 +265,9 @@
 void UpstreamPool::setLeasedConnections(std::uint32_t leasedConnections, TimePoint now)
 {
     m_load.leasedConnections = leasedConnections;
+    updateQueueSlots();
     while (m_links.size() > leasedConnections) {
-        PooledLink *victim = evictionCandidate();
+        PooledLink *victim = evictionCandidate(false);
         if (victim == nullptr)
             break;
         remove(victim);
@@ -249,8 +285,11 @@
     if (m_owned && m_load.state != UpstreamState::Leaving
         && now >= m_lastContactAt + m_pingInterval)
         ping(now);
-    if (!m_waiters.empty())
-        openForWaiters(now);
+    if (m_waiters.empty())
+        return;
+    refuseInfeasible(now);
+    openForOverdue(now);
+    openForWaiters(now);
 }
 
 TimePoint UpstreamPool::nextTick(TimePoint now) const
@@ -305,7 +344,7 @@
 {
     PoolOccupancy occupancy;
     occupancy.waiting = static_cast<std::uint32_t>(m_waiters.size());
-    for (const Waiter &waiter : m_waiters)
+    for (const auto &[id, waiter] : m_waiters)
         occupancy.longestWait = std::max(occupancy.longestWait, now - waiter.since);
     occupancy.opening = pendingOpens();
     occupancy.open = static_cast<std::uint32_t>(m_links.size()) - occupancy.opening;
--- a/src/proxy/upstream_pool.h
+++ b/src/proxy/upstream_pool.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <deque>
 #include <functional>
 #include <list>
 #include <map>
@@ -12,6 +11,8 @@
 
 #include "prepared_statements.h"
 #include "shallotlever/base/due.h"
+#include "shallotlever/policy/return_schedule.h"
+#include "shallotlever/policy/statement_queue.h"
 #include "shallotlever/proxy/placement.h"
 #include "shallotlever/types/shares.h"
 #include "statement_messages.h"
@@ -52,6 +53,16 @@
     Refused,
     /// The database is leaving or the pool is being destroyed.
     Cancelled,
+    /// The statement could not have finished before its deadline.
+    DeadlineTooShort,
+};
+
+/// A statement that needs a connection.
+struct LinkRequest
+{
+    StatementTraits statement;
+    /// Session variables that the statement needs; a connection that has them is preferred.
+    SessionVariables variables;
 };
 
 /// Queue and connections of a pool at one moment, and its work since it was created.
@@ -104,11 +115,12 @@
     UpstreamPool(const UpstreamPool &) = delete;
     UpstreamPool &operator=(const UpstreamPool &) = delete;
 
-    /// Requests a connection. Calls back immediately if an idle one is available. Waiters with a
-    /// lower `priority` value are served first. Returns an id to pass to cancel().
-    std::uint64_t acquire(const TeamId &team, const SessionVariables &variables,
-                          std::uint32_t priority, LinkCallback callback, TimePoint now);
-    void cancel(std::uint64_t waiterId);
+    /// Requests a connection. Calls back immediately if one is available or the statement can't
+    /// finish before its deadline. Returns an id to pass to cancel().
+    WaiterId acquire(const LinkRequest &request, LinkCallback callback, TimePoint now);
+    void cancel(WaiterId waiterId);
+    /// When the sender of a statement that was refused with DeadlineTooShort should come back.
+    Duration takeReturnDelay(const StatementTraits &statement, TimePoint now);
     void release(PooledLink *link, TimePoint now);
     /// Rolls back the transaction on the connection, then releases the connection.
     void rollBack(PooledLink *link, TimePoint now);
@@ -118,6 +130,8 @@
     /// database has just responded to another request.
     void recordTimeout(TimePoint now);
     void recordResponse(Duration elapsed, TimePoint now);
+    /// Records what a statement of this class and kind cost.
+    void recordCost(const StatementTraits &statement, Duration elapsed);
     /// Records that the database refused or failed a statement; `full` if no slot was free.
     void recordRefusal(bool full, TimePoint now);
     /// Whether the database responded to any request within kResponsivePeriod.
@@ -149,8 +163,6 @@
 private:
     struct Waiter
     {
-        std::uint64_t id = 0;
-        std::uint32_t priority = 0;
         TeamId team;
         SessionVariables variables;
         LinkCallback callback;
@@ -158,7 +170,9 @@
     };
 
     PooledLink *idleLink(const TeamId &team, const SessionVariables &variables);
-    PooledLink *evictionCandidate();
+    std::set<TeamId> idleTeams() const;
+    void handOut(PooledLink *link, const LinkCallback &callback, TimePoint now);
+    PooledLink *evictionCandidate(bool overdue);
     void open(const TeamId &team, TimePoint now);
     PooledLink *find(std::uint64_t id);
     void onOpened(PooledLink *link, std::optional<HistoryPoint> point, TimePoint requestedAt);
@@ -168,10 +182,14 @@
     void remove(PooledLink *link);
     void makeIdle(PooledLink *link, TimePoint now);
     void serveWaiters(TimePoint now);
+    void refuseInfeasible(TimePoint now);
     void openForWaiters(TimePoint now);
+    void openForOverdue(TimePoint now);
+    bool mayOpen(const TeamId &team, bool overdue, TimePoint now);
     std::uint32_t missingLinks(const TeamId &team, std::uint32_t waiting) const;
     std::size_t connectionLimit(TimePoint now) const;
-    bool makeRoom(const TeamId &team, bool slotFree, TimePoint now);
+    bool makeRoom(const TeamId &team, bool slotFree, bool overdue, TimePoint now);
+    void updateQueueSlots();
     bool isSurplus(const PooledLink &link) const;
     void ping(TimePoint now);
     PooledLink *leastRecentlyUsedLink();
@@ -191,8 +209,10 @@
     std::list<PooledLink> m_links;
     /// Closed links whose callbacks may still be on the call stack; destroyed on the next tick.
     std::vector<std::unique_ptr<UpstreamLink>> m_closedLinks;
-    std::deque<Waiter> m_waiters;
+    StatementQueue m_queue;
+    std::map<WaiterId, Waiter> m_waiters;
     std::uint64_t m_lastWaiterId = 0;
+    ReturnSchedule m_returns;
     std::uint64_t m_lastLinkId = 0;
     std::uint64_t m_acquired = 0;
     std::uint64_t m_opened = 0;
--- a/src/proxy/upstream_pool_links.cpp
+++ b/src/proxy/upstream_pool_links.cpp
@@ -48,18 +48,32 @@
     return found;
 }
 
-PooledLink *UpstreamPool::evictionCandidate()
+std::set<TeamId> UpstreamPool::idleTeams() const
 {
-    PooledLink *oldest = nullptr;
+    std::set<TeamId> teams;
+    for (const PooledLink &link : m_links) {
+        if (link.open && !link.busy)
+            teams.insert(link.team);
+    }
+    return teams;
+}
+
+/// The least recently used idle connection of a team without waiting statements or, for a team that
+/// is `overdue`, of any team.
+PooledLink *UpstreamPool::evictionCandidate(bool overdue)
+{
+    PooledLink *unused = nullptr;
+    PooledLink *any = nullptr;
     for (PooledLink &link : m_links) {
-        const bool hasWaiter =
-            std::any_of(m_waiters.begin(), m_waiters.end(),
-                        [&](const Waiter &waiter) { return waiter.team == link.team; });
-        if (link.open && !link.busy && !hasWaiter
-            && (oldest == nullptr || link.lastUsedAt < oldest->lastUsedAt))
-            oldest = &link;
+        if (!link.open || link.busy)
+            continue;
+        if (any == nullptr || link.lastUsedAt < any->lastUsedAt)
+            any = &link;
+        if (!m_queue.waits(link.team)
+            && (unused == nullptr || link.lastUsedAt < unused->lastUsedAt))
+            unused = &link;
     }
-    return oldest;
+    return unused == nullptr && overdue ? any : unused;
 }
 
 /// Number of connections to open for `waiting` statements of the team. Those that merely wait for
@@ -80,27 +94,46 @@
 
 void UpstreamPool::openForWaiters(TimePoint now)
 {
-    if (now < m_nextOpenAt)
+    if (now < m_nextOpenAt || m_waiters.empty())
         return;
-    std::map<TeamId, std::uint32_t> waitingByTeam;
-    std::vector<TeamId> teams;
-    for (const Waiter &waiter : m_waiters) {
-        if (missingLinks(waiter.team, ++waitingByTeam[waiter.team]) > 0)
-            teams.push_back(waiter.team);
+    const std::vector<WaitingTeam> demands = m_queue.waitingByTeam();
+    for (bool opened = true; opened;) {
+        opened = false;
+        for (const WaitingTeam &demand : demands) {
+            if (missingLinks(demand.team, demand.waiting) == 0)
+                continue;
+            if (!mayOpen(demand.team, false, now))
+                return;
+            open(demand.team, now);
+            opened = true;
+        }
     }
-    for (const TeamId &team : teams) {
-        // Opening a connection occupies a slot as well. One is opened at any load, so that a team
-        // without a connection is not starved.
-        const std::uint32_t opens = pendingOpens();
-        const bool slotFree = windowHasCapacity(m_window, runningStatements() + opens);
-        if (opens >= kMaxConcurrentOpens || (opens > 0 && !slotFree)
-            || !makeRoom(team, slotFree, now))
+}
+
+/// Opens connections for the teams that have been passed over for too long.
+void UpstreamPool::openForOverdue(TimePoint now)
+{
+    if (now < m_nextOpenAt || !m_owned)
+        return;
+    for (const TeamId &team : m_queue.overdueTeams(now)) {
+        if (missingLinks(team, 1) == 0)
+            continue;
+        if (!mayOpen(team, true, now))
             return;
-        if (missingLinks(team, waitingByTeam[team]) > 0)
-            open(team, now);
+        open(team, now);
     }
 }
 
+/// Opening a connection occupies a slot as well. One is opened at any load, so that a team without
+/// a connection is not starved.
+bool UpstreamPool::mayOpen(const TeamId &team, bool overdue, TimePoint now)
+{
+    const std::uint32_t opens = pendingOpens();
+    const bool slotFree = windowHasCapacity(m_window, runningStatements() + opens);
+    return opens < kMaxConcurrentOpens && (opens == 0 || slotFree)
+        && makeRoom(team, slotFree, overdue, now);
+}
+
 /// Connections that this node may have open: those leased to it, or fewer if the database has
 /// recently refused one.
 std::size_t UpstreamPool::connectionLimit(TimePoint now) const
@@ -110,16 +143,17 @@
 }
 
 /// Evicts a connection if the limit is reached. Returns whether one for the team may be opened. A
-/// team without a connection that waits while the database has a free slot gets one at once.
-bool UpstreamPool::makeRoom(const TeamId &team, bool slotFree, TimePoint now)
+/// team without a connection that waits while the database has a free slot, or that is overdue,
+/// gets one at once.
+bool UpstreamPool::makeRoom(const TeamId &team, bool slotFree, bool overdue, TimePoint now)
 {
     if (m_links.size() < connectionLimit(now))
         return true;
-    PooledLink *victim = evictionCandidate();
+    PooledLink *victim = evictionCandidate(overdue);
     const bool teamHasLink = std::any_of(m_links.begin(), m_links.end(),
                                          [&](const PooledLink &link) { return link.team == team; });
     if (victim == nullptr
-        || !mayEvictConnection({ .starved = m_owned && slotFree && !teamHasLink,
+        || !mayEvictConnection({ .starved = overdue || (m_owned && slotFree && !teamHasLink),
                                  .idleTime = now - victim->lastUsedAt,
                                  .sinceLastEviction = now - m_lastEvictionAt,
                                  .openTime = m_load.openTime }))
--- a/src/proxy/upstream_pool_test.cpp
+++ b/src/proxy/upstream_pool_test.cpp
@@ -44,5 +44,47 @@
                     TimeoutCase { "Silent", 400ms, kTimeoutsUntilUnreachable, false }),
     [](const auto &info) { return info.param.name; });
 
+struct PoolDeadlineCase
+{
+    const char *name;
+    Duration timeLeft;
+    /// Time until the pool's tick at which the statement is refused; nullopt: at once.
+    std::optional<Duration> refusedAfter;
+};
+
+class PoolDeadline : public testing::TestWithParam<PoolDeadlineCase>
+{
+protected:
+    SessionProtocol m_protocol {};
+    UpstreamPool m_pool { m_protocol,
+                          UpstreamInfo(),
+                          { [](const HistoryPoint &, TimePoint) {}, [](bool) {},
+                            [](LinkOpenFailure, const std::string &, Duration) {} } };
+    std::optional<LinkResult> m_result;
+};
+
+// Guards against a statement that waits for a connection until its deadline has passed.
+TEST_P(PoolDeadline, RefusesWhatCannotFinishInTime)
+{
+    const PoolDeadlineCase &c = GetParam();
+    m_pool.recordCost({}, 50ms);
+    m_pool.acquire(
+        { { .deadline = kStart + c.timeLeft }, {} },
+        [this](const LinkResult &result) { m_result = result; }, kStart);
+    EXPECT_EQ(m_result.has_value(), !c.refusedAfter.has_value());
+    if (c.refusedAfter) {
+        m_pool.tick(kStart + *c.refusedAfter - 1ms);
+        EXPECT_FALSE(m_result);
+        m_pool.tick(kStart + *c.refusedAfter + 1ms);
+    }
+    EXPECT_EQ(m_result, LinkResult(LinkAcquireFailure::DeadlineTooShort));
+    EXPECT_EQ(m_pool.occupancy(kStart).waiting, 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Times, PoolDeadline,
+                         testing::Values(PoolDeadlineCase { "TooShort", 40ms, std::nullopt },
+                                         PoolDeadlineCase { "WaitsTooLong", 200ms, 150ms }),
+                         [](const auto &info) { return info.param.name; });
+
 } // namespace
 } // namespace shallotlever
