Take a slow line for a full one only while no slot is free

The rate of a line was taken for that of the database, although the line moved slowly because little was asked for or a team waited for a connection.

--- a/src/include/shallotlever/policy/statement_queue.h
+++ b/src/include/shallotlever/policy/statement_queue.h
@@ -94,6 +94,8 @@
     /// Removes the statements that can't finish before their deadlines.
     std::vector<WaiterId> takeInfeasible(TimePoint now);
     void cancel(WaiterId id);
+    /// A slot is free: what still waits does so for want of a connection, not for others.
+    void recordFreeSlot(TimePoint now);
 
     /// Teams that have been passed over for kMaxHeldBack, in the order of their turns.
     std::vector<TeamId> overdueTeams(TimePoint now) const;
--- a/src/policy/experiment/statement_world.cpp
+++ b/src/policy/experiment/statement_world.cpp
@@ -152,6 +152,8 @@
                 break;
             start(*id);
         }
+        if (m_running + m_opening < m_load.slots)
+            m_queue.recordFreeSlot(m_loop.now());
         if (m_load.connections == 0)
             return;
         std::vector<TeamId> waiting;
--- a/src/policy/statement_queue.cpp
+++ b/src/policy/statement_queue.cpp
@@ -112,8 +112,7 @@
     for (auto other = m_groups.begin(); other != m_groups.end() && other->first < key; ++other)
         ahead += other->second.cost;
     const auto found = m_groups.find(key);
-    if (found == m_groups.end()
-        || (found->second.flows.empty() && now >= found->second.usedAt + kTurnMemory))
+    if (found == m_groups.end() || found->second.flows.empty())
         return fromMicroseconds(ahead / m_slots);
     const Group &group = found->second;
     const auto flow = group.flows.find(flowOf(statement));
@@ -235,6 +234,14 @@
         remove(id);
 }
 
+void StatementQueue::recordFreeSlot(TimePoint now)
+{
+    for (auto &[key, group] : m_groups) {
+        group.rate = makeServiceRate(m_slots, now);
+        group.nextTurns.clear();
+    }
+}
+
 /// Puts the statements that can't meet their latency objective any more behind those that can.
 void StatementQueue::moveLate(TimePoint now)
 {
--- a/src/policy/statement_queue_test.cpp
+++ b/src/policy/statement_queue_test.cpp
@@ -185,6 +185,22 @@
     EXPECT_EQ(queue.next({ kA }, kStart + kMaxHeldBack), WaiterId(1));
 }
 
+// Guards against a team that is refused while slots are free, because another one waits long for a
+// connection and little else is asked for.
+TEST(QueueFreeSlot, DelaysNoTeam)
+{
+    StatementQueue queue;
+    queue.setSlots(5);
+    queue.enqueue(WaiterId(1), { .team = kA }, kStart);
+    for (std::uint64_t id = 2; id < 20; ++id) {
+        const TimePoint now = kStart + id * 300ms;
+        EXPECT_TRUE(queue.enqueue(WaiterId(id), { .team = kB, .deadline = now + 1s }, now));
+        EXPECT_EQ(queue.next({ kB }, now), WaiterId(id));
+        queue.recordFreeSlot(now);
+        EXPECT_EQ(queue.expectedWait({ .team = kB }, now + 200ms) / 10ms, 0);
+    }
+}
+
 // Guards against statements that wait until nobody waits for their answer.
 TEST(QueueDeadline, RefusesWhatCannotFinish)
 {
--- a/src/proxy/upstream_pool.cpp
+++ b/src/proxy/upstream_pool.cpp
@@ -73,6 +73,7 @@
         ? idleLink(team, request.variables)
         : nullptr;
     if (link != nullptr) {
+        m_queue.recordFreeSlot(now);
         handOut(link, callback, now);
         return id;
     }
@@ -199,6 +200,8 @@
         m_waiters.erase(found);
         handOut(idleLink(waiter.team, waiter.variables), waiter.callback, now);
     }
+    if (windowHasCapacity(m_window, runningStatements()))
+        m_queue.recordFreeSlot(now);
     openForWaiters(now);
 }
 
