--- a/review/stand-ins-2/world.py
+++ b/review/stand-ins-2/world.py
@@ -50,6 +50,8 @@
         self.state = "ready"
         self.alive = False
         self.deaf = False
+        # Partitioned from the core machines: their calls and the heartbeats get no answer.
+        self.core_cut = False
         # One way, from any other database.
         self.distance_s = REPLICATION_S
         self.sequence = 0
@@ -103,6 +105,9 @@
 
     async def call(self, method, body):
         for _ in range(4):
+            if self.core_cut:
+                await asyncio.sleep(1.0)
+                continue
             nodes = self.world.control_nodes()
             address = self.control if self.control in nodes else random.choice(nodes)
             status, _ = await http(address, method, f"/v1/instances/{self.name}", body, 1.0)
@@ -180,6 +185,10 @@
     async def run(self, session, sid, text):
         world, done = self.world, ["COMPLETE -"]
         command, _, rest = text.partition(" ")
+        if self.core_cut and session["tenant"] in {node.ip for node in world.nodes.values()
+                                                   if node.core}:
+            await asyncio.sleep(3.0)
+            raise ConnectionError
         if sid != "-":
             world.record(f"db {self.name} received {sid} {text}")
         if command in ("STATUS", "PAUSE", "RESUME", "STEPDOWN"):
@@ -200,7 +209,7 @@
             return done
         if session["failed"] and command != "COMMIT":
             return ["ERROR MALFORMED failed transaction"]
-        await asyncio.sleep(WORK_S)
+        await asyncio.sleep(world.work_s)
         if command == "WAITLSN":
             point, _, text = rest.partition(" ")
             if self.end() < tuple(int(part) for part in point.split(".")):
@@ -290,6 +299,10 @@
         self.promotions = []
         # How long the next calls to the platform wait there until they are acted upon.
         self.slow_calls = []
+        # How long a database works on a statement.
+        self.work_s = WORK_S
+        # Called once a call to promote has been accepted.
+        self.on_promote = None
 
     # Replication and promotion.
 
@@ -343,6 +356,8 @@
         if db.primary:
             return 200
         self.promotions.append((time.monotonic(), name, holder, epoch))
+        if self.on_promote:
+            asyncio.create_task(self.on_promote())
 
         async def take_effect():
             await asyncio.sleep(PROMOTE_S)
