--- a/review/stand-ins-2/world.py
+++ b/review/stand-ins-2/world.py
@@ -209,7 +209,7 @@
             return done
         if session["failed"] and command != "COMMIT":
             return ["ERROR MALFORMED failed transaction"]
-        await asyncio.sleep(world.work_s)
+        await asyncio.sleep(world.work_s * random.uniform(*world.work_spread))
         if command == "WAITLSN":
             point, _, text = rest.partition(" ")
             if self.end() < tuple(int(part) for part in point.split(".")):
@@ -301,6 +301,7 @@
         self.slow_calls = []
         # How long a database works on a statement.
         self.work_s = WORK_S
+        self.work_spread = (1.0, 1.0)
         # Called once a call to promote has been accepted.
         self.on_promote = None
 
