Acknowledge no commit of a primary that was released

Cause: the candidate is chosen so that it holds all commits that may have been acknowledged until every node has released the primary. The nodes stopped sending there but passed on what it answered later, so a database that joined after the choice could confirm further commits.

Ruled out: a known member with a longer log (both known replicas were fenced and ended at 1.864), a lost fence (each lost commit, 1.865 to 1.870, is confirmed by the new db-x only).

Change: a commit counts only in the tenure in which it was sent and with a valid lease, checked where the answer leaves; else the outcome is unknown. The view says whether a change is planned (new optional field): then the answers count for the 60 ms that the controller waits anyway. A commit that was not sent yet is refused as one that keeps nothing. It works for a joining database that nobody has heard of, because it needs no fence on it, and adds no wait to a change of primary.

--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -82,6 +82,7 @@
     controller.publishedIndex = replicated.cluster.index;
     controller.publishedRevision = controller.registry.revision;
     FleetState fleet = makeFleetState(controller.registry, replicated.cluster);
+    markSwitchovers(controller, fleet.view);
     if (ownership)
         assignPoolOwners(controller.poolOwnership, replicated.cluster.config, fleet.view);
     else
--- a/src/controller/group_control.cpp
+++ b/src/controller/group_control.cpp
@@ -251,14 +251,25 @@
     proposeGroupDecision(group, input, actions, now);
 }
 
+void markSwitchovers(const ControllerState &controller, FleetView &fleet)
+{
+    for (auto &[service, view] : fleet.groups) {
+        const auto group = controller.groups.find(service);
+        view.switchover = !view.primary && group != controller.groups.end()
+            && group->second.confirmed.phase != ConfirmedPhase::Idle
+            && group->second.confirmed.reason == ChangeReason::Leaving;
+    }
+}
+
 void updateViewsInForce(ControllerState &controller, TimePoint now)
 {
     for (const auto &[service, view] : controller.fleetLog.state.view.groups) {
         GroupControl &group = controller.groups[service];
         if (group.publishedVersion == FleetVersion() || group.publishedTerm != view.term
-            || group.publishedVotingSet != view.votingSet
-            || group.publishedPrimary != view.primary) {
+            || group.publishedVotingSet != view.votingSet || group.publishedPrimary != view.primary
+            || group.publishedSwitchover != view.switchover) {
             group.publishedPrimary = view.primary;
+            group.publishedSwitchover = view.switchover;
             group.publishedTerm = view.term;
             group.publishedVotingSet = view.votingSet;
             group.publishedVersion = controller.fleetLog.version;
--- a/src/controller/group_control.h
+++ b/src/controller/group_control.h
@@ -15,8 +15,11 @@
                   const ServiceId &service, std::map<UpstreamId, RegistryEntry> announced,
                   ControllerActions &actions, TimePoint now);
 
+/// Marks the groups whose primary is being replaced as planned.
+void markSwitchovers(const ControllerState &controller, FleetView &fleet);
+
 /// Updates, for each group, the time since when every node that holds a lease has applied a view
-/// with the group's current term, voting set and primary.
+/// with the group's current term, voting set, primary and kind of change.
 void updateViewsInForce(ControllerState &controller, TimePoint now);
 
 } // namespace shallotlever
--- a/src/controller/group_control_test.cpp
+++ b/src/controller/group_control_test.cpp
@@ -47,6 +47,19 @@
             == m_controller.registry.entries.at(UpstreamId("db")).announcement.lifetime;
     }
 
+    /// Advances the controller and applies its decisions.
+    std::vector<UpstreamCall> step()
+    {
+        ControllerActions actions = advanceController(m_controller, m_state, m_now);
+        for (const GroupDecision &decision : actions.proposals) {
+            const LogIndex index = m_state.cluster.index.next();
+            const ChangeResult result = applyCommand(m_state, decision, index, 0);
+            onCommandApplied(m_controller, m_state, decision, result, index, m_now);
+            onOwnDecisionAccepted(m_controller, decision);
+        }
+        return actions.calls;
+    }
+
     std::uint64_t m_reports = 0;
 };
 
@@ -107,18 +120,6 @@
         return false;
     }
 
-    std::vector<UpstreamCall> step()
-    {
-        ControllerActions actions = advanceController(m_controller, m_state, m_now);
-        for (const GroupDecision &decision : actions.proposals) {
-            const LogIndex index = m_state.cluster.index.next();
-            const ChangeResult result = applyCommand(m_state, decision, index, 0);
-            onCommandApplied(m_controller, m_state, decision, result, index, m_now);
-            onOwnDecisionAccepted(m_controller, decision);
-        }
-        return actions.calls;
-    }
-
     Term m_fence;
     std::set<UpstreamId> m_heard { UpstreamId("db") };
 };
@@ -196,6 +197,19 @@
         return change.phase == ConfirmedPhase::Idle ? ChangeReason::None : change.reason;
     }
 
+    /// Runs the controller with its decisions applied, and returns the view published then. The
+    /// primary announces itself only if `primaryHeard`.
+    const GroupView &viewAfter(Duration duration, bool primaryHeard)
+    {
+        for (const TimePoint end = m_now + duration; m_now < end; m_now += 100ms) {
+            if (primaryHeard)
+                hear("p", "x", UpstreamRole::Primary);
+            hear("r", "y", UpstreamRole::Replica);
+            step();
+        }
+        return m_controller.fleetLog.state.view.groups.at(ServiceId("s"));
+    }
+
     void evacuate(const char *dataCentre)
     {
         m_state.cluster.config.evacuations[DataCentreId(dataCentre)] = { true, ConfigVersion(1) };
@@ -218,6 +232,26 @@
     EXPECT_EQ(publishedState("r"), UpstreamState::Live);
 }
 
+// Guards against nodes that drop the answers which a planned change waits for, and against nodes
+// that pass on those of a failed primary, which an unplanned change doesn't wait for (review/10).
+TEST_F(EvacuatedPrimary, ViewTellsPlannedChangeFromFailover)
+{
+    EXPECT_EQ(viewAfter(5s, true).primary, UpstreamId("p"));
+    evacuate("x");
+    const GroupView &planned = viewAfter(1s, true);
+    EXPECT_EQ(planned.primary, std::nullopt);
+    EXPECT_TRUE(planned.switchover);
+}
+
+// As above, for a primary that is silent.
+TEST_F(EvacuatedPrimary, ViewOfFailoverIsNoSwitchover)
+{
+    EXPECT_FALSE(viewAfter(5s, true).switchover);
+    const GroupView &failover = viewAfter(5s, false);
+    EXPECT_EQ(failover.primary, std::nullopt);
+    EXPECT_FALSE(failover.switchover);
+}
+
 // Guards against changes of primary back and forth between databases none of which may work.
 TEST_F(EvacuatedPrimary, StaysInOfficeIfEveryDatabaseIsEvacuated)
 {
--- a/src/fleet/distribution.cpp
+++ b/src/fleet/distribution.cpp
@@ -23,7 +23,8 @@
     return { .service = group.service,
              .term = group.term,
              .primary = group.primary,
-             .votingSet = group.votingSet };
+             .votingSet = group.votingSet,
+             .switchover = group.switchover };
 }
 
 void diffUpstreams(const GroupView &before, const GroupView &after,
@@ -65,6 +66,7 @@
         group.term = c.term;
         group.primary = c.primary;
         group.votingSet = c.votingSet;
+        group.switchover = c.switchover;
     }
     void operator()(const RemoveGroup &c) const { state.view.groups.erase(c.service); }
     void operator()(const PutUpstream &c) const
--- a/src/fleet/messages_decode.cpp
+++ b/src/fleet/messages_decode.cpp
@@ -169,6 +169,7 @@
         for (const flatbuffers::String *member : *t.voting_set())
             c.votingSet.insert(UpstreamId(member->str()));
     }
+    c.switchover = t.switchover();
     return c;
 }
 
--- a/src/fleet/messages_encode.cpp
+++ b/src/fleet/messages_encode.cpp
@@ -95,8 +95,9 @@
         const auto set = packIds(b, c.votingSet);
         const auto primary = c.primary ? packId(b, *c.primary) : 0;
         const auto service = packId(b, c.service);
-        return entry(fbs::FleetChange::PutGroup,
-                     fbs::CreatePutGroup(b, service, c.term.value(), primary, set).Union());
+        return entry(
+            fbs::FleetChange::PutGroup,
+            fbs::CreatePutGroup(b, service, c.term.value(), primary, set, c.switchover).Union());
     }
     Offset<fbs::FleetChangeEntry> operator()(const RemoveGroup &c) const
     {
--- a/src/fleet/messages_test.cpp
+++ b/src/fleet/messages_test.cpp
@@ -54,18 +54,19 @@
         ConfigVersion(8), ConfigVersion(10), std::nullopt, { "one", std::string(1, 0) }
     };
     lease.fleet = { { ControlTerm(2), 17 }, { ControlTerm(2), 22 }, false, {} };
-    lease.fleet.changes = {
-        PutGroup { ServiceId("s"), Term(3), UpstreamId("db1"), { UpstreamId("db1") } },
-        RemoveGroup { ServiceId("old") },
-        PutUpstream { { UpstreamId("db1"),
-                        ServiceId("s"),
-                        DataCentreId("a"),
-                        { "10.0.0.1", 1 },
-                        5,
-                        20,
-                        UpstreamState::Suspected } },
-        RemoveUpstream { ServiceId("s"), UpstreamId("db2") }, SetDrained { UpstreamId("db1"), true }
-    };
+    lease.fleet.changes = { PutGroup {
+                                ServiceId("s"), Term(3), UpstreamId("db1"), { UpstreamId("db1") } },
+                            PutGroup { ServiceId("s"), Term(3), std::nullopt, {}, true },
+                            RemoveGroup { ServiceId("old") },
+                            PutUpstream { { UpstreamId("db1"),
+                                            ServiceId("s"),
+                                            DataCentreId("a"),
+                                            { "10.0.0.1", 1 },
+                                            5,
+                                            20,
+                                            UpstreamState::Suspected } },
+                            RemoveUpstream { ServiceId("s"), UpstreamId("db2") },
+                            SetDrained { UpstreamId("db1"), true } };
     lease.shareVersion = 5;
     lease.sharesUnchanged = true;
     lease.rates = { { TeamId("t"), 1.5, 2.5 } };
--- a/src/include/shallotlever/controller/controller.h
+++ b/src/include/shallotlever/controller/controller.h
@@ -101,11 +101,12 @@
     std::map<UpstreamId, MemberStatus> statuses;
     std::map<UpstreamId, TimePoint> statusAskedAt;
     TimePoint proposedAt;
-    /// Term, voting set and primary in the published fleet view, and the first version of the view
-    /// that contains them.
+    /// Term, voting set, primary and kind of change in the published fleet view, and the first
+    /// version of the view that contains them.
     Term publishedTerm;
     std::set<UpstreamId> publishedVotingSet;
     std::optional<UpstreamId> publishedPrimary;
+    bool publishedSwitchover = false;
     FleetVersion publishedVersion;
     /// Since when every node that holds a lease has applied publishedVersion or a later one.
     std::optional<TimePoint> viewInForceAt;
--- a/src/include/shallotlever/fleet/confirmed_change.h
+++ b/src/include/shallotlever/fleet/confirmed_change.h
@@ -29,9 +29,6 @@
 /// a database that restarts loses it.
 constexpr Duration kFenceRefreshInterval = 250ms;
 constexpr Duration kMaxFenceAge = 750ms;
-/// In a planned change, time for in-flight commits to complete after nodes stopped using the
-/// primary.
-constexpr Duration kQuiescePeriod = 60ms;
 /// A primary is replaced when its replicas are behind and receive nothing for this long.
 constexpr Duration kReplicaStallTimeout = 2s;
 /// Older statuses are not used to judge whether replication has stalled.
--- a/src/include/shallotlever/fleet/messages.h
+++ b/src/include/shallotlever/fleet/messages.h
@@ -53,6 +53,7 @@
     Term term;
     std::optional<UpstreamId> primary;
     std::set<UpstreamId> votingSet;
+    bool switchover = false;
     friend bool operator==(const PutGroup &, const PutGroup &) = default;
 };
 struct RemoveGroup
--- a/src/include/shallotlever/types/fleet.h
+++ b/src/include/shallotlever/types/fleet.h
@@ -98,12 +98,20 @@
     friend bool operator==(const UpstreamInfo &, const UpstreamInfo &) = default;
 };
 
+/// In a planned change of primary, time for commits under way to complete after the nodes stopped
+/// using the primary.
+constexpr Duration kQuiescePeriod = 60ms;
+
 struct GroupView
 {
     ServiceId service;
     /// Term of the current primary.
     Term term;
+    /// Unset while it is being replaced, if the databases confirm commits themselves.
     std::optional<UpstreamId> primary;
+    /// The change of primary under way is planned: the controller waits kQuiescePeriod for the last
+    /// commits of the former one.
+    bool switchover = false;
     std::set<UpstreamId> votingSet;
     std::map<UpstreamId, UpstreamInfo> upstreams;
     friend bool operator==(const GroupView &, const GroupView &) = default;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -47,6 +47,9 @@
     /// Closes a session for a further one. Returns false if none can be closed.
     bool makeRoom(TimePoint now);
     void applyGroup(const GroupView &group, const std::vector<SlotShare> &shares, TimePoint now);
+    void removeGroup(const ServiceId &service, TimePoint now);
+    void applyDatabases(ServiceDatabases &service, const GroupView &group,
+                        const std::vector<SlotShare> &shares, TimePoint now);
     void applyPool(DatabaseRoute &route, bool primary, std::uint32_t share, TimePoint now);
     void retirePool(DatabaseRoute &route);
     void logOwners(const UpstreamInfo &info) const;
@@ -91,6 +94,10 @@
     m_dispatcher = std::make_unique<StatementDispatcher>(m_state, std::move(peers));
     m_state.refusedByDatabase = &metrics.registry().counter(
         "shallotlever_database_refusals_total", "Refusals of databases passed on to callers.");
+    m_state.unacknowledgedCommits = &metrics.registry().counter(
+        "shallotlever_unacknowledged_commits_total",
+        "Commits that a database made after this node had released it as primary, or without a "
+        "lease; callers were told that the outcome is unknown.");
     for (std::size_t i = 0; i < m_openFailures.size(); ++i)
         m_openFailures[i] = &metrics.registry().counter(
             "shallotlever_connections_failed_total",
@@ -197,6 +204,23 @@
     if (added)
         service.chance =
             LowDiscrepancySequence::forStream(m_state.self.value() + '/' + group.service.value());
+    applyPrimary(service.tenures, group, now);
+    applyDatabases(service, group, shares, now);
+}
+
+/// Stops the use of a service's databases. Its sessions may still wait for answers.
+void SessionProxy::Impl::removeGroup(const ServiceId &service, TimePoint now)
+{
+    ServiceDatabases &databases = m_state.services.at(service);
+    removePrimary(databases.tenures);
+    GroupView removed;
+    removed.service = service;
+    applyDatabases(databases, removed, {}, now);
+}
+
+void SessionProxy::Impl::applyDatabases(ServiceDatabases &service, const GroupView &group,
+                                        const std::vector<SlotShare> &shares, TimePoint now)
+{
     if (service.primary != group.primary) {
         service.primary = group.primary;
         m_state.logger->info("primary_known",
@@ -342,11 +366,8 @@
     for (const auto &[service, group] : fleet.groups)
         m_impl->applyGroup(group, shares, now);
     for (auto &[service, databases] : m_impl->m_state.services) {
-        if (!fleet.groups.contains(service)) {
-            GroupView removed;
-            removed.service = service;
-            m_impl->applyGroup(removed, shares, now);
-        }
+        if (!fleet.groups.contains(service))
+            m_impl->removeGroup(service, now);
     }
     m_impl->m_dispatcher->connectOwners();
 }
--- a/src/proxy/proxy_state.cpp
+++ b/src/proxy/proxy_state.cpp
@@ -82,6 +82,14 @@
         recordPosition(databases->second.positions, point, requestedAt);
 }
 
+bool ProxyState::mayAcknowledge(const ServiceId &service,
+                                const std::optional<PrimaryTenure> &tenure, TimePoint now) const
+{
+    const auto databases = services.find(service);
+    return fresh(now) && tenure && databases != services.end()
+        && shallotlever::mayAcknowledge(databases->second.tenures, *tenure, now);
+}
+
 void ProxyState::applyEvacuations(TimePoint now)
 {
     const std::set<DataCentreId> evacuated = evacuatedDataCentres(config);
--- a/src/proxy/proxy_state.h
+++ b/src/proxy/proxy_state.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <vector>
 
+#include "primary_tenure.h"
 #include "session_limits.h"
 #include "shallotlever/base/due.h"
 #include "shallotlever/policy/token_bucket.h"
@@ -59,6 +60,7 @@
 struct ServiceDatabases
 {
     std::optional<UpstreamId> primary;
+    PrimaryTenures tenures;
     std::map<UpstreamId, DatabaseRoute> routes;
     PositionHistory positions;
     /// Last read that a replica may serve.
@@ -109,6 +111,7 @@
     const Logger *logger = nullptr;
     LatencyHistogram *responseTime = nullptr;
     Counter *refusedByDatabase = nullptr;
+    Counter *unacknowledgedCommits = nullptr;
     PlacementMetrics placementMetrics;
     ClusterConfig config;
     /// When this node heard that a data centre is evacuated.
@@ -151,6 +154,9 @@
     }
     /// Whether the freshness lease is valid.
     bool fresh(TimePoint now) const { return now < freshUntil; }
+    /// Whether a commit that the service's primary made in the tenure may be acknowledged.
+    bool mayAcknowledge(const ServiceId &service, const std::optional<PrimaryTenure> &tenure,
+                        TimePoint now) const;
     /// Takes over the configuration's evacuated data centres.
     void applyEvacuations(TimePoint now);
     bool isEvacuated(const UpstreamInfo &info) const
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -104,6 +104,14 @@
     bool writes(const Statement &statement) const;
     bool needsPrimary() const;
     void startAttempt(TimePoint now);
+    /// Sends the statement to the owner of the database that was selected.
+    void dispatch(bool transactionBegun, TimePoint now);
+    /// Whether the success of the statement means that the database has kept a write.
+    bool commitsWrite() const;
+    /// Whether the statement belongs to a transaction whose writes can't be committed any more.
+    bool transactionReleased(TimePoint now) const;
+    /// Answers a commit that may be missing at the next primary.
+    void failUnacknowledged(TimePoint now);
     std::optional<UpstreamId> selectDatabase(TimePoint now) const;
     bool onlyEvacuated() const;
     StatementRequest makeRequest(TimePoint now) const;
--- a/src/proxy/session_attempt.cpp
+++ b/src/proxy/session_attempt.cpp
@@ -111,7 +111,21 @@
     return service != m_state.services.end() && m_state.onlyEvacuated(service->second);
 }
 
-/// Sends the statement to the owner of a database. A transaction stays where it was begun.
+bool CallerSession::commitsWrite() const
+{
+    if (m_execution->statement.kind == StatementKind::Commit)
+        return m_transaction->wrote;
+    return !m_transaction && writes(m_execution->statement);
+}
+
+bool CallerSession::transactionReleased(TimePoint now) const
+{
+    const bool begun = m_transaction && m_transaction->hasExecuted && !m_transaction->readOnly;
+    return begun && (commitsWrite() || writes(m_execution->statement))
+        && !m_state.mayAcknowledge(database().service, m_transaction->tenure, now);
+}
+
+/// Selects a database and sends the statement there. A transaction stays where it was begun.
 void CallerSession::startAttempt(TimePoint now)
 {
     Execution &execution = *m_execution;
@@ -123,6 +137,10 @@
         onTeamChanged(now);
         return;
     }
+    if (transactionReleased(now)) {
+        fail(ErrorKind::TransactionLost, now);
+        return;
+    }
     const bool begun = m_transaction && m_transaction->hasExecuted;
     const std::optional<UpstreamId> target = begun ? m_transaction->upstream : selectDatabase(now);
     if (!target && onlyEvacuated()) {
@@ -140,15 +158,25 @@
         return;
     }
     execution.upstream = *target;
-    if (begun) {
+    dispatch(begun, now);
+}
+
+void CallerSession::dispatch(bool transactionBegun, TimePoint now)
+{
+    Execution &execution = *m_execution;
+    if (transactionBegun) {
         execution.owner = m_transaction->owner;
+        execution.tenure = m_transaction->tenure;
     } else {
-        const DatabaseRoute &route = m_state.services.at(database().service).routes.at(*target);
+        const ServiceDatabases &service = m_state.services.at(database().service);
+        const DatabaseRoute &route = service.routes.at(execution.upstream);
         execution.owner = *m_dispatcher.owner(route.info, execution.excludedOwners);
+        execution.tenure = tenureOf(service.tenures, execution.upstream);
         if (m_transaction) {
             m_transaction->number = ++m_state.lastTransaction;
             m_transaction->upstream = execution.upstream;
             m_transaction->owner = execution.owner;
+            m_transaction->tenure = execution.tenure;
         }
     }
     // The outcome of a write would be unknown, even if the other node turned out unable to run it.
@@ -224,7 +252,11 @@
 {
     const bool write = writes(m_execution->statement);
     const bool commits = m_execution->statement.kind == StatementKind::Commit;
-    const bool committed = commits ? m_transaction->wrote : (write && !m_transaction);
+    const bool committed = commitsWrite();
+    if (committed && !m_state.mayAcknowledge(database().service, m_execution->tenure, now)) {
+        failUnacknowledged(now);
+        return;
+    }
     if (committed && reply.point)
         m_lastCommit = std::max(m_lastCommit.value_or(HistoryPoint()), *reply.point);
     m_state.responseTime->observe(now - m_execution->arrivedAt);
@@ -238,6 +270,17 @@
     finishExecution();
 }
 
+void CallerSession::failUnacknowledged(TimePoint now)
+{
+    m_state.unacknowledgedCommits->increment();
+    if (acquireLogToken(m_state.logRateLimiter, LogTopic::Failure, now))
+        m_state.logger->info("commit_unacknowledged",
+                             { { "request", m_execution->statement.id },
+                               { "upstream", m_execution->upstream.value() },
+                               { "lease_valid", m_state.fresh(now) } });
+    fail(ErrorKind::OutcomeUnknown, now);
+}
+
 void CallerSession::onError(const StatementReply &reply, TimePoint now)
 {
     const UpstreamErrorKind kind = reply.error->kind;
--- a/src/proxy/session_execution.h
+++ b/src/proxy/session_execution.h
@@ -43,6 +43,9 @@
     /// Database and owner of the last attempt.
     UpstreamId upstream;
     NodeId owner;
+    /// Of the database when the last attempt, or its transaction, was sent there; unset unless it
+    /// was the primary.
+    std::optional<PrimaryTenure> tenure;
     /// Identifies the pending call of the dispatcher.
     std::uint64_t dispatchId = 0;
     /// A read was sent and its outcome is unknown. It may be sent again, but must not be reported
@@ -63,6 +66,8 @@
     /// Database and owner of the transaction, once it has a number.
     UpstreamId upstream;
     NodeId owner;
+    /// Of the database when the transaction was begun there; unset unless it was the primary.
+    std::optional<PrimaryTenure> tenure;
     /// At least one statement was executed in the transaction.
     bool hasExecuted = false;
     bool wrote = false;
