End no database because of an announcement of its endpoint

Cause: a later process announced at an endpoint was proof that the earlier one has ended. The replica confirmed commits but was neither asked nor fenced, and its own announcements counted as outdated.

Ruled out: silence of the replica (it announces itself and answers), a wrong judgement of replication by itself (without the message the same silence of the other replica changes nothing).

Change: announcements for services that are not configured are ignored and not kept. A claim to an endpoint is settled by the process that answers there under its id, either way; until then both count as members that may confirm commits. The same on the paths of a new controller. A row of MemberEnd that asked for the fault is replaced by three stricter ones, and the tests of the registry name a configured service.

--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -1,6 +1,7 @@
 #include "shallotlever/controller/controller.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "group_control.h"
 #include "node_shares.h"
@@ -220,6 +221,7 @@
     controller.random.seed(seed);
     controller.registry =
         seedRegistry(localFleetLog.state, evacuatedDataCentres(replicated.cluster.config), now);
+    setServices(controller.registry, replicated.cluster.config);
     seedMembers(controller.registry, replicated.cluster, now);
     controller.leases = makeLeaseTable(now);
     controller.fleetLog = localFleetLog;
@@ -341,6 +343,7 @@
     expireSlotLeases(controller.slots, now);
     expirePoolOwners(controller.poolOwnership, now);
     proposeRecords(controller, actions, now);
+    setServices(controller.registry, replicated.cluster.config);
     setEvacuated(controller.registry, evacuatedDataCentres(replicated.cluster.config));
     actions.upstreamStates = advanceRegistry(controller.registry, now);
     AnnouncedUpstreams announced = announcedUpstreams(controller.registry);
@@ -349,6 +352,7 @@
                      actions, now);
     actions.fleetChanged = publishFleetIfChanged(controller, replicated, now);
     updateViewsInForce(controller, now);
+    actions.registryEvents = std::exchange(controller.registry.events, {});
     return actions;
 }
 
--- a/src/controller/group_control.cpp
+++ b/src/controller/group_control.cpp
@@ -1,5 +1,7 @@
 #include "group_control.h"
 
+#include "shallotlever/fleet/endpoint_claim.h"
+
 namespace shallotlever {
 
 namespace {
@@ -8,6 +10,8 @@
 /// kPrimaryStatusInterval, because each query occupies one of the few connection slots of the
 /// database.
 constexpr Duration kConfirmedStatusInterval = 1s;
+/// The same interval for databases that claim one endpoint, none of which gets requests meanwhile.
+constexpr Duration kContestedStatusInterval = 250ms;
 
 template <typename... Functions>
 struct Overloaded : Functions...
@@ -98,7 +102,7 @@
     for (const auto &[id, entry] : announced) {
         const MemberId memberId { id, entry.announcement.lifetime };
         // A member that ended and left holds no commit that is not elsewhere.
-        if (entry.replaced && !state.members.contains(memberId))
+        if (entry.hold != EndpointHold::Held && !state.members.contains(memberId))
             continue;
         ConfirmedMember &member = input.members[id];
         member.state = entry.state;
@@ -200,6 +204,9 @@
     GroupControl &group = controller.groups[service.id];
     std::erase_if(group.statuses,
                   [&](const auto &item) { return !announced.contains(item.first); });
+    // Databases that confirm commits themselves answer under their id only.
+    for (const auto &[id, status] : group.statuses)
+        noteAnswer(controller.registry, { id, status.incarnation }, status.askedAt);
     ConfirmedInput input = confirmedInput(controller, service, state, group, announced, now);
     for (const ConfirmedAction &action : stepConfirmedChange(group.confirmed, input, now))
         addConfirmedAction(controller, service.id, action, actions);
@@ -207,8 +214,13 @@
     if (group.confirmed.phase != ConfirmedPhase::Idle)
         return;
     std::set<UpstreamId> queries;
-    for (const auto &[id, entry] : announced)
+    std::set<UpstreamId> contested;
+    for (const auto &[id, entry] : announced) {
         queries.insert(id);
+        if (isContested(controller.registry, entry))
+            contested.insert(id);
+    }
+    queryStatuses(controller, service.id, group, contested, kContestedStatusInterval, actions, now);
     queryStatuses(controller, service.id, group, queries, kConfirmedStatusInterval, actions, now);
 }
 
--- a/src/controller/group_control_test.cpp
+++ b/src/controller/group_control_test.cpp
@@ -1,4 +1,7 @@
+#include <algorithm>
+
 #include "controller_fixture.h"
+#include "shallotlever/fleet/group_members.h"
 
 namespace shallotlever {
 namespace {
@@ -16,14 +19,18 @@
         m_controller = makeController(ControlTerm(2), m_state, FleetLog(), 1, kStart);
     }
 
-    void announce(std::uint64_t lifetime)
+    void announce(std::uint64_t lifetime) { announce("db", "s", lifetime); }
+
+    /// Reports an announcement, by default of the endpoint of "db".
+    void announce(const char *upstream, const char *service, std::uint64_t lifetime,
+                  const char *host = "10.0.0.1")
     {
         NodeReport next = report("a", 1, ++m_reports);
         next.appliedFleet = m_controller.fleetLog.version;
         HeardAnnouncement heard;
-        heard.announcement.upstream = UpstreamId("db");
-        heard.announcement.service = ServiceId("s");
-        heard.announcement.endpoint = { "10.0.0.1", 5432 };
+        heard.announcement.upstream = UpstreamId(upstream);
+        heard.announcement.service = ServiceId(service);
+        heard.announcement.endpoint = { host, 5432 };
         heard.announcement.lifetime = Incarnation(lifetime);
         next.announcements.push_back(heard);
         reportGetsLease(next);
@@ -81,6 +88,78 @@
     EXPECT_FALSE(hasStatus());
 }
 
+struct OtherWriterCase
+{
+    const char *name;
+    const char *service;
+    std::uint64_t lifetime;
+};
+
+class OtherWriter : public ControllerStatuses, public testing::WithParamInterface<OtherWriterCase>
+{
+protected:
+    /// Advances the controller for a while, during which the database announces itself and answers.
+    void run(Duration duration)
+    {
+        for (const TimePoint end = m_now + duration; m_now < end; m_now += 50ms) {
+            announce(5);
+            for (const UpstreamCall &call : step()) {
+                UpstreamAnswer answer;
+                if (call.upstream == UpstreamId("db"))
+                    answer.status.emplace();
+                onUpstreamAnswer(m_controller, call, answer, m_now, m_now);
+            }
+        }
+    }
+
+    bool recorded(const char *upstream) const
+    {
+        const auto &members = m_state.cluster.groups.at(ServiceId("s")).members;
+        return std::ranges::any_of(members, [&](const auto &member) {
+            return member.first.upstream == UpstreamId(upstream);
+        });
+    }
+};
+
+// Guards against review/6: one message that names the endpoint of a running database made it count
+// as ended for good, so that its log wasn't asked for and it wasn't fenced.
+TEST_P(OtherWriter, DoesNotEndTheDatabaseAtItsEndpoint)
+{
+    run(5s);
+    ASSERT_TRUE(recorded("db"));
+    announce("agent", GetParam().service, GetParam().lifetime);
+    EXPECT_FALSE(hasEnded(m_controller.registry, { UpstreamId("db"), Incarnation(5) }));
+    run(1s);
+    EXPECT_TRUE(recorded("db"));
+    EXPECT_FALSE(hasEnded(m_controller.registry, { UpstreamId("db"), Incarnation(5) }));
+    const auto &upstreams = m_controller.fleetLog.state.view.groups.at(ServiceId("s")).upstreams;
+    EXPECT_TRUE(upstreams.contains(UpstreamId("db")));
+    EXPECT_FALSE(upstreams.contains(UpstreamId("agent")));
+}
+
+INSTANTIATE_TEST_SUITE_P(Messages, OtherWriter,
+                         testing::Values(OtherWriterCase { "UnknownService", "nightly", 9 },
+                                         OtherWriterCase { "ServiceOfTheDatabase", "s", 9 },
+                                         OtherWriterCase { "EarlierProcess", "s", 3 }),
+                         [](const auto &info) { return info.param.name; });
+
+// Guards against a member that never was: what was ignored while its service was unknown must not
+// count once the service is configured, as nothing can fence it.
+TEST_F(OtherWriter, IsNoMemberOfAServiceConfiguredLater)
+{
+    announce("agent", "later", 9);
+    m_state.cluster.config.services[ServiceId("later")] =
+        m_state.cluster.config.services.at(ServiceId("s"));
+    m_state.cluster.config.services[ServiceId("later")].id = ServiceId("later");
+    run(1s);
+    EXPECT_FALSE(m_state.cluster.groups.contains(ServiceId("later")));
+    // A database announces itself again.
+    announce("other", "later", 7, "10.0.0.2");
+    run(1s);
+    EXPECT_TRUE(m_state.cluster.groups.at(ServiceId("later"))
+                    .members.contains({ UpstreamId("other"), Incarnation(7) }));
+}
+
 /// A controller that has just started and hears of one replica, while the log records the primary
 /// and another replica.
 class ControllerMembers : public ControllerStatuses
--- a/src/controller/view_recovery.cpp
+++ b/src/controller/view_recovery.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "shallotlever/fleet/endpoint_claim.h"
+
 namespace shallotlever {
 
 namespace {
@@ -35,8 +37,10 @@
             continue;
         if (hasEnded(registry, entry.announcement))
             continue;
-        entry.replaced = isReplaced(registry, entry.announcement);
-        registry.entries.insert_or_assign(id, std::move(entry));
+        const bool replaced = isReplaced(registry, entry.announcement);
+        const auto added = registry.entries.insert_or_assign(id, std::move(entry)).first;
+        if (replaced)
+            markClaimed(registry, added->second, now);
     }
     registry.drained.merge(seeds.drained);
     ++registry.revision;
--- a/src/fleet/distribution_bench.cpp
+++ b/src/fleet/distribution_bench.cpp
@@ -87,6 +87,7 @@
         for (std::size_t i = 0; i < size.upstreams; ++i) {
             const HeardAnnouncement heard = announcement(i, 1);
             cluster.config.services[heard.announcement.service] = { heard.announcement.service };
+            registry.services.insert(heard.announcement.service);
             GroupState &group = cluster.groups[heard.announcement.service];
             group.votingSet.insert(heard.announcement.upstream);
             group.primary = *group.votingSet.begin();
--- a/src/fleet/fuzz/simulation.cpp
+++ b/src/fleet/fuzz/simulation.cpp
@@ -226,6 +226,7 @@
     next.since = m_now;
     next.fleet = m_nodes[uniformBelow(m_random, kNodes)].fleet;
     next.registry = seedRegistry(next.fleet.state, {}, m_now);
+    next.registry.services.insert(kService);
     next.leases = makeLeaseTable(m_now);
     next.shares = makeShareSet(next.term);
     next.state.config.services[kService] = { kService };
--- a/src/fleet/group_members.cpp
+++ b/src/fleet/group_members.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "shallotlever/fleet/endpoint_claim.h"
+
 namespace shallotlever {
 
 namespace {
@@ -95,7 +97,8 @@
     entry.announcement.connectionLimit = record.connectionLimit;
     entry.announcement.lifetime = id.incarnation;
     entry.receivedAt = entry.stateSince = now;
-    entry.replaced = isReplaced(group, id, record);
+    if (isReplaced(group, id, record))
+        markClaimed(registry, entry, now);
     entry.seeded = true;
 }
 
@@ -111,7 +114,7 @@
         return false;
     const Incarnation announced = entry->second.announcement.lifetime;
     return announced > member.incarnation
-        || (entry->second.replaced && announced == member.incarnation);
+        || (entry->second.hold == EndpointHold::Lost && announced == member.incarnation);
 }
 
 void seedMembers(Registry &registry, const ClusterState &cluster, TimePoint now)
--- a/src/fleet/group_members_test.cpp
+++ b/src/fleet/group_members_test.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include "shallotlever/fleet/endpoint_claim.h"
 #include "shallotlever/fleet/group_members.h"
 
 namespace shallotlever {
@@ -130,6 +131,8 @@
 {
     const char *name;
     std::vector<Announcement> announcements;
+    /// Processes that answer a call afterwards, in this order.
+    std::vector<MemberId> answers;
     bool ended;
 };
 
@@ -149,30 +152,46 @@
 {
 };
 
-// Guards against a silent member that is taken for ended, as it may still confirm commits.
+// Guards against a silent member that is taken for ended, as it may still confirm commits, and
+// against one that is taken for ended because somebody announced its endpoint.
 TEST_P(MemberEnd, IsKnownFromALaterProcessOrTheFinalAnnouncement)
 {
     Registry registry;
+    registry.services.insert(ServiceId("s"));
     for (const Announcement &a : GetParam().announcements)
         applyAnnouncement(registry, { a, Duration(0) }, kStart, kStart);
+    for (const MemberId &process : GetParam().answers)
+        noteAnswer(registry, process, kStart);
     EXPECT_EQ(hasEnded(registry, { kA, Incarnation(10) }), GetParam().ended);
 }
 
 INSTANTIATE_TEST_SUITE_P(
     Announcements, MemberEnd,
-    testing::Values(EndCase { "NotHeardOf", {}, false },
-                    EndCase { "Announced", { announcement(kA, 10, "h1") }, false },
+    testing::Values(EndCase { "NotHeardOf", {}, {}, false },
+                    EndCase { "Announced", { announcement(kA, 10, "h1") }, {}, false },
                     EndCase { "StartedAgain",
                               { announcement(kA, 10, "h1"), announcement(kA, 11, "h1") },
+                              {},
                               true },
                     EndCase { "Deregistered",
                               { announcement(kA, 10, "h1"), announcement(kA, 10, "h1", true) },
+                              {},
                               true },
+                    EndCase { "EndpointAnnouncedByAnother",
+                              { announcement(kA, 10, "h1"), announcement(kB, 11, "h1") },
+                              {},
+                              false },
                     EndCase { "ReplacedAtItsEndpoint",
                               { announcement(kA, 10, "h1"), announcement(kB, 11, "h1") },
+                              { { kB, Incarnation(11) } },
                               true },
+                    EndCase { "AnswersAtItsEndpoint",
+                              { announcement(kA, 10, "h1"), announcement(kB, 11, "h1") },
+                              { { kA, Incarnation(10) }, { kB, Incarnation(11) } },
+                              false },
                     EndCase { "OtherEndpoint",
                               { announcement(kA, 10, "h1"), announcement(kB, 11, "h2") },
+                              { { kB, Incarnation(11) } },
                               false }),
     [](const auto &info) { return info.param.name; });
 
--- a/src/fleet/registry.cpp
+++ b/src/fleet/registry.cpp
@@ -1,6 +1,9 @@
 #include "shallotlever/fleet/registry.h"
 
 #include <algorithm>
+#include <ranges>
+
+#include "shallotlever/fleet/endpoint_claim.h"
 
 namespace shallotlever {
 
@@ -106,7 +109,7 @@
     if (entry.announcement.leaving || registry.drained.contains(id)
         || registry.evacuated.contains(entry.announcement.dataCentre))
         return UpstreamState::Leaving;
-    if (entry.replaced)
+    if (entry.hold == EndpointHold::Lost)
         return UpstreamState::Suspected;
     if (isDown(registry, id, broken, now))
         return UpstreamState::Suspected;
@@ -223,38 +226,20 @@
     // A process that has reported its lifetime always does, so this is another sender.
     if (announcement.lifetime == Incarnation())
         return last.lifetime != Incarnation();
-    if (known->second.replaced && announcement.lifetime <= last.lifetime)
+    if (known->second.hold != EndpointHold::Held && announcement.lifetime <= last.lifetime)
         return true;
     if (announcement.lifetime != last.lifetime)
         return announcement.lifetime < last.lifetime;
     return announcement.sequence != 0 && announcement.sequence <= last.sequence;
 }
 
-/// Returns another upstream registered at the endpoint of the announcement, or nullptr.
-RegistryEntry *otherAtEndpoint(Registry &registry, const Announcement &announcement)
+void noteIgnored(Registry &registry, const Announcement &announcement)
 {
-    for (auto &[id, entry] : registry.entries) {
-        if (id != announcement.upstream && !entry.replaced
-            && entry.announcement.endpoint == announcement.endpoint)
-            return &entry;
-    }
-    return nullptr;
-}
-
-/// Assigns the endpoint of the announcement to the process that started last, and marks an earlier
-/// one as replaced. Returns false if another process at the endpoint started later, which means
-/// that the announcement was delayed.
-bool claimEndpoint(Registry &registry, const Announcement &announcement)
-{
-    RegistryEntry *other = otherAtEndpoint(registry, announcement);
-    if (other == nullptr || announcement.lifetime == Incarnation()
-        || other->announcement.lifetime == Incarnation())
-        return true;
-    if (other->announcement.lifetime > announcement.lifetime)
-        return false;
-    other->replaced = true;
-    ++registry.revision;
-    return true;
+    if (registry.ignored.size() < kMaxIgnoredUpstreams
+        && registry.ignored.insert(announcement.upstream).second)
+        registry.events.push_back({ RegistryEvent::Kind::UnknownService,
+                                    { announcement.upstream, announcement.lifetime },
+                                    {} });
 }
 
 std::uint32_t effectiveConnectionLimit(const ClusterState &cluster,
@@ -309,12 +294,17 @@
     const Announcement &announcement = heard.announcement;
     if (announcement.gone)
         return removeUpstream(registry, announcement);
+    if (!registry.services.contains(announcement.service)) {
+        noteIgnored(registry, announcement);
+        return AnnouncementVerdict::UnknownService;
+    }
     if (isSuperseded(registry, announcement))
         return AnnouncementVerdict::Outdated;
     const auto known = registry.entries.find(announcement.upstream);
-    const bool sameEndpoint = known != registry.entries.end()
-        && known->second.announcement.endpoint == announcement.endpoint;
-    if (!sameEndpoint && !claimEndpoint(registry, announcement))
+    const bool holdsEndpoint = known != registry.entries.end()
+        && known->second.announcement.endpoint == announcement.endpoint
+        && known->second.hold == EndpointHold::Held;
+    if (!holdsEndpoint && !claimEndpoint(registry, announcement, now))
         return AnnouncementVerdict::Outdated;
     const auto [item, isNew] = registry.entries.try_emplace(announcement.upstream);
     RegistryEntry &entry = item->second;
@@ -334,7 +324,7 @@
     entry.announcement = announcement;
     entry.receivedAt = std::max(entry.receivedAt, receivedAt);
     entry.seeded = false;
-    entry.replaced = false;
+    entry.hold = EndpointHold::Held;
     return AnnouncementVerdict::Accepted;
 }
 
@@ -363,6 +353,16 @@
     registry.revision += changed ? 1 : 0;
 }
 
+void setServices(Registry &registry, const ClusterConfig &config)
+{
+    const auto known = [](const auto &service) -> const ServiceId & { return service.first; };
+    const auto configured = config.services | std::views::transform(known);
+    if (std::ranges::equal(configured, registry.services))
+        return;
+    registry.services = { configured.begin(), configured.end() };
+    registry.ignored.clear();
+}
+
 void setEvacuated(Registry &registry, std::set<DataCentreId> evacuated)
 {
     if (evacuated == registry.evacuated)
@@ -397,6 +397,7 @@
         }
         ++item;
     }
+    pruneContests(registry);
     registry.revision += changes.empty() ? 0 : 1;
     return changes;
 }
@@ -419,7 +420,7 @@
         view.votingSet = group->second.votingSet;
     }
     for (const auto &[id, entry] : registry.entries) {
-        if (entry.replaced)
+        if (entry.hold != EndpointHold::Held)
             continue;
         const Announcement &a = entry.announcement;
         const auto group = state.view.groups.find(a.service);
--- a/src/fleet/registry_test.cpp
+++ b/src/fleet/registry_test.cpp
@@ -17,6 +17,14 @@
     return h;
 }
 
+/// A registry whose configuration names the service "s".
+Registry emptyRegistry()
+{
+    Registry registry;
+    registry.services.insert(ServiceId("s"));
+    return registry;
+}
+
 NodeReport observation(std::size_t node, std::vector<Observation> observations)
 {
     NodeReport report;
@@ -43,7 +51,7 @@
 TEST_P(ObservedDown, CountsTrustedObservers)
 {
     const VoteCase &c = GetParam();
-    Registry registry;
+    Registry registry = emptyRegistry();
     for (std::size_t i = 0; i < c.votes.size(); ++i) {
         std::vector<Observation> observations;
         for (std::size_t db = 0; db < 3; ++db)
@@ -83,7 +91,7 @@
 
 TEST(Registry, LeaseExpiresAndLeavingTakesEffectAtOnce)
 {
-    Registry registry;
+    Registry registry = emptyRegistry();
     applyAnnouncement(registry, heard(), TimePoint(100s), TimePoint(100s));
     EXPECT_EQ(stateAfter(registry, TimePoint(101s)), UpstreamState::Live);
     EXPECT_EQ(stateAfter(registry, TimePoint(102s)), UpstreamState::Suspected);
@@ -97,7 +105,7 @@
 // A single lost renewal of a healthy primary must not trigger a failover.
 TEST(Registry, ReachableUpstreamStaysLiveAfterLostRenewal)
 {
-    Registry registry;
+    Registry registry = emptyRegistry();
     applyAnnouncement(registry, heard(), TimePoint(100s), TimePoint(100s));
     applyReport(registry, observation(1, { { .upstream = kDb, .reachable = true } }),
                 TimePoint(101s));
@@ -107,13 +115,14 @@
 
 TEST(Registry, DrainPersistsAcrossControllerChange)
 {
-    Registry registry;
+    Registry registry = emptyRegistry();
     applyAnnouncement(registry, heard(), TimePoint(100s), TimePoint(100s));
     setDrained(registry, kDb, true);
     EXPECT_EQ(stateAfter(registry, TimePoint(100s)), UpstreamState::Leaving);
     ClusterState cluster;
     cluster.config.services[ServiceId("s")] = {};
     Registry next = seedRegistry(makeFleetState(registry, cluster), {}, TimePoint(101s));
+    setServices(next, cluster.config);
     applyAnnouncement(next, heard(), TimePoint(101s), TimePoint(101s));
     EXPECT_EQ(stateAfter(next, TimePoint(101s)), UpstreamState::Leaving);
     setDrained(next, kDb, false);
@@ -127,7 +136,7 @@
     const DataCentreId evacuated("c");
     HeardAnnouncement inside = heard();
     inside.announcement.dataCentre = evacuated;
-    Registry registry;
+    Registry registry = emptyRegistry();
     setEvacuated(registry, { evacuated });
     applyAnnouncement(registry, inside, TimePoint(100s), TimePoint(100s));
     EXPECT_EQ(stateAfter(registry, TimePoint(100s)), UpstreamState::Leaving);
@@ -143,7 +152,7 @@
 
 TEST(Registry, SecondEndpointIsRejectedUntilLeaseExpires)
 {
-    Registry registry;
+    Registry registry = emptyRegistry();
     applyAnnouncement(registry, heard(), TimePoint(100s), TimePoint(100s));
     EXPECT_EQ(applyAnnouncement(registry, heard("10.0.0.2"), TimePoint(101s), TimePoint(101s)),
               AnnouncementVerdict::Conflict);
@@ -155,7 +164,7 @@
 // Incremental observations that follow a missing report must not be counted.
 TEST(Registry, RequestsAllObservationsAfterGap)
 {
-    Registry registry;
+    Registry registry = emptyRegistry();
     NodeReport report = observation(1, { { .upstream = kDb, .reachable = false } });
     report.number = 8;
     report.observationsBase = 7;
@@ -185,7 +194,7 @@
 // Guards against a heartbeat that a partition delayed and that takes effect after a later one.
 TEST_P(Lifetimes, IgnoresSupersededAnnouncements)
 {
-    Registry registry;
+    Registry registry = emptyRegistry();
     applyAnnouncement(registry, process(7, 5), TimePoint(1s), TimePoint(1s));
     EXPECT_EQ(applyAnnouncement(registry, GetParam().later, TimePoint(2s), TimePoint(2s)),
               GetParam().verdict);
@@ -224,7 +233,7 @@
 // database uses now: their attempts took up all connections that the new database accepts.
 TEST(EndpointReuse, HidesEarlierProcess)
 {
-    Registry registry;
+    Registry registry = emptyRegistry();
     applyAnnouncement(registry, process(7, 5), TimePoint(1s), TimePoint(1s));
     EXPECT_EQ(applyAnnouncement(registry, successor(9), TimePoint(2s), TimePoint(2s)),
               AnnouncementVerdict::Accepted);
@@ -243,7 +252,7 @@
 // Guards against a delayed heartbeat of an earlier process that takes the endpoint back.
 TEST(EndpointReuse, IgnoresDelayedAnnouncementOfEarlierProcess)
 {
-    Registry registry;
+    Registry registry = emptyRegistry();
     applyAnnouncement(registry, successor(9), TimePoint(2s), TimePoint(2s));
     EXPECT_EQ(applyAnnouncement(registry, process(7, 6), TimePoint(3s), TimePoint(3s)),
               AnnouncementVerdict::Outdated);
@@ -254,7 +263,7 @@
 // against a new process of the same id that is rejected because the old process has ended.
 TEST(FinalAnnouncement, EndsOnlyItsLifetime)
 {
-    Registry registry;
+    Registry registry = emptyRegistry();
     applyAnnouncement(registry, process(7, 5, true), TimePoint(1s), TimePoint(1s));
     HeardAnnouncement finalAnnouncement = process(7, 0);
     finalAnnouncement.announcement.gone = true;
@@ -272,7 +281,7 @@
 // database.
 TEST(FinalAnnouncement, WithoutLifetimeRemovesOnlyLeavingUpstream)
 {
-    Registry registry;
+    Registry registry = emptyRegistry();
     applyAnnouncement(registry, process(7, 5), TimePoint(1s), TimePoint(1s));
     HeardAnnouncement finalAnnouncement = process(0, 0);
     finalAnnouncement.announcement.gone = true;
@@ -296,7 +305,7 @@
         group.primary = kDb;
         group.term = Term(1);
         group.reservedTerm = Term(2);
-        const FleetState state = makeFleetState(Registry(), cluster);
+        const FleetState state = makeFleetState(emptyRegistry(), cluster);
         EXPECT_EQ(state.view.groups.at(ServiceId("s")).primary.has_value(), !confirms);
     }
 }
--- a/src/include/shallotlever/controller/controller.h
+++ b/src/include/shallotlever/controller/controller.h
@@ -57,6 +57,7 @@
     std::vector<GroupDecision> proposals;
     std::vector<CompletedPrimaryChange> changes;
     std::vector<StateChange> upstreamStates;
+    std::vector<RegistryEvent> registryEvents;
     /// The fleet view was republished, so leases should be sent without waiting for reports.
     bool fleetChanged = false;
 };
--- a/src/include/shallotlever/fleet/registry.h
+++ b/src/include/shallotlever/fleet/registry.h
@@ -21,6 +21,16 @@
 /// An upstream is removed from the fleet view when it has not announced itself for this long.
 constexpr Duration kUpstreamRemovalTimeout = 600s;
 
+/// Whether a process holds the endpoint that it announced (endpoint_claim.h).
+enum class EndpointHold : std::uint8_t {
+    Held,
+    /// A later process announces another upstream there. The fleet view no longer contains this
+    /// one, but it remains a member that may confirm commits.
+    Claimed,
+    /// The later process answers there, so this one has ended.
+    Lost,
+};
+
 /// One known upstream.
 struct RegistryEntry
 {
@@ -33,10 +43,9 @@
     /// Taken over from the fleet view of the controller's own node; role and log position are not
     /// known until the upstream announces itself.
     bool seeded = false;
-    /// A later process announces another upstream from the same endpoint, so this process has
-    /// ended. The fleet view no longer contains it, but it remains a member that may hold
-    /// acknowledged commits.
-    bool replaced = false;
+    EndpointHold hold = EndpointHold::Held;
+    /// When the claim was heard of, by the controller's clock.
+    TimePoint claimedAt;
 };
 
 /// Observations of one node.
@@ -59,8 +68,30 @@
     Endpoint refused;
 };
 
+/// For the log: what was heard of a process that may not be what it says.
+struct RegistryEvent
+{
+    enum class Kind : std::uint8_t {
+        /// `claimant` announces the endpoint of `process`.
+        EndpointClaimed,
+        ClaimRefuted,
+        EndpointLost,
+        /// An announcement of `process` was ignored because its service is not configured.
+        UnknownService,
+    };
+    Kind kind = Kind::EndpointClaimed;
+    MemberId process;
+    MemberId claimant;
+};
+
+/// Maximum number of upstreams whose ignored announcements are remembered, so that each is logged
+/// once.
+constexpr std::size_t kMaxIgnoredUpstreams = 200;
+
 struct Registry
 {
+    /// The services of the configuration. Announcements for any other one are ignored.
+    std::set<ServiceId> services;
     std::map<UpstreamId, RegistryEntry> entries;
     std::map<NodeId, Observer> observers;
     /// Index of `observers`: nodes that observe an upstream.
@@ -74,6 +105,12 @@
     /// Last lifetime of upstreams that sent a final announcement. Delayed announcements of this or
     /// an earlier lifetime are ignored.
     std::map<UpstreamId, Incarnation> endedLifetimes;
+    /// Endpoints of entries whose hold is Claimed.
+    std::set<Endpoint> contested;
+    /// Upstreams whose announcements were ignored since the services changed.
+    std::set<UpstreamId> ignored;
+    /// Taken out by the controller.
+    std::vector<RegistryEvent> events;
     /// Increases with every change that affects makeFleetState().
     std::uint64_t revision = 0;
 };
@@ -85,6 +122,9 @@
     Outdated,
     /// Another endpoint holds the id under an active lease; ignored until that lease expires.
     Conflict,
+    /// The service is not configured. The message may come from any sender, so nothing of it is
+    /// kept: a database announces itself again when its service may have been configured.
+    UnknownService,
 };
 
 /// Returns the initial registry of a new controller, taken from the fleet view of its own node so
@@ -110,6 +150,8 @@
 ReportResult applyReport(Registry &registry, const NodeReport &report, TimePoint now);
 
 void setDrained(Registry &registry, const UpstreamId &upstream, bool drained);
+/// Takes over which services are configured.
+void setServices(Registry &registry, const ClusterConfig &config);
 void setEvacuated(Registry &registry, std::set<DataCentreId> evacuated);
 
 /// Returns whether enough observers fail to reach the upstream to consider it down.
--- a/src/node/controller_host.cpp
+++ b/src/node/controller_host.cpp
@@ -132,6 +132,8 @@
         m_logger.info("upstream_state",
                       { { "upstream", change.upstream.value() }, { "state", state } });
     }
+    for (const RegistryEvent &event : actions.registryEvents)
+        logRegistryEvent(event);
     for (const CompletedPrimaryChange &changed : actions.changes)
         logPrimaryChange(changed);
     withdrawEndedPromotions(now);
--- a/src/node/controller_host.h
+++ b/src/node/controller_host.h
@@ -108,6 +108,7 @@
     void logPromotionOrder(const UpstreamCall &call, TimePoint now) const;
     void logFailedCall(const UpstreamCall &call, const absl::Status &status) const;
     void logPrimaryChange(const CompletedPrimaryChange &changed) const;
+    void logRegistryEvent(const RegistryEvent &event) const;
     void proposeInstall(const InstallRequest &request, ForwardCallback callback, TimePoint now);
     void proposeChange(const ChangeRequest &request, ForwardCallback callback, TimePoint now);
     std::vector<NodeId> controlMembers() const;
--- a/src/node/controller_log.cpp
+++ b/src/node/controller_log.cpp
@@ -56,6 +56,21 @@
     return text;
 }
 
+std::string_view registryEventName(RegistryEvent::Kind kind)
+{
+    switch (kind) {
+    case RegistryEvent::Kind::EndpointClaimed:
+        return "endpoint_claimed";
+    case RegistryEvent::Kind::ClaimRefuted:
+        return "endpoint_claim_refuted";
+    case RegistryEvent::Kind::EndpointLost:
+        return "endpoint_lost";
+    case RegistryEvent::Kind::UnknownService:
+        return "announcement_ignored";
+    }
+    return "announcement_ignored";
+}
+
 std::int64_t wholeMilliseconds(Duration duration)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
@@ -223,6 +238,15 @@
                        { "error", std::string(status.message()) } });
 }
 
+void ControllerHost::logRegistryEvent(const RegistryEvent &event) const
+{
+    m_logger.info(registryEventName(event.kind),
+                  { { "upstream", event.process.upstream.value() },
+                    { "incarnation", event.process.incarnation.value() },
+                    { "claimant", event.claimant.upstream.value() },
+                    { "claimant_incarnation", event.claimant.incarnation.value() } });
+}
+
 void ControllerHost::logPrimaryChange(const CompletedPrimaryChange &changed) const
 {
     const ChangeTimes &times = changed.change.times;
