Search for recorded nodes that don't report

Cause: a node keeps nothing on a disk and knew only the members of its settings, all gone. The control log records the nodes, but the controller waited for them to connect.

Ruled out: a control group that doesn't come back (all members answer reads, whichever one is wiped). Whether the users' nodes had old settings is not known.

Change: the controller connects to recorded nodes that have not reported for 1.2 s, for a minute; the question for a report, which each new link brings, tells the node who the controller is. Nodes that find it by themselves are not connected to.

--- a/src/node/controller_host.cpp
+++ b/src/node/controller_host.cpp
@@ -70,6 +70,9 @@
     const ControlTerm term = m_group.member().term();
     m_controller = makeController(term, m_group.state(), ownView,
                                   QDateTime::currentMSecsSinceEpoch(), now, m_recordNodes);
+    m_nodeSearch.heardAt.clear();
+    for (const auto &[node, incarnation] : m_controller->records.committed)
+        noteRecordedNode(m_nodeSearch, node, now);
     m_elected = true;
     m_reportRequestsDue = true;
     m_predecessorWaitEnded = false;
@@ -286,6 +289,7 @@
     if (!m_controller || !m_group.isController(now))
         return std::nullopt;
     noteReportReceived(m_requests, report);
+    noteReport(m_nodeSearch, report, now);
     // A report may confirm what a change of primary waits for.
     m_advanceDue = true;
     const FleetVersion inherited = m_controller->inheritedFleetVersion;
@@ -338,8 +342,15 @@
     const auto *record = std::get_if<RecordNode>(&command);
     if (record == nullptr)
         m_reportRequestsDue = true;
-    else if (record->incarnation != Incarnation())
+    else if (record->incarnation != Incarnation()) {
         m_newlyRecorded.push_back({ record->node, record->incarnation });
+        noteRecordedNode(m_nodeSearch, record->node, now);
+    }
+}
+
+NodeSearchStep ControllerHost::takeNodeSearchStep(TimePoint now)
+{
+    return m_controller ? advanceNodeSearch(m_nodeSearch, now) : endNodeSearch(m_nodeSearch);
 }
 
 void ControllerHost::forward(const OperatorRequest &request, ForwardCallback callback,
--- a/src/node/controller_host.h
+++ b/src/node/controller_host.h
@@ -7,6 +7,7 @@
 
 #include "control_group.h"
 #include "forward.h"
+#include "node_search.h"
 #include "report_requests.h"
 #include "shallotlever/controller/controller.h"
 #include "shallotlever/policy/token_grants.h"
@@ -61,6 +62,9 @@
     /// a lease from which none is on its way, and nodes that have been recorded without a report
     /// that could be answered.
     std::vector<NodeId> takeReportTargets(TimePoint now);
+    /// Returns the recorded nodes to connect to, because they don't report, and those to disconnect
+    /// from; also when this node has just ceased to be the controller.
+    NodeSearchStep takeNodeSearchStep(TimePoint now);
     /// Returns true once after this node became the controller.
     bool takeElected();
 
@@ -123,6 +127,7 @@
     /// Those of them that have to report once more.
     std::vector<NodeId> m_recordedWithoutReport;
     ReportRequests m_requests;
+    NodeSearch m_nodeSearch;
     const Logger &m_logger;
     Counter &m_primaryChanges;
     LatencyHistogram &m_primaryChangeTime;
--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -52,6 +52,7 @@
     }
     if (m_controller)
         requestDueReports(now);
+    searchNodes(now);
     updateRelay(now);
     if (m_sessions) {
         m_sessions->tick(now);
--- a/src/node/node_impl.h
+++ b/src/node/node_impl.h
@@ -148,6 +148,8 @@
     void addDiscoveredMember(const NodeId &member);
     void adoptControlMembers(const std::vector<NodeId> &members);
     void addGroupMembers();
+    bool isRegularPeer(const NodeId &node) const;
+    void searchNodes(TimePoint now);
     UpstreamControl controlOf(const ServiceId &service, const UpstreamId &upstream,
                               const Endpoint &endpoint, CallPermit permit) const;
 
--- a/src/node/node_members.cpp
+++ b/src/node/node_members.cpp
@@ -69,4 +69,29 @@
         addDiscoveredMember(membership.learner->node);
 }
 
+/// Whether the node is connected to for another reason than the search.
+bool Node::Impl::isRegularPeer(const NodeId &node) const
+{
+    const std::vector<NodeId> &members = m_controllerLink.members;
+    return std::find(members.begin(), members.end(), node) != members.end()
+        || (m_sessions && m_sessions->usesPeer(node));
+}
+
+/// Connects to recorded nodes that don't report. A node that is connected to is asked for a report,
+/// and learns from the question who the controller is.
+void Node::Impl::searchNodes(TimePoint now)
+{
+    if (!m_controller || !m_settings.idsAreAddresses)
+        return;
+    const NodeSearchStep step = m_controller->takeNodeSearchStep(now);
+    for (const NodeId &node : step.connect) {
+        m_logger.info("node_searched", { { "searched", node.value() } });
+        m_transport->setPeer(node, { node.value(), m_settings.peerListen.port });
+    }
+    for (const NodeId &node : step.disconnect) {
+        if (!isRegularPeer(node))
+            m_transport->forgetPeer(node);
+    }
+}
+
 } // namespace shallotlever
