Report an acknowledged end of a database received with a heartbeat

A DELETE, which carries no sequence and usually no start, counted as older than a heartbeat of the same interval and was dropped although it had been answered 200; a late heartbeat took the place of one.

Change: the rule is a unit of its own. An end without a start ends the process that is kept, if it is leaving; nothing of an ended process replaces its end. How often it happened was not measured.

--- a/src/node/node_control.cpp
+++ b/src/node/node_control.cpp
@@ -161,8 +161,7 @@
     // Other nodes can reach this one only if its id is its address.
     if (m_sessions && m_settings.idsAreAddresses)
         input.dataCentre = m_settings.dataCentre;
-    for (const auto &[id, heard] : std::exchange(m_announcements, {}))
-        input.announcements.push_back({ heard.first, now - heard.second });
+    input.announcements = takeAnnouncements(m_announcements, now);
     for (const auto &[service, host] : m_hosts) {
         const ServiceReport report = host->lastReport();
         input.reachable.insert(report.reachable.begin(), report.reachable.end());
@@ -390,13 +389,7 @@
 bool Node::Impl::acceptAnnouncement(const Announcement &announcement)
 {
     const TimePoint now = monotonicNow();
-    const auto held = m_announcements.find(announcement.upstream);
-    const bool superseded = held != m_announcements.end()
-        && (announcement.lifetime < held->second.first.lifetime
-            || (announcement.lifetime == held->second.first.lifetime
-                && announcement.sequence < held->second.first.sequence));
-    if (!superseded)
-        m_announcements.insert_or_assign(announcement.upstream, std::pair(announcement, now));
+    holdAnnouncement(m_announcements, announcement, now);
     // Work must move from a leaving upstream to a new one without waiting for the regular report.
     if (announcement.leaving || announcement.gone)
         scheduleReport(m_reportSchedule, now, ReportReason::Announced);
--- a/src/node/node_impl.h
+++ b/src/node/node_impl.h
@@ -11,6 +11,7 @@
 #include "controller_host.h"
 #include "controller_link.h"
 #include "forward.h"
+#include "held_announcements.h"
 #include "node_view.h"
 #include "relay_link.h"
 #include "report_schedule.h"
@@ -196,8 +197,7 @@
     std::map<TeamId, std::shared_ptr<TokenBucket>> m_buckets;
     std::map<ServiceId, std::shared_ptr<ServiceHost>> m_hosts;
     std::vector<std::unique_ptr<QThread>> m_executorThreads;
-    /// Latest announcement of each upstream since the last report, with the time of receipt.
-    std::map<UpstreamId, std::pair<Announcement, TimePoint>> m_announcements;
+    HeldAnnouncements m_announcements;
     std::map<std::uint64_t, ForwardedRequest> m_forwarded;
     std::uint64_t m_lastForwardId = 0;
     std::uint64_t m_lastEvacuationOrder = 0;
