--- a/src/fleet/registry.cpp
+++ b/src/fleet/registry.cpp
@@ -1,7 +1,7 @@
 #include "shallotlever/fleet/registry.h"
 
 #include <algorithm>
-#include <ranges>
+#include <utility>
 
 #include "shallotlever/fleet/endpoint_claim.h"
 
@@ -355,11 +355,15 @@
 
 void setServices(Registry &registry, const ClusterConfig &config)
 {
-    const auto known = [](const auto &service) -> const ServiceId & { return service.first; };
-    const auto configured = config.services | std::views::transform(known);
-    if (std::ranges::equal(configured, registry.services))
+    const auto isKnown = [](const auto &service, const ServiceId &known) {
+        return service.first == known;
+    };
+    if (std::equal(config.services.begin(), config.services.end(), registry.services.begin(),
+                   registry.services.end(), isKnown))
         return;
-    registry.services = { configured.begin(), configured.end() };
+    registry.services.clear();
+    for (const auto &[id, service] : config.services)
+        registry.services.insert(id);
     registry.ignored.clear();
 }
 
