Give no time for last commits after a lost lease

Found by reading the change: a node whose lease had ended counts as one that released the primary. The time is given only if the lease was held when the release was applied.

--- a/src/proxy/primary_tenure.cpp
+++ b/src/proxy/primary_tenure.cpp
@@ -25,7 +25,7 @@
     return leads ? tenures.current : std::nullopt;
 }
 
-void applyPrimary(PrimaryTenures &tenures, const GroupView &group, TimePoint now)
+void applyPrimary(PrimaryTenures &tenures, const GroupView &group, bool leaseHeld, TimePoint now)
 {
     std::optional<PrimaryTenure> published;
     if (group.primary)
@@ -39,8 +39,8 @@
         tenures.former.reset();
         return;
     }
-    const bool planned = !group.primary && group.switchover;
-    tenures.formerUntil = std::min(tenures.formerUntil, planned ? now + kQuiescePeriod : now);
+    const bool awaited = leaseHeld && !group.primary && group.switchover;
+    tenures.formerUntil = std::min(tenures.formerUntil, awaited ? now + kQuiescePeriod : now);
 }
 
 void removePrimary(PrimaryTenures &tenures)
--- a/src/proxy/primary_tenure.h
+++ b/src/proxy/primary_tenure.h
@@ -34,8 +34,9 @@
 std::optional<PrimaryTenure> tenureOf(const PrimaryTenures &tenures, const UpstreamId &upstream);
 
 /// Takes over the primary of a published view. In a planned change of primary, commits that are
-/// under way get kQuiescePeriod to complete, which the controller waits for.
-void applyPrimary(PrimaryTenures &tenures, const GroupView &group, TimePoint now);
+/// under way get kQuiescePeriod to complete, which the controller waits for unless the node had no
+/// lease (`leaseHeld`) when the primary was released.
+void applyPrimary(PrimaryTenures &tenures, const GroupView &group, bool leaseHeld, TimePoint now);
 
 /// Takes over that the service is no longer in the view. No database is promoted meanwhile, so its
 /// last commits still count.
--- a/src/proxy/primary_tenure_test.cpp
+++ b/src/proxy/primary_tenure_test.cpp
@@ -22,6 +22,7 @@
 struct TenureCase
 {
     const char *name;
+    bool leaseHeld;
     /// Views applied at kStart; nullopt stands for one without the service.
     std::vector<std::optional<GroupView>> views;
     /// Whether a commit sent in the tenure is acknowledged at kStart, just before the end of
@@ -34,14 +35,15 @@
 };
 
 // Guards against acknowledging a commit after the node confirmed that it uses the primary no more,
-// and against losing the acknowledgements that a planned change waits for.
+// or after its lease ended, which the controller takes for that; and against losing the
+// acknowledgements that a planned change waits for.
 TEST_P(PrimaryTenureTest, CommitsCountUntilReleaseIsConfirmed)
 {
     PrimaryTenures tenures;
-    applyPrimary(tenures, view(kPrimary, 3), kStart - 1s);
+    applyPrimary(tenures, view(kPrimary, 3), true, kStart - 1s);
     for (const auto &group : GetParam().views) {
         if (group)
-            applyPrimary(tenures, *group, kStart);
+            applyPrimary(tenures, *group, GetParam().leaseHeld, kStart);
         else
             removePrimary(tenures);
     }
@@ -54,30 +56,42 @@
 INSTANTIATE_TEST_SUITE_P(
     Views, PrimaryTenureTest,
     testing::Values(
-        TenureCase { "NoChange", { view(kPrimary, 3) }, { true, true, true } },
-        TenureCase { "Released", { view(std::nullopt, 3) }, { false, false, false } },
-        TenureCase { "Switchover", { view(std::nullopt, 3, true) }, { true, true, false } },
+        TenureCase { "NoChange", true, { view(kPrimary, 3) }, { true, true, true } },
+        TenureCase { "Released", true, { view(std::nullopt, 3) }, { false, false, false } },
+        TenureCase { "Switchover", true, { view(std::nullopt, 3, true) }, { true, true, false } },
         TenureCase { "SwitchoverRepeated",
+                     true,
                      { view(std::nullopt, 3, true), view(std::nullopt, 3, true) },
                      { true, true, false } },
         TenureCase { "SwitchoverTakenOverByAnotherController",
+                     true,
                      { view(std::nullopt, 3, true), view(std::nullopt, 3) },
                      { false, false, false } },
         TenureCase { "SwitchoverAfterRelease",
+                     true,
                      { view(std::nullopt, 3), view(std::nullopt, 3, true) },
                      { false, false, false } },
-        TenureCase { "Replaced", { view(kOther, 4) }, { false, false, false } },
+        TenureCase { "SwitchoverHeardOfAfterALostLease",
+                     false,
+                     { view(std::nullopt, 3, true) },
+                     { false, false, false } },
+        TenureCase { "Replaced", true, { view(kOther, 4) }, { false, false, false } },
         TenureCase { "SwitchoverDone",
+                     true,
                      { view(std::nullopt, 3, true), view(kOther, 4) },
                      { false, false, false } },
-        TenureCase { "LeadsNextTerm", { view(kPrimary, 4) }, { false, false, false } },
-        TenureCase { "ServiceRemoved", { std::nullopt }, { true, true, true } },
-        TenureCase { "ServiceBack", { std::nullopt, view(kPrimary, 3) }, { true, true, true } },
+        TenureCase { "LeadsNextTerm", true, { view(kPrimary, 4) }, { false, false, false } },
+        TenureCase { "ServiceRemoved", true, { std::nullopt }, { true, true, true } },
+        TenureCase {
+            "ServiceBack", true, { std::nullopt, view(kPrimary, 3) }, { true, true, true } },
         TenureCase { "ServiceBackReleased",
+                     true,
                      { std::nullopt, view(std::nullopt, 3) },
                      { false, false, false } },
-        TenureCase {
-            "ServiceBackReplaced", { std::nullopt, view(kOther, 4) }, { false, false, false } }),
+        TenureCase { "ServiceBackReplaced",
+                     true,
+                     { std::nullopt, view(kOther, 4) },
+                     { false, false, false } }),
     [](const auto &info) { return info.param.name; });
 
 // Guards against taking a later term of the same database for the one in which a commit was sent.
@@ -85,10 +99,10 @@
 {
     PrimaryTenures tenures;
     EXPECT_EQ(tenureOf(tenures, kPrimary), std::nullopt);
-    applyPrimary(tenures, view(kPrimary, 3), kStart);
+    applyPrimary(tenures, view(kPrimary, 3), true, kStart);
     EXPECT_EQ(tenureOf(tenures, kPrimary), kTenure);
     EXPECT_EQ(tenureOf(tenures, kOther), std::nullopt);
-    applyPrimary(tenures, view(std::nullopt, 3), kStart);
+    applyPrimary(tenures, view(std::nullopt, 3), true, kStart);
     EXPECT_EQ(tenureOf(tenures, kPrimary), std::nullopt);
 }
 
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -185,7 +185,9 @@
 
 void SessionProxy::setFreshUntil(TimePoint until)
 {
-    m_impl->m_state.freshUntil = until;
+    ProxyState &state = m_impl->m_state;
+    state.leaseResumed = state.leaseResumed || !state.fresh(monotonicNow());
+    state.freshUntil = until;
 }
 
 void SessionProxy::setSharesGranted(bool granted)
--- a/src/proxy/proxy_databases.cpp
+++ b/src/proxy/proxy_databases.cpp
@@ -68,7 +68,7 @@
     if (added)
         service.chance =
             LowDiscrepancySequence::forStream(m_state.self.value() + '/' + group.service.value());
-    applyPrimary(service.tenures, group, now);
+    applyPrimary(service.tenures, group, !m_state.leaseResumed, now);
     applyDatabases(service, group, shares, now);
 }
 
@@ -175,6 +175,7 @@
         if (!fleet.groups.contains(service))
             m_impl->removeGroup(service, now);
     }
+    m_impl->m_state.leaseResumed = false;
     m_impl->m_dispatcher->connectOwners();
 }
 
--- a/src/proxy/proxy_state.h
+++ b/src/proxy/proxy_state.h
@@ -127,6 +127,8 @@
     /// Expiry time of the node's freshness lease. After it, keys may have been revoked and another
     /// database may be the primary without this node knowing.
     TimePoint freshUntil;
+    /// The node had no lease before the present one, whose view has not been applied yet.
+    bool leaseResumed = false;
     LogRateLimiter logRateLimiter;
     std::unique_ptr<StopCounters> stopCounters;
     std::unique_ptr<LimitMetrics> limitMetrics;
