--- a/src/node/controller_host.cpp
+++ b/src/node/controller_host.cpp
@@ -19,6 +19,8 @@
 /// once when everything restarts. A first lease takes a few milliseconds to make on a slow core,
 /// and the heartbeats of the control group, 100 ms apart, wait meanwhile.
 constexpr std::size_t kMaxHeldAnswersPerTick = 8;
+/// Interval at which the recorded nodes are looked through for those that don't report.
+constexpr Duration kNodeSearchInterval = 200ms;
 /// Maximum time that an operator waits for a change to be in force.
 constexpr Duration kInForceTimeout = 10s;
 
@@ -350,7 +352,12 @@
 
 NodeSearchStep ControllerHost::takeNodeSearchStep(TimePoint now)
 {
-    return m_controller ? advanceNodeSearch(m_nodeSearch, now) : endNodeSearch(m_nodeSearch);
+    if (!m_controller)
+        return endNodeSearch(m_nodeSearch);
+    if (now < m_nextNodeSearch)
+        return {};
+    m_nextNodeSearch = now + kNodeSearchInterval;
+    return advanceNodeSearch(m_nodeSearch, now);
 }
 
 void ControllerHost::forward(const OperatorRequest &request, ForwardCallback callback,
--- a/src/node/controller_host.h
+++ b/src/node/controller_host.h
@@ -128,6 +128,7 @@
     std::vector<NodeId> m_recordedWithoutReport;
     ReportRequests m_requests;
     NodeSearch m_nodeSearch;
+    TimePoint m_nextNodeSearch;
     const Logger &m_logger;
     Counter &m_primaryChanges;
     LatencyHistogram &m_primaryChangeTime;
