--- a/src/include/shallotlever/fleet/endpoint_claim.h
+++ b/src/include/shallotlever/fleet/endpoint_claim.h
@@ -20,7 +20,8 @@
 /// whose endpoint it had claimed have ended.
 void noteAnswer(Registry &registry, const MemberId &process, TimePoint askedAt);
 
-/// Notes that the endpoint of the entry is claimed by a process that was announced earlier.
+/// Notes that the endpoint of the entry is claimed, as claimEndpoint() does, for a claim that is
+/// known from recorded state.
 void markClaimed(Registry &registry, RegistryEntry &entry, TimePoint now);
 
 /// Whether the upstream's endpoint is claimed, or claimed by the upstream.
